--- /dev/null
+++ b/crates/chart/src/lib.rs
@@ -0,0 +1,123 @@
+//! State charts that are read from JSON files and interpreted.
+//!
+//! A chart says which event moves which state to which; the code that feeds events gives the
+//! states their meaning. Charts stand in files so that an operator can read the life cycle of a
+//! target without reading code.
+
+use std::collections::HashMap;
+
+use displaydoc::Display;
+use serde::Deserialize;
+use thiserror::Error;
+
+/// A checked state chart.
+#[derive(Debug, Clone)]
+pub struct Chart {
+    initial: usize,
+    states: Vec<String>,
+    transitions: HashMap<(usize, String), usize>,
+}
+
+/// A running instance of a [`Chart`].
+#[derive(Debug, Clone)]
+pub struct Machine {
+    chart: Chart,
+    state: usize,
+}
+
+/// Why a chart cannot be used.
+#[derive(Debug, Display, Error)]
+pub enum Error {
+    /// the chart is not valid JSON: {0}
+    Syntax(#[from] serde_json::Error),
+    /// state {0:?} is used but not listed under "states"
+    Unknown(String),
+    /// state {0:?} has two transitions for event {1:?}
+    Ambiguous(String, String),
+}
+
+/// What an event did to a [`Machine`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// The state changed.
+    Moved,
+    /// The chart has no transition for the event in this state, so nothing changed.
+    Stayed,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Source {
+    initial: String,
+    states: Vec<String>,
+    transitions: Vec<Transition>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Transition {
+    from: Vec<String>,
+    on: String,
+    to: String,
+}
+
+impl Chart {
+    /// Reads a chart from its JSON text.
+    ///
+    /// # Errors
+    /// Fails on malformed JSON, on a state that is not listed and on an ambiguous transition.
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        let source: Source = serde_json::from_str(text)?;
+        let index = |name: &str| {
+            source
+                .states
+                .iter()
+                .position(|state| state == name)
+                .ok_or_else(|| Error::Unknown(name.to_owned()))
+        };
+        let mut transitions = HashMap::new();
+        for transition in &source.transitions {
+            let to = index(&transition.to)?;
+            for from in &transition.from {
+                let key = (index(from)?, transition.on.clone());
+                if transitions.insert(key, to).is_some() {
+                    return Err(Error::Ambiguous(from.clone(), transition.on.clone()));
+                }
+            }
+        }
+        Ok(Self {
+            initial: index(&source.initial)?,
+            states: source.states,
+            transitions,
+        })
+    }
+
+    /// Starts an instance in the initial state.
+    #[must_use]
+    pub fn start(&self) -> Machine {
+        Machine {
+            state: self.initial,
+            chart: self.clone(),
+        }
+    }
+}
+
+impl Machine {
+    /// Returns the name of the current state.
+    #[must_use]
+    pub fn state(&self) -> &str {
+        &self.chart.states[self.state]
+    }
+
+    /// Feeds an event.
+    pub fn on(&mut self, event: &str) -> Step {
+        let Some(&next) = self.chart.transitions.get(&(self.state, event.to_owned())) else {
+            return Step::Stayed;
+        };
+        if next == self.state {
+            return Step::Stayed;
+        }
+        self.state = next;
+        Step::Moved
+    }
+}
--- /dev/null
+++ b/crates/context/src/block.rs
@@ -0,0 +1,89 @@
+use std::fmt;
+
+use types::{Model, Weights};
+
+use crate::Secret;
+
+/// The number of tokens in a block.
+pub const BLOCK_TOKENS: usize = 1024;
+
+/// The name of a block; only who holds the team's [`Secret`] can compute it.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Id([u8; 32]);
+
+/// A full block of a prompt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Block {
+    /// The name of the block.
+    pub id: Id,
+    /// The number of prompt tokens up to the end of this block.
+    pub end: usize,
+}
+
+impl fmt::Debug for Id {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Id({self})")
+    }
+}
+
+impl fmt::Display for Id {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&blake3::Hash::from(self.0).to_hex())
+    }
+}
+
+impl Id {
+    /// Returns the bytes of the name.
+    #[must_use]
+    pub fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+}
+
+/// Splits a prompt into tokens for the purpose of naming blocks.
+///
+/// Words stand in for the engine's tokens: block names only need a division that is the same each
+/// time the prompt returns.
+pub fn tokens(prompt: &str) -> impl Iterator<Item = &str> {
+    prompt.split_whitespace()
+}
+
+/// Names the full blocks of a prompt, each depending on all before it.
+#[must_use]
+pub fn chain(secret: &Secret, model: &Model, weights: &Weights, prompt: &str) -> Vec<Block> {
+    let tokens: Vec<&str> = tokens(prompt).collect();
+    let mut blocks: Vec<Block> = Vec::with_capacity(tokens.len() / BLOCK_TOKENS);
+    for piece in tokens.chunks_exact(BLOCK_TOKENS) {
+        let mut hasher = secret.hasher();
+        let parent = blocks.last().map_or([0; 32], |block| block.id.0);
+        hasher.update(&parent);
+        for part in [model.as_bytes(), weights.as_bytes()]
+            .into_iter()
+            .chain(piece.iter().map(|token| token.as_bytes()))
+        {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let end = (blocks.len() + 1) * BLOCK_TOKENS;
+        blocks.push(Block {
+            id: Id(*hasher.finalize().as_bytes()),
+            end,
+        });
+    }
+    blocks
+}
+
+/// Returns a digest of the first block, or of the whole prompt when it is shorter.
+///
+/// It is the part of a conversation that stays the same when it returns, whatever was appended.
+#[must_use]
+pub fn root(secret: &Secret, model: &Model, prompt: &str) -> [u8; 32] {
+    let mut hasher = secret.hasher();
+    hasher.update(b"root");
+    hasher.update(model.as_bytes());
+    for token in tokens(prompt).take(BLOCK_TOKENS) {
+        hasher.update(&(token.len() as u64).to_le_bytes());
+        hasher.update(token.as_bytes());
+    }
+    *hasher.finalize().as_bytes()
+}
--- /dev/null
+++ b/crates/context/src/envelope.rs
@@ -0,0 +1,82 @@
+use displaydoc::Display;
+use subtle::ConstantTimeEq;
+use thiserror::Error;
+
+use crate::{Id, Secret};
+
+/// A block's payload together with what is needed to verify it.
+///
+/// Layout: magic (4 bytes), block id (32), payload length (8, little endian), keyed checksum over
+/// id and payload (32), payload.
+#[derive(Debug)]
+pub struct Envelope;
+
+/// Why bytes from a store are not the block that was asked for.
+#[derive(Debug, Display, Error, Clone, Copy, PartialEq, Eq)]
+pub enum Miss {
+    /// the block is shorter than its header or its stated length
+    Truncated,
+    /// the block has an unknown format
+    Format,
+    /// the block has another name than was asked for
+    Name,
+    /// the checksum of the block does not match
+    Checksum,
+}
+
+const MAGIC: &[u8; 4] = b"brk1";
+const HEADER_BYTES: usize = 4 + 32 + 8 + 32;
+
+impl Envelope {
+    /// Wraps a payload for a store.
+    #[must_use]
+    pub fn seal(secret: &Secret, id: &Id, payload: &[u8]) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(HEADER_BYTES + payload.len());
+        bytes.extend_from_slice(MAGIC);
+        bytes.extend_from_slice(id.as_bytes());
+        bytes.extend_from_slice(&(payload.len() as u64).to_le_bytes());
+        bytes.extend_from_slice(&checksum(secret, id, payload));
+        bytes.extend_from_slice(payload);
+        bytes
+    }
+
+    /// Returns the payload if the bytes are the whole, unchanged block with this name.
+    ///
+    /// # Errors
+    /// Any difference is a [`Miss`]; the caller recomputes the context instead.
+    pub fn open<'bytes>(
+        secret: &Secret,
+        id: &Id,
+        bytes: &'bytes [u8],
+    ) -> Result<&'bytes [u8], Miss> {
+        let (magic, rest) = split(bytes, 4)?;
+        if magic != MAGIC {
+            return Err(Miss::Format);
+        }
+        let (name, rest) = split(rest, 32)?;
+        if name != id.as_bytes() {
+            return Err(Miss::Name);
+        }
+        let (length, rest) = split(rest, 8)?;
+        let (stated, payload) = split(rest, 32)?;
+        if length != (payload.len() as u64).to_le_bytes() {
+            return Err(Miss::Truncated);
+        }
+        if !bool::from(stated.ct_eq(&checksum(secret, id, payload))) {
+            return Err(Miss::Checksum);
+        }
+        Ok(payload)
+    }
+}
+
+fn checksum(secret: &Secret, id: &Id, payload: &[u8]) -> [u8; 32] {
+    let mut hasher = secret.hasher();
+    hasher.update(b"envelope");
+    hasher.update(id.as_bytes());
+    hasher.update(payload);
+    *hasher.finalize().as_bytes()
+}
+
+fn split(bytes: &[u8], at: usize) -> Result<(&[u8], &[u8]), Miss> {
+    bytes.split_at_checked(at).ok_or(Miss::Truncated)
+}
--- /dev/null
+++ b/crates/control/src/member.rs
@@ -0,0 +1,87 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use types::{Domain, Host, Incarnation, Model, Region, Service, Target};
+
+/// What the others need to know of a process.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// The name of the process, unique in the deployment.
+    pub name: String,
+    /// Grows with every start of the process.
+    pub incarnation: Incarnation,
+    /// The address for streams between processes.
+    pub address: SocketAddr,
+    /// The host it runs on.
+    pub host: Host,
+    /// The failure domain of the host.
+    pub domain: Domain,
+    /// The region of the failure domain.
+    pub region: Region,
+    /// What the process does.
+    pub role: Role,
+}
+
+/// What a process does.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// Takes requests from callers.
+    Entry,
+    /// Stands beside a model engine.
+    Engine {
+        /// The engine's name.
+        target: Target,
+        /// The model that it serves.
+        model: Model,
+    },
+    /// Stands beside an instance of a plain service.
+    Service {
+        /// The instance's name.
+        target: Target,
+        /// The service that it belongs to.
+        service: Service,
+    },
+}
+
+impl Role {
+    /// Returns the target that the process stands beside, if any.
+    #[must_use]
+    pub fn target(&self) -> Option<&Target> {
+        match self {
+            Self::Entry => None,
+            Self::Engine { target, .. } | Self::Service { target, .. } => Some(target),
+        }
+    }
+}
+
+/// All known members; a greater incarnation replaces a smaller one, in whatever order they come.
+#[derive(Debug, Clone, Default)]
+pub struct Directory {
+    members: BTreeMap<String, Member>,
+}
+
+impl Directory {
+    /// Takes a record in unless a record at least as new is known; returns whether it did.
+    pub fn insert(&mut self, member: Member) -> bool {
+        match self.members.get(&member.name) {
+            Some(known) if known.incarnation >= member.incarnation => false,
+            _ => {
+                self.members.insert(member.name.clone(), member);
+                true
+            }
+        }
+    }
+
+    /// Iterates over all members, ordered by name.
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Returns the member with this name.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&Member> {
+        self.members.get(name)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/agent/mod.rs
@@ -0,0 +1,220 @@
+//! The agent: the only process that talks to its target, and so the authority on it.
+
+mod answers;
+mod claim;
+mod gate;
+mod kept;
+mod prompt;
+mod service;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use displaydoc::Display;
+use serde_json::{Value, json};
+use wire::{Frame, Listener, Reason, Refused, Stream, Work};
+
+use crate::admin::Report;
+use crate::control::View;
+use crate::metrics::Metrics;
+use crate::settings::{Role, Settings};
+use answers::Answers;
+use gate::Gate;
+
+/// A running agent.
+#[derive(Debug)]
+pub struct Agent {
+    gate: Gate,
+    address: SocketAddr,
+    admin: SocketAddr,
+}
+
+/// Why an agent did not start.
+#[derive(Debug, Display, thiserror::Error)]
+pub enum Error {
+    /// the settings are not those of an agent
+    Role,
+    /// an address cannot be bound: {0}
+    Bind(#[from] std::io::Error),
+    /// the platform's client cannot be set up: {0}
+    Platform(#[from] platform::Error),
+    /// the target's client cannot be set up: {0}
+    Engine(#[from] engine::Error),
+    /// a store's client cannot be set up: {0}
+    Store(#[from] store::Error),
+}
+
+/// What all requests of an agent share.
+#[derive(Debug)]
+struct Shared {
+    name: String,
+    view: Arc<View>,
+    gate: Gate,
+    metrics: Metrics,
+    answers: Answers,
+    target: Target,
+}
+
+#[derive(Debug)]
+enum Target {
+    Engine(prompt::Backend),
+    Service(service::Backend),
+}
+
+/// Starts an agent as the settings say.
+///
+/// # Errors
+/// Fails when an address cannot be bound or a client cannot be set up; an unavailable platform or
+/// target is no failure.
+pub async fn spawn(settings: &Settings) -> Result<Agent, Error> {
+    let metrics = Metrics::new();
+    let listener = Listener::bind(settings.peer_address, settings.keys()).await?;
+    let address = listener.address();
+    let view = crate::control::spawn(settings, address, metrics.clone())?;
+    let (gate, target) = match &settings.role {
+        Role::Entry { .. } => return Err(Error::Role),
+        Role::Engine {
+            model,
+            address,
+            cold_limit,
+            warm_limit,
+            ..
+        } => {
+            let limits = admission::Limits {
+                cold: *cold_limit,
+                warm: *warm_limit,
+            };
+            let gate = Gate::spawn(limits, metrics.clone());
+            let backend =
+                prompt::Backend::spawn(settings, model.clone(), address, &gate, &metrics)?;
+            (gate, Target::Engine(backend))
+        }
+        Role::Service {
+            service,
+            address,
+            limit,
+            ..
+        } => {
+            let limits = admission::Limits {
+                cold: *limit,
+                warm: *limit,
+            };
+            let gate = Gate::spawn(limits, metrics.clone());
+            let backend = service::Backend::spawn(service.clone(), address, &gate)?;
+            (gate, Target::Service(backend))
+        }
+    };
+    gate.follow(Arc::clone(&view), settings);
+    let shared = Arc::new(Shared {
+        name: settings.name.clone(),
+        view,
+        gate: gate.clone(),
+        metrics: metrics.clone(),
+        answers: Answers::default(),
+        target,
+    });
+    let admin = crate::admin::spawn(settings.admin_address, metrics, Arc::clone(&shared)).await?;
+    tokio::spawn(accept(listener, shared));
+    Ok(Agent {
+        gate,
+        address,
+        admin,
+    })
+}
+
+impl Agent {
+    /// Returns the address for streams from other processes.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the address of the operators' endpoint.
+    #[must_use]
+    pub fn admin(&self) -> SocketAddr {
+        self.admin
+    }
+
+    /// Refuses new work and returns once all running work is finished.
+    pub async fn drain(&self) {
+        self.gate.stop().await;
+    }
+}
+
+impl Report for Shared {
+    fn is_ready(&self) -> bool {
+        self.view.is_ready() && self.gate.state().is_ready()
+    }
+
+    fn status(&self) -> Value {
+        let state = self.gate.state();
+        json!({
+            "name": self.name,
+            "version": self.view.version(),
+            "incarnation": self.view.incarnation(),
+            "state": state.name,
+            "in_flight": state.load.in_flight,
+            "limit": state.load.limit,
+        })
+    }
+}
+
+async fn accept(mut listener: Listener, shared: Arc<Shared>) {
+    while let Some(stream) = listener.accept().await {
+        tokio::spawn(serve(stream, Arc::clone(&shared)));
+    }
+}
+
+async fn serve(mut stream: Stream, shared: Arc<Shared>) {
+    let frame = match stream.receiver.recv().await {
+        Ok(Some(frame)) => frame,
+        Ok(None) => return,
+        Err(error) => return log::warn!("a stream carried no frame: {error}"),
+    };
+    match frame {
+        Frame::Dispatch(dispatch) => match (&shared.target, dispatch.work.clone()) {
+            (Target::Engine(backend), Work::Prompt(prompt)) => {
+                prompt::run(&shared, backend, &dispatch, prompt, &mut stream).await;
+            }
+            (Target::Service(backend), Work::Call(call)) => {
+                let answer = service::run(&shared, backend, &dispatch, &call).await;
+                let _ = stream.sender.send(&answer).await;
+            }
+            _ => {
+                let refused = shared.refuse(Reason::WrongTarget);
+                let _ = stream.sender.send(&refused).await;
+            }
+        },
+        Frame::Resume(resume) => match shared.answers.get(resume.request, &resume.team) {
+            Some(answer) => answers::follow(&answer, resume.from, &mut stream, &shared).await,
+            None => {
+                // Another team's answer is unknown too, so that nothing can be learned of it.
+                let refused = shared.refuse(Reason::Unknown);
+                let _ = stream.sender.send(&refused).await;
+            }
+        },
+        _ => log::warn!("a stream started with a frame that no request starts with"),
+    }
+    stream.sender.finish();
+}
+
+impl Shared {
+    /// Makes a refusal of something that was not sent to the target and never will be.
+    fn refuse(&self, reason: Reason) -> Frame {
+        self.refuse_with(types::Verdict::NotRun, reason)
+    }
+
+    fn refuse_with(&self, verdict: types::Verdict, reason: Reason) -> Frame {
+        let label = format!("{reason:?}");
+        self.metrics
+            .refusals
+            .with_label_values(&[label.as_str()])
+            .inc();
+        Frame::Refused(Refused {
+            verdict,
+            reason,
+            retry_after_ms: 50,
+            load: self.gate.state().load,
+        })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/agent/prompt.rs
@@ -0,0 +1,223 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use admission::Outcome;
+use arc_swap::ArcSwapOption;
+use context::Secret;
+use engine::{Answer as _, Chunk, Client, Completion, Engine};
+use rules::Priority;
+use types::{Model, Weights};
+use wire::{Admitted, Dispatch, Frame, Prompt, Reason, Stream, Usage};
+
+use super::answers::{Answer, Ending, follow};
+use super::gate::Gate;
+use super::kept::Kept;
+use super::{Error, Shared};
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+
+/// The model engine beside this agent.
+#[derive(Debug)]
+pub(super) struct Backend {
+    engine: Client,
+    model: Model,
+    weights: Arc<ArcSwapOption<Weights>>,
+    kept: Kept,
+    secret: String,
+}
+
+/// How often the engine is asked how it is.
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+/// How often a broken stream from the engine is resumed before the answer counts as lost.
+const RESUMES: u32 = 2;
+
+impl Backend {
+    /// Starts to probe the engine.
+    pub(super) fn spawn(
+        settings: &Settings,
+        model: Model,
+        address: &str,
+        gate: &Gate,
+        metrics: &Metrics,
+    ) -> Result<Self, Error> {
+        let engine = Client::new(address)?;
+        let weights = Arc::new(ArcSwapOption::empty());
+        tokio::spawn(probe(engine.clone(), gate.clone(), Arc::clone(&weights)));
+        let kept = Kept::new(engine.clone(), &settings.stores, metrics.clone())?;
+        Ok(Self {
+            engine,
+            model,
+            weights,
+            kept,
+            secret: settings.context_secret.clone(),
+        })
+    }
+}
+
+async fn probe(engine: Client, gate: Gate, weights: Arc<ArcSwapOption<Weights>>) {
+    loop {
+        if let Ok(status) = engine.status().await {
+            weights.store(Some(Arc::new(status.weights)));
+            gate.observe(status.boot).await;
+        }
+        tokio::time::sleep(PROBE_INTERVAL).await;
+    }
+}
+
+/// Runs a prompt on the engine and sends the answer as it grows.
+pub(super) async fn run(
+    shared: &Arc<Shared>,
+    backend: &Backend,
+    dispatch: &Dispatch,
+    prompt: Prompt,
+    stream: &mut Stream,
+) {
+    match start(shared, backend, dispatch, prompt).await {
+        Ok(answer) => {
+            let admitted = Frame::Admitted(Admitted {
+                load: shared.gate.state().load,
+                version: shared.view.version(),
+            });
+            if stream.sender.send(&admitted).await.is_ok() {
+                let from = answer.from;
+                follow(&answer.answer, from, stream, shared).await;
+            }
+        }
+        Err(refused) => {
+            let _ = stream.sender.send(&refused).await;
+        }
+    }
+}
+
+struct Started {
+    answer: Arc<Answer>,
+    from: u32,
+}
+
+async fn start(
+    shared: &Arc<Shared>,
+    backend: &Backend,
+    dispatch: &Dispatch,
+    prompt: Prompt,
+) -> Result<Started, Frame> {
+    if prompt.model != backend.model {
+        return Err(shared.refuse(Reason::WrongTarget));
+    }
+    let Some(weights) = backend.weights.load_full() else {
+        return Err(shared.refuse(Reason::Unavailable));
+    };
+    if let Err(reason) = shared.gate.request(dispatch.attempt).await {
+        return Err(shared.refuse(reason));
+    }
+    let secret = Secret::derive(backend.secret.as_bytes(), &dispatch.team);
+    let blocks = context::chain(&secret, &prompt.model, &weights, &prompt.text);
+    backend.kept.import(&secret, &weights, &blocks).await;
+    let completion = Completion {
+        request_id: dispatch.attempt,
+        model: prompt.model,
+        prompt: prompt.text,
+        max_tokens: prompt.max_tokens,
+        priority: match dispatch.priority {
+            Priority::Low => 0,
+            Priority::Normal => 1,
+            Priority::High => 2,
+        },
+        cache_salt: secret.salt(),
+        blocks: blocks.iter().map(|block| block.id.to_string()).collect(),
+        delivered: prompt.delivered,
+        stream: true,
+    };
+    let running = match backend.engine.complete(&completion).await {
+        Ok(running) => running,
+        Err(error) => {
+            shared.gate.finish(dispatch.attempt, Outcome::Failure).await;
+            // A prompt has no effect beside its answer, and no part of this answer was seen.
+            log::debug!(
+                "the engine did not take attempt {}: {error}",
+                dispatch.attempt
+            );
+            return Err(shared.refuse_with(error.verdict(), Reason::Unavailable));
+        }
+    };
+    shared.gate.confirm(dispatch.attempt, running.boot()).await;
+    let from = completion.delivered.len() as u32;
+    let answer = shared.answers.start(
+        dispatch.request,
+        dispatch.team.clone(),
+        &completion.delivered,
+    );
+    let pump = Pump {
+        shared: Arc::clone(shared),
+        engine: backend.engine.clone(),
+        attempt: dispatch.attempt,
+        answer: Arc::clone(&answer),
+    };
+    let kept = backend.kept.clone();
+    tokio::spawn(async move {
+        if pump.run(running).await {
+            kept.export(&secret, &blocks).await;
+        }
+    });
+    Ok(Started { answer, from })
+}
+
+/// Reads an answer from the engine to its end, whether or not an entry follows it.
+struct Pump {
+    shared: Arc<Shared>,
+    engine: Client,
+    attempt: types::Attempt,
+    answer: Arc<Answer>,
+}
+
+impl Pump {
+    /// Returns whether the answer is whole.
+    async fn run(&self, running: engine::Running) -> bool {
+        let mut running = running;
+        let mut resumes = RESUMES;
+        loop {
+            match running.next().await {
+                Ok(Some(Chunk::Token { text, .. })) => {
+                    self.answer.push(text);
+                    continue;
+                }
+                Ok(Some(Chunk::End(finish))) => {
+                    let usage = Usage {
+                        prompt: finish.prompt,
+                        reused: finish.cached,
+                        completion: finish.completion,
+                    };
+                    let metrics = &self.shared.metrics;
+                    metrics.reused.inc_by(usage.reused.into());
+                    metrics
+                        .computed
+                        .inc_by(usage.prompt.saturating_sub(usage.reused).into());
+                    self.shared
+                        .gate
+                        .finish(self.attempt, Outcome::Success)
+                        .await;
+                    self.answer.end(Ending::Whole {
+                        finish: finish.reason,
+                        usage,
+                    });
+                    return true;
+                }
+                Ok(None) => log::debug!("the engine cut attempt {}", self.attempt),
+                Err(error) => log::debug!("attempt {} broke: {error}", self.attempt),
+            }
+            if resumes == 0 {
+                break;
+            }
+            resumes -= 1;
+            match self.engine.resume(self.attempt, self.answer.len()).await {
+                Ok(resumed) => running = resumed,
+                Err(_) => break,
+            }
+        }
+        self.shared
+            .gate
+            .finish(self.attempt, Outcome::Failure)
+            .await;
+        self.answer.end(Ending::Lost);
+        false
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/api.rs
@@ -0,0 +1,188 @@
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use types::{Model, Request, Verdict};
+use wire::{Reason, Usage};
+
+/// A request of the chat-completions interface; fields that are not listed are ignored, as its
+/// clients expect.
+#[derive(Debug, Deserialize)]
+pub(super) struct Chat {
+    pub(super) model: Model,
+    pub(super) messages: Vec<Message>,
+    #[serde(default = "default_max_tokens")]
+    pub(super) max_tokens: u32,
+    #[serde(default)]
+    pub(super) stream: bool,
+}
+
+/// A message of a conversation.
+#[derive(Debug, Deserialize)]
+pub(super) struct Message {
+    pub(super) role: String,
+    pub(super) content: String,
+}
+
+/// A refusal as a caller sees it.
+#[derive(Debug, Clone)]
+pub(super) struct Refusal {
+    pub(super) status: u16,
+    pub(super) kind: &'static str,
+    pub(super) message: String,
+    pub(super) verdict: Verdict,
+    pub(super) retry_after_ms: Option<u32>,
+}
+
+#[derive(Serialize)]
+struct Detail<'text> {
+    #[serde(rename = "type")]
+    kind: &'static str,
+    message: &'text str,
+    ran: &'static str,
+}
+
+#[derive(Serialize)]
+struct Body<'text> {
+    error: Detail<'text>,
+}
+
+/// The tokens that an answer may have when the caller does not say.
+fn default_max_tokens() -> u32 {
+    256
+}
+
+/// The most tokens that an answer may have.
+const MAX_TOKENS: u32 = 131_072;
+
+impl Chat {
+    /// Checks what the types do not; returns what is wrong.
+    pub(super) fn problem(&self) -> Option<&'static str> {
+        if self.messages.is_empty() {
+            return Some("messages: at least one message is needed");
+        }
+        if self.max_tokens == 0 || self.max_tokens > MAX_TOKENS {
+            return Some("max_tokens: accepted is a whole number from 1 to 131072");
+        }
+        None
+    }
+
+    /// Joins the messages to the text that the model continues.
+    pub(super) fn prompt(&self) -> String {
+        let mut text = String::new();
+        for message in &self.messages {
+            text.push_str(&message.role);
+            text.push_str(": ");
+            text.push_str(&message.content);
+            text.push('\n');
+        }
+        text
+    }
+}
+
+impl Refusal {
+    /// A mistake of the caller; nothing was run.
+    pub(super) fn caller(status: u16, kind: &'static str, message: &str) -> Self {
+        Self {
+            status,
+            kind,
+            message: message.to_owned(),
+            verdict: Verdict::NotRun,
+            retry_after_ms: None,
+        }
+    }
+
+    /// A refusal for a reason inside the system.
+    pub(super) fn system(reason: Reason, verdict: Verdict, retry_after_ms: u32) -> Self {
+        let (status, kind, message) = match reason {
+            Reason::Full => (503, "overloaded", "all targets have as much as they bear"),
+            Reason::Leaving => (503, "unavailable", "the targets are leaving"),
+            Reason::Unavailable => (503, "unavailable", "no target answers"),
+            Reason::WrongTarget => (503, "unavailable", "no target serves this at the moment"),
+            Reason::Deadline => (504, "deadline", "the deadline passed"),
+            Reason::Platform => (
+                503,
+                "unavailable",
+                "the idempotency key cannot be claimed now",
+            ),
+            Reason::InDoubt => (
+                409,
+                "in_doubt",
+                "an earlier request with this key may have run",
+            ),
+            Reason::Unknown => (404, "unknown", "there is no such answer"),
+            Reason::Isolated => (503, "unavailable", "this process is cut off"),
+            Reason::Invalid => (422, "invalid", "the request cannot be accepted"),
+        };
+        let retry_after_ms = (status == 503).then_some(retry_after_ms);
+        Self {
+            status,
+            kind,
+            message: message.to_owned(),
+            verdict,
+            retry_after_ms,
+        }
+    }
+
+    /// Returns the body of the response.
+    pub(super) fn body(&self) -> String {
+        let detail = Detail {
+            kind: self.kind,
+            message: &self.message,
+            ran: self.verdict.as_ran(),
+        };
+        serde_json::to_string(&Body { error: detail }).unwrap_or_default()
+    }
+}
+
+/// Returns one event of a streamed answer.
+pub(super) fn chunk(request: Request, model: &Model, text: &str) -> String {
+    json!({
+        "id": format!("chatcmpl-{request}"),
+        "object": "chat.completion.chunk",
+        "model": model,
+        "choices": [{ "index": 0, "delta": { "content": text }, "finish_reason": null }],
+    })
+    .to_string()
+}
+
+/// Returns the last event of a streamed answer.
+pub(super) fn last_chunk(request: Request, model: &Model, finish: &str, usage: Usage) -> String {
+    json!({
+        "id": format!("chatcmpl-{request}"),
+        "object": "chat.completion.chunk",
+        "model": model,
+        "choices": [{ "index": 0, "delta": {}, "finish_reason": finish }],
+        "usage": usage_json(usage),
+    })
+    .to_string()
+}
+
+/// Returns a whole answer.
+pub(super) fn completion(
+    request: Request,
+    model: &Model,
+    text: &str,
+    finish: &str,
+    usage: Usage,
+) -> String {
+    json!({
+        "id": format!("chatcmpl-{request}"),
+        "object": "chat.completion",
+        "model": model,
+        "choices": [{
+            "index": 0,
+            "message": { "role": "assistant", "content": text },
+            "finish_reason": finish,
+        }],
+        "usage": usage_json(usage),
+    })
+    .to_string()
+}
+
+fn usage_json(usage: Usage) -> serde_json::Value {
+    json!({
+        "prompt_tokens": usage.prompt,
+        "completion_tokens": usage.completion,
+        "total_tokens": usage.prompt + usage.completion,
+        "prompt_tokens_details": { "cached_tokens": usage.reused },
+    })
+}
--- /dev/null
+++ b/crates/engine/src/sse.rs
@@ -0,0 +1,55 @@
+/// Cuts a stream of server-sent events into the data of each event.
+#[derive(Debug, Default)]
+pub(crate) struct Decoder {
+    buffer: Vec<u8>,
+    searched: usize,
+}
+
+/// One event.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) struct Event {
+    pub(crate) id: Option<u32>,
+    pub(crate) data: String,
+}
+
+/// The largest event that is read, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+impl Decoder {
+    pub(crate) fn push(&mut self, bytes: &[u8]) {
+        self.buffer
+            .extend(bytes.iter().filter(|&&byte| byte != b'\r'));
+    }
+
+    /// Returns the next whole event; fails on an overlong event and on text that is not UTF-8.
+    pub(crate) fn decode(&mut self) -> Result<Option<Event>, &'static str> {
+        let end = self.buffer[self.searched..]
+            .windows(2)
+            .position(|pair| pair == b"\n\n");
+        let Some(end) = end.map(|end| end + self.searched) else {
+            if self.buffer.len() > MAX_EVENT_BYTES {
+                return Err("an event is larger than 1 MiB");
+            }
+            self.searched = self.buffer.len().saturating_sub(1);
+            return Ok(None);
+        };
+        let event: Vec<u8> = self.buffer.drain(..end + 2).collect();
+        self.searched = 0;
+        let text = std::str::from_utf8(&event).map_err(|_error| "an event is not UTF-8")?;
+        let mut id = None;
+        let mut data = String::new();
+        for line in text.lines() {
+            if let Some(value) = field(line, "data") {
+                data.push_str(value);
+            } else if let Some(value) = field(line, "id") {
+                id = value.parse().ok();
+            }
+        }
+        Ok(Some(Event { id, data }))
+    }
+}
+
+fn field<'line>(line: &'line str, name: &str) -> Option<&'line str> {
+    let value = line.strip_prefix(name)?.strip_prefix(':')?;
+    Some(value.strip_prefix(' ').unwrap_or(value))
+}
--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,127 @@
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Commit, Error, Hosts, Listed, Objects, Row, Table, Write};
+
+/// Talks to the platform over HTTP and JSON.
+#[derive(Debug, Clone)]
+pub struct Client {
+    http: reqwest::Client,
+    table: String,
+    objects: String,
+    hosts: String,
+}
+
+/// How long the platform may take for an answer.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+#[derive(Serialize)]
+struct Transaction<'writes> {
+    writes: &'writes [Write],
+}
+
+#[derive(Deserialize)]
+struct Applied {
+    versions: Vec<u64>,
+}
+
+#[derive(Deserialize)]
+struct Conflict {
+    key: String,
+}
+
+#[derive(Deserialize)]
+struct Rows {
+    rows: Vec<Row>,
+}
+
+impl Client {
+    /// Makes a client for the three services; each address is like `http://10.0.0.1:80`.
+    ///
+    /// # Errors
+    /// Fails when the HTTP library cannot be set up.
+    pub fn new(table: &str, objects: &str, hosts: &str) -> Result<Self, Error> {
+        let http = reqwest::Client::builder()
+            .timeout(TIMEOUT)
+            .connect_timeout(TIMEOUT)
+            .no_proxy()
+            .build()
+            .map_err(Error::Unreachable)?;
+        let base = |address: &str| address.trim_end_matches('/').to_owned();
+        Ok(Self {
+            http,
+            table: base(table),
+            objects: base(objects),
+            hosts: base(hosts),
+        })
+    }
+}
+
+impl Table for Client {
+    async fn get(&self, key: &str) -> Result<Option<Row>, Error> {
+        let url = format!("{}/v1/rows/{key}", self.table);
+        let response = self.http.get(url).send().await?;
+        match response.status().as_u16() {
+            200 => Ok(Some(response.json().await?)),
+            404 => Ok(None),
+            status => Err(Error::Status(status)),
+        }
+    }
+
+    async fn scan(&self, prefix: &str) -> Result<Vec<Row>, Error> {
+        let url = format!("{}/v1/scan/{prefix}", self.table);
+        let response = self.http.get(url).send().await?;
+        match response.status().as_u16() {
+            200 => Ok(response.json::<Rows>().await?.rows),
+            status => Err(Error::Status(status)),
+        }
+    }
+
+    async fn commit(&self, writes: &[Write]) -> Result<Commit, Error> {
+        let url = format!("{}/v1/commit", self.table);
+        let response = self
+            .http
+            .post(url)
+            .json(&Transaction { writes })
+            .send()
+            .await?;
+        match response.status().as_u16() {
+            200 => Ok(Commit::Applied(response.json::<Applied>().await?.versions)),
+            409 => Ok(Commit::Conflict(response.json::<Conflict>().await?.key)),
+            status => Err(Error::Status(status)),
+        }
+    }
+}
+
+impl Objects for Client {
+    async fn get_object(&self, name: &str) -> Result<Option<Vec<u8>>, Error> {
+        let url = format!("{}/v1/objects/{name}", self.objects);
+        let response = self.http.get(url).send().await?;
+        match response.status().as_u16() {
+            200 => Ok(Some(response.bytes().await?.to_vec())),
+            404 => Ok(None),
+            status => Err(Error::Status(status)),
+        }
+    }
+
+    async fn put_object(&self, name: &str, bytes: Vec<u8>) -> Result<(), Error> {
+        let url = format!("{}/v1/objects/{name}", self.objects);
+        let response = self.http.put(url).body(bytes).send().await?;
+        match response.status().as_u16() {
+            200..=299 => Ok(()),
+            status => Err(Error::Status(status)),
+        }
+    }
+}
+
+impl Hosts for Client {
+    async fn hosts(&self) -> Result<Vec<Listed>, Error> {
+        let url = format!("{}/v1/hosts", self.hosts);
+        let response = self.http.get(url).send().await?;
+        match response.status().as_u16() {
+            200 => Ok(response.json().await?),
+            status => Err(Error::Status(status)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,13 @@
+//! Chooses a target for a prompt.
+//!
+//! Candidates come from rendezvous hashing, so that a prompt returns to the targets that hold its
+//! context; among them the least estimated time to first token decides. The crate does no I/O and
+//! knows nothing of sockets or engines. See `docs/design.md`, section 5.2.
+
+mod budget;
+mod choice;
+mod rendezvous;
+
+pub use budget::Budget;
+pub use choice::{Estimate, Load, choose};
+pub use rendezvous::{Key, top};
--- /dev/null
+++ b/crates/routing/src/rendezvous.rs
@@ -0,0 +1,58 @@
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+/// The hash key of a conversation; equal keys have equal candidates on every entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Key(u64);
+
+impl Key {
+    /// Derives the key from the parts that identify a conversation, such as team and root block.
+    #[must_use]
+    pub fn new(parts: &[&[u8]]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in parts {
+            // The length keeps ("ab", "c") and ("a", "bc") apart.
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let mut bytes = [0; 8];
+        bytes.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        Self(u64::from_le_bytes(bytes))
+    }
+
+    fn weight(self, member: u64) -> u64 {
+        // The finalizer of SplitMix64 spreads every input bit over the whole output.
+        let mut x = self.0 ^ member.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        x ^ (x >> 31)
+    }
+}
+
+/// Returns the `count` members with the highest weight for `key`, the highest first.
+///
+/// `members` gives each member with a hash of its name. The cost is one multiplication round a
+/// member and no allocation beyond the result, and a change of one member moves only the
+/// conversations of that member.
+pub fn top<Member, Members>(key: Key, members: Members, count: usize) -> Vec<Member>
+where
+    Members: IntoIterator<Item = (u64, Member)>,
+    Member: Ord,
+{
+    let mut best = BinaryHeap::with_capacity(count + 1);
+    for (hash, member) in members {
+        let weight = key.weight(hash);
+        if best.len() < count {
+            best.push(Reverse((weight, member)));
+        } else if let Some(Reverse((least, _))) = best.peek()
+            && weight > *least
+        {
+            best.pop();
+            best.push(Reverse((weight, member)));
+        }
+    }
+    best.into_sorted_vec()
+        .into_iter()
+        .map(|Reverse((_, member))| member)
+        .collect()
+}
--- /dev/null
+++ b/crates/rules/src/lib.rs
@@ -0,0 +1,15 @@
+//! The operators' rules: a plain text file with one rule a line, each with a comment that names
+//! who asked for it.
+//!
+//! The crate turns the text into a checked [`Snapshot`] and knows nothing of how snapshots are
+//! stored or distributed. The format is described in `docs/operations.md`.
+
+mod diff;
+mod line;
+mod snapshot;
+
+pub use diff::{Change, diff};
+pub use line::{Error, Line, Problem};
+pub use snapshot::{
+    Account, Check, Digest, Drain, Plain, Priority, Retention, Served, Snapshot, key_digest,
+};
--- /dev/null
+++ b/crates/rules/src/line.rs
@@ -0,0 +1,147 @@
+use std::collections::BTreeMap;
+
+use displaydoc::Display;
+use thiserror::Error as ThisError;
+
+/// One rule as it stands in the file, split into its parts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Line {
+    /// The line number in the file, from 1.
+    pub number: usize,
+    /// The first word, such as `team` or `drain`.
+    pub verb: String,
+    /// The words after the verb that are not `key=value`.
+    pub words: Vec<String>,
+    /// The `key=value` options.
+    pub options: BTreeMap<String, String>,
+    /// Who asked for the rule and why: the text after `#`.
+    pub comment: String,
+}
+
+/// What is wrong in a rules file, with the place and what would be accepted.
+#[derive(Debug, Display, ThisError, PartialEq, Eq)]
+#[displaydoc("{file}:{line}: {problem}")]
+pub struct Error {
+    /// The name of the file as the user gave it.
+    pub file: String,
+    /// The line number, from 1.
+    pub line: usize,
+    /// What is wrong.
+    pub problem: Problem,
+}
+
+/// A kind of mistake in a rule.
+#[derive(Debug, Display, ThisError, PartialEq, Eq)]
+pub enum Problem {
+    /// the rule has no comment that names who asked for it; write for example: {0} # ana: contract 12
+    NoComment(String),
+    /// unknown rule {0:?}; accepted are: team, model, service, target, drain, retain
+    UnknownVerb(String),
+    /// unknown option {0:?}; accepted are: {1}
+    UnknownOption(String, &'static str),
+    /// option {0:?} stands twice
+    RepeatedOption(String),
+    /// option {0:?} is missing; write for example: {1}
+    MissingOption(&'static str, &'static str),
+    /// {0}={1:?} is not accepted; accepted is {2}
+    BadValue(String, String, &'static str),
+    /// the rule has the wrong number of names; write for example: {0}
+    WrongWords(&'static str),
+    /// name {0:?} is not accepted; a name has 1 to 64 letters, digits, '-', '_' or '.'
+    BadName(String),
+    /// {0} {1:?} has a rule already, at line {2}
+    Duplicate(&'static str, String, usize),
+    /// the key of team {0:?} is the key of team {1:?} too; each team needs its own
+    SharedKey(String, String),
+    /// the line is longer than 4096 bytes
+    TooLong,
+}
+
+/// The longest line that is read; a longer one is a mistake or an attack.
+const MAX_LINE_BYTES: usize = 4096;
+
+impl Line {
+    /// Splits one line of the file; blank lines and lines with only a comment give `None`.
+    ///
+    /// # Errors
+    /// Fails on a rule without a comment, a repeated option or an overlong line.
+    pub fn parse(number: usize, text: &str) -> Result<Option<Self>, Problem> {
+        if text.len() > MAX_LINE_BYTES {
+            return Err(Problem::TooLong);
+        }
+        let (rule, comment) = match text.split_once('#') {
+            Some((rule, comment)) => (rule.trim(), comment.trim()),
+            None => (text.trim(), ""),
+        };
+        if rule.is_empty() {
+            return Ok(None);
+        }
+        if comment.is_empty() {
+            return Err(Problem::NoComment(rule.to_owned()));
+        }
+        let mut parts = rule.split_whitespace();
+        let verb = parts.next().unwrap_or_default().to_owned();
+        let mut words = Vec::new();
+        let mut options = BTreeMap::new();
+        for part in parts {
+            match part.split_once('=') {
+                None => words.push(check_name(part)?),
+                Some((key, value)) => {
+                    if options.insert(key.to_owned(), value.to_owned()).is_some() {
+                        return Err(Problem::RepeatedOption(key.to_owned()));
+                    }
+                }
+            }
+        }
+        Ok(Some(Self {
+            number,
+            verb,
+            words,
+            options,
+            comment: comment.to_owned(),
+        }))
+    }
+
+    /// Fails when the rule has an option that is not in the space-separated list `accepted`.
+    pub(crate) fn accept(&self, accepted: &'static str) -> Result<(), Problem> {
+        for key in self.options.keys() {
+            if !accepted.split(' ').any(|name| name == key) {
+                return Err(Problem::UnknownOption(key.clone(), accepted));
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the only name of the rule.
+    pub(crate) fn single(&self, example: &'static str) -> Result<&str, Problem> {
+        match self.words.as_slice() {
+            [word] => Ok(word),
+            _ => Err(Problem::WrongWords(example)),
+        }
+    }
+
+    /// Reads a whole number between `min` and `max`, or returns `default` without the option.
+    pub(crate) fn number(
+        &self,
+        key: &str,
+        default: u64,
+        (min, max): (u64, u64),
+        accepted: &'static str,
+    ) -> Result<u64, Problem> {
+        let Some(text) = self.options.get(key) else {
+            return Ok(default);
+        };
+        match text.parse() {
+            Ok(number) if (min..=max).contains(&number) => Ok(number),
+            _ => Err(Problem::BadValue(key.to_owned(), text.clone(), accepted)),
+        }
+    }
+}
+
+fn check_name(word: &str) -> Result<String, Problem> {
+    let accepted = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if word.len() > 64 || !word.chars().all(accepted) {
+        return Err(Problem::BadName(word.to_owned()));
+    }
+    Ok(word.to_owned())
+}
--- /dev/null
+++ b/crates/rules/tests/fixtures.rs
@@ -0,0 +1,36 @@
+//! Checks each rules file under `tests/fixtures` against its stated outcome.
+//!
+//! The first line of a fixture is `# expect: ok` or `# expect: LINE: part of the message`. Guards
+//! against a rule that is silently misread and against an error that names the wrong line.
+
+use std::path::Path;
+
+use rules::Snapshot;
+use types::Version;
+
+fn check(path: &Path) -> datatest_stable::Result<()> {
+    let text = std::fs::read_to_string(path)?;
+    let expected = text
+        .lines()
+        .next()
+        .and_then(|line| line.strip_prefix("# expect: "))
+        .ok_or("a fixture starts with '# expect: '")?;
+    let outcome = Snapshot::parse("rules", &text, Version(1));
+    match (expected, outcome) {
+        ("ok", Ok(_)) => Ok(()),
+        ("ok", Err(error)) => Err(format!("expected no error, got: {error}").into()),
+        (expected, Ok(_)) => Err(format!("expected an error: {expected}").into()),
+        (expected, Err(error)) => {
+            let (line, message) = expected.split_once(": ").ok_or("LINE: message")?;
+            let actual = error.to_string();
+            if line.parse() == Ok(error.line) && actual.contains(message) {
+                return Ok(());
+            }
+            Err(format!("expected {expected:?}, got {actual:?}").into())
+        }
+    }
+}
+
+datatest_stable::harness! {
+    { test = check, root = "tests/fixtures", pattern = r"\.rules$" },
+}
--- /dev/null
+++ b/crates/standins/src/service.rs
@@ -0,0 +1,74 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::Serialize;
+use serde_json::json;
+use warp::http::StatusCode;
+use warp::reply::Response;
+use warp::{Filter, Rejection, Reply};
+
+use crate::fault::{Shared, Switch, Verdict, answer, json, with};
+
+/// A call that was executed.
+#[derive(Debug, Clone, Serialize)]
+struct Executed {
+    call: String,
+    attempt: String,
+    body: String,
+}
+
+/// How long a call takes.
+const CALL_TIME: Duration = Duration::from_millis(5);
+
+pub(crate) fn routes(
+    name: &str,
+) -> impl Filter<Extract = (Response,), Error = Rejection> + Clone + use<> {
+    let switch = Switch::default();
+    let executed: Shared<Vec<Executed>> = Shared::default();
+    let name = name.to_owned();
+    let call = warp::path!("v1" / "calls" / String)
+        .and(warp::post())
+        .and(warp::header("x-attempt"))
+        .and(warp::body::bytes())
+        .and(with(&switch))
+        .and(with(&executed))
+        .and(with(&name))
+        .then(run);
+    let log = warp::path!("log")
+        .and(with(&executed))
+        .map(|executed: Shared<Vec<Executed>>| json(&*executed.lock().expect("no holder panics")));
+    let health = warp::path!("v1" / "health").map(|| StatusCode::NO_CONTENT.into_response());
+    call.or(log)
+        .unify()
+        .or(health)
+        .unify()
+        .or(switch.route())
+        .unify()
+}
+
+async fn run(
+    call: String,
+    attempt: String,
+    body: Bytes,
+    switch: Switch,
+    executed: Shared<Vec<Executed>>,
+    name: String,
+) -> Response {
+    let verdict = switch.apply().await;
+    if verdict == Verdict::Down {
+        return answer(&verdict, Response::default());
+    }
+    let body = String::from_utf8_lossy(&body).into_owned();
+    let receipt = {
+        let mut executed = executed.lock().expect("no holder panics");
+        executed.push(Executed {
+            call: call.clone(),
+            attempt,
+            body: body.clone(),
+        });
+        executed.len()
+    };
+    tokio::time::sleep(CALL_TIME).await;
+    let reply = json!({ "instance": name, "call": call, "receipt": receipt, "echo": body });
+    answer(&verdict, json(&reply))
+}
--- /dev/null
+++ b/crates/types/src/time.rs
@@ -0,0 +1,35 @@
+use std::ops::Add;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// A point on the monotonic clock of one process, in microseconds since an arbitrary start.
+///
+/// The pure crates take it as an argument, so that tests and replays run in virtual time.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Time(pub u64);
+
+impl Time {
+    /// Returns the time passed since `earlier`, or zero if `earlier` lies in the future.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Converts a number of milliseconds since the start.
+    #[must_use]
+    pub fn from_millis(millis: u64) -> Self {
+        Self(millis.saturating_mul(1000))
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Self;
+
+    fn add(self, duration: Duration) -> Self {
+        Self(
+            self.0
+                .saturating_add(u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)),
+        )
+    }
+}
--- /dev/null
+++ b/crates/wire/src/codec.rs
@@ -0,0 +1,72 @@
+use bincode::config::{Configuration, Limit, LittleEndian, Varint};
+use bytes::{Buf, Bytes, BytesMut};
+
+use crate::{Error, Frame};
+
+/// The largest frame that is read; a prompt of a million tokens fits.
+pub const MAX_FRAME_BYTES: usize = 16 << 20;
+
+const LENGTH_BYTES: usize = 4;
+const CONFIG: Configuration<LittleEndian, Varint, Limit<MAX_FRAME_BYTES>> =
+    bincode::config::standard().with_limit::<MAX_FRAME_BYTES>();
+
+/// Encodes a frame with its length in front.
+///
+/// # Errors
+/// Fails when the frame is larger than [`MAX_FRAME_BYTES`].
+pub fn encode(frame: &Frame) -> Result<Bytes, Error> {
+    let mut bytes = vec![0; LENGTH_BYTES];
+    bincode::serde::encode_into_std_write(frame, &mut bytes, CONFIG)
+        .map_err(|_error| Error::Frame("it cannot be encoded"))?;
+    let length = bytes.len() - LENGTH_BYTES;
+    if length > MAX_FRAME_BYTES {
+        return Err(Error::Frame("it is larger than 16 MiB"));
+    }
+    bytes[..LENGTH_BYTES].copy_from_slice(&(length as u32).to_le_bytes());
+    Ok(bytes.into())
+}
+
+/// Cuts a stream of bytes into frames, whatever pieces the bytes arrive in.
+#[derive(Debug, Default)]
+pub struct Decoder {
+    buffer: BytesMut,
+}
+
+impl Decoder {
+    /// Adds bytes that arrived.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Returns the next whole frame, if there is one.
+    ///
+    /// # Errors
+    /// Fails on a length above [`MAX_FRAME_BYTES`], on bytes that are no frame and on bytes left
+    /// over behind one; the stream is of no use then.
+    pub fn decode(&mut self) -> Result<Option<Frame>, Error> {
+        let Some(header) = self.buffer.first_chunk::<LENGTH_BYTES>() else {
+            return Ok(None);
+        };
+        let length = u32::from_le_bytes(*header) as usize;
+        if length > MAX_FRAME_BYTES {
+            return Err(Error::Frame("its stated length is larger than 16 MiB"));
+        }
+        if self.buffer.len() < LENGTH_BYTES + length {
+            return Ok(None);
+        }
+        self.buffer.advance(LENGTH_BYTES);
+        let bytes = self.buffer.split_to(length);
+        let (frame, read) = bincode::serde::decode_from_slice(&bytes, CONFIG)
+            .map_err(|_error| Error::Frame("its bytes are no frame of this format"))?;
+        if read != length {
+            return Err(Error::Frame("bytes are left over behind it"));
+        }
+        Ok(Some(frame))
+    }
+
+    /// Says whether the stream may end here without cutting a frame.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/wire/tests/decoder.rs
@@ -0,0 +1,92 @@
+//! Guards against a decoder that panics on garbage, reads a cut frame as a whole one or depends on
+//! how the bytes were cut into pieces, and against a handshake that lets a wrong key in.
+
+use proptest::prelude::*;
+use types::Team;
+use wire::{Client, Decoder, Event, Frame, Key, Keys, Listener, Token, encode};
+
+proptest! {
+    #[test]
+    fn garbage_never_panics(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let mut decoder = Decoder::default();
+        decoder.push(&bytes);
+        while let Ok(Some(_)) = decoder.decode() {}
+    }
+
+    #[test]
+    fn frames_survive_any_cut(texts in proptest::collection::vec(".{0,40}", 1..8), piece in 1usize..17) {
+        let frames: Vec<Frame> = texts.into_iter().enumerate()
+            .map(|(seq, text)| Frame::Event(Event { seq: seq as u32, text }))
+            .collect();
+        let bytes: Vec<u8> = frames.iter().flat_map(|frame| encode(frame).unwrap()).collect();
+        let mut decoder = Decoder::default();
+        let mut decoded = Vec::new();
+        for piece in bytes.chunks(piece) {
+            decoder.push(piece);
+            while let Some(frame) = decoder.decode().unwrap() {
+                decoded.push(frame);
+            }
+        }
+        prop_assert_eq!(decoded, frames);
+        prop_assert!(decoder.is_empty());
+    }
+
+    #[test]
+    fn a_changed_token_opens_nothing(at in 0usize..200, team in "[a-z]{1,8}") {
+        let keys = keys("one");
+        let token = Token { request: types::Request(7), team: Team::from(team), agent: "a".into() };
+        let mut text = token.seal(&keys).into_bytes();
+        let at = at % text.len();
+        text[at] = if text[at] == b'0' { b'1' } else { b'0' };
+        prop_assert_eq!(Token::open(std::str::from_utf8(&text).unwrap(), &keys), None);
+    }
+}
+
+fn keys(secret: &str) -> Keys {
+    Keys::new(vec![Key::new(secret)]).unwrap()
+}
+
+#[tokio::test]
+async fn only_a_known_key_gets_a_stream() {
+    let both = Keys::new(vec![Key::new("new"), Key::new("old")]).unwrap();
+    let mut listener = Listener::bind("127.0.0.1:0".parse().unwrap(), both)
+        .await
+        .unwrap();
+    let address = listener.address();
+
+    let refused = Client::new(keys("other")).open(address).await;
+    assert!(
+        matches!(refused, Err(wire::Error::Handshake(..))),
+        "{refused:?}"
+    );
+
+    for secret in ["old", "new"] {
+        let mut stream = Client::new(keys(secret)).open(address).await.unwrap();
+        stream.sender.send(&Frame::Cancel).await.unwrap();
+        let mut accepted = listener.accept().await.unwrap();
+        assert_eq!(accepted.receiver.recv().await.unwrap(), Some(Frame::Cancel));
+    }
+}
+
+#[tokio::test]
+async fn a_large_frame_passes_the_flow_control_window() {
+    let mut listener = Listener::bind("127.0.0.1:0".parse().unwrap(), keys("k"))
+        .await
+        .unwrap();
+    let mut stream = Client::new(keys("k"))
+        .open(listener.address())
+        .await
+        .unwrap();
+    let frame = Frame::Event(Event {
+        seq: 0,
+        text: "x".repeat(5 << 20),
+    });
+    let sent = frame.clone();
+    let send = tokio::spawn(async move {
+        stream.sender.send(&sent).await.unwrap();
+        stream
+    });
+    let mut accepted = listener.accept().await.unwrap();
+    assert_eq!(accepted.receiver.recv().await.unwrap(), Some(frame));
+    send.await.unwrap();
+}
--- /dev/null
+++ b/xtask/src/demo/mod.rs
@@ -0,0 +1,134 @@
+//! A conversation through all processes of a deployment, and its return.
+
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+
+use crate::caller::{Seen, ask, call};
+use crate::cluster::Cluster;
+use crate::deployment::Deployment;
+use crate::{Result, process};
+
+/// Tokens of each answer.
+const ANSWER_TOKENS: u32 = 20;
+/// Tokens of the first prompt; a little more than three blocks.
+const PROMPT_TOKENS: usize = 3500;
+/// How long the export of kept context may take.
+const EXPORT_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Runs the demo.
+pub(crate) async fn run(mut arguments: pico_args::Arguments) -> Result<()> {
+    let name: Option<String> = arguments.opt_value_from_str("--deployment")?;
+    process::build()?;
+    for name in name.map_or(vec!["lakeshore".to_owned(), "herrera".to_owned()], |name| {
+        vec![name]
+    }) {
+        let folder = std::env::temp_dir().join(format!("boragereel-demo-{}", std::process::id()));
+        let cluster = Cluster::start(Deployment::open(&name)?, &folder).await?;
+        converse(&cluster).await?;
+        order(&cluster).await?;
+        std::fs::remove_dir_all(&folder)?;
+    }
+    Ok(())
+}
+
+async fn converse(cluster: &Cluster) -> Result<()> {
+    println!("{}", cluster.deployment.name);
+    println!("team     prompt      tokens  reused  recomputed  first token  verdict");
+    for team in 0..cluster.deployment.teams.min(3) {
+        let mut prompt = (0..PROMPT_TOKENS)
+            .map(|word| format!("t{team}w{word}"))
+            .collect::<Vec<_>>()
+            .join(" ");
+        let first = ask_and_print(cluster, team, "first", &prompt).await?;
+        wait_exported(cluster).await?;
+        drop_caches(cluster).await?;
+        prompt.push_str(&first.text);
+        prompt.push_str(" and what of the next day");
+        let returned = ask_and_print(cluster, team, "returning", &prompt).await?;
+        if returned.cached_tokens < 3 * 1024 {
+            return Err("the returning prompt's context was not reused".into());
+        }
+    }
+    Ok(())
+}
+
+async fn ask_and_print(cluster: &Cluster, team: usize, kind: &str, prompt: &str) -> Result<Seen> {
+    let entry = cluster.entry(team)?;
+    let model = &cluster.deployment.model;
+    let seen = ask(
+        &cluster.http,
+        entry,
+        &Cluster::key(team),
+        model,
+        prompt,
+        ANSWER_TOKENS,
+    )
+    .await?;
+    let whole = seen.is_whole(prompt, ANSWER_TOKENS);
+    println!(
+        "team-{team:<3} {kind:<10} {:>7} {:>7} {:>11} {:>9.1} ms  {}",
+        seen.prompt_tokens,
+        seen.cached_tokens,
+        seen.prompt_tokens - seen.cached_tokens,
+        seen.first_token.unwrap_or_default().as_secs_f64() * 1000.0,
+        if whole { "whole" } else { "not whole" },
+    );
+    if whole {
+        Ok(seen)
+    } else {
+        Err(format!("the answer is not whole: {seen:?}").into())
+    }
+}
+
+async fn order(cluster: &Cluster) -> Result<()> {
+    let path = format!("{}/place", cluster.deployment.service);
+    let key = Cluster::key(0);
+    let mut answers = Vec::new();
+    // The same idempotency key through two entries runs once.
+    for entry in [cluster.entry(0)?, cluster.entry(1)?] {
+        answers.push(call(&cluster.http, entry, &key, &path, Some("order-1"), "{}").await?);
+    }
+    println!(
+        "order    status {} and again {}",
+        answers[0].0, answers[1].0
+    );
+    if answers[0].0 != 200 || answers[0] != answers[1] {
+        return Err(format!("the order was not answered the same twice: {answers:?}").into());
+    }
+    Ok(())
+}
+
+/// Waits until the stores hold the blocks of the last prompt: their count stops growing.
+async fn wait_exported(cluster: &Cluster) -> Result<()> {
+    let deadline = Instant::now() + EXPORT_TIMEOUT;
+    let mut last = 0;
+    loop {
+        let mut blocks = 0;
+        for store in cluster.stores.iter().skip(1) {
+            let log = cluster
+                .http
+                .get(format!("http://{}/log", store.address("")?))
+                .send()
+                .await?;
+            let log: serde_json::Value = log.json().await?;
+            blocks += log["blocks"].as_u64().unwrap_or(0);
+        }
+        if blocks > 0 && blocks == last && blocks.is_multiple_of(6) {
+            return Ok(());
+        }
+        last = blocks;
+        if Instant::now() > deadline {
+            return Err(format!("the stores hold {blocks} blocks after 10 s").into());
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+async fn drop_caches(cluster: &Cluster) -> Result<()> {
+    for engine in &cluster.engines {
+        let url = format!("http://{}/drop-cache", engine.address("")?);
+        cluster.http.post(url).send().await?.error_for_status()?;
+    }
+    Ok(())
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,1 +1,51 @@
-fn main() {}
+//! Chores of the developers: the demo, and later load, replay, measurements and failure tests.
+//!
+//! Unlike the product, these drivers start other processes.
+
+mod caller;
+mod cluster;
+mod demo;
+mod deployment;
+mod process;
+
+use std::process::ExitCode;
+
+const HELP: &str = "cargo xtask COMMAND [options]
+
+  demo [--deployment NAME]   send a conversation through all processes, let it return after the
+                             engines dropped their caches, and print what each prompt cost;
+                             without --deployment both, lakeshore and herrera
+Exit codes: 0 passed, 1 failed, 2 wrong arguments.";
+
+/// A failure with its message.
+pub(crate) type Result<Value> =
+    std::result::Result<Value, Box<dyn std::error::Error + Send + Sync>>;
+
+fn main() -> ExitCode {
+    let mut arguments = pico_args::Arguments::from_env();
+    if arguments.contains("--help") {
+        println!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
+    let result = match arguments.subcommand() {
+        Ok(Some(command)) => match command.as_str() {
+            "demo" => runtime.block_on(demo::run(arguments)),
+            other => {
+                eprintln!("unknown command {other:?}; see --help");
+                return ExitCode::from(2);
+            }
+        },
+        _ => {
+            eprintln!("a command is missing; see --help");
+            return ExitCode::from(2);
+        }
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("failed: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/xtask/src/process.rs
@@ -0,0 +1,89 @@
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::Duration;
+
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, Command};
+use tokio::time::timeout;
+
+use crate::Result;
+
+/// A running process; dropping it kills the process.
+#[derive(Debug)]
+pub(crate) struct Process {
+    _child: Child,
+    ready: String,
+}
+
+/// How long a process may take to print its ready line.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+impl Process {
+    /// Starts a program of this workspace and waits for its ready line; its log goes to `log`.
+    pub(crate) async fn spawn(program: &str, arguments: &[String], log: &Path) -> Result<Self> {
+        let mut child = Command::new(binary(program)?)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(std::fs::File::create(log)?)
+            .kill_on_drop(true)
+            .spawn()?;
+        let stdout = child.stdout.take().ok_or("the process has no output")?;
+        let mut lines = BufReader::new(stdout).lines();
+        let line = timeout(START_TIMEOUT, lines.next_line()).await;
+        let ready = match line {
+            Ok(Ok(Some(line))) if line.starts_with("ready ") => line,
+            _ => return Err(format!("{program} {arguments:?} did not start").into()),
+        };
+        tokio::spawn(async move { while let Ok(Some(_)) = lines.next_line().await {} });
+        Ok(Self {
+            _child: child,
+            ready,
+        })
+    }
+
+    /// Returns the address that the ready line gives under `name`, or its last word.
+    pub(crate) fn address(&self, name: &str) -> Result<SocketAddr> {
+        let prefix = format!("{name}=");
+        let words = || self.ready.split_whitespace();
+        let word = words()
+            .find_map(|word| word.strip_prefix(&prefix))
+            .or(words().last());
+        Ok(word.ok_or("the ready line is empty")?.parse()?)
+    }
+}
+
+/// Returns a program that was built together with this one.
+fn binary(name: &str) -> Result<PathBuf> {
+    let folder = std::env::current_exe()?
+        .parent()
+        .ok_or("no folder")?
+        .to_owned();
+    let path = folder.join(name);
+    if !path.exists() {
+        return Err(format!(
+            "{} is missing; run `cargo build --workspace`",
+            path.display()
+        )
+        .into());
+    }
+    Ok(path)
+}
+
+/// Builds all programs in the profile of this one.
+pub(crate) fn build() -> Result<()> {
+    let mut command = std::process::Command::new(env!("CARGO"));
+    command.args(["build", "--workspace", "--bins", "--quiet"]);
+    if !cfg!(debug_assertions) {
+        command.arg("--release");
+    }
+    if command
+        .current_dir(crate::deployment::root())
+        .status()?
+        .success()
+    {
+        return Ok(());
+    }
+    Err("the build failed".into())
+}
