xtask: slopes of the decision cores and of idle processes

Cause: docs/CAPACITY.md needs the growth of each cost with the size, from committed commands. Ruled out: a counting allocator (needs unsafe code) and wall time (other work runs on the machine); memory is read as resident growth of a child process, time as processor time over at least 0.5 s, since the kernel updates it only at ticks: with single runs the directory appeared to cost 46 us instead of 455 us. Change: cargo xtask slopes.

--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -7,6 +7,7 @@
 mod demo;
 mod deployment;
 mod process;
+mod slopes;
 
 use std::process::ExitCode;
 
@@ -15,6 +16,7 @@
   demo [--deployment NAME]   send a conversation through all processes, let it return after the
                              engines dropped their caches, and print what each prompt cost;
                              without --deployment both, lakeshore and herrera
+  slopes [--no-processes]    measure how the cost of a node grows with the size of the system
 Exit codes: 0 passed, 1 failed, 2 wrong arguments.";
 
 /// A failure with its message.
@@ -31,6 +33,7 @@
     let result = match arguments.subcommand() {
         Ok(Some(command)) => match command.as_str() {
             "demo" => runtime.block_on(demo::run(arguments)),
+            "slopes" => runtime.block_on(slopes::run(arguments)),
             other => {
                 eprintln!("unknown command {other:?}; see --help");
                 return ExitCode::from(2);
--- a/xtask/src/process.rs
+++ b/xtask/src/process.rs
@@ -12,7 +12,7 @@
 /// A running process; dropping it kills the process.
 #[derive(Debug)]
 pub(crate) struct Process {
-    _child: Child,
+    child: Child,
     ready: String,
 }
 
@@ -37,10 +37,12 @@
             _ => return Err(format!("{program} {arguments:?} did not start").into()),
         };
         tokio::spawn(async move { while let Ok(Some(_)) = lines.next_line().await {} });
-        Ok(Self {
-            _child: child,
-            ready,
-        })
+        Ok(Self { child, ready })
+    }
+
+    /// Returns the process id.
+    pub(crate) fn id(&self) -> Result<u32> {
+        Ok(self.child.id().ok_or("the process has ended")?)
     }
 
     /// Returns the address that the ready line gives under `name`, or its last word.
--- /dev/null
+++ b/xtask/src/slopes/idle.rs
@@ -0,0 +1,143 @@
+//! Real processes that have nothing to do but to keep up with each other.
+
+use std::path::Path;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+use super::probe::{cpu_us, resident_of};
+use crate::Result;
+use crate::process::Process;
+
+/// What an idle process costs on average.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Cost {
+    /// Share of a core, in percent.
+    pub(crate) cpu_percent: f64,
+    /// Resident memory, in bytes.
+    pub(crate) bytes: f64,
+    /// Bytes a second that the process sends for control.
+    pub(crate) sent: f64,
+    /// Platform reads a second of all processes together.
+    pub(crate) reads: f64,
+}
+
+/// How long the processes are watched.
+const WATCH: Duration = Duration::from_secs(10);
+/// How long the processes may take to learn of each other.
+const READY_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Starts `count` processes, three agents to an entry, and watches them.
+pub(crate) async fn measure(count: usize, folder: &Path) -> Result<Cost> {
+    std::fs::create_dir_all(folder)?;
+    let log = |name: &str| folder.join(format!("{name}.log"));
+    let standin = async |kind: &str, options: &[&str]| {
+        let mut arguments = vec![kind.to_owned()];
+        arguments.extend(options.iter().map(ToString::to_string));
+        Process::spawn("boragereel-standin", &arguments, &log(kind)).await
+    };
+    let platform = standin("platform", &[]).await?;
+    let engine = standin("engine", &["--model", "model", "--weights", "v1"]).await?;
+    let platform = format!("http://{}", platform.address("")?).into_boxed_str();
+    let engine = format!("http://{}", engine.address("")?);
+    let mut processes = Vec::new();
+    for index in 0..count {
+        let role = if index % 4 == 0 {
+            json!({ "entry": { "http_address": "127.0.0.1:0" } })
+        } else {
+            json!({ "engine": {
+                "target": format!("engine-{index}"), "model": "model", "address": engine,
+                "cold_limit": 2, "warm_limit": 16,
+            }})
+        };
+        let settings = json!({
+            "name": format!("process-{index}"),
+            "host": format!("host-{index}"),
+            "domain": format!("domain-{}", index % 9),
+            "region": "main",
+            "peer_address": "127.0.0.1:0",
+            "admin_address": "127.0.0.1:0",
+            "cluster_keys": ["cluster key of the slopes"],
+            "context_secret": "context secret of the slopes",
+            "platform": { "table": platform, "objects": platform, "hosts": platform },
+            "role": role,
+        });
+        let path = folder.join(format!("process-{index}.json"));
+        std::fs::write(&path, settings.to_string())?;
+        let arguments = ["--settings".to_owned(), path.display().to_string()];
+        let name = format!("process-{index}");
+        processes.push(Process::spawn("boragereeld", &arguments, &log(&name)).await?);
+    }
+    let http = reqwest::Client::builder().no_proxy().build()?;
+    wait_known(&http, &processes[0], count).await?;
+    watch(&http, &platform, &processes).await
+}
+
+async fn wait_known(http: &reqwest::Client, entry: &Process, count: usize) -> Result<()> {
+    let url = format!("http://{}/status", entry.address("admin")?);
+    let deadline = Instant::now() + READY_TIMEOUT;
+    loop {
+        let status: Value = http.get(&url).send().await?.json().await?;
+        if status["members"]
+            .as_array()
+            .is_some_and(|members| members.len() >= count)
+        {
+            return Ok(());
+        }
+        if Instant::now() > deadline {
+            return Err(format!("{count} processes did not learn of each other in 60 s").into());
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+async fn watch(http: &reqwest::Client, platform: &str, processes: &[Process]) -> Result<Cost> {
+    let before = totals(http, platform, processes).await?;
+    let started = Instant::now();
+    sleep(WATCH).await;
+    let after = totals(http, platform, processes).await?;
+    let seconds = started.elapsed().as_secs_f64();
+    let count = processes.len() as f64;
+    Ok(Cost {
+        cpu_percent: (after.cpu_us - before.cpu_us) / 1e6 / seconds / count * 100.0,
+        bytes: after.bytes / count,
+        sent: (after.sent - before.sent) / seconds / count,
+        reads: (after.reads - before.reads) / seconds,
+    })
+}
+
+#[derive(Debug, Default)]
+struct Totals {
+    cpu_us: f64,
+    bytes: f64,
+    sent: f64,
+    reads: f64,
+}
+
+async fn totals(http: &reqwest::Client, platform: &str, processes: &[Process]) -> Result<Totals> {
+    let mut totals = Totals::default();
+    for process in processes {
+        totals.cpu_us += cpu_us(process.id()?)?;
+        totals.bytes += resident_of(process.id()?)?;
+        let url = format!("http://{}/metrics", process.address("admin")?);
+        let metrics = http.get(url).send().await?.text().await?;
+        totals.sent += counter(&metrics, "boragereel_control_bytes_sent_total");
+    }
+    let log: Value = http
+        .get(format!("{platform}/log"))
+        .send()
+        .await?
+        .json()
+        .await?;
+    totals.reads = log["reads"].as_f64().unwrap_or(0.0);
+    Ok(totals)
+}
+
+fn counter(metrics: &str, name: &str) -> f64 {
+    metrics
+        .lines()
+        .filter(|line| line.starts_with(name))
+        .filter_map(|line| line.split_whitespace().last()?.parse::<f64>().ok())
+        .sum()
+}
--- /dev/null
+++ b/xtask/src/slopes/mod.rs
@@ -0,0 +1,181 @@
+//! Measures how the cost of a node grows with the size of the system, for docs/CAPACITY.md.
+
+mod fit;
+mod idle;
+mod probe;
+
+use fit::Series;
+
+use crate::{Result, process};
+
+/// Targets at the size that the system is to reach.
+const TARGETS: f64 = 2400.0;
+/// Processes at that size: entries and agents.
+const PROCESSES: f64 = 3330.0;
+/// Teams at that size.
+const TEAMS: f64 = 4200.0;
+/// The memory that control may take on a node, in bytes.
+const MEMORY_LIMIT: f64 = 128.0 * 1024.0 * 1024.0;
+/// The share of a core that control may take on a node, in percent.
+const CPU_LIMIT: f64 = 1.3;
+/// The bytes a second that control may send from a node.
+const BYTES_LIMIT: f64 = 4096.0;
+/// The time that a routing decision may take, in microseconds.
+const DECISION_LIMIT: f64 = 20.0;
+
+/// Runs the measurements and prints the tables.
+pub(crate) async fn run(mut arguments: pico_args::Arguments) -> Result<()> {
+    if let Some(name) = arguments.opt_value_from_str::<_, String>("--probe")? {
+        let sample = probe::run(&name, arguments.value_from_str("--size")?)?;
+        println!("{}", serde_json::to_string(&sample)?);
+        return Ok(());
+    }
+    let skip_processes = arguments.contains("--no-processes");
+    let rest = arguments.finish();
+    if !rest.is_empty() {
+        return Err(format!("unknown arguments {rest:?}; see --help").into());
+    }
+    println!("| quantity | per | measured (size: value) | slope | full size: value | limit |");
+    println!("| --- | --- | --- | --- | --- | --- |");
+    for series in cores()? {
+        println!("{}", series.row());
+    }
+    if !skip_processes {
+        process::build()?;
+        for series in processes().await? {
+            println!("{}", series.row());
+        }
+    }
+    Ok(())
+}
+
+/// A measurement in a process of its own.
+struct Kind {
+    name: &'static str,
+    probe: &'static str,
+    per: &'static str,
+    sizes: [usize; 4],
+    pick: fn(&probe::Sample) -> f64,
+    full: f64,
+    limit: Option<f64>,
+}
+
+const KINDS: [Kind; 6] = [
+    Kind {
+        name: "rules in memory (B)",
+        probe: "rules",
+        per: "teams",
+        sizes: TEAM_SIZES,
+        pick: |sample| sample.bytes,
+        full: TEAMS,
+        limit: Some(MEMORY_LIMIT),
+    },
+    Kind {
+        name: "checking the rules (µs)",
+        probe: "rules",
+        per: "teams",
+        sizes: TEAM_SIZES,
+        pick: |sample| sample.cpu_us,
+        full: TEAMS,
+        limit: None,
+    },
+    Kind {
+        name: "directory in memory (B)",
+        probe: "directory",
+        per: "processes",
+        sizes: PROCESS_SIZES,
+        pick: |sample| sample.bytes,
+        full: PROCESSES,
+        limit: Some(MEMORY_LIMIT),
+    },
+    Kind {
+        name: "building the directory (µs)",
+        probe: "directory",
+        per: "processes",
+        sizes: PROCESS_SIZES,
+        pick: |sample| sample.cpu_us,
+        full: PROCESSES,
+        limit: None,
+    },
+    Kind {
+        name: "rendezvous over all targets (µs)",
+        probe: "route",
+        per: "targets",
+        sizes: TARGET_SIZES,
+        pick: |sample| sample.cpu_us,
+        full: TARGETS,
+        limit: Some(DECISION_LIMIT),
+    },
+    Kind {
+        name: "naming a prompt's blocks (µs)",
+        probe: "chain",
+        per: "tokens",
+        sizes: TOKEN_SIZES,
+        pick: |sample| sample.cpu_us,
+        full: 32_768.0,
+        limit: None,
+    },
+];
+
+fn cores() -> Result<Vec<Series>> {
+    let mut all = Vec::new();
+    for kind in KINDS {
+        let mut points = Vec::new();
+        for size in kind.sizes {
+            points.push((size as f64, (kind.pick)(&probe::spawn(kind.probe, size)?)));
+        }
+        let Kind {
+            name,
+            per,
+            full,
+            limit,
+            ..
+        } = kind;
+        all.push(Series {
+            name,
+            per,
+            points,
+            full,
+            limit,
+        });
+    }
+    Ok(all)
+}
+
+const TEAM_SIZES: [usize; 4] = [525, 1050, 2100, 4200];
+const PROCESS_SIZES: [usize; 4] = [416, 832, 1665, 3330];
+const TARGET_SIZES: [usize; 4] = [300, 600, 1200, 2400];
+const TOKEN_SIZES: [usize; 4] = [4096, 8192, 16_384, 32_768];
+/// Real processes; more of them would crowd one machine.
+const REAL_SIZES: [usize; 4] = [20, 40, 80, 160];
+
+async fn processes() -> Result<Vec<Series>> {
+    let (mut cpu, mut bytes, mut sent, mut reads) = (vec![], vec![], vec![], vec![]);
+    for count in REAL_SIZES {
+        let folder = std::env::temp_dir().join(format!("boragereel-slopes-{}", std::process::id()));
+        let cost = idle::measure(count, &folder).await?;
+        std::fs::remove_dir_all(&folder)?;
+        let size = count as f64;
+        cpu.push((size, cost.cpu_percent));
+        bytes.push((size, cost.bytes));
+        sent.push((size, cost.sent));
+        reads.push((size, cost.reads));
+    }
+    let series = |name, points, limit| Series {
+        name,
+        per: "processes",
+        points,
+        full: PROCESSES,
+        limit,
+    };
+    Ok(vec![
+        series("idle process, share of a core (%)", cpu, Some(CPU_LIMIT)),
+        series(
+            "idle process, resident memory (B)",
+            bytes,
+            Some(MEMORY_LIMIT),
+        ),
+        series("idle process, control sent (B/s)", sent, Some(BYTES_LIMIT)),
+        series("platform reads of all processes (1/s)", reads, Some(1000.0)),
+    ])
+}
--- /dev/null
+++ b/xtask/src/slopes/probe.rs
@@ -0,0 +1,157 @@
+//! Measurements that run in a process of their own, so that memory can be read off cleanly.
+
+use std::hint::black_box;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use context::Secret;
+use control::{Directory, Member, Role};
+use rules::{Snapshot, key_digest};
+use serde::{Deserialize, Serialize};
+use types::{Incarnation, Model, Team, Version, Weights};
+
+use crate::Result;
+
+/// What a probe measured.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct Sample {
+    /// Growth of resident memory, in bytes.
+    pub(crate) bytes: f64,
+    /// Processor time of one repetition, in microseconds.
+    pub(crate) cpu_us: f64,
+}
+
+/// How long a piece of work is repeated; the kernel counts processor time only every few
+/// milliseconds.
+const MEASURED: Duration = Duration::from_millis(500);
+/// Bytes in a page of memory.
+const PAGE_BYTES: f64 = 4096.0;
+
+/// Runs a probe in this process.
+pub(crate) fn run(name: &str, size: usize) -> Result<Sample> {
+    match name {
+        "rules" => {
+            let text = rules_text(size);
+            measure(|| Snapshot::parse("rules", &text, Version(1)).map_err(Into::into))
+        }
+        "directory" => measure(|| {
+            let mut directory = Directory::default();
+            for index in 0..size {
+                directory.insert(member(index));
+            }
+            Ok(directory)
+        }),
+        "route" => {
+            let hashes: Vec<u64> = (0..size as u64).map(|index| index * 0x9e37_79b9).collect();
+            let mut key = 0_u64;
+            measure(|| {
+                key += 1;
+                let key = routing::Key::new(&[&key.to_le_bytes()]);
+                let members = hashes
+                    .iter()
+                    .enumerate()
+                    .map(|(index, &hash)| (hash, index));
+                Ok(black_box(routing::top(key, members, 4)))
+            })
+        }
+        "chain" => {
+            let prompt: String = (0..size).map(|word| format!("word{word} ")).collect();
+            let secret = Secret::derive(b"slopes", &Team::from("team"));
+            let (model, weights) = (Model::from("model"), Weights::from("v1"));
+            measure(|| {
+                Ok(black_box(context::chain(
+                    &secret, &model, &weights, &prompt,
+                )))
+            })
+        }
+        other => Err(format!("unknown probe {other:?}").into()),
+    }
+}
+
+/// Runs a probe in a child process.
+pub(crate) fn spawn(name: &str, size: usize) -> Result<Sample> {
+    let output = std::process::Command::new(std::env::current_exe()?)
+        .args(["slopes", "--probe", name, "--size", &size.to_string()])
+        .output()?;
+    if !output.status.success() {
+        return Err(String::from_utf8_lossy(&output.stderr).into_owned().into());
+    }
+    Ok(serde_json::from_slice(&output.stdout)?)
+}
+
+fn measure<Value>(mut work: impl FnMut() -> Result<Value>) -> Result<Sample> {
+    let memory = resident()?;
+    let kept = work()?;
+    let bytes = resident()? - memory;
+    let (started, cpu) = (Instant::now(), cpu_us(std::process::id())?);
+    let mut times = 0;
+    while started.elapsed() < MEASURED {
+        black_box(work()?);
+        times += 1;
+    }
+    let cpu_us = (cpu_us(std::process::id())? - cpu) / f64::from(times);
+    black_box(&kept);
+    Ok(Sample { bytes, cpu_us })
+}
+
+fn resident() -> Result<f64> {
+    resident_of(std::process::id())
+}
+
+/// Returns the resident memory of a process, in bytes.
+pub(crate) fn resident_of(process: u32) -> Result<f64> {
+    let text = std::fs::read_to_string(format!("/proc/{process}/statm"))?;
+    let pages: f64 = text
+        .split_whitespace()
+        .nth(1)
+        .ok_or("statm is short")?
+        .parse()?;
+    Ok(pages * PAGE_BYTES)
+}
+
+/// Returns the processor time that all threads of a process have used, in microseconds.
+pub(crate) fn cpu_us(process: u32) -> Result<f64> {
+    let mut nanos = 0.0;
+    for task in std::fs::read_dir(format!("/proc/{process}/task"))? {
+        // A thread may end between the listing and the reading.
+        if let Ok(text) = std::fs::read_to_string(task?.path().join("schedstat")) {
+            nanos += text
+                .split_whitespace()
+                .next()
+                .unwrap_or("0")
+                .parse::<f64>()?;
+        }
+    }
+    Ok(nanos / 1000.0)
+}
+
+fn rules_text(teams: usize) -> String {
+    let mut text = String::new();
+    for team in 0..teams {
+        let digest: String = key_digest(&format!("key {team}"))
+            .iter()
+            .map(|byte| format!("{byte:02x}"))
+            .collect();
+        text.push_str(&format!(
+            "team team-{team} key={digest} rate=20 share=2 priority=normal # sales: contract {team}\n\
+             retain team-{team} bytes=1000000000 days=14 # sales: contract {team}\n"
+        ));
+    }
+    text
+}
+
+fn member(index: usize) -> Member {
+    let domain = index % 9;
+    Member {
+        name: format!("agent-engine-{index}"),
+        incarnation: Incarnation(1_700_000_000_000),
+        address: SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + index as u32), 7000)),
+        host: format!("host-{index}").into(),
+        domain: format!("domain-{domain}").into(),
+        region: format!("region-{}", domain / 3).into(),
+        role: Role::Engine {
+            target: format!("engine-{index}").into(),
+            model: format!("model-{}", index % 16).into(),
+        },
+    }
+}
