settings: errors with line, column and what is accepted; examples; tests of the tool as a process

Cause: a bad value was reported without its place, names that no rule can name were accepted, and no test ran the tool.

--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings of a process: JSON with comments, read once at the start.
 
+use std::collections::BTreeSet;
 use std::io::Read;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -98,23 +99,32 @@
     },
 }
 
-/// Why the settings cannot be used.
+/// Why the settings cannot be used, with the place and what would be accepted.
 #[derive(Debug, Display, thiserror::Error)]
 pub enum Error {
     /// {0}: cannot be read: {1}
     Read(String, std::io::Error),
-    /// {0}: {1}
-    Syntax(String, serde_json::Error),
-    /// {0}: {1}
-    Value(String, &'static str),
+    /// {0}:{1}:{2}: {3}
+    Mistake(String, usize, usize, String),
 }
 
+/// A value that is not accepted: the keys that lead to it, and what would be.
+struct Problem {
+    path: Vec<&'static str>,
+    message: String,
+}
+
+/// Cluster keys at the same time: the old one and the new one while they are replaced.
+const MAX_KEYS: usize = 2;
+/// Shorter secrets could be guessed.
+const MIN_SECRET: usize = 16;
+
 impl Settings {
     /// Reads and checks a settings file.
     ///
     /// # Errors
-    /// Fails on a file that cannot be read, on malformed JSON and unknown keys (with line and
-    /// column) and on values that contradict each other.
+    /// Fails on a file that cannot be read, on malformed JSON, on unknown keys, and on values that
+    /// are not accepted or contradict each other, each with line and column.
     pub fn open(path: &Path) -> Result<Self, Error> {
         let file = path.display().to_string();
         let text =
@@ -131,10 +141,23 @@
         json_comments::StripComments::new(text.as_bytes())
             .read_to_string(&mut json)
             .map_err(|error| Error::Read(file.to_owned(), error))?;
-        let settings: Self =
-            serde_json::from_str(&json).map_err(|error| Error::Syntax(file.to_owned(), error))?;
+        let settings: Self = serde_json::from_str(&json).map_err(|error| {
+            let (line, column) = (error.line(), error.column());
+            let message = error.to_string();
+            let place = format!(" at line {line} column {column}");
+            let mut message = message.trim_end_matches(&place).to_owned();
+            if message.contains("socket address") {
+                message.push_str("; accepted is an IP address with a port, like 10.0.0.1:7000");
+            }
+            Error::Mistake(file.to_owned(), line, column, message)
+        })?;
         match settings.problem() {
-            Some(problem) => Err(Error::Value(file.to_owned(), problem)),
+            Some(problem) => {
+                let (line, column) = locate(&json, &problem.path);
+                let key = problem.path.join(".");
+                let message = format!("{key}: {}", problem.message);
+                Err(Error::Mistake(file.to_owned(), line, column, message))
+            }
             None => Ok(settings),
         }
     }
@@ -149,29 +172,175 @@
             .expect("the settings have a cluster key")
     }
 
-    fn problem(&self) -> Option<&'static str> {
-        if self.name.is_empty() || self.name.len() > 64 {
-            return Some("name: accepted are 1 to 64 characters");
+    fn problem(&self) -> Option<Problem> {
+        self.bad_name()
+            .or_else(|| self.bad_secret())
+            .or_else(|| self.bad_address())
+            .or_else(|| self.bad_limit())
+    }
+
+    fn bad_name(&self) -> Option<Problem> {
+        let mut names: Vec<(Vec<&'static str>, &str)> = vec![
+            (vec!["name"], &self.name),
+            (vec!["host"], &self.host),
+            (vec!["domain"], &self.domain),
+            (vec!["region"], &self.region),
+        ];
+        match &self.role {
+            Role::Entry { .. } => {}
+            Role::Engine { target, model, .. } => {
+                names.push((vec!["role", "target"], target));
+                names.push((vec!["role", "model"], model));
+            }
+            Role::Service {
+                target, service, ..
+            } => {
+                names.push((vec!["role", "target"], target));
+                // The role's own key is called service too.
+                names.push((vec!["role", "service", "service"], service));
+            }
+        }
+        for store in &self.stores {
+            names.push((vec!["stores", "name"], &store.name));
+        }
+        // A name that the rules do not accept could never be drained.
+        let accepted = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+        let (path, name) = names
+            .into_iter()
+            .find(|(_, name)| name.is_empty() || name.len() > 64 || !name.chars().all(accepted))?;
+        let message = format!(
+            "{name:?} is not accepted; accepted are 1 to 64 letters, digits, '-', '_' or '.'"
+        );
+        Some(Problem { path, message })
+    }
+
+    fn bad_secret(&self) -> Option<Problem> {
+        let problem = |key, message: &str| {
+            Some(Problem {
+                path: vec![key],
+                message: message.to_owned(),
+            })
+        };
+        let keys = &self.cluster_keys;
+        if keys.is_empty() || keys.len() > MAX_KEYS {
+            return problem(
+                "cluster_keys",
+                "accepted is one key, or two while they are replaced",
+            );
+        }
+        if keys.iter().any(|key| key.len() < MIN_SECRET) {
+            return problem("cluster_keys", "accepted are at least 16 characters a key");
+        }
+        if self.context_secret.len() < MIN_SECRET {
+            return problem("context_secret", "accepted are at least 16 characters");
+        }
+        if keys.contains(&self.context_secret) {
+            return problem(
+                "context_secret",
+                "it is a cluster key as well; accepted is a secret of its own, which stays the same \
+                 when cluster keys are replaced",
+            );
+        }
+        None
+    }
+
+    fn bad_address(&self) -> Option<Problem> {
+        let platform = &self.platform;
+        let mut urls = vec![
+            (vec!["platform", "table"], &platform.table),
+            (vec!["platform", "objects"], &platform.objects),
+            (vec!["platform", "hosts"], &platform.hosts),
+        ];
+        for store in &self.stores {
+            urls.push((vec!["stores", "address"], &store.address));
         }
-        if self.cluster_keys.is_empty() {
-            return Some("cluster_keys: at least one key is needed");
+        let mut sockets = vec![("peer_address", self.peer_address)];
+        sockets.push(("admin_address", self.admin_address));
+        match &self.role {
+            Role::Entry { http_address } => sockets.push(("http_address", *http_address)),
+            Role::Engine { address, .. } | Role::Service { address, .. } => {
+                urls.push((vec!["role", "address"], address));
+            }
+        }
+        if let Some((path, url)) = urls.into_iter().find(|(_, url)| !is_url(url)) {
+            let message = format!("{url:?} is not accepted; accepted is like http://10.0.0.1:80");
+            return Some(Problem { path, message });
         }
-        if self.cluster_keys.iter().any(|key| key.len() < 16) {
-            return Some("cluster_keys: a key needs at least 16 characters");
+        for (index, (key, address)) in sockets.iter().enumerate() {
+            let earlier = sockets[..index].iter().find(|(_, other)| other == address);
+            if let Some((other, _)) = earlier
+                && address.port() != 0
+            {
+                let message = format!("{address} is the {other} too; accepted is another port");
+                return Some(Problem {
+                    path: vec![key],
+                    message,
+                });
+            }
         }
-        if self.context_secret.len() < 16 {
-            return Some("context_secret: at least 16 characters are needed");
+        let names: BTreeSet<&Store> = self.stores.iter().map(|store| &store.name).collect();
+        if names.len() < self.stores.len() {
+            return Some(Problem {
+                path: vec!["stores"],
+                message: "a name stands twice; accepted is one entry for each store host"
+                    .to_owned(),
+            });
         }
-        match self.role {
+        None
+    }
+
+    fn bad_limit(&self) -> Option<Problem> {
+        let (key, message) = match self.role {
             Role::Engine {
                 cold_limit,
                 warm_limit,
                 ..
-            } if cold_limit == 0 || cold_limit > warm_limit => {
-                Some("cold_limit: accepted is a number from 1 to warm_limit")
-            }
-            Role::Service { limit: 0, .. } => Some("limit: accepted is a number from 1"),
-            _ => None,
+            } if cold_limit == 0 || cold_limit > warm_limit => (
+                "cold_limit",
+                format!(
+                    "{cold_limit} is not accepted; accepted is a number from 1 to the warm_limit {warm_limit}"
+                ),
+            ),
+            Role::Service { limit: 0, .. } => (
+                "limit",
+                "0 is not accepted; accepted is a number from 1".to_owned(),
+            ),
+            _ => return None,
+        };
+        Some(Problem {
+            path: vec!["role", key],
+            message,
+        })
+    }
+}
+
+fn is_url(url: &str) -> bool {
+    let host = url
+        .strip_prefix("http://")
+        .or_else(|| url.strip_prefix("https://"));
+    host.is_some_and(|host| {
+        !host.is_empty() && !host.starts_with([':', '/']) && !host.contains(' ')
+    })
+}
+
+/// Returns line and column, from 1, of the key at the end of a path.
+///
+/// The keys are searched one after the other, each behind the one before; text in quotes is a key
+/// when a colon follows.
+fn locate(json: &str, path: &[&str]) -> (usize, usize) {
+    let mut at = 0;
+    for key in path {
+        let quoted = format!("\"{key}\"");
+        let found = json[at..].match_indices(&quoted).find(|(start, _)| {
+            let rest = &json[at + start + quoted.len()..];
+            rest.trim_start().starts_with(':')
+        });
+        if let Some((start, _)) = found {
+            at += start + 1;
         }
     }
+    let before = &json[..at.saturating_sub(1)];
+    let line = before.matches('\n').count() + 1;
+    let column = before.len() - before.rfind('\n').map_or(0, |newline| newline + 1) + 1;
+    (line, column)
 }
--- /dev/null
+++ b/crates/daemon/tests/settings.rs
@@ -0,0 +1,50 @@
+//! Checks each settings file under `tests/settings` against its stated outcome, and the examples
+//! with the program itself.
+//!
+//! The first line of a fixture is `// expect: ok` or `// expect: LINE:COLUMN: part of the message`.
+//! Guards against a mistake that starts a process with settings that nobody meant, and against an
+//! error that names the wrong place.
+
+use std::path::Path;
+use std::process::Command;
+
+use daemon::settings::Settings;
+
+fn check(path: &Path) -> datatest_stable::Result<()> {
+    let text = std::fs::read_to_string(path)?;
+    let expected = text
+        .lines()
+        .next()
+        .and_then(|line| line.strip_prefix("// expect: "))
+        .ok_or("a fixture starts with '// expect: '")?;
+    let outcome = match Settings::parse("settings", &text) {
+        Ok(_) => "ok".to_owned(),
+        Err(error) => error.to_string(),
+    };
+    let wanted = match expected {
+        "ok" => "ok".to_owned(),
+        expected => format!("settings:{expected}"),
+    };
+    match outcome.starts_with(&wanted) {
+        true => Ok(()),
+        false => Err(format!("expected {wanted:?}, got {outcome:?}").into()),
+    }
+}
+
+/// Guards against an example that a new key or check has made invalid.
+fn example(path: &Path) -> datatest_stable::Result<()> {
+    let output = Command::new(env!("CARGO_BIN_EXE_boragereeld"))
+        .arg("--settings")
+        .arg(path)
+        .arg("--check")
+        .output()?;
+    match output.status.code() {
+        Some(0) => Ok(()),
+        code => Err(format!("{code:?}: {}", String::from_utf8_lossy(&output.stderr)).into()),
+    }
+}
+
+datatest_stable::harness! {
+    { test = check, root = "tests/settings", pattern = r"\.json$" },
+    { test = example, root = "../../examples/settings", pattern = r"\.json$" },
+}
--- a/crates/rules/tests/fixtures.rs
+++ b/crates/rules/tests/fixtures.rs
@@ -31,6 +31,14 @@
     }
 }
 
+/// Guards against an example that a new check has made invalid.
+fn example(path: &Path) -> datatest_stable::Result<()> {
+    let text = std::fs::read_to_string(path)?;
+    Snapshot::parse("rules", &text, Version(1))?;
+    Ok(())
+}
+
 datatest_stable::harness! {
     { test = check, root = "tests/fixtures", pattern = r"\.rules$" },
+    { test = example, root = "../../examples/rules", pattern = r"\.rules$" },
 }
--- a/crates/rules/tests/property.rs
+++ b/crates/rules/tests/property.rs
@@ -53,7 +53,7 @@
     /// Guards against an edit that touches other lines, loses the comment or lets a name or a
     /// reason write a second rule.
     #[test]
-    fn edits_touch_one_line(names in prop::collection::btree_set(word(), 1..5), who in ".{0,9}", why in ".{0,9}") {
+    fn edits_touch_one_line(names in prop::collection::btree_set(word(), 1..5), who in "(?s).{0,9}", why in "(?s).{0,9}") {
         let names: Vec<String> = names.into_iter().collect();
         let text: String = names.iter().map(|name| format!("model {name}  weights=v1 # ben: first\n")).collect();
         let rule = Drain::from_parts("host", &names[0]).unwrap();
