replay: run recorded traces through the pure cores in virtual time

Cause: no figure said how good the decisions are.

Ruled out: measuring with real processes only. It takes the time that the trace takes, and the engines' speed on the machine would be part of the figures.

The replay runs the cores of routing, admission and context in virtual time with small simulations of engines (continuous batching in chunks of 512 tokens), stores and links. The daemon uses the queue: requests wait at the agent's gate for a slot, weighted by team, and are refused as not run when shed, expired or drained.

The ramp now starts behind warm_after answers, a setting.

--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -1,7 +1,10 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use chart::{Chart, Machine, Step};
-use types::{Attempt, Boot};
+use types::{Attempt, Boot, Time};
+
+use crate::Ask;
+use crate::queue::Queue;
 
 /// Admits requests to one target and never sends it more than it can bear.
 #[derive(Debug)]
@@ -12,8 +15,11 @@
     allowed: u32,
     successes: u32,
     running: HashMap<Attempt, Progress>,
+    queue: Queue,
+    settled: VecDeque<(Attempt, Decision)>,
     drained_by_rule: bool,
     stopping: bool,
+    held: bool,
 }
 
 /// What the target can bear.
@@ -23,6 +29,10 @@
     pub cold: u32,
     /// Requests at the same time once it is warm.
     pub warm: u32,
+    /// Answers that warm the target up; the ramp starts behind them.
+    pub warm_after: u32,
+    /// Requests that may wait for a slot; 0 refuses them at once.
+    pub waiting: u32,
 }
 
 /// What to do with a request.
@@ -30,7 +40,9 @@
 pub enum Decision {
     /// Send it now.
     Admit,
-    /// Do not send it.
+    /// Keep it; [`Gate::settle`] says later what becomes of it.
+    Wait,
+    /// Do not send it; it was not sent and never will be.
     Refuse(Refusal),
 }
 
@@ -45,6 +57,8 @@
     Leaving,
     /// The target does not answer.
     Suspect,
+    /// The caller's deadline passed while the request waited.
+    Deadline,
 }
 
 /// How a request ended.
@@ -61,7 +75,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Progress {
     Sent,
-    Confirmed,
+    /// The target answered under this boot id.
+    Confirmed(Boot),
 }
 
 const CHART: &str = include_str!("../charts/target.json");
@@ -80,46 +95,122 @@
             allowed: limits.cold,
             successes: 0,
             running: HashMap::new(),
+            queue: Queue::new(limits.waiting as usize),
+            settled: VecDeque::new(),
             limits,
             drained_by_rule: false,
             stopping: false,
+            held: false,
         }
     }
 
     /// Decides about a new request.
-    pub fn on_request(&mut self, attempt: Attempt) -> Decision {
-        let refuse = |refusal| Decision::Refuse(refusal);
+    pub fn on_request(&mut self, ask: Ask) -> Decision {
+        let attempt = ask.attempt;
+        match self.obstacle() {
+            Some(refusal @ (Refusal::Leaving | Refusal::Suspect)) => Decision::Refuse(refusal),
+            None if self.queue.len() == 0 => {
+                self.running.insert(attempt, Progress::Sent);
+                Decision::Admit
+            }
+            obstacle => match self.queue.push(ask) {
+                Some(shed) if shed.attempt == attempt => {
+                    Decision::Refuse(obstacle.unwrap_or(Refusal::Full))
+                }
+                Some(shed) => {
+                    let refused = Decision::Refuse(Refusal::Full);
+                    self.settled.push_back((shed.attempt, refused));
+                    Decision::Wait
+                }
+                None => Decision::Wait,
+            },
+        }
+    }
+
+    /// Returns a waiting request whose fate is known by now; to be called after every event until
+    /// it returns `None`.
+    pub fn settle(&mut self, now: Time) -> Option<(Attempt, Decision)> {
+        if let Some(settled) = self.settled.pop_front() {
+            return Some(settled);
+        }
+        if let Some(expired) = self.queue.pop_expired(now) {
+            return Some((expired.attempt, Decision::Refuse(Refusal::Deadline)));
+        }
+        match self.obstacle() {
+            Some(refusal @ (Refusal::Leaving | Refusal::Suspect)) => {
+                let waiting = self.queue.pop()?;
+                Some((waiting.attempt, Decision::Refuse(refusal)))
+            }
+            Some(_) => None,
+            None => {
+                let waiting = self.queue.pop()?;
+                self.running.insert(waiting.attempt, Progress::Sent);
+                Some((waiting.attempt, Decision::Admit))
+            }
+        }
+    }
+
+    /// Takes a request out of the queue, for a caller that went away; says whether it waited.
+    pub fn withdraw(&mut self, attempt: Attempt) -> bool {
+        self.queue.remove(attempt)
+    }
+
+    /// Says whether a new request would be sent or may wait, and is not refused at once.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        !matches!(self.obstacle(), Some(Refusal::Leaving | Refusal::Suspect))
+    }
+
+    /// Says what keeps a request from being sent now.
+    fn obstacle(&self) -> Option<Refusal> {
         if self.drained_by_rule || self.stopping {
-            return refuse(Refusal::Leaving);
+            return Some(Refusal::Leaving);
         }
         if self.machine.state() == "suspect" {
-            return refuse(Refusal::Suspect);
+            return Some(Refusal::Suspect);
         }
-        if self.in_flight() >= self.allowed {
-            return refuse(Refusal::Full);
+        if self.held || self.in_flight() >= self.allowed {
+            return Some(Refusal::Full);
         }
-        if self.unconfirmed() >= self.limits.cold {
-            return refuse(Refusal::Unconfirmed);
+        (self.unconfirmed() >= self.limits.cold).then_some(Refusal::Unconfirmed)
+    }
+
+    /// Holds new requests back before an order that leaves the target cold, such as new weights.
+    ///
+    /// The running requests survive such an order, so a request sent before the target reports
+    /// its new boot id would come on top of them.
+    pub fn hold(&mut self) {
+        self.held = true;
+    }
+
+    /// Ends [`Gate::hold`]; the ramp starts again if the order was carried out.
+    pub fn release(&mut self, is_cold: bool) {
+        self.held = false;
+        if is_cold {
+            self.machine.on("boot_changed");
+            self.restart_ramp();
         }
-        self.running.insert(attempt, Progress::Sent);
-        Decision::Admit
     }
 
     /// Records the first sign of life of a request, which names the engine's boot id.
     pub fn on_confirm(&mut self, attempt: Attempt, boot: Boot) {
         if let Some(progress) = self.running.get_mut(&attempt) {
-            *progress = Progress::Confirmed;
+            *progress = Progress::Confirmed(boot);
         }
         self.on_boot(boot);
     }
 
     /// Records the end of a request.
     pub fn on_finish(&mut self, attempt: Attempt, outcome: Outcome) {
-        if self.running.remove(&attempt).is_none() {
+        let Some(progress) = self.running.remove(&attempt) else {
             return;
-        }
+        };
         match outcome {
-            Outcome::Success => self.on_success(),
+            // An answer from before the target lost its warm-up says nothing of it now.
+            Outcome::Success => match (progress, self.boot) {
+                (Progress::Confirmed(boot), Some(now)) if boot != now => {}
+                _ => self.on_success(),
+            },
             Outcome::Failure => {
                 self.machine.on("failed");
                 self.restart_ramp();
@@ -173,6 +264,12 @@
         self.machine.state()
     }
 
+    /// Returns the number of requests that wait for a slot.
+    #[must_use]
+    pub fn waiting(&self) -> u32 {
+        self.queue.len() as u32
+    }
+
     /// Returns the number of requests sent and not finished.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
@@ -195,8 +292,13 @@
     fn on_success(&mut self) {
         self.machine.on("first_success");
         self.successes += 1;
-        // The ramp doubles only after a whole window, so one lucky answer does not open it.
-        if self.successes >= self.allowed && self.allowed < self.limits.warm {
+        // The target bears no more than the cold limit until it is warmed up. Behind that the ramp
+        // doubles only after a whole window, so one lucky answer does not open it.
+        let window = match self.allowed == self.limits.cold {
+            true => self.allowed.max(self.limits.warm_after),
+            false => self.allowed,
+        };
+        if self.successes >= window && self.allowed < self.limits.warm {
             self.allowed = (self.allowed * 2).min(self.limits.warm);
             self.successes = 0;
         }
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -5,5 +5,9 @@
 //! section 5.4.
 
 mod gate;
+mod pace;
+mod queue;
 
 pub use gate::{Decision, Gate, Limits, Outcome, Refusal};
+pub use pace::Pace;
+pub use queue::Ask;
--- a/crates/context/src/lib.rs
+++ b/crates/context/src/lib.rs
@@ -6,8 +6,10 @@
 
 mod block;
 mod envelope;
+mod link;
 mod secret;
 
 pub use block::{BLOCK_TOKENS, Block, Id, chain, root, tokens};
 pub use envelope::{Envelope, Miss};
+pub use link::{Bounds, Link, Urgency};
 pub use secret::Secret;
--- a/crates/daemon/src/agent/gate.rs
+++ b/crates/daemon/src/agent/gate.rs
@@ -1,9 +1,12 @@
+use std::collections::HashMap;
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
-use admission::{Decision, Limits, Outcome};
-use types::{Attempt, Boot, Domain, Host, Target};
-use wire::{Load, Reason};
+use admission::{Ask, Decision, Limits, Outcome, Pace};
+use rules::{Priority, Snapshot};
+use tokio::sync::oneshot;
+use types::{Attempt, Boot, Domain, Host, Target, Time};
+use wire::{Dispatch, Load, Reason};
 use xtra::prelude::*;
 
 use crate::control::View;
@@ -22,23 +25,32 @@
 pub(super) struct State {
     pub(super) name: String,
     pub(super) load: Load,
+    at: Time,
 }
 
 #[derive(xtra::Actor)]
 struct Owner {
     gate: admission::Gate,
+    pace: Pace,
+    rules: Arc<Snapshot>,
+    /// The requests that wait, with their work and the way back to each.
+    waiting: HashMap<Attempt, (u32, oneshot::Sender<Decision>)>,
     state: Arc<RwLock<State>>,
     metrics: Metrics,
 }
 
-struct Request(Attempt);
+struct Request(Ask);
+struct Send(Attempt, u32);
+struct First(Attempt);
+struct Probe(Boot);
 struct Confirm(Attempt, Boot);
 struct Finish(Attempt, Outcome);
-struct Observe(Boot);
-struct Drained(bool);
+struct Rules(Arc<Snapshot>, bool);
 struct Stop;
 
-/// How often the rules are compared with the drain state.
+/// Requests that wait at an agent; more would wait longer than most callers do.
+pub(super) const WAITING: u32 = 64;
+/// How often the rules are compared with the drain state and expired requests are refused.
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(100);
 /// How often a stopping agent looks whether its work is finished.
 const STOP_INTERVAL: Duration = Duration::from_millis(20);
@@ -50,13 +62,18 @@
         let load = Load {
             in_flight: 0,
             limit: gate.allowed(),
+            wait_ms: 0,
         };
         let state = Arc::new(RwLock::new(State {
             name: gate.state().to_owned(),
             load,
+            at: crate::now(),
         }));
         let owner = Owner {
             gate,
+            pace: Pace::default(),
+            rules: Arc::default(),
+            waiting: HashMap::new(),
             state: Arc::clone(&state),
             metrics,
         };
@@ -83,19 +100,46 @@
     }
 
     async fn apply_rules(&self, view: &View, target: &Target, host: &Host, domain: &Domain) {
-        let drained = view.rules().is_drained(target, host, domain);
-        let _ = self.actor.send(Drained(drained)).await;
+        let rules = view.rules();
+        let drained = rules.is_drained(target, host, domain);
+        let _ = self.actor.send(Rules(rules, drained)).await;
     }
 
-    /// Asks for admission of a request.
-    pub(super) async fn request(&self, attempt: Attempt) -> Result<(), Reason> {
-        match self.actor.send(Request(attempt)).await {
+    /// Waits for the admission of a request that makes the target compute `work` tokens.
+    pub(super) async fn request(&self, dispatch: &Dispatch, work: u32) -> Result<(), Reason> {
+        let left = Duration::from_millis(dispatch.deadline_ms.into());
+        let ask = Ask {
+            attempt: dispatch.attempt,
+            team: dispatch.team.clone(),
+            share: 1,
+            work,
+            priority: match dispatch.priority {
+                Priority::Low => 0,
+                Priority::Normal => 1,
+                Priority::High => 2,
+            },
+            deadline: crate::now() + left,
+        };
+        let Ok(decision) = self.actor.send(Request(ask)).await else {
+            return Err(Reason::Unavailable);
+        };
+        match decision.await {
             Ok(Decision::Admit) => Ok(()),
             Ok(Decision::Refuse(refusal)) => Err(reason(refusal)),
-            Err(_) => Err(Reason::Unavailable),
+            Ok(Decision::Wait) | Err(_) => Err(Reason::Unavailable),
         }
     }
 
+    /// Records that an admitted request is sent, with the tokens that are left to compute.
+    pub(super) async fn sending(&self, attempt: Attempt, work: u32) {
+        let _ = self.actor.send(Send(attempt, work)).await;
+    }
+
+    /// Records the first token of an answer.
+    pub(super) async fn first(&self, attempt: Attempt) {
+        let _ = self.actor.send(First(attempt)).await;
+    }
+
     /// Records that the target answered a request.
     pub(super) async fn confirm(&self, attempt: Attempt, boot: Boot) {
         let _ = self.actor.send(Confirm(attempt, boot)).await;
@@ -107,16 +151,19 @@
     }
 
     /// Records that the target answered a probe.
-    pub(super) async fn observe(&self, boot: Boot) {
-        let _ = self.actor.send(Observe(boot)).await;
+    pub(super) async fn probed(&self, boot: Boot) {
+        let _ = self.actor.send(Probe(boot)).await;
     }
 
     /// Returns the state as it was after the last event.
     pub(super) fn state(&self) -> State {
-        self.state
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        let state = self.state.read().unwrap_or_else(PoisonError::into_inner);
+        let mut state = state.clone();
+        // The target has worked on what waited since then.
+        let age = crate::now().since(state.at).as_millis();
+        let age = u32::try_from(age).unwrap_or(u32::MAX);
+        state.load.wait_ms = state.load.wait_ms.saturating_sub(age);
+        state
     }
 
     /// Stops admission and waits until nothing runs.
@@ -136,12 +183,46 @@
 }
 
 impl Owner {
+    /// Tells the waiting requests whose fate is known by now.
+    fn settle(&mut self) {
+        let now = crate::now();
+        while let Some((attempt, decision)) = self.gate.settle(now) {
+            if let Some((_, sender)) = self.waiting.remove(&attempt) {
+                self.decided(attempt, decision, sender);
+            }
+        }
+    }
+
+    fn decided(&mut self, attempt: Attempt, decision: Decision, sender: oneshot::Sender<Decision>) {
+        // Nobody waits for it any more, so it will not be sent.
+        if sender.send(decision).is_err() && decision == Decision::Admit {
+            self.end(attempt, Outcome::Cancelled);
+        }
+    }
+
+    fn end(&mut self, attempt: Attempt, outcome: Outcome) {
+        self.pace.on_end(attempt, crate::now());
+        self.gate.on_finish(attempt, outcome);
+    }
+
+    fn wait(&self) -> Duration {
+        let (running, allowed) = (self.gate.in_flight(), self.gate.allowed());
+        let ahead = (running + 1).saturating_sub(allowed);
+        let queued: u64 = self
+            .waiting
+            .values()
+            .map(|(work, _)| u64::from(*work))
+            .sum();
+        self.pace.wait(crate::now(), ahead, allowed) + self.pace.compute(queued)
+    }
+
     fn publish(&self) {
         let load = Load {
-            in_flight: self.gate.in_flight(),
+            in_flight: self.gate.in_flight() + self.gate.waiting(),
             limit: self.gate.allowed(),
+            wait_ms: u32::try_from(self.wait().as_millis()).unwrap_or(u32::MAX),
         };
-        self.metrics.in_flight.set(load.in_flight.into());
+        self.metrics.in_flight.set(self.gate.in_flight().into());
         let mut state = self.state.write().unwrap_or_else(PoisonError::into_inner);
         if state.name != self.gate.state() {
             log::info!(
@@ -152,18 +233,20 @@
             self.gate.state().clone_into(&mut state.name);
         }
         state.load = load;
+        state.at = crate::now();
     }
 }
 
-/// Handles a message by one call of the gate and publishes the state that it led to.
+/// Handles a message, then settles what waits and publishes the state that it led to.
 macro_rules! handle {
-    ($message:ty, $return:ty, |$gate:ident, $value:ident| $body:expr) => {
+    ($message:ty, $return:ty, |$owner:ident, $value:ident| $body:expr) => {
         impl Handler<$message> for Owner {
             type Return = $return;
 
             async fn handle(&mut self, $value: $message, _context: &mut Context<Self>) -> $return {
-                let $gate = &mut self.gate;
+                let $owner = &mut *self;
                 let result = $body;
+                self.settle();
                 self.publish();
                 result
             }
@@ -171,22 +254,45 @@
     };
 }
 
-handle!(Request, Decision, |gate, message| gate
-    .on_request(message.0));
-handle!(Confirm, (), |gate, message| gate
+handle!(Request, oneshot::Receiver<Decision>, |owner, message| {
+    let (sender, receiver) = oneshot::channel();
+    let mut ask = message.0;
+    if let Some(account) = owner.rules.teams.get(&ask.team) {
+        ask.share = account.share;
+    }
+    let (attempt, work) = (ask.attempt, ask.work);
+    match owner.gate.on_request(ask) {
+        Decision::Wait => {
+            owner.waiting.insert(attempt, (work, sender));
+        }
+        decision => owner.decided(attempt, decision, sender),
+    }
+    receiver
+});
+handle!(Send, (), |owner, message| owner.pace.on_sent(
+    message.0,
+    message.1,
+    crate::now()
+));
+handle!(First, (), |owner, message| owner
+    .pace
+    .on_first(message.0, crate::now()));
+handle!(Confirm, (), |owner, message| owner
+    .gate
     .on_confirm(message.0, message.1));
-handle!(Finish, (), |gate, message| gate
-    .on_finish(message.0, message.1));
-handle!(Observe, (), |gate, message| gate.on_probe(message.0));
-handle!(Drained, (), |gate, message| {
-    gate.set_drained(message.0);
+handle!(Finish, (), |owner, message| owner.end(message.0, message.1));
+handle!(Probe, (), |owner, message| owner.gate.on_probe(message.0));
+handle!(Rules, (), |owner, message| {
+    owner.rules = message.0;
+    owner.gate.set_drained(message.1);
 });
-handle!(Stop, (), |gate, _message| gate.stop());
+handle!(Stop, (), |owner, _message| owner.gate.stop());
 
 fn reason(refusal: admission::Refusal) -> Reason {
     match refusal {
         admission::Refusal::Full | admission::Refusal::Unconfirmed => Reason::Full,
         admission::Refusal::Leaving => Reason::Leaving,
         admission::Refusal::Suspect => Reason::Unavailable,
+        admission::Refusal::Deadline => Reason::Deadline,
     }
 }
--- a/crates/daemon/src/agent/kept.rs
+++ b/crates/daemon/src/agent/kept.rs
@@ -54,19 +54,24 @@
 
     /// Brings the longest held prefix of the blocks into the engine.
     ///
-    /// Whatever fails leaves the rest to be recomputed.
-    pub(super) async fn import(&self, secret: &Secret, weights: &Weights, blocks: &[Block]) {
-        let Some(store) = self.longest(blocks).await else {
-            return;
+    /// Returns how many blocks it brought; whatever fails leaves the rest to be recomputed.
+    pub(super) async fn import(
+        &self,
+        secret: &Secret,
+        weights: &Weights,
+        blocks: &[Block],
+    ) -> usize {
+        let Some((store, held)) = self.longest(blocks).await else {
+            return 0;
         };
-        let (store, held) = store;
-        for block in &blocks[..held] {
+        for (index, block) in blocks[..held].iter().enumerate() {
             let outcome = self.import_one(secret, weights, block, store).await;
             self.metrics.blocks.with_label_values(&[outcome]).inc();
             if outcome != "imported" {
-                return;
+                return index;
             }
         }
+        held
     }
 
     async fn import_one(
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -78,11 +78,14 @@
             address,
             cold_limit,
             warm_limit,
+            warm_after,
             ..
         } => {
             let limits = admission::Limits {
                 cold: *cold_limit,
                 warm: *warm_limit,
+                warm_after: *warm_after,
+                waiting: gate::WAITING,
             };
             let gate = Gate::spawn(limits, metrics.clone());
             let backend =
@@ -98,6 +101,8 @@
             let limits = admission::Limits {
                 cold: *limit,
                 warm: *limit,
+                warm_after: 1,
+                waiting: gate::WAITING,
             };
             let gate = Gate::spawn(limits, metrics.clone());
             let backend = service::Backend::spawn(service.clone(), address, &gate)?;
--- a/crates/daemon/src/agent/prompt.rs
+++ b/crates/daemon/src/agent/prompt.rs
@@ -58,7 +58,7 @@
     loop {
         if let Ok(status) = engine.status().await {
             weights.store(Some(Arc::new(status.weights)));
-            gate.observe(status.boot).await;
+            gate.probed(status.boot).await;
         }
         tokio::time::sleep(PROBE_INTERVAL).await;
     }
@@ -106,12 +106,17 @@
     let Some(weights) = backend.weights.load_full() else {
         return Err(shared.refuse(Reason::Unavailable));
     };
-    if let Err(reason) = shared.gate.request(dispatch.attempt).await {
+    let tokens = context::tokens(&prompt.text).count();
+    let work = u32::try_from(tokens).unwrap_or(u32::MAX);
+    if let Err(reason) = shared.gate.request(dispatch, work).await {
         return Err(shared.refuse(reason));
     }
     let secret = Secret::derive(backend.secret.as_bytes(), &dispatch.team);
     let blocks = context::chain(&secret, &prompt.model, &weights, &prompt.text);
-    backend.kept.import(&secret, &weights, &blocks).await;
+    let held = backend.kept.import(&secret, &weights, &blocks).await;
+    let left = tokens.saturating_sub(held * context::BLOCK_TOKENS);
+    let left = u32::try_from(left).unwrap_or(u32::MAX);
+    shared.gate.sending(dispatch.attempt, left).await;
     let completion = Completion {
         request_id: dispatch.attempt,
         model: prompt.model,
@@ -173,10 +178,13 @@
     /// Returns whether the answer is whole.
     async fn run(&self, running: engine::Running) -> bool {
         let mut running = running;
-        let mut resumes = RESUMES;
+        let (mut resumes, mut is_first) = (RESUMES, true);
         loop {
             match running.next().await {
                 Ok(Some(Chunk::Token { text, .. })) => {
+                    if std::mem::take(&mut is_first) {
+                        self.shared.gate.first(self.attempt).await;
+                    }
                     self.answer.push(text);
                     continue;
                 }
--- a/crates/daemon/src/agent/service.rs
+++ b/crates/daemon/src/agent/service.rs
@@ -30,7 +30,7 @@
         tokio::spawn(async move {
             loop {
                 if probed.probe().await.is_ok() {
-                    gate.observe(NO_BOOT).await;
+                    gate.probed(NO_BOOT).await;
                 }
                 tokio::time::sleep(PROBE_INTERVAL).await;
             }
@@ -49,7 +49,7 @@
     if call.service != backend.service {
         return shared.refuse(Reason::WrongTarget);
     }
-    if let Err(reason) = shared.gate.request(dispatch.attempt).await {
+    if let Err(reason) = shared.gate.request(dispatch, 1).await {
         return shared.refuse(reason);
     }
     let (answer, outcome) = claim_and_send(shared, backend, dispatch, call).await;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -84,6 +84,9 @@
         cold_limit: u32,
         /// Requests at the same time that it bears once it is warm.
         warm_limit: u32,
+        /// Answers that warm the engine up; until then it gets no more than `cold_limit`.
+        #[serde(default = "default_warm_after")]
+        warm_after: u32,
     },
     /// Stands beside an instance of a plain service.
     Service {
@@ -98,6 +101,10 @@
     },
 }
 
+fn default_warm_after() -> u32 {
+    8
+}
+
 /// Why the settings cannot be used.
 #[derive(Debug, Display, thiserror::Error)]
 pub enum Error {
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -3,12 +3,16 @@
 use types::Time;
 
 /// What an entry last heard of a target's load; it ages, since answers carry it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Load {
     /// Requests that run or wait at the target.
     pub in_flight: u32,
     /// Requests that the target may run now.
     pub limit: u32,
+    /// How long the target's agent expects a new request to wait.
+    pub wait: Duration,
+    /// Prompts that the target computes in turn.
+    pub computing: u32,
     /// When this was heard.
     pub heard: Time,
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,8 +6,12 @@
 
 mod budget;
 mod choice;
+mod loads;
 mod rendezvous;
+mod table;
 
 pub use budget::Budget;
 pub use choice::{Estimate, Load, choose};
+pub use loads::{Knobs, Loads};
 pub use rendezvous::{Key, top};
+pub use table::Table;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -87,6 +87,8 @@
     pub in_flight: u32,
     /// Requests that may run now.
     pub limit: u32,
+    /// How long the agent expects a new request to wait, in milliseconds.
+    pub wait_ms: u32,
 }
 
 /// The request was sent to the target.
--- a/xtask/src/deployment.rs
+++ b/xtask/src/deployment.rs
@@ -12,15 +12,7 @@
     pub(crate) name: String,
     pub(crate) region: String,
     pub(crate) domains: Vec<String>,
-    #[expect(
-        dead_code,
-        reason = "used by replay and measure, which are not written yet"
-    )]
     pub(crate) client_delay_ms: f64,
-    #[expect(
-        dead_code,
-        reason = "used by replay and measure, which are not written yet"
-    )]
     pub(crate) domain_delay_ms: f64,
     pub(crate) entries: usize,
     pub(crate) model: String,
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -7,6 +7,7 @@
 mod demo;
 mod deployment;
 mod process;
+mod replay;
 
 use std::process::ExitCode;
 
@@ -15,6 +16,8 @@
   demo [--deployment NAME]   send a conversation through all processes, let it return after the
                              engines dropped their caches, and print what each prompt cost;
                              without --deployment both, lakeshore and herrera
+  replay TRACE [--deployment NAME] [--policy NAME] [--set KNOB=VALUE] [--json]
+                             replay a trace in virtual time; see docs/routing.md
 Exit codes: 0 passed, 1 failed, 2 wrong arguments.";
 
 /// A failure with its message.
@@ -30,6 +33,7 @@
     let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
     let result = match arguments.subcommand() {
         Ok(Some(command)) => match command.as_str() {
+            "replay" => replay::run(arguments),
             "demo" => runtime.block_on(demo::run(arguments)),
             other => {
                 eprintln!("unknown command {other:?}; see --help");
--- /dev/null
+++ b/xtask/tests/replay.rs
@@ -0,0 +1,97 @@
+//! Checks the stated outcome of each replay under `tests/goals`.
+//!
+//! Guards against a change of the decisions that makes returning prompts slow, recomputes context
+//! that is held, loses or refuses requests, or sends work to a drained or an overloaded cold
+//! target. A replay runs in virtual time, so the verdict is the same on every run.
+
+use std::collections::HashMap;
+use std::path::Path;
+use std::process::Command;
+
+use serde::Deserialize;
+use serde_json::Value;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Goal {
+    trace: String,
+    checks: Vec<Check>,
+}
+
+/// A figure must be at most a number, or at most a multiple of another replay's figure.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Check {
+    /// A JSON pointer into the report.
+    figure: String,
+    at_most: f64,
+    /// The policy or the trace that the figure is compared with.
+    of_policy: Option<String>,
+    of_trace: Option<String>,
+}
+
+fn check(path: &Path) -> datatest_stable::Result<()> {
+    let goal: Goal = serde_json::from_str(&std::fs::read_to_string(path)?)?;
+    let mut reports = HashMap::new();
+    let mut missed = Vec::new();
+    for deployment in ["lakeshore", "herrera"] {
+        let mut figure = |trace: &str, policy: &str, figure: &str| {
+            let key = [deployment, trace, policy].map(ToOwned::to_owned);
+            let report = match reports.get(&key) {
+                Some(report) => report,
+                None => {
+                    let report = replay(deployment, trace, policy)?;
+                    reports.entry(key).or_insert(report)
+                }
+            };
+            let value = report.pointer(figure).and_then(sum);
+            value.ok_or_else(|| format!("the report has no figure {figure}"))
+        };
+        for check in &goal.checks {
+            let seen = figure(&goal.trace, "ours", &check.figure)?;
+            let limit = match (&check.of_policy, &check.of_trace) {
+                (None, None) => check.at_most,
+                (policy, trace) => {
+                    let policy = policy.as_deref().unwrap_or("ours");
+                    let trace = trace.as_ref().unwrap_or(&goal.trace);
+                    check.at_most * figure(trace, policy, &check.figure)?
+                }
+            };
+            if seen > limit {
+                missed.push(format!(
+                    "{deployment}: {} is {seen:.3}, at most {limit:.3} is wanted",
+                    check.figure
+                ));
+            }
+        }
+    }
+    if missed.is_empty() {
+        return Ok(());
+    }
+    Err(missed.join("\n").into())
+}
+
+/// Returns a number, or the sum of the numbers in an object.
+fn sum(value: &Value) -> Option<f64> {
+    match value {
+        Value::Object(values) => values.values().map(sum).sum(),
+        value => value.as_f64(),
+    }
+}
+
+fn replay(deployment: &str, trace: &str, policy: &str) -> Result<Value, String> {
+    let trace = format!("{}/traces/{trace}", env!("CARGO_MANIFEST_DIR"));
+    let output = Command::new(env!("CARGO_BIN_EXE_xtask"))
+        .args(["replay", &trace, "--deployment", deployment])
+        .args(["--policy", policy, "--json"])
+        .output()
+        .map_err(|error| error.to_string())?;
+    if !output.status.success() {
+        return Err(String::from_utf8_lossy(&output.stderr).into_owned());
+    }
+    serde_json::from_slice(&output.stdout).map_err(|error| error.to_string())
+}
+
+datatest_stable::harness! {
+    { test = check, root = "tests/goals", pattern = r"\.json$" },
+}
