--- a/crates/standins/src/engine/state.rs
+++ b/crates/standins/src/engine/state.rs
@@ -30,7 +30,8 @@
     cache: VecDeque<String>,
     executed: Vec<Value>,
     orders: Vec<Value>,
-    overloads: u32,
+    /// Each time that the engine, cold, got more than it bears.
+    overloads: Vec<Value>,
     bad_imports: u32,
 }
 
@@ -55,7 +56,7 @@
             cache: VecDeque::new(),
             executed: Vec::new(),
             orders: Vec::new(),
-            overloads: 0,
+            overloads: Vec::new(),
             bad_imports: 0,
         }
     }
@@ -71,7 +72,13 @@
         let running = self.running();
         let cold = self.completed < self.settings.warm_after;
         if cold && running >= self.settings.cold_limit {
-            self.overloads += 1;
+            self.overloads.push(json!({
+                "at_ms": crate::fault::now_ms(),
+                "attempt": completion.request_id,
+                "boot": self.boot,
+                "running": running,
+                "completed": self.completed,
+            }));
             self.down_until = Some(tokio::time::Instant::now() + RESTART);
             self.turn_cold();
             return Accepted::Refused(StatusCode::SERVICE_UNAVAILABLE);
@@ -88,6 +95,7 @@
         let cached_tokens = (cached * BLOCK_TOKENS).min(prompt_tokens);
         let seed = seed(&completion.prompt);
         self.executed.push(json!({
+            "at_ms": crate::fault::now_ms(),
             "attempt": completion.request_id,
             "seed": seed,
             "salt": completion.cache_salt,
--- a/crates/standins/src/fault.rs
+++ b/crates/standins/src/fault.rs
@@ -85,6 +85,12 @@
     }
 }
 
+/// Returns the milliseconds since 1970, for logs that a checker compares between processes.
+pub(crate) fn now_ms() -> u64 {
+    let now = std::time::SystemTime::UNIX_EPOCH.elapsed();
+    now.unwrap_or_default().as_millis() as u64
+}
+
 /// Counts a fault down; returns whether it applies.
 pub(crate) fn take(count: &mut u32) -> bool {
     let applies = *count > 0;
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -12,6 +12,7 @@
 /// A call that was executed.
 #[derive(Debug, Clone, Serialize)]
 struct Executed {
+    at_ms: u64,
     call: String,
     attempt: String,
     body: String,
@@ -62,6 +63,7 @@
     let receipt = {
         let mut executed = executed.lock().expect("no holder panics");
         executed.push(Executed {
+            at_ms: crate::fault::now_ms(),
             call: call.clone(),
             attempt,
             body: body.clone(),
--- a/xtask/src/cluster.rs
+++ b/xtask/src/cluster.rs
@@ -1,53 +1,128 @@
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use rules::key_digest;
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
 use crate::Result;
 use crate::deployment::Deployment;
-use crate::process::Process;
+use crate::process::{Process, binary};
+use crate::relay::{Link, Translation};
 
 /// All processes of a deployment on this machine, with stand-ins for the platform.
 #[derive(Debug)]
 pub(crate) struct Cluster {
     pub(crate) deployment: Deployment,
-    pub(crate) platform: Process,
-    pub(crate) stores: Vec<Process>,
-    pub(crate) engines: Vec<Process>,
-    pub(crate) services: Vec<Process>,
-    pub(crate) agents: Vec<Process>,
-    pub(crate) entries: Vec<Process>,
+    pub(crate) platform: Node,
+    pub(crate) weights: Node,
+    pub(crate) stores: Vec<Node>,
+    pub(crate) engines: Vec<Node>,
+    pub(crate) services: Vec<Node>,
+    pub(crate) agents: Vec<Node>,
+    pub(crate) entries: Vec<Node>,
+    /// The links between the parts; empty without relays.
+    pub(crate) links: Vec<Link>,
     pub(crate) http: reqwest::Client,
+    options: Options,
     folder: PathBuf,
+    /// The third octet of all addresses and the port, drawn so that clusters do not collide.
+    net: (u8, u16),
+}
+
+/// How a cluster differs from the plain one.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Options {
+    /// Puts a relay into every link between two parts.
+    pub(crate) with_links: bool,
+    /// Further options of each engine.
+    pub(crate) engine: Vec<String>,
+    /// Requests at the same time that a warm engine and its agent take.
+    pub(crate) warm_limit: Option<u32>,
+}
+
+/// A process that can be started again with the same settings and addresses.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) name: String,
+    pub(crate) process: Process,
+    program: &'static str,
+    arguments: Vec<String>,
+    log: PathBuf,
 }
 
 /// How long the processes may take to learn of each other.
-const READY_TIMEOUT: Duration = Duration::from_secs(20);
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+/// The second octet of the addresses that processes bind. Process `p` is told addresses with
+/// second octet `LINK_OCTET + p`, where the relays of its links listen.
+const REAL_OCTET: u8 = 30;
+const LINK_OCTET: u8 = 31;
+/// The warm limit of engines without an option.
+const WARM_LIMIT: u32 = 16;
+
+impl Node {
+    async fn spawn(
+        name: &str,
+        program: &'static str,
+        arguments: Vec<String>,
+        folder: &Path,
+    ) -> Result<Self> {
+        let log = folder.join(format!("{name}.log"));
+        Ok(Self {
+            process: Process::spawn(program, &arguments, &log).await?,
+            name: name.to_owned(),
+            program,
+            arguments,
+            log,
+        })
+    }
+
+    /// Returns the address that the ready line gives under `name`, or its last word.
+    pub(crate) fn address(&self, name: &str) -> Result<SocketAddr> {
+        self.process.address(name)
+    }
+
+    /// Starts the process again after its end.
+    pub(crate) async fn restart(&mut self) -> Result<()> {
+        self.process = Process::spawn(self.program, &self.arguments, &self.log).await?;
+        Ok(())
+    }
+}
 
 impl Cluster {
-    /// Starts everything and waits until every entry knows every agent.
+    /// Starts everything and waits until every process is ready and every entry knows every agent.
     pub(crate) async fn start(deployment: Deployment, folder: &Path) -> Result<Self> {
+        Self::start_with(deployment, folder, Options::default()).await
+    }
+
+    /// Starts everything as the options say.
+    pub(crate) async fn start_with(
+        deployment: Deployment,
+        folder: &Path,
+        options: Options,
+    ) -> Result<Self> {
         std::fs::create_dir_all(folder)?;
-        let platform = standin(folder, "platform", "platform", &[]).await?;
-        let weights = standin(folder, "weights", "weights", &[]).await?;
-        let weight_store = format!("http://{}", weights.address("")?);
         let mut cluster = Self {
-            platform,
+            platform: standin(folder, "platform", &["platform"]).await?,
+            weights: standin(folder, "weights", &["weights"]).await?,
             stores: Vec::new(),
             engines: Vec::new(),
             services: Vec::new(),
             agents: Vec::new(),
             entries: Vec::new(),
+            links: Vec::new(),
             http: reqwest::Client::builder().no_proxy().build()?,
+            options,
             folder: folder.to_owned(),
+            net: (
+                rand::random_range(1..=250),
+                rand::random_range(11_000..31_000),
+            ),
             deployment,
         };
-        cluster.stores.push(weights);
         cluster.apply_rules("").await?;
-        cluster.start_targets(&weight_store).await?;
+        cluster.start_targets().await?;
         cluster.start_processes().await?;
         cluster.wait_ready().await?;
         Ok(cluster)
@@ -63,32 +138,61 @@
         self.entries[index % self.entries.len()].address("http")
     }
 
+    /// Returns what a stand-in executed.
+    pub(crate) async fn log_of(&self, node: &Node) -> Result<Value> {
+        let url = format!("http://{}/log", node.address("")?);
+        Ok(self.http.get(url).send().await?.json().await?)
+    }
+
+    /// Sets the faults of a stand-in.
+    pub(crate) async fn set_faults(&self, node: &Node, faults: &Value) -> Result<()> {
+        let url = format!("http://{}/faults", node.address("")?);
+        let response = self.http.put(url).json(faults).send().await?;
+        response.error_for_status()?;
+        Ok(())
+    }
+
+    /// Returns the status of a process.
+    pub(crate) async fn status_of(&self, node: &Node) -> Result<Value> {
+        let url = format!("http://{}/status", node.address("admin")?);
+        let response = self.http.get(url).timeout(Duration::from_secs(5));
+        Ok(response.send().await?.json().await?)
+    }
+
     /// Makes the deployment's rules and some further lines the configuration in force.
     pub(crate) async fn apply_rules(&self, further: &str) -> Result<()> {
-        let path = self.folder.join("rules");
-        std::fs::write(&path, format!("{}{further}", self.rules()))?;
-        let platform = format!("http://{}", self.platform.address("")?);
-        let program = std::env::current_exe()?.with_file_name("boragereel");
-        let output = tokio::process::Command::new(program)
-            .arg("apply")
-            .arg(&path)
-            .args(["--who", "xtask", "--why", "demo"])
-            .args([
-                "--table",
-                &platform,
-                "--objects",
-                &platform,
-                "--hosts",
-                &platform,
-            ])
-            .output()
-            .await?;
+        let output = self.apply(further, None).await?;
         if output.status.success() {
             return Ok(());
         }
         Err(format!("apply failed: {}", String::from_utf8_lossy(&output.stderr)).into())
     }
 
+    /// Runs the operators' tool on the deployment's rules and some further lines.
+    pub(crate) async fn apply(
+        &self,
+        further: &str,
+        base: Option<u64>,
+    ) -> Result<std::process::Output> {
+        let name = format!("rules-{:08x}", rand::random::<u32>());
+        let path = self.folder.join(name);
+        std::fs::write(&path, format!("{}{further}", self.rules()))?;
+        let mut command = tokio::process::Command::new(binary("boragereel")?);
+        command.arg("apply").arg(&path).arg("--json");
+        command.args(["--who", "xtask", "--why", "test"]);
+        if let Some(base) = base {
+            command.args(["--base", &base.to_string()]);
+        }
+        // Operators reach the platform directly; links of theirs are no part of the system.
+        let platform = format!("http://{}", self.platform.address("")?);
+        for option in ["--table", "--objects", "--hosts"] {
+            command.args([option, &platform]);
+        }
+        let output = command.output().await?;
+        std::fs::remove_file(&path)?;
+        Ok(output)
+    }
+
     fn rules(&self) -> String {
         let deployment = &self.deployment;
         let mut rules = String::new();
@@ -120,149 +224,225 @@
         rules
     }
 
-    async fn start_targets(&mut self, weight_store: &str) -> Result<()> {
+    async fn start_targets(&mut self) -> Result<()> {
         let folder = self.folder.clone();
         for index in 0..self.deployment.stores {
-            let store = standin(&folder, &format!("store-{index}"), "store", &[]).await?;
+            let listen = SocketAddr::from((
+                Ipv4Addr::new(127, REAL_OCTET, self.net.0, 200),
+                self.net.1 + 10 + index as u16,
+            ));
+            // A restarted store comes back at the same address.
+            let arguments = ["store", "--listen", &listen.to_string()];
+            let store = standin(&folder, &format!("store-{index}"), &arguments).await?;
             self.stores.push(store);
         }
+        let weight_store = format!("http://{}", self.weights.address("")?);
+        let warm = self.options.warm_limit.unwrap_or(WARM_LIMIT).to_string();
         for index in 0..self.deployment.engines {
-            let arguments = [
+            let mut arguments = vec![
+                "engine",
                 "--model",
                 &self.deployment.model,
                 "--weights",
                 "v1",
                 "--weight-store",
-                weight_store,
+                &weight_store,
+                "--warm-limit",
+                &warm,
             ];
-            let engine = standin(&folder, &format!("engine-{index}"), "engine", &arguments).await?;
+            arguments.extend(self.options.engine.iter().map(String::as_str));
+            let engine = standin(&folder, &format!("engine-{index}"), &arguments).await?;
             self.engines.push(engine);
         }
         for index in 0..self.deployment.services {
             let name = format!("{}-{index}", self.deployment.service);
-            let service = standin(&folder, &name, "service", &["--name", &name]).await?;
+            let service = standin(&folder, &name, &["service", "--name", &name]).await?;
             self.services.push(service);
         }
         Ok(())
     }
 
     async fn start_processes(&mut self) -> Result<()> {
-        let stores: Vec<_> = self
-            .stores
-            .iter()
-            .skip(1)
-            .enumerate()
-            .map(|(index, store)| {
-                let address = store.address("")?;
-                let name = format!("store-{index}");
-                Ok(json!({ "name": name, "address": format!("http://{address}") }))
-            })
-            .collect::<Result<_>>()?;
         let deployment = self.deployment.clone();
-        for (index, engine) in self.engines.iter().enumerate() {
+        let (engines, services) = (deployment.engines, deployment.services);
+        for index in 0..engines {
+            let name = format!("agent-engine-{index}");
+            let target = self.engines[index].address("")?;
+            let address = self.link_to(&name, self.engines[index].name.clone(), target);
             let role = json!({ "engine": {
                 "target": format!("{}-{index}", deployment.model),
                 "model": deployment.model,
-                "address": format!("http://{}", engine.address("")?),
+                "address": format!("http://{}", address.await?),
                 "cold_limit": 2,
-                "warm_limit": 16,
+                "warm_limit": self.options.warm_limit.unwrap_or(WARM_LIMIT),
             }});
-            let name = format!("agent-engine-{index}");
-            self.agents.push(
-                self.daemon(&name, deployment.domain(index), &role, &stores)
-                    .await?,
-            );
+            let agent = self.daemon(&name, index, deployment.domain(index), &role);
+            let agent = agent.await?;
+            self.agents.push(agent);
         }
-        for (index, service) in self.services.iter().enumerate() {
+        for index in 0..services {
+            let name = format!("agent-service-{index}");
+            let target = self.services[index].address("")?;
+            let address = self.link_to(&name, self.services[index].name.clone(), target);
             let role = json!({ "service": {
                 "target": format!("{}-{index}", deployment.service),
                 "service": deployment.service,
-                "address": format!("http://{}", service.address("")?),
+                "address": format!("http://{}", address.await?),
                 "limit": 16,
             }});
-            let name = format!("agent-service-{index}");
-            self.agents.push(
-                self.daemon(&name, deployment.domain(index), &role, &stores)
-                    .await?,
-            );
+            let agent = self.daemon(&name, engines + index, deployment.domain(index), &role);
+            let agent = agent.await?;
+            self.agents.push(agent);
         }
         for index in 0..deployment.entries {
-            let role = json!({ "entry": { "http_address": "127.0.0.1:0" } });
+            let number = engines + services + index;
+            let http = SocketAddr::from((self.host(REAL_OCTET, number), self.net.1 + 2));
+            let role = json!({ "entry": { "http_address": http } });
             let name = format!("entry-{index}");
-            self.entries.push(
-                self.daemon(&name, deployment.domain(index), &role, &stores)
-                    .await?,
-            );
+            let entry = self.daemon(&name, number, deployment.domain(index), &role);
+            let entry = entry.await?;
+            self.entries.push(entry);
         }
         Ok(())
     }
 
+    fn host(&self, octet: u8, number: usize) -> Ipv4Addr {
+        Ipv4Addr::new(127, octet, self.net.0, 10 + number as u8)
+    }
+
+    /// Puts a relay between a part and another one, if there are to be any; returns the address
+    /// that the part is told.
+    async fn link_to(&mut self, from: &str, to: String, target: SocketAddr) -> Result<SocketAddr> {
+        if !self.options.with_links {
+            return Ok(target);
+        }
+        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        let link = Link::bind(format!("{from}>{to}"), listen, target, None).await?;
+        let address = link.address;
+        self.links.push(link);
+        Ok(address)
+    }
+
+    /// Puts relays between process `number` and all others and into its link to the platform,
+    /// whose answers then name those relays as the others' addresses.
+    async fn link_peers(&mut self, name: &str, number: usize) -> Result<SocketAddr> {
+        let platform = self.platform.address("")?;
+        if !self.options.with_links {
+            return Ok(platform);
+        }
+        let octet = LINK_OCTET + u8::try_from(number)?;
+        let names = self.names();
+        for (other, peer) in names.iter().enumerate() {
+            if other == number {
+                continue;
+            }
+            let listen = SocketAddr::from((self.host(octet, other), self.net.1));
+            let target = SocketAddr::from((self.host(REAL_OCTET, other), self.net.1));
+            let link = Link::bind(format!("{name}>{peer}"), listen, target, None).await?;
+            self.links.push(link);
+        }
+        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        let prefix = |octet| format!("127.{octet}.{}.", self.net.0).into_bytes();
+        let translation = Translation {
+            from: prefix(REAL_OCTET),
+            to: prefix(octet),
+        };
+        let name = format!("{name}>platform");
+        let link = Link::bind(name, listen, platform, Some(translation)).await?;
+        let address = link.address;
+        self.links.push(link);
+        Ok(address)
+    }
+
+    /// Returns the names of all daemons by their number.
+    fn names(&self) -> Vec<String> {
+        let Deployment {
+            engines,
+            services,
+            entries,
+            ..
+        } = self.deployment;
+        (0..engines)
+            .map(|index| format!("agent-engine-{index}"))
+            .chain((0..services).map(|index| format!("agent-service-{index}")))
+            .chain((0..entries).map(|index| format!("entry-{index}")))
+            .collect()
+    }
+
     async fn daemon(
-        &self,
+        &mut self,
         name: &str,
+        number: usize,
         domain: &str,
-        role: &serde_json::Value,
-        stores: &[serde_json::Value],
-    ) -> Result<Process> {
-        let platform = format!("http://{}", self.platform.address("")?);
+        role: &Value,
+    ) -> Result<Node> {
+        let platform = format!("http://{}", self.link_peers(name, number).await?);
+        let mut stores = Vec::new();
+        if name.starts_with("agent-engine") {
+            for index in 0..self.stores.len() {
+                let target = self.stores[index].address("")?;
+                let store = self.stores[index].name.clone();
+                let address = self.link_to(name, store.clone(), target).await?;
+                stores.push(json!({ "name": store, "address": format!("http://{address}") }));
+            }
+        }
+        let octet = match self.options.with_links {
+            true => LINK_OCTET + u8::try_from(number)?,
+            false => REAL_OCTET,
+        };
+        let seeds: Vec<_> = (0..self.names().len())
+            .filter(|&other| other != number)
+            .map(|other| SocketAddr::from((self.host(octet, other), self.net.1)))
+            .take(3)
+            .collect();
+        let host = self.host(REAL_OCTET, number);
         let settings = json!({
             "name": name,
             "host": format!("host-{name}"),
             "domain": domain,
             "region": self.deployment.region,
-            "peer_address": "127.0.0.1:0",
-            "admin_address": "127.0.0.1:0",
+            "peer_address": SocketAddr::from((host, self.net.1)),
+            "admin_address": SocketAddr::from((host, self.net.1 + 1)),
             "cluster_keys": ["demo cluster key of 2026"],
             "context_secret": "demo context secret of 2026",
             "platform": { "table": platform, "objects": platform, "hosts": platform },
             "stores": stores,
+            "seeds": seeds,
             "role": role,
         });
         let path = self.folder.join(format!("{name}.json"));
         std::fs::write(&path, serde_json::to_string_pretty(&settings)?)?;
-        let arguments = ["--settings".to_owned(), path.display().to_string()];
-        let log = self.folder.join(format!("{name}.log"));
-        Process::spawn("boragereeld", &arguments, &log).await
+        let arguments = vec!["--settings".to_owned(), path.display().to_string()];
+        Node::spawn(name, "boragereeld", arguments, &self.folder).await
     }
 
-    async fn wait_ready(&self) -> Result<()> {
+    /// Waits until every process is ready and every entry knows every agent.
+    pub(crate) async fn wait_ready(&self) -> Result<()> {
         let members = self.agents.len() + self.entries.len();
         let deadline = Instant::now() + READY_TIMEOUT;
-        for process in self.entries.iter().chain(&self.agents) {
-            let admin = process.address("admin")?;
+        for node in self.entries.iter().chain(&self.agents) {
             loop {
-                let ready = self
-                    .http
-                    .get(format!("http://{admin}/ready"))
-                    .send()
-                    .await?;
-                let status = self
-                    .http
-                    .get(format!("http://{admin}/status"))
-                    .send()
-                    .await?;
-                let status: serde_json::Value = status.json().await?;
+                let url = format!("http://{}/ready", node.address("admin")?);
+                let ready = self.http.get(url).timeout(Duration::from_secs(5)).send();
+                let ready = ready.await.is_ok_and(|ready| ready.status().is_success());
+                let status = self.status_of(node).await.unwrap_or_default();
                 let known = status["members"].as_array().map_or(members, Vec::len);
-                if ready.status().is_success() && known >= members {
+                // A target that a rule takes out is as ready as it will be.
+                let is_drained = matches!(status["state"].as_str(), Some("draining" | "drained"));
+                if (ready || is_drained) && known >= members {
                     break;
                 }
                 if Instant::now() > deadline {
-                    return Err(format!("not ready within 20 s: {status}").into());
+                    return Err(format!("{} is not ready within 30 s: {status}", node.name).into());
                 }
-                sleep(Duration::from_millis(50)).await;
+                sleep(Duration::from_millis(20)).await;
             }
         }
         Ok(())
     }
 }
 
-async fn standin(folder: &Path, name: &str, kind: &str, options: &[&str]) -> Result<Process> {
-    let mut arguments = vec![kind.to_owned()];
-    arguments.extend(options.iter().map(ToString::to_string));
-    Process::spawn(
-        "boragereel-standin",
-        &arguments,
-        &folder.join(format!("{name}.log")),
-    )
-    .await
+async fn standin(folder: &Path, name: &str, arguments: &[&str]) -> Result<Node> {
+    let arguments = arguments.iter().map(ToString::to_string).collect();
+    Node::spawn(name, "boragereel-standin", arguments, folder).await
 }
--- a/xtask/src/demo/mod.rs
+++ b/xtask/src/demo/mod.rs
@@ -105,7 +105,7 @@
     let mut last = 0;
     loop {
         let mut blocks = 0;
-        for store in cluster.stores.iter().skip(1) {
+        for store in &cluster.stores {
             let log = cluster
                 .http
                 .get(format!("http://{}/log", store.address("")?))
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -7,6 +7,8 @@
 mod demo;
 mod deployment;
 mod process;
+mod relay;
+mod torture;
 
 use std::process::ExitCode;
 
@@ -15,6 +17,11 @@
   demo [--deployment NAME]   send a conversation through all processes, let it return after the
                              engines dropped their caches, and print what each prompt cost;
                              without --deployment both, lakeshore and herrera
+  torture [--seed N] [--rounds N] [--deployment NAME] [--json] [--only-round N] [--keep-logs]
+          [--fail-fast] [--no-build]
+                             rounds of random faults over a small cluster, and a check of what
+                             callers were told against what was executed; the same seed gives the
+                             same schedule
 Exit codes: 0 passed, 1 failed, 2 wrong arguments.";
 
 /// A failure with its message.
@@ -31,6 +38,7 @@
     let result = match arguments.subcommand() {
         Ok(Some(command)) => match command.as_str() {
             "demo" => runtime.block_on(demo::run(arguments)),
+            "torture" => runtime.block_on(torture::run(arguments)),
             other => {
                 eprintln!("unknown command {other:?}; see --help");
                 return ExitCode::from(2);
--- a/xtask/src/process.rs
+++ b/xtask/src/process.rs
@@ -1,8 +1,9 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
+use std::process::{ExitStatus, Stdio};
 use std::time::Duration;
 
+use rustix::process::{Pid, Signal, kill_process};
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, Command};
 use tokio::time::timeout;
@@ -12,7 +13,7 @@
 /// A running process; dropping it kills the process.
 #[derive(Debug)]
 pub(crate) struct Process {
-    _child: Child,
+    child: Child,
     ready: String,
 }
 
@@ -22,11 +23,15 @@
 impl Process {
     /// Starts a program of this workspace and waits for its ready line; its log goes to `log`.
     pub(crate) async fn spawn(program: &str, arguments: &[String], log: &Path) -> Result<Self> {
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(log)?;
         let mut child = Command::new(binary(program)?)
             .args(arguments)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
-            .stderr(std::fs::File::create(log)?)
+            .stderr(log)
             .kill_on_drop(true)
             .spawn()?;
         let stdout = child.stdout.take().ok_or("the process has no output")?;
@@ -37,10 +42,7 @@
             _ => return Err(format!("{program} {arguments:?} did not start").into()),
         };
         tokio::spawn(async move { while let Ok(Some(_)) = lines.next_line().await {} });
-        Ok(Self {
-            _child: child,
-            ready,
-        })
+        Ok(Self { child, ready })
     }
 
     /// Returns the address that the ready line gives under `name`, or its last word.
@@ -52,14 +54,41 @@
             .or(words().last());
         Ok(word.ok_or("the ready line is empty")?.parse()?)
     }
+
+    /// Returns the process id, or `None` after the process has ended.
+    pub(crate) fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
+    /// Sends a signal; one to a process that has ended is an error.
+    pub(crate) fn signal(&self, signal: Signal) -> Result<()> {
+        let id = self.id().ok_or("the process has ended")?;
+        let pid = Pid::from_raw(i32::try_from(id)?).ok_or("the process id is 0")?;
+        Ok(kill_process(pid, signal)?)
+    }
+
+    /// Waits until the process has ended, for at most `limit`.
+    pub(crate) async fn wait(&mut self, limit: Duration) -> Result<ExitStatus> {
+        let status = timeout(limit, self.child.wait()).await;
+        Ok(status.map_err(|_elapsed| format!("the process did not end within {limit:?}"))??)
+    }
+
+    /// Kills the process at once and waits for its end.
+    pub(crate) async fn kill(&mut self) -> Result<()> {
+        Ok(self.child.kill().await?)
+    }
 }
 
 /// Returns a program that was built together with this one.
-fn binary(name: &str) -> Result<PathBuf> {
-    let folder = std::env::current_exe()?
+pub(crate) fn binary(name: &str) -> Result<PathBuf> {
+    let mut folder = std::env::current_exe()?
         .parent()
         .ok_or("no folder")?
         .to_owned();
+    // Test programs are in the folder `deps` beside the programs.
+    if folder.ends_with("deps") {
+        folder.pop();
+    }
     let path = folder.join(name);
     if !path.exists() {
         return Err(format!(
--- /dev/null
+++ b/xtask/src/torture/check.rs
@@ -0,0 +1,303 @@
+//! Compares what callers were told with what the stand-ins executed.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use serde_json::{Value, json};
+
+use super::client::{End, Outcome, What, is_beginning};
+use crate::Result;
+use crate::caller::expected;
+use crate::cluster::Cluster;
+
+/// A time during which a target had to get no new work, in milliseconds since 1970.
+#[derive(Debug, Clone)]
+pub(super) struct Drained {
+    /// `domain NAME` or `target NAME`.
+    pub(super) what: String,
+    pub(super) from: u64,
+    pub(super) until: u64,
+}
+
+/// What was found; everything but the told counts has to be 0.
+#[derive(Debug, Default)]
+pub(super) struct Findings {
+    pub(super) counts: BTreeMap<&'static str, u32>,
+    pub(super) details: Vec<String>,
+    pub(super) told_maybe: u32,
+    pub(super) refused: u32,
+    pub(super) answered: u32,
+    pub(super) unknown_after_kill: u32,
+}
+
+/// How long after acceptance a drained target may still get work, in milliseconds.
+pub(super) const DRAIN_MS: u64 = 3000;
+/// The kinds of violations, in the order in which they are printed.
+const KINDS: [&str; 15] = [
+    "lost",
+    "doubled",
+    "truncated",
+    "crossed",
+    "leaked",
+    "wrongly not run",
+    "answered but not run",
+    "different answers to one key",
+    "cut off by graceful shutdown",
+    "work to drained targets",
+    "overloads",
+    "bad imports",
+    "configuration late",
+    "configuration reverted",
+    "two operators accepted",
+];
+
+impl Findings {
+    pub(super) fn new() -> Self {
+        Self {
+            counts: KINDS.iter().map(|&kind| (kind, 0)).collect(),
+            ..Self::default()
+        }
+    }
+
+    pub(super) fn add(&mut self, kind: &'static str, count: u32, detail: &str) {
+        if count == 0 {
+            return;
+        }
+        *self.counts.entry(kind).or_default() += count;
+        self.details.push(format!("{kind}: {detail}"));
+    }
+
+    pub(super) fn is_clean(&self) -> bool {
+        self.counts.values().all(|&count| count == 0)
+    }
+}
+
+#[derive(Default)]
+struct Executed {
+    /// Executions of each prompt, by the number that the engine derives from it.
+    prompts: HashMap<u64, Vec<Value>>,
+    /// Executions of each call, by its body.
+    calls: HashMap<String, u32>,
+}
+
+/// Returns the number that the stand-in derives from a prompt.
+fn seed(prompt: &str) -> u64 {
+    let hash = blake3::hash(format!("user: {prompt}\n").as_bytes());
+    let mut bytes = [0; 4];
+    bytes.copy_from_slice(&hash.as_bytes()[..4]);
+    u32::from_le_bytes(bytes).into()
+}
+
+/// Checks all outcomes against the logs of all stand-ins.
+pub(super) async fn check(
+    cluster: &Cluster,
+    outcomes: &[Outcome],
+    drains: &[Drained],
+    stopped: &HashMap<(u32, usize), &'static str>,
+    findings: &mut Findings,
+) -> Result<()> {
+    let executed = read_logs(cluster, drains, findings).await?;
+    let mut keyed: HashMap<&str, Vec<&Outcome>> = HashMap::new();
+    let mut salts: HashMap<String, HashSet<usize>> = HashMap::new();
+    for outcome in outcomes {
+        let place = format!("round {} team {}", outcome.round, outcome.team);
+        check_end(outcome, stopped, findings, &place);
+        let never_ran = !outcome.told.is_empty()
+            && outcome.broken.is_empty()
+            && outcome.told.iter().all(|ran| ran == "no")
+            && outcome.end == End::Refused;
+        match &outcome.what {
+            What::Prompt {
+                prompt,
+                tokens,
+                text,
+            } => {
+                let runs = executed.prompts.get(&seed(prompt));
+                if never_ran && let Some(runs) = runs {
+                    findings.add("wrongly not run", 1, &format!("{place}: prompt {runs:?}"));
+                }
+                for run in runs.into_iter().flatten() {
+                    let salt = run["salt"].as_str().unwrap_or("").to_owned();
+                    salts.entry(salt).or_default().insert(outcome.team);
+                }
+                if !is_beginning(prompt, *tokens, text) {
+                    findings.add("crossed", 1, &format!("{place}: has {text:?}"));
+                } else if matches!(outcome.end, End::Answered(_))
+                    && *text != expected(prompt, *tokens)
+                {
+                    let detail = format!("{place}: {} of {tokens} tokens", text.split(' ').count());
+                    findings.add("truncated", 1, &detail);
+                }
+            }
+            What::Call { body, has_key } => {
+                let runs = executed.calls.get(body).copied().unwrap_or(0);
+                if *has_key {
+                    keyed.entry(body).or_default().push(outcome);
+                } else if never_ran {
+                    findings.add("wrongly not run", runs, &format!("{place}: call {body}"));
+                }
+                if runs > 1 {
+                    let detail = format!("{place}: call {body} ran {runs} times");
+                    findings.add("doubled", 1, &detail);
+                }
+                if let End::Answered(answer) = &outcome.end {
+                    let value: Value = serde_json::from_str(answer).unwrap_or_default();
+                    if value["echo"].as_str() != Some(body) {
+                        let detail = format!("{place}: call {body} was answered {answer}");
+                        findings.add("crossed", 1, &detail);
+                    }
+                    if runs == 0 {
+                        findings.add("answered but not run", 1, &format!("{place}: {body}"));
+                    }
+                }
+            }
+        }
+    }
+    for (body, outcomes) in keyed {
+        check_key(body, &outcomes, &executed, findings);
+    }
+    for (salt, teams) in salts {
+        if teams.len() > 1 {
+            findings.add("leaked", 1, &format!("teams {teams:?} share salt {salt}"));
+        }
+    }
+    Ok(())
+}
+
+/// Checks all requests with one idempotency key together.
+fn check_key(body: &str, outcomes: &[&Outcome], executed: &Executed, findings: &mut Findings) {
+    let runs = executed.calls.get(body).copied().unwrap_or(0);
+    let answers: HashSet<&End> = outcomes
+        .iter()
+        .map(|outcome| &outcome.end)
+        .filter(|end| matches!(end, End::Answered(_)))
+        .collect();
+    if answers.len() > 1 {
+        findings.add("different answers to one key", 1, &format!("{answers:?}"));
+    }
+    let never_ran = outcomes.iter().all(|outcome| {
+        outcome.end == End::Refused
+            && outcome.broken.is_empty()
+            && outcome.told.iter().all(|ran| ran == "no")
+    });
+    if never_ran {
+        findings.add("wrongly not run", runs, &format!("call {body} with a key"));
+    }
+}
+
+fn check_end(
+    outcome: &Outcome,
+    stopped: &HashMap<(u32, usize), &'static str>,
+    findings: &mut Findings,
+    place: &str,
+) {
+    findings.told_maybe += u32::from(outcome.told.iter().any(|ran| ran == "maybe"));
+    if outcome.is_leaked {
+        findings.add(
+            "leaked",
+            1,
+            &format!("{place}: answer given to another team"),
+        );
+    }
+    for (entry, problem) in &outcome.broken {
+        match stopped.get(&(outcome.round, *entry)) {
+            Some(&"killed") => {}
+            Some(_) => {
+                let detail = format!("{place}: entry-{entry}: {problem}");
+                findings.add("cut off by graceful shutdown", 1, &detail);
+            }
+            // Without another end this counts as lost below.
+            None => {}
+        }
+    }
+    match outcome.end {
+        End::Answered(_) => findings.answered += 1,
+        End::Refused => findings.refused += 1,
+        End::Nothing => {
+            // A caller whose entry is killed cannot know more; one without a key may not repeat.
+            let was_killed = outcome
+                .broken
+                .iter()
+                .any(|(entry, _)| stopped.get(&(outcome.round, *entry)) == Some(&"killed"));
+            let may_repeat = !matches!(outcome.what, What::Call { has_key: false, .. });
+            if was_killed && !may_repeat {
+                findings.unknown_after_kill += 1;
+            } else {
+                let what = match &outcome.what {
+                    What::Prompt { text, tokens, .. } => {
+                        format!("prompt with {} of {tokens} tokens", text.split(' ').count())
+                    }
+                    What::Call { body, .. } => format!("call {body}"),
+                };
+                let detail = format!(
+                    "{place}: {what}: told {:?}, {:?}",
+                    outcome.told, outcome.broken
+                );
+                findings.add("lost", 1, &detail);
+            }
+        }
+    }
+}
+
+async fn read_logs(
+    cluster: &Cluster,
+    drains: &[Drained],
+    findings: &mut Findings,
+) -> Result<Executed> {
+    let mut executed = Executed::default();
+    let deployment = &cluster.deployment;
+    for (index, engine) in cluster.engines.iter().enumerate() {
+        let log = cluster.log_of(engine).await?;
+        let count = |name: &str| log[name].as_u64().unwrap_or(0) as u32;
+        for overload in log["overloads"].as_array().into_iter().flatten() {
+            findings.add("overloads", 1, &format!("{}: {overload}", engine.name));
+        }
+        findings.add("bad imports", count("bad_imports"), &engine.name);
+        let target = format!("target {}-{index}", deployment.model);
+        let domain = format!("domain {}", deployment.domain(index));
+        for run in log["executed"].as_array().into_iter().flatten() {
+            check_drained(run, &target, &domain, drains, findings);
+            let seed = run["seed"].as_u64().unwrap_or(0);
+            executed.prompts.entry(seed).or_default().push(run.clone());
+        }
+    }
+    for (index, service) in cluster.services.iter().enumerate() {
+        let log = cluster.log_of(service).await?;
+        let target = format!("target {}-{index}", deployment.service);
+        let domain = format!("domain {}", deployment.domain(index));
+        for run in log.as_array().into_iter().flatten() {
+            check_drained(run, &target, &domain, drains, findings);
+            let body = run["body"].as_str().unwrap_or("").to_owned();
+            *executed.calls.entry(body).or_default() += 1;
+        }
+    }
+    Ok(executed)
+}
+
+fn check_drained(
+    run: &Value,
+    target: &str,
+    domain: &str,
+    drains: &[Drained],
+    findings: &mut Findings,
+) {
+    let at = run["at_ms"].as_u64().unwrap_or(0);
+    for drain in drains {
+        let is_late = drain.from + DRAIN_MS < at && at < drain.until;
+        if is_late && (drain.what == target || drain.what == domain) {
+            let detail = format!("{target}: {} ms after acceptance", at - drain.from);
+            findings.add("work to drained targets", 1, &detail);
+        }
+    }
+}
+
+/// Writes the findings for a program.
+pub(super) fn to_json(findings: &Findings) -> Value {
+    json!({
+        "violations": findings.counts,
+        "details": findings.details,
+        "answered": findings.answered,
+        "refused": findings.refused,
+        "told_maybe": findings.told_maybe,
+        "unknown_after_kill": findings.unknown_after_kill,
+    })
+}
--- /dev/null
+++ b/xtask/src/torture/client.rs
@@ -0,0 +1,332 @@
+//! Callers that behave as real ones: they repeat what may be repeated, through other entries.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::caller::expected;
+use crate::cluster::Cluster;
+
+/// What a caller knows at the end.
+#[derive(Debug, Clone)]
+pub(super) struct Outcome {
+    pub(super) round: u32,
+    pub(super) team: usize,
+    pub(super) what: What,
+    /// The `ran` field of each refusal, in order.
+    pub(super) told: Vec<String>,
+    /// Tries that ended without an answer or a refusal, with the entry's number.
+    pub(super) broken: Vec<(usize, String)>,
+    pub(super) end: End,
+    /// Another team got this caller's answer.
+    pub(super) is_leaked: bool,
+}
+
+/// What was asked.
+#[derive(Debug, Clone)]
+pub(super) enum What {
+    /// The prompt with the number of tokens asked for, and the text that the caller has.
+    Prompt {
+        prompt: String,
+        tokens: u32,
+        text: String,
+    },
+    /// The unique body of a call.
+    Call { body: String, has_key: bool },
+}
+
+/// How it ended for the caller.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(super) enum End {
+    /// An answer that was marked as whole; for a call its body.
+    Answered(String),
+    /// A refusal.
+    Refused,
+    /// Neither.
+    Nothing,
+}
+
+/// A caller with the addresses of all entries.
+#[derive(Debug, Clone)]
+pub(super) struct Client {
+    pub(super) http: reqwest::Client,
+    pub(super) entries: Vec<SocketAddr>,
+    pub(super) model: String,
+    pub(super) service: String,
+}
+
+/// How long a caller waits for a response or for the next event.
+const SILENCE: Duration = Duration::from_secs(12);
+/// How long a caller goes on altogether.
+const PATIENCE: Duration = Duration::from_secs(25);
+/// How often a prompt is sent, and how often a call with a key.
+const TRIES: usize = 8;
+
+enum Response {
+    /// A whole answer that came at once.
+    Whole(String),
+    /// A stream, with its resume token.
+    Stream(reqwest::Response, String),
+    Refused(String),
+    Broken(String),
+    /// Nothing was sent.
+    Unconnected,
+}
+
+impl Client {
+    /// Sends a prompt until it is answered or finally refused.
+    pub(super) async fn prompt(
+        &self,
+        mut outcome: Outcome,
+        entry: usize,
+        is_streamed: bool,
+        is_probed: bool,
+    ) -> Outcome {
+        let What::Prompt { prompt, tokens, .. } = outcome.what.clone() else {
+            return outcome;
+        };
+        let body = json!({
+            "model": self.model,
+            "messages": [{ "role": "user", "content": prompt }],
+            "max_tokens": tokens,
+            "stream": is_streamed,
+        });
+        let deadline = Instant::now() + PATIENCE;
+        let mut text = String::new();
+        'tries: for index in 0..TRIES {
+            let entry = (entry + index) % self.entries.len();
+            match self
+                .post(
+                    outcome.team,
+                    entry,
+                    "chat/completions",
+                    None,
+                    &body.to_string(),
+                )
+                .await
+            {
+                Response::Whole(body) => {
+                    let body: Value = serde_json::from_str(&body).unwrap_or_default();
+                    let content = body["choices"][0]["message"]["content"].as_str();
+                    text = content.unwrap_or_default().to_owned();
+                    outcome.end = End::Answered(String::new());
+                    break;
+                }
+                Response::Stream(response, token) => {
+                    text.clear();
+                    let mut next = 0;
+                    let mut at = entry;
+                    let mut stream = Some(response);
+                    // The entry is left at a break; any other one has the rest.
+                    for _ in 0..TRIES {
+                        let read = match stream.take() {
+                            Some(response) => self.read(response, &mut text, &mut next).await,
+                            None => Err("the answer could not be resumed".to_owned()),
+                        };
+                        match read {
+                            Ok(None) => {
+                                outcome.end = End::Answered(String::new());
+                                outcome.is_leaked =
+                                    is_probed && self.is_leaked(outcome.team, &token, at).await;
+                                break 'tries;
+                            }
+                            Ok(Some(ran)) => {
+                                outcome.told.push(ran);
+                                outcome.end = End::Refused;
+                            }
+                            Err(problem) => {
+                                outcome.broken.push((at, problem));
+                                outcome.end = End::Nothing;
+                            }
+                        }
+                        if Instant::now() > deadline {
+                            break 'tries;
+                        }
+                        sleep(Duration::from_millis(200)).await;
+                        at = (at + 1) % self.entries.len();
+                        match self.resume(outcome.team, at, &token, next).await {
+                            Response::Stream(response, _) => stream = Some(response),
+                            Response::Refused(ran) => {
+                                outcome.told.push(ran);
+                                outcome.end = End::Refused;
+                            }
+                            _ => {}
+                        }
+                    }
+                    break;
+                }
+                Response::Refused(ran) => {
+                    outcome.told.push(ran);
+                    outcome.end = End::Refused;
+                }
+                Response::Broken(problem) => {
+                    outcome.broken.push((entry, problem));
+                    outcome.end = End::Nothing;
+                }
+                Response::Unconnected => {}
+            }
+            if Instant::now() > deadline {
+                break;
+            }
+            sleep(Duration::from_millis(200)).await;
+        }
+        outcome.what = What::Prompt {
+            prompt,
+            tokens,
+            text,
+        };
+        outcome
+    }
+
+    /// Sends a call; only one with a key is sent again after it may have run.
+    pub(super) async fn call(
+        &self,
+        mut outcome: Outcome,
+        entry: usize,
+        key: Option<String>,
+    ) -> Outcome {
+        let What::Call { body, .. } = outcome.what.clone() else {
+            return outcome;
+        };
+        let path = format!("services/{}/place", self.service);
+        for index in 0..TRIES {
+            let entry = (entry + index) % self.entries.len();
+            match self
+                .post(outcome.team, entry, &path, key.as_deref(), &body)
+                .await
+            {
+                Response::Whole(body) => {
+                    outcome.end = End::Answered(body);
+                    break;
+                }
+                Response::Refused(ran) => {
+                    let is_final = key.is_none() || ran != "no";
+                    outcome.told.push(ran);
+                    outcome.end = End::Refused;
+                    if is_final {
+                        break;
+                    }
+                }
+                Response::Stream(..) => {}
+                Response::Broken(problem) => {
+                    outcome.broken.push((entry, problem));
+                    outcome.end = End::Nothing;
+                    if key.is_none() {
+                        break;
+                    }
+                }
+                Response::Unconnected => {}
+            }
+            sleep(Duration::from_millis(150)).await;
+        }
+        outcome
+    }
+
+    async fn post(
+        &self,
+        team: usize,
+        entry: usize,
+        path: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> Response {
+        let url = format!("http://{}/v1/{path}", self.entries[entry]);
+        let mut request = self.http.post(url).bearer_auth(Cluster::key(team));
+        if let Some(key) = key {
+            request = request.header("idempotency-key", key);
+        }
+        let request = request.header("x-deadline-ms", "10000");
+        sort(timeout(SILENCE, request.body(body.to_owned()).send()).await).await
+    }
+
+    async fn resume(&self, team: usize, entry: usize, token: &str, next: u32) -> Response {
+        let url = format!("http://{}/v1/answers/{token}", self.entries[entry]);
+        let mut request = self.http.get(url).bearer_auth(Cluster::key(team));
+        if let Some(last) = next.checked_sub(1) {
+            request = request.header("last-event-id", last.to_string());
+        }
+        sort(timeout(SILENCE, request.send()).await).await
+    }
+
+    /// Reads a stream to its end; returns the `ran` field of a refusal.
+    async fn read(
+        &self,
+        response: reqwest::Response,
+        text: &mut String,
+        next: &mut u32,
+    ) -> Result<Option<String>, String> {
+        let mut bytes = response.bytes_stream();
+        let mut buffer = String::new();
+        loop {
+            let piece = match timeout(SILENCE, bytes.next()).await {
+                Ok(Some(Ok(piece))) => piece,
+                Ok(Some(Err(error))) => return Err(format!("stream: {error:?}")),
+                Ok(None) => return Err("the stream ended without its last event".to_owned()),
+                Err(_) => return Err("the stream was silent for 12 s".to_owned()),
+            };
+            buffer.push_str(&String::from_utf8_lossy(&piece));
+            while let Some(end) = buffer.find("\n\n") {
+                let event: String = buffer.drain(..end + 2).collect();
+                if event.contains("data: [DONE]") {
+                    return Ok(None);
+                }
+                let data = event.lines().find_map(|line| line.strip_prefix("data: "));
+                let value: Value = serde_json::from_str(data.unwrap_or("")).unwrap_or_default();
+                if let Some(ran) = value["error"]["ran"].as_str() {
+                    return Ok(Some(ran.to_owned()));
+                }
+                if let Some(content) = value["choices"][0]["delta"]["content"].as_str() {
+                    text.push_str(content);
+                    *next += 1;
+                }
+            }
+        }
+    }
+
+    /// Asks for an answer with the key of another team.
+    async fn is_leaked(&self, team: usize, token: &str, entry: usize) -> bool {
+        matches!(
+            self.resume(team + 1, entry, token, 0).await,
+            Response::Stream(..) | Response::Whole(_)
+        )
+    }
+}
+
+async fn sort(
+    result: Result<Result<reqwest::Response, reqwest::Error>, tokio::time::error::Elapsed>,
+) -> Response {
+    let response = match result {
+        Ok(Ok(response)) => response,
+        Ok(Err(error)) if error.is_connect() => return Response::Unconnected,
+        Ok(Err(error)) => return Response::Broken(format!("{error:?}")),
+        Err(_) => return Response::Broken("no response within 12 s".to_owned()),
+    };
+    if response.status().is_success() {
+        let token = response.headers().get("x-resume-token");
+        if let Some(token) = token.and_then(|token| token.to_str().ok()) {
+            let token = token.to_owned();
+            return Response::Stream(response, token);
+        }
+        return match timeout(SILENCE, response.text()).await {
+            Ok(Ok(body)) => Response::Whole(body),
+            Ok(Err(error)) => Response::Broken(format!("body: {error:?}")),
+            Err(_) => Response::Broken("no body within 12 s".to_owned()),
+        };
+    }
+    let status = response.status();
+    let body = timeout(SILENCE, response.json::<Value>()).await;
+    match body.ok().and_then(Result::ok) {
+        Some(body) if body["error"]["ran"].is_string() => {
+            Response::Refused(body["error"]["ran"].as_str().unwrap_or("").to_owned())
+        }
+        _ => Response::Broken(format!("status {status} without a verdict")),
+    }
+}
+
+/// Returns whether the text that a caller has is a beginning of its answer.
+pub(super) fn is_beginning(prompt: &str, tokens: u32, text: &str) -> bool {
+    expected(prompt, tokens).starts_with(text)
+}
--- /dev/null
+++ b/xtask/src/torture/mod.rs
@@ -0,0 +1,397 @@
+//! Rounds of random faults over real processes, and a check of what callers were told.
+
+mod check;
+mod client;
+mod inject;
+mod schedule;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::cluster::{Cluster, Options};
+use crate::deployment::Deployment;
+use crate::{Result, process};
+use check::Findings;
+use client::{Client, End, Outcome, What};
+use inject::{Injector, now_ms};
+use schedule::{Ask, Kind, Round};
+
+/// How long the running work may take to end after the last round.
+const QUIET_LIMIT: Duration = Duration::from_secs(30);
+/// How many rounds pass between two checks.
+const CHECK_EVERY: u32 = 25;
+/// Details that are printed.
+const MAX_DETAILS: usize = 40;
+/// Ended conversations from which returning prompts are drawn.
+const CONVERSATIONS: usize = 64;
+
+/// Runs the rounds that the arguments ask for.
+pub(crate) async fn run(mut arguments: pico_args::Arguments) -> Result<()> {
+    let seed: u64 = arguments.opt_value_from_str("--seed")?.unwrap_or(1);
+    let rounds: u32 = arguments.opt_value_from_str("--rounds")?.unwrap_or(50);
+    let name: Option<String> = arguments.opt_value_from_str("--deployment")?;
+    let is_json = arguments.contains("--json");
+    let only: Option<u32> = arguments.opt_value_from_str("--only-round")?;
+    let is_kept = arguments.contains("--keep-logs");
+    let is_fail_fast = arguments.contains("--fail-fast");
+    if !arguments.contains("--no-build") {
+        process::build()?;
+    }
+    let mut deployment = Deployment::open(name.as_deref().unwrap_or("lakeshore"))?;
+    (deployment.entries, deployment.engines) = (2, 3);
+    (deployment.services, deployment.stores) = (2, 2);
+    let folder = std::env::temp_dir().join(format!("boragereel-torture-{}", std::process::id()));
+    let options = Options {
+        with_links: true,
+        ..Options::default()
+    };
+    let cluster = Cluster::start_with(deployment, &folder, options).await?;
+    let mut run = Run::new(cluster, seed)?;
+    let numbers = only.map_or(0..rounds, |only| only..only + 1);
+    let mut done = 0;
+    for number in numbers {
+        run.round(number).await?;
+        done += 1;
+        if done % CHECK_EVERY == 0 {
+            let findings = run.check().await?;
+            eprintln!(
+                "{done} rounds, {} requests: {}",
+                run.outcomes.len(),
+                if findings.is_clean() {
+                    "clean"
+                } else {
+                    "not clean"
+                }
+            );
+            if is_fail_fast && !findings.is_clean() {
+                break;
+            }
+        }
+    }
+    let findings = run.finish().await?;
+    run.print(&findings, seed, done, is_json);
+    if is_kept || !findings.is_clean() {
+        eprintln!("the logs are in {}", folder.display());
+    } else {
+        std::fs::remove_dir_all(&folder)?;
+    }
+    match findings.is_clean() {
+        true => Ok(()),
+        false => Err("an invariant is violated".into()),
+    }
+}
+
+/// A cluster under faults with all that was asked so far.
+struct Run {
+    cluster: Cluster,
+    client: Arc<Client>,
+    injector: Injector,
+    seed: u64,
+    outcomes: Vec<Outcome>,
+    /// Team, prompt and answer of ended conversations.
+    conversations: Vec<(usize, String)>,
+    versions: HashMap<String, (u64, u64)>,
+    /// Violations that the logs do not show.
+    observed: Findings,
+}
+
+impl Run {
+    fn new(cluster: Cluster, seed: u64) -> Result<Self> {
+        let entries: Result<_> = (0..cluster.entries.len())
+            .map(|index| cluster.entry(index))
+            .collect();
+        // Callers keep no idle connections, so that a closed one is no failure of the system.
+        let http = reqwest::Client::builder()
+            .no_proxy()
+            .pool_max_idle_per_host(0)
+            .retry(reqwest::retry::never())
+            .build()?;
+        let client = Client {
+            http,
+            entries: entries?,
+            model: cluster.deployment.model.clone(),
+            service: cluster.deployment.service.clone(),
+        };
+        Ok(Self {
+            cluster,
+            client: Arc::new(client),
+            injector: Injector::new(),
+            seed,
+            outcomes: Vec::new(),
+            conversations: Vec::new(),
+            versions: HashMap::new(),
+            observed: Findings::new(),
+        })
+    }
+
+    /// Sends the requests of a round while its faults come and go, and waits for all of them.
+    async fn round(&mut self, number: u32) -> Result<()> {
+        let deployment = &self.cluster.deployment;
+        let round = schedule::draw(self.seed, number, deployment, self.cluster.links.len());
+        log::debug!("round {number}: {:?}", round.faults);
+        let mut tasks = self.send(number, &round);
+        self.inject(number, &round).await?;
+        let healed = now_ms();
+        while let Some(outcome) = tasks.join_next().await {
+            self.remember(outcome?);
+        }
+        let violations = self.observed.details.len();
+        self.injector
+            .settle(&mut self.cluster, &mut self.observed)
+            .await?;
+        self.cluster.wait_ready().await?;
+        self.injector
+            .check_versions(
+                &self.cluster,
+                healed,
+                &mut self.versions,
+                &mut self.observed,
+            )
+            .await?;
+        for detail in &mut self.observed.details[violations..] {
+            detail.push_str(&format!(" (round {number}: {:?})", round.faults));
+        }
+        Ok(())
+    }
+
+    fn send(&self, number: u32, round: &Round) -> JoinSet<Outcome> {
+        let mut tasks = JoinSet::new();
+        let started = Instant::now();
+        for (index, ask) in round.asks.iter().enumerate() {
+            let at = started + Duration::from_millis(ask.start);
+            let calls = match ask.kind {
+                Kind::Call {
+                    is_doubled: true, ..
+                } => 2,
+                _ => 1,
+            };
+            for copy in 0..calls {
+                let client = Arc::clone(&self.client);
+                let outcome = self.prepare(number, index, ask);
+                let ask = ask.clone();
+                let key = format!("key-{}-{number}-{index}", self.seed);
+                tasks.spawn(async move {
+                    sleep_until(at).await;
+                    match ask.kind {
+                        Kind::Prompt {
+                            is_streamed,
+                            is_probed_by_others,
+                            ..
+                        } => {
+                            client
+                                .prompt(outcome, ask.entry, is_streamed, is_probed_by_others)
+                                .await
+                        }
+                        Kind::Call { has_key, .. } => {
+                            let entry = (ask.entry + copy) % client.entries.len();
+                            client.call(outcome, entry, has_key.then_some(key)).await
+                        }
+                    }
+                });
+            }
+        }
+        tasks
+    }
+
+    fn prepare(&self, number: u32, index: usize, ask: &Ask) -> Outcome {
+        let name = format!("s{}r{number}q{index}", self.seed);
+        let mut team = ask.team;
+        let what = match ask.kind {
+            Kind::Prompt {
+                words,
+                tokens,
+                is_returning,
+                ..
+            } => {
+                let earlier = match self.conversations.len() {
+                    0 => None,
+                    count => self.conversations.get(index * 7 % count),
+                };
+                let prompt = match earlier.filter(|_| is_returning) {
+                    Some((owner, text)) => {
+                        team = *owner;
+                        format!("{text} {name}")
+                    }
+                    None => (0..words)
+                        .map(|word| format!("{name}w{word}"))
+                        .collect::<Vec<_>>()
+                        .join(" "),
+                };
+                What::Prompt {
+                    prompt,
+                    tokens,
+                    text: String::new(),
+                }
+            }
+            Kind::Call { has_key, .. } => What::Call {
+                body: format!("order {name}"),
+                has_key,
+            },
+        };
+        Outcome {
+            round: number,
+            team,
+            what,
+            told: Vec::new(),
+            broken: Vec::new(),
+            end: End::Nothing,
+            is_leaked: false,
+        }
+    }
+
+    fn remember(&mut self, outcome: Outcome) {
+        if let What::Prompt { prompt, text, .. } = &outcome.what
+            && matches!(outcome.end, End::Answered(_))
+            && prompt.len() < 60_000
+        {
+            if self.conversations.len() == CONVERSATIONS {
+                self.conversations.remove(0);
+            }
+            self.conversations
+                .push((outcome.team, format!("{prompt} {text}")));
+        }
+        self.outcomes.push(outcome);
+    }
+
+    async fn inject(&mut self, number: u32, round: &Round) -> Result<()> {
+        let started = Instant::now();
+        let mut events: Vec<_> = round
+            .faults
+            .iter()
+            .flat_map(|planned| {
+                [
+                    (planned.start, planned, true),
+                    (planned.end, planned, false),
+                ]
+            })
+            .collect();
+        events.sort_by_key(|(at, ..)| *at);
+        for (at, planned, starts) in events {
+            sleep_until(started + Duration::from_millis(at)).await;
+            if starts {
+                let findings = &mut self.observed;
+                self.injector
+                    .start(&mut self.cluster, number, &planned.fault, findings)
+                    .await?;
+            } else {
+                self.injector.end(&mut self.cluster, &planned.fault).await?;
+            }
+        }
+        Ok(())
+    }
+
+    async fn check(&self) -> Result<Findings> {
+        let mut findings = Findings::new();
+        check::check(
+            &self.cluster,
+            &self.outcomes,
+            &self.injector.drains,
+            &self.injector.stopped,
+            &mut findings,
+        )
+        .await?;
+        for (kind, count) in &self.observed.counts {
+            *findings.counts.entry(kind).or_default() += count;
+        }
+        findings
+            .details
+            .extend(self.observed.details.iter().cloned());
+        for detail in &mut findings.details {
+            self.explain(detail);
+        }
+        Ok(findings)
+    }
+
+    /// Adds the faults of the round that a detail names.
+    fn explain(&self, detail: &mut String) {
+        let number = detail
+            .split_once(": round ")
+            .and_then(|(_, rest)| rest.split(' ').next())
+            .and_then(|number| number.parse().ok());
+        if let Some(number) = number {
+            let links = &self.cluster.links;
+            let round = schedule::draw(self.seed, number, &self.cluster.deployment, links.len());
+            detail.push_str(&format!(" {:?}", round.faults));
+        }
+    }
+
+    /// Waits until nothing runs, then checks everything.
+    async fn finish(&mut self) -> Result<Findings> {
+        let deadline = Instant::now() + QUIET_LIMIT;
+        for agent in &self.cluster.agents {
+            loop {
+                let status = self.cluster.status_of(agent).await?;
+                if status["in_flight"].as_u64() == Some(0) {
+                    break;
+                }
+                if Instant::now() > deadline {
+                    return Err(format!("work goes on 30 s after the end: {status}").into());
+                }
+                sleep(Duration::from_millis(50)).await;
+            }
+        }
+        let findings = self.check().await?;
+        // A link that carries nothing would make the faults on it worth nothing.
+        let is_used = |from: &str, to: &str| {
+            self.cluster.links.iter().any(|link| {
+                link.name.starts_with(from) && link.name.contains(to) && link.passed() > 0
+            })
+        };
+        for (from, to) in [
+            ("entry", ">agent-engine"),
+            ("entry", ">agent-service"),
+            ("agent-engine", ">engine"),
+            ("agent-service", ">"),
+            ("agent", ">platform"),
+        ] {
+            if !is_used(from, to) {
+                return Err(format!("no link {from}{to} carried anything").into());
+            }
+        }
+        Ok(findings)
+    }
+
+    fn print(&self, findings: &Findings, seed: u64, rounds: u32, is_json: bool) {
+        let mut counts: Vec<_> = self.injector.counts.iter().collect();
+        counts.sort();
+        if is_json {
+            let faults: HashMap<_, _> = counts.into_iter().collect();
+            println!(
+                "{}",
+                json!({
+                    "seed": seed,
+                    "rounds": rounds,
+                    "requests": self.outcomes.len(),
+                    "faults": faults,
+                    "result": check::to_json(findings),
+                })
+            );
+            return;
+        }
+        println!(
+            "seed {seed}: {rounds} rounds, {} requests",
+            self.outcomes.len()
+        );
+        for (kind, count) in counts {
+            println!("  fault      {kind:<32} {count:>6}");
+        }
+        println!("  answered   {:<32} {:>6}", "", findings.answered);
+        println!("  refused    {:<32} {:>6}", "", findings.refused);
+        println!("  told maybe {:<32} {:>6}", "", findings.told_maybe);
+        println!(
+            "  unknown    {:<32} {:>6}",
+            "call without key, entry killed", findings.unknown_after_kill
+        );
+        for (kind, count) in &findings.counts {
+            println!("  violation  {kind:<32} {count:>6}");
+        }
+        for detail in findings.details.iter().take(MAX_DETAILS) {
+            println!("  {detail}");
+        }
+    }
+}
--- /dev/null
+++ b/xtask/src/torture/schedule.rs
@@ -0,0 +1,221 @@
+//! What happens in a round, drawn from the seed alone.
+
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::deployment::Deployment;
+
+/// A kind of fault. Numbers are positions in the lists of the cluster.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Fault {
+    /// SIGKILL and a new start.
+    Kill(Part),
+    /// SIGSTOP, later SIGCONT.
+    Freeze(Part),
+    /// SIGTERM; the process has to finish its work, exit with 0 and is started again.
+    Terminate(Part),
+    /// Breaks all connections of a link and refuses new ones.
+    Cut(usize),
+    /// Holds what one side of a link sends.
+    HoldRequests(usize),
+    /// Holds what the other side sends.
+    HoldAnswers(usize),
+    /// Delays each piece on a link.
+    Slow(usize),
+    PlatformDown,
+    PlatformSlow,
+    /// The platform executes the next requests but loses the answers.
+    PlatformLoses(u32),
+    /// The engine becomes cold without warning.
+    Cold(usize),
+    /// The engine cuts streams after some tokens.
+    CutStreams(usize, u32),
+    /// The engine executes requests but loses the answers.
+    EngineLoses(usize),
+    /// The service executes calls but loses the answers.
+    ServiceLoses(usize),
+    Corrupt(usize),
+    Truncate(usize),
+    Swap(usize),
+    /// Takes out a failure domain or a target for at least 4.5 s, over several rounds.
+    Drain(String),
+    /// Two operators apply on the same base at once.
+    Race,
+}
+
+/// A process that faults apply to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Part {
+    Entry(usize),
+    Agent(usize),
+    Store(usize),
+    Engine(usize),
+    Service(usize),
+}
+
+/// A fault with its time, in milliseconds from the start of the round.
+#[derive(Debug, Clone)]
+pub(super) struct Planned {
+    pub(super) fault: Fault,
+    pub(super) start: u64,
+    pub(super) end: u64,
+}
+
+/// A request and when it is sent.
+#[derive(Debug, Clone)]
+pub(super) struct Ask {
+    pub(super) start: u64,
+    pub(super) team: usize,
+    pub(super) entry: usize,
+    pub(super) kind: Kind,
+}
+
+/// What is asked.
+#[derive(Debug, Clone)]
+pub(super) enum Kind {
+    Prompt {
+        words: usize,
+        tokens: u32,
+        is_streamed: bool,
+        is_returning: bool,
+        is_probed_by_others: bool,
+    },
+    Call {
+        has_key: bool,
+        is_doubled: bool,
+    },
+}
+
+/// Everything that happens in a round.
+#[derive(Debug, Clone)]
+pub(super) struct Round {
+    pub(super) faults: Vec<Planned>,
+    pub(super) asks: Vec<Ask>,
+}
+
+/// How long requests are sent in a round, in milliseconds.
+const WINDOW_MS: u64 = 500;
+/// The number of kinds from which a fault is drawn.
+const KINDS: u32 = 21;
+const PROMPTS: usize = 8;
+const CALLS: usize = 5;
+
+/// Draws a round; the same seed and number give the same round.
+pub(super) fn draw(seed: u64, number: u32, deployment: &Deployment, links: usize) -> Round {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(u64::from(number) + 1);
+    let faults = (0..rng.random_range(1..=2))
+        .map(|_| {
+            let start = rng.random_range(0..WINDOW_MS);
+            Planned {
+                fault: draw_fault(&mut rng, deployment, links),
+                start,
+                end: start + rng.random_range(50..800),
+            }
+        })
+        .collect();
+    let mut asks = Vec::new();
+    for index in 0..PROMPTS + CALLS {
+        let kind = if index < PROMPTS {
+            Kind::Prompt {
+                words: *[20, 300, 1100, 2100].choose(&mut rng).unwrap_or(&20),
+                tokens: rng.random_range(5..60),
+                is_streamed: rng.random_bool(0.7),
+                is_returning: rng.random_bool(0.4),
+                is_probed_by_others: rng.random_bool(0.2),
+            }
+        } else {
+            let has_key = rng.random_bool(0.6);
+            Kind::Call {
+                has_key,
+                is_doubled: has_key && rng.random_bool(0.5),
+            }
+        };
+        asks.push(Ask {
+            start: rng.random_range(0..WINDOW_MS),
+            team: rng.random_range(0..deployment.teams),
+            entry: rng.random_range(0..deployment.entries),
+            kind,
+        });
+    }
+    Round { faults, asks }
+}
+
+fn draw_fault(rng: &mut ChaCha8Rng, deployment: &Deployment, links: usize) -> Fault {
+    let daemons = deployment.entries + deployment.engines + deployment.services;
+    let daemon = |number: usize| match number.checked_sub(deployment.entries) {
+        Some(agent) => Part::Agent(agent),
+        None => Part::Entry(number),
+    };
+    let engine = rng.random_range(0..deployment.engines);
+    let store = rng.random_range(0..deployment.stores);
+    let service = rng.random_range(0..deployment.services);
+    let link = rng.random_range(0..links);
+    let number = rng.random_range(0..daemons);
+    match rng.random_range(0..KINDS) {
+        0 | 1 => Fault::Kill(daemon(number)),
+        2 => Fault::Kill(Part::Store(store)),
+        3 | 4 => Fault::Freeze(daemon(number)),
+        5 => match rng.random_range(0..3) {
+            0 => Fault::Freeze(Part::Store(store)),
+            1 => Fault::Freeze(Part::Engine(engine)),
+            _ => Fault::Freeze(Part::Service(service)),
+        },
+        6 | 7 => Fault::Terminate(daemon(number)),
+        8 => Fault::Cut(link),
+        9 => Fault::HoldRequests(link),
+        10 => Fault::HoldAnswers(link),
+        11 => Fault::Slow(link),
+        12 => Fault::PlatformDown,
+        13 => Fault::PlatformSlow,
+        14 => Fault::PlatformLoses(rng.random_range(1..4)),
+        15 => Fault::Cold(engine),
+        16 => Fault::CutStreams(engine, rng.random_range(0..30)),
+        17 => match rng.random_bool(0.5) {
+            true => Fault::EngineLoses(engine),
+            false => Fault::ServiceLoses(service),
+        },
+        18 => match rng.random_range(0..3) {
+            0 => Fault::Corrupt(store),
+            1 => Fault::Truncate(store),
+            _ => Fault::Swap(store),
+        },
+        19 => Fault::Drain(match rng.random_range(0..3) {
+            0 => format!("domain {}", deployment.domain(engine)),
+            1 => format!("target {}-{engine}", deployment.model),
+            _ => format!("target {}-{service}", deployment.service),
+        }),
+        _ => Fault::Race,
+    }
+}
+
+impl Fault {
+    /// Returns the kind for the count of injected faults.
+    pub(super) fn kind(&self) -> &'static str {
+        match self {
+            Self::Kill(Part::Store(_)) => "store killed",
+            Self::Kill(Part::Entry(_)) => "entry killed",
+            Self::Kill(_) => "agent killed",
+            Self::Freeze(Part::Entry(_) | Part::Agent(_)) => "own process frozen",
+            Self::Freeze(_) => "outside process frozen",
+            Self::Terminate(_) => "graceful shutdown",
+            Self::Cut(_) => "link cut",
+            Self::HoldRequests(_) => "link cut one way (requests)",
+            Self::HoldAnswers(_) => "link cut one way (answers)",
+            Self::Slow(_) => "link slow",
+            Self::PlatformDown => "platform down",
+            Self::PlatformSlow => "platform slow",
+            Self::PlatformLoses(_) => "platform loses answers",
+            Self::Cold(_) => "engine cold without warning",
+            Self::CutStreams(..) => "engine cuts streams",
+            Self::EngineLoses(_) => "engine loses answers",
+            Self::ServiceLoses(_) => "service loses answers",
+            Self::Corrupt(_) => "blocks corrupted",
+            Self::Truncate(_) => "blocks truncated",
+            Self::Swap(_) => "blocks swapped",
+            Self::Drain(_) => "drain",
+            Self::Race => "operators race",
+        }
+    }
+}
