daemon: deliver the error event of a refused stream

Cause: the entry breaks the connection right after the error event, and the HTTP library drops what is not yet sent, so a caller whose answer cannot be completed sees only a broken connection and no `ran` field.

Change: the stream ends normally after the error event; without `[DONE]` it is still no whole answer.

--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -315,8 +315,8 @@
     ))
 }
 
-/// Streams an answer; without its last event the connection breaks, so that a cut answer is never
-/// taken for a whole one.
+/// Streams an answer; without its last event or an error event the connection breaks, so that a cut
+/// answer is never taken for a whole one.
 fn stream(
     shared: Arc<Shared>,
     pieces: mpsc::Receiver<Piece>,
@@ -327,7 +327,7 @@
 ) -> Response {
     let end_of_pieces = futures_util::stream::once(async { None });
     let pieces = ReceiverStream::new(pieces).map(Some).chain(end_of_pieces);
-    let mut whole = false;
+    let mut ended = false;
     let events = pieces.filter_map(move |piece| {
         let event = match piece {
             Some(Piece::Agent(_)) => None,
@@ -344,14 +344,16 @@
                 )))
             }
             Some(Piece::End(end)) => {
-                whole = true;
+                ended = true;
                 let last = last_chunk(request, &model, &end.finish, end.usage);
                 Some(Ok(format!("data: {last}\n\ndata: [DONE]\n\n")))
             }
             Some(Piece::Refused(refusal)) => {
+                // Breaking the connection here would drop the event before it is sent.
+                ended = true;
                 Some(Ok(format!("event: error\ndata: {}\n\n", refusal.body())))
             }
-            None if whole => None,
+            None if ended => None,
             None => Some(Err(std::io::Error::other("the answer is not whole"))),
         };
         std::future::ready(event.map(|event| event.map(Bytes::from)))
