--- a/xtask/src/slopes/idle.rs
+++ b/xtask/src/slopes/idle.rs
@@ -118,8 +118,9 @@
 async fn totals(http: &reqwest::Client, platform: &str, processes: &[Process]) -> Result<Totals> {
     let mut totals = Totals::default();
     for process in processes {
-        totals.cpu_us += cpu_us(process.id()?)?;
-        totals.bytes += resident_of(process.id()?)?;
+        let id = process.id().ok_or("a process has ended")?;
+        totals.cpu_us += cpu_us(id)?;
+        totals.bytes += resident_of(id)?;
         let url = format!("http://{}/metrics", process.address("admin")?);
         let metrics = http.get(url).send().await?.text().await?;
         totals.sent += counter(&metrics, "boragereel_control_bytes_sent_total");
