control: virtual-time network

Cause: every process read config/head and all member/ rows every 0.5 s, which at 3,330 processes is 13,000 platform reads/s of 2,000.

Change: control::Node is a pure core that spreads configuration, membership and leaving hosts (events in, actions out). control::network::Network runs any number of cores in virtual time; Network::traffic gives bytes, messages and platform reads of each process. Frame::Control carries control::Message, so that measure functions use the encoding of the wire.

--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use types::{Domain, Host, Incarnation, Model, Region, Service, Target};
@@ -56,19 +57,41 @@
     }
 }
 
-/// All known members; a greater incarnation replaces a smaller one, in whatever order they come.
+/// What is spread of a member.
+///
+/// An incarnation stands for one start of the process, on which claims rely; a member that is
+/// suspected wrongly therefore counts its refutations apart from it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The member.
+    pub member: Member,
+    /// How often this incarnation has refuted a suspicion.
+    pub refutations: u32,
+    /// Whether several processes found no way to the member.
+    pub suspect: bool,
+}
+
+impl Record {
+    /// Returns what orders the records of one member; the greater one is newer.
+    #[must_use]
+    pub fn order(&self) -> (Incarnation, u32, bool) {
+        (self.member.incarnation, self.refutations, self.suspect)
+    }
+}
+
+/// The members that a process may send work to, ordered by name.
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
-    members: BTreeMap<String, Member>,
+    members: BTreeMap<String, Arc<Record>>,
 }
 
 impl Directory {
     /// Takes a record in unless a record at least as new is known; returns whether it did.
-    pub fn insert(&mut self, member: Member) -> bool {
-        match self.members.get(&member.name) {
-            Some(known) if known.incarnation >= member.incarnation => false,
+    pub fn insert(&mut self, record: Arc<Record>) -> bool {
+        match self.members.get(&record.member.name) {
+            Some(known) if known.order() >= record.order() => false,
             _ => {
-                self.members.insert(member.name.clone(), member);
+                self.members.insert(record.member.name.clone(), record);
                 true
             }
         }
@@ -76,12 +99,12 @@
 
     /// Iterates over all members, ordered by name.
     pub fn iter(&self) -> impl Iterator<Item = &Member> {
-        self.members.values()
+        self.members.values().map(|record| &record.member)
     }
 
     /// Returns the member with this name.
     #[must_use]
     pub fn get(&self, name: &str) -> Option<&Member> {
-        self.members.get(name)
+        self.members.get(name).map(|record| &record.member)
     }
 }
--- /dev/null
+++ b/crates/control/src/network.rs
@@ -0,0 +1,485 @@
+//! Many control parts in one process and in virtual time, for tests, measurements and embedders.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rules::Digest;
+use types::{Host, Time, Version};
+
+use crate::member::{Member, Record};
+use crate::message::Message;
+use crate::node::{Action, Event, Node};
+use crate::roster::Roster;
+
+/// Processes, the network between them and a platform, all simulated.
+#[derive(Debug)]
+pub struct Network {
+    /// What the network does to messages; it may be changed at any time.
+    pub conditions: Conditions,
+    /// The simulated platform.
+    pub platform: Platform,
+    now: Time,
+    random: StdRng,
+    measure: fn(&Message) -> usize,
+    processes: Vec<Process>,
+    addresses: HashMap<SocketAddr, usize>,
+    queue: BinaryHeap<Reverse<(Time, u64)>>,
+    planned: HashMap<u64, Planned>,
+    sequence: u64,
+    /// Requests whose answer is awaited: process, its start and the id of the request.
+    awaited: HashSet<(usize, u64, u64)>,
+    /// Who waits for the answer under a token.
+    tokens: HashMap<u64, (usize, u64, u64)>,
+}
+
+/// What happens to messages.
+#[derive(Debug, Clone)]
+pub struct Conditions {
+    /// The one-way delay between processes.
+    pub delay: Duration,
+    /// The time that the platform takes for an answer.
+    pub platform_delay: Duration,
+    /// The share of messages that is lost, from 0 to 1.
+    pub loss: f64,
+    /// The share of messages that arrives twice, from 0 to 1.
+    pub duplicates: f64,
+}
+
+/// The simulated platform.
+#[derive(Debug, Default)]
+pub struct Platform {
+    /// Whether it does not answer.
+    pub down: bool,
+    /// The hosts that are listed as leaving.
+    pub leaving: Vec<Host>,
+    configs: BTreeMap<Version, (Digest, Arc<str>)>,
+    members: BTreeMap<String, Member>,
+}
+
+/// What one process has sent, received and asked of the platform.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Messages sent.
+    pub messages: u64,
+    /// Bytes of the messages sent, as measured by the function given to [`Network::new`].
+    pub sent: u64,
+    /// Bytes of the messages received.
+    pub received: u64,
+    /// Reads of the accepted version.
+    pub heads: u64,
+    /// Reads of configuration texts from the object store.
+    pub texts: u64,
+    /// Reads of all registered members.
+    pub scans: u64,
+    /// Reads of the host list.
+    pub hosts: u64,
+    /// Registrations.
+    pub registrations: u64,
+}
+
+#[derive(Debug)]
+struct Process {
+    member: Member,
+    seeds: Vec<SocketAddr>,
+    node: Option<Node>,
+    start: u64,
+    paused: Time,
+    part: u32,
+    traffic: Traffic,
+    /// The tick that is planned, so that each process has only one in the queue.
+    tick: Time,
+}
+
+#[derive(Debug, Clone)]
+enum Planned {
+    Tick(usize, u64),
+    Event(usize, u64, Event),
+    Answer(usize, u64, u64, Message),
+    Timeout(usize, u64, u64),
+}
+
+/// How long a process waits for a platform that does not answer.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
+
+impl Default for Conditions {
+    fn default() -> Self {
+        Self {
+            delay: Duration::from_micros(500),
+            platform_delay: Duration::from_millis(5),
+            loss: 0.0,
+            duplicates: 0.0,
+        }
+    }
+}
+
+impl Platform {
+    /// Accepts rules under the next version.
+    pub fn accept(&mut self, text: &str) -> Version {
+        let version = Version(self.version().0 + 1);
+        let digest = *blake3::hash(text.as_bytes()).as_bytes();
+        self.configs.insert(version, (digest, text.into()));
+        version
+    }
+
+    /// Returns the accepted version.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.configs.keys().next_back().copied().unwrap_or_default()
+    }
+
+    /// Returns the text that was accepted under a version.
+    #[must_use]
+    pub fn text(&self, version: Version) -> Option<&str> {
+        self.configs.get(&version).map(|(_, text)| &**text)
+    }
+
+    fn answer(&mut self, action: &Action) -> Option<Event> {
+        let up = !self.down;
+        Some(match action {
+            Action::ReadHead => {
+                let head = self.configs.last_key_value();
+                let head = head.map(|(version, (digest, _))| (*version, *digest));
+                Event::Head(up.then(|| head.unwrap_or_default()))
+            }
+            Action::ReadText(version, digest) => {
+                let text = self.configs.get(version).filter(|_| up);
+                Event::Text(*version, *digest, text.map(|(_, text)| Arc::clone(text)))
+            }
+            Action::ReadMembers => {
+                Event::Members(up.then(|| self.members.values().cloned().collect()))
+            }
+            Action::Register(member) => {
+                if up {
+                    self.members.insert(member.name.clone(), member.clone());
+                }
+                Event::Registered(up)
+            }
+            Action::ReadHosts => Event::Hosts(up.then(|| self.leaving.clone())),
+            _ => return None,
+        })
+    }
+}
+
+impl Network {
+    /// Makes a network without processes. `measure` returns the bytes that a message takes, and
+    /// `seed` determines all random choices.
+    #[must_use]
+    pub fn new(measure: fn(&Message) -> usize, seed: u64) -> Self {
+        Self {
+            conditions: Conditions::default(),
+            platform: Platform::default(),
+            now: Time::default(),
+            random: StdRng::seed_from_u64(seed),
+            measure,
+            processes: Vec::new(),
+            addresses: HashMap::new(),
+            queue: BinaryHeap::new(),
+            planned: HashMap::new(),
+            sequence: 0,
+            awaited: HashSet::new(),
+            tokens: HashMap::new(),
+        }
+    }
+
+    /// Starts a process that knows its seeds only; returns its index.
+    pub fn add(&mut self, member: Member, seeds: Vec<SocketAddr>) -> usize {
+        let index = self.processes.len();
+        self.addresses.insert(member.address, index);
+        self.processes.push(Process {
+            member,
+            seeds,
+            node: None,
+            start: 0,
+            paused: Time::default(),
+            part: 0,
+            traffic: Traffic::default(),
+            tick: Time::default(),
+        });
+        self.start(index);
+        index
+    }
+
+    /// Lets all processes know each other and the accepted configuration, as after a long time
+    /// without changes, so that a measurement need not wait for it.
+    pub fn settle(&mut self) {
+        let records: Vec<Arc<Record>> = self
+            .processes
+            .iter()
+            .map(|process| {
+                Arc::new(Record {
+                    member: process.member.clone(),
+                    refutations: 0,
+                    suspect: false,
+                })
+            })
+            .collect();
+        let Some(first) = records.first() else {
+            return;
+        };
+        let mut roster = Roster::new(Arc::clone(first));
+        for record in &records {
+            roster.merge(Arc::clone(record), self.now);
+        }
+        let configs = &self.platform.configs;
+        let head = configs.last_key_value();
+        for process in &mut self.processes {
+            self.platform
+                .members
+                .insert(process.member.name.clone(), process.member.clone());
+            let Some(node) = &mut process.node else {
+                continue;
+            };
+            node.settle(roster.of(&process.member.name), self.now, &mut self.random);
+            if let Some((version, (digest, text))) = head {
+                node.config.offer(*version, digest, text);
+            }
+        }
+        for index in 0..self.processes.len() {
+            self.processes[index].tick = Time::default();
+            self.plan_tick(index);
+        }
+    }
+
+    /// Ends a process at once; it loses all it knows.
+    pub fn crash(&mut self, index: usize) {
+        self.processes[index].node = None;
+        self.processes[index].start += 1;
+    }
+
+    /// Starts a process again under a greater incarnation.
+    pub fn restart(&mut self, index: usize) {
+        self.crash(index);
+        self.processes[index].member.incarnation.0 += 1;
+        self.start(index);
+    }
+
+    /// Pauses a process for some time; what arrives meanwhile waits.
+    pub fn pause(&mut self, index: usize, duration: Duration) {
+        self.processes[index].paused = self.now + duration;
+    }
+
+    /// Puts a process in a part of the network; only part 0 reaches the platform, and no part
+    /// reaches another one.
+    pub fn cut(&mut self, index: usize, part: u32) {
+        self.processes[index].part = part;
+    }
+
+    /// Passes an observation of the request path to a process.
+    pub fn observe(&mut self, index: usize, event: Event) {
+        self.handle(index, event);
+    }
+
+    /// Runs everything that happens within `duration`.
+    pub fn run(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.step(end) {}
+        self.now = end;
+    }
+
+    /// Runs the next thing that happens until `end`; says whether there was any.
+    pub fn step(&mut self, end: Time) -> bool {
+        let Some(Reverse((at, sequence))) = self.queue.peek().copied() else {
+            return false;
+        };
+        if at > end {
+            return false;
+        }
+        self.queue.pop();
+        self.now = at;
+        let Some(planned) = self.planned.remove(&sequence) else {
+            return true;
+        };
+        let (index, start) = match &planned {
+            Planned::Tick(index, start)
+            | Planned::Event(index, start, _)
+            | Planned::Answer(index, start, ..)
+            | Planned::Timeout(index, start, _) => (*index, *start),
+        };
+        let process = &self.processes[index];
+        if process.start != start || process.node.is_none() {
+            return true;
+        }
+        if process.paused > self.now {
+            self.plan(process.paused, planned);
+            return true;
+        }
+        self.carry_out(planned);
+        true
+    }
+
+    /// Returns the present.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        self.now
+    }
+
+    /// Returns the number of processes, whether they run or not.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.processes.len()
+    }
+
+    /// Says whether there is no process.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.processes.is_empty()
+    }
+
+    /// Returns the control part of a process, or `None` when the process does not run.
+    #[must_use]
+    pub fn node(&self, index: usize) -> Option<&Node> {
+        self.processes[index].node.as_ref()
+    }
+
+    /// Returns what a process has sent, received and asked so far.
+    #[must_use]
+    pub fn traffic(&self, index: usize) -> Traffic {
+        self.processes[index].traffic
+    }
+
+    /// Returns the versions in force at the processes that run.
+    #[must_use]
+    pub fn versions(&self) -> BTreeSet<Version> {
+        let nodes = self.processes.iter().filter_map(|p| p.node.as_ref());
+        nodes.map(|node| node.rules().version).collect()
+    }
+
+    fn start(&mut self, index: usize) {
+        let process = &mut self.processes[index];
+        let node = Node::new(
+            process.member.clone(),
+            process.seeds.clone(),
+            self.now,
+            &mut self.random,
+        );
+        process.node = Some(node);
+        process.tick = Time::default();
+        self.plan_tick(index);
+    }
+
+    fn plan(&mut self, at: Time, planned: Planned) {
+        self.sequence += 1;
+        self.planned.insert(self.sequence, planned);
+        self.queue.push(Reverse((at, self.sequence)));
+    }
+
+    fn plan_tick(&mut self, index: usize) {
+        let process = &mut self.processes[index];
+        let Some(next) = process.node.as_ref().map(Node::next) else {
+            return;
+        };
+        let planned = process.tick > self.now && process.tick <= next;
+        if !planned {
+            process.tick = next.max(self.now);
+            let (at, start) = (process.tick, process.start);
+            self.plan(at, Planned::Tick(index, start));
+        }
+    }
+
+    fn carry_out(&mut self, planned: Planned) {
+        match planned {
+            Planned::Tick(index, _) => {
+                // An earlier tick may have been planned meanwhile; this one is harmless then.
+                self.handle(index, Event::Tick);
+            }
+            Planned::Event(index, _, event) => {
+                if let Event::Request(_, message) = &event {
+                    self.processes[index].traffic.received += (self.measure)(message) as u64;
+                }
+                self.handle(index, event);
+            }
+            Planned::Answer(index, start, id, message) => {
+                self.processes[index].traffic.received += (self.measure)(&message) as u64;
+                if self.awaited.remove(&(index, start, id)) {
+                    self.handle(index, Event::Reply(id, message));
+                }
+            }
+            Planned::Timeout(index, start, id) => {
+                if self.awaited.remove(&(index, start, id)) {
+                    self.handle(index, Event::Failed(id));
+                }
+            }
+        }
+    }
+
+    fn handle(&mut self, index: usize, event: Event) {
+        let Some(node) = &mut self.processes[index].node else {
+            return;
+        };
+        let actions = node.handle(event, self.now, &mut self.random);
+        for action in actions {
+            self.act(index, &action);
+        }
+        self.plan_tick(index);
+    }
+
+    fn act(&mut self, index: usize, action: &Action) {
+        let process = &mut self.processes[index];
+        let (start, part) = (process.start, process.part);
+        let traffic = &mut process.traffic;
+        match action {
+            Action::Send(id, address, message) => {
+                let size = (self.measure)(message) as u64;
+                traffic.messages += 1;
+                traffic.sent += size;
+                self.awaited.insert((index, start, *id));
+                let timeout = Planned::Timeout(index, start, *id);
+                self.plan(self.now + message.timeout(), timeout);
+                let Some(&to) = self.addresses.get(address) else {
+                    return;
+                };
+                let message = message.clone();
+                for _ in 0..self.copies(part, to) {
+                    self.sequence += 1;
+                    let token = self.sequence;
+                    self.tokens.insert(token, (index, start, *id));
+                    let event = Event::Request(token, message.clone());
+                    let at = self.now + self.conditions.delay;
+                    self.plan(at, Planned::Event(to, self.processes[to].start, event));
+                }
+                return;
+            }
+            Action::Reply(token, message) => {
+                let size = (self.measure)(message) as u64;
+                traffic.messages += 1;
+                traffic.sent += size;
+                if let Some((to, start, id)) = self.tokens.remove(token) {
+                    for _ in 0..self.copies(part, to) {
+                        let answer = Planned::Answer(to, start, id, message.clone());
+                        self.plan(self.now + self.conditions.delay, answer);
+                    }
+                }
+                return;
+            }
+            Action::ReadHead => traffic.heads += 1,
+            Action::ReadText(..) => traffic.texts += 1,
+            Action::ReadMembers => traffic.scans += 1,
+            Action::ReadHosts => traffic.hosts += 1,
+            Action::Register(_) => traffic.registrations += 1,
+            Action::Adopt(_) | Action::Publish => return,
+        }
+        let down = self.platform.down;
+        self.platform.down |= part != 0;
+        let delay = match self.platform.down {
+            true => PLATFORM_TIMEOUT,
+            false => self.conditions.platform_delay,
+        };
+        if let Some(event) = self.platform.answer(action) {
+            self.plan(self.now + delay, Planned::Event(index, start, event));
+        }
+        self.platform.down = down;
+    }
+
+    /// Returns how often a message arrives.
+    fn copies(&mut self, part: u32, to: usize) -> usize {
+        if self.processes[to].part != part || self.random.random_bool(self.conditions.loss) {
+            return 0;
+        }
+        1 + usize::from(self.random.random_bool(self.conditions.duplicates))
+    }
+}
--- /dev/null
+++ b/crates/control/src/roster.rs
@@ -0,0 +1,292 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use types::Time;
+
+use crate::member::{Member, Record};
+
+/// All member records that a process knows, and which of them it still spreads.
+#[derive(Debug, Clone)]
+pub struct Roster {
+    me: u64,
+    slots: Vec<(u64, Arc<Record>)>,
+    digest: u64,
+    suspects: BTreeMap<u64, Time>,
+    rumours: Vec<Rumour>,
+}
+
+#[derive(Debug, Clone)]
+struct Rumour {
+    id: u64,
+    record: Arc<Record>,
+    left: u32,
+}
+
+/// Groups of records that are compared by digest. With 3,330 records a group has 13 records, so a
+/// single difference costs about 2 KB.
+const GROUPS: usize = 256;
+/// Records in one gossip message.
+const RECORDS_PER_GOSSIP: usize = 8;
+/// Records in one answer to a comparison, about 24 KB.
+const RECORDS_PER_ANSWER: usize = 192;
+/// Records that are spread at the same time; comparisons bring what is left out.
+const MAX_RUMOURS: usize = 256;
+/// How long a suspected member is remembered; a replaced host does not come back under its name.
+const SUSPECT_KEPT: Duration = Duration::from_secs(3600);
+
+impl Roster {
+    /// Makes a roster that knows only the process itself.
+    #[must_use]
+    pub fn new(me: Arc<Record>) -> Self {
+        let id = id(&me.member.name);
+        let mut roster = Self {
+            me: id,
+            slots: Vec::new(),
+            digest: 0,
+            suspects: BTreeMap::new(),
+            rumours: Vec::new(),
+        };
+        roster.merge(me, Time::default());
+        roster
+    }
+
+    /// Returns the same records as the member with this name holds them.
+    #[must_use]
+    pub fn of(&self, name: &str) -> Self {
+        Self {
+            me: id(name),
+            ..self.clone()
+        }
+    }
+
+    /// Takes a record in if it is newer than the known one; says whether it is.
+    ///
+    /// A suspected member that is not known is not taken in, so that forgotten ones stay so.
+    pub fn merge(&mut self, record: Arc<Record>, now: Time) -> bool {
+        let id = id(&record.member.name);
+        match self.slots.binary_search_by_key(&id, |(id, _)| *id) {
+            Ok(index) => {
+                let known = &mut self.slots[index].1;
+                if known.order() >= record.order() {
+                    return false;
+                }
+                self.digest ^= hash(id, known) ^ hash(id, &record);
+                match record.suspect {
+                    true => drop(self.suspects.insert(id, now)),
+                    false => drop(self.suspects.remove(&id)),
+                }
+                *known = record;
+            }
+            Err(_) if record.suspect => return false,
+            Err(index) => {
+                self.digest ^= hash(id, &record);
+                self.slots.insert(index, (id, record));
+            }
+        }
+        true
+    }
+
+    /// Spreads the record in the next messages, about as often as the logarithm of the size asks.
+    pub fn spread(&mut self, record: Arc<Record>) {
+        let id = id(&record.member.name);
+        self.rumours.retain(|rumour| rumour.id != id);
+        if self.rumours.len() >= MAX_RUMOURS {
+            self.rumours.pop();
+        }
+        let left = 2 * (usize::BITS - self.slots.len().leading_zeros());
+        self.rumours.insert(0, Rumour { id, record, left });
+    }
+
+    /// Returns records for the next message.
+    pub fn rumours(&mut self) -> Vec<Arc<Record>> {
+        self.rumours
+            .sort_by_key(|rumour| std::cmp::Reverse(rumour.left));
+        let taken = self.rumours.iter_mut().take(RECORDS_PER_GOSSIP);
+        let records = taken
+            .map(|rumour| {
+                rumour.left -= 1;
+                Arc::clone(&rumour.record)
+            })
+            .collect();
+        self.rumours.retain(|rumour| rumour.left > 0);
+        records
+    }
+
+    /// Returns the number of records, that of the process itself among them.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Says whether no other process is known that is not suspected.
+    #[must_use]
+    pub fn is_alone(&self) -> bool {
+        self.slots.len() <= 1 + self.suspects.len()
+    }
+
+    /// Returns the digest of the records of all members that are not suspected.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Returns a digest for each group of records.
+    #[must_use]
+    pub fn groups(&self) -> Vec<u32> {
+        let mut groups = vec![0; GROUPS];
+        for (id, record) in &self.slots {
+            let hash = hash(*id, record);
+            groups[group(*id)] ^= (hash ^ (hash >> 32)) as u32;
+        }
+        groups
+    }
+
+    /// Returns the records of the groups that differ, as many as one message may carry; the
+    /// groups are taken from a random one on, so that repeated questions get all of them.
+    pub fn differing<Random>(&self, theirs: &[u32], random: &mut Random) -> Vec<Arc<Record>>
+    where
+        Random: Rng,
+    {
+        let ours = self.groups();
+        let first = random.random_range(0..GROUPS);
+        let mut records = Vec::new();
+        for offset in 0..GROUPS {
+            let index = (first + offset) % GROUPS;
+            if theirs.get(index) == Some(&ours[index]) {
+                continue;
+            }
+            let start = self.slots.partition_point(|(id, _)| group(*id) < index);
+            let members = self.slots[start..]
+                .iter()
+                .take_while(|(id, _)| group(*id) == index);
+            records.extend(members.map(|(_, record)| Arc::clone(record)));
+            if records.len() >= RECORDS_PER_ANSWER {
+                break;
+            }
+        }
+        records
+    }
+
+    /// Draws another process that `fits`, or `None` when the draws find none.
+    pub fn draw<Random, Fits>(&self, random: &mut Random, fits: Fits) -> Option<&Arc<Record>>
+    where
+        Random: Rng,
+        Fits: Fn(&Record) -> bool,
+    {
+        /// Bounds the work; the fallback is a scan from the last draw on.
+        const DRAWS: usize = 8;
+        if self.slots.len() < 2 {
+            return None;
+        }
+        let mut start = 0;
+        for _ in 0..DRAWS {
+            start = random.random_range(0..self.slots.len());
+            let (id, record) = &self.slots[start];
+            if *id != self.me && fits(record) {
+                return Some(record);
+            }
+        }
+        let (before, after) = self.slots.split_at(start);
+        after
+            .iter()
+            .chain(before)
+            .find(|(id, record)| *id != self.me && fits(record))
+            .map(|(_, record)| record)
+    }
+
+    /// Draws a suspected member, so that one that is back learns of the suspicion.
+    pub fn draw_suspect<Random>(&self, random: &mut Random) -> Option<&Arc<Record>>
+    where
+        Random: Rng,
+    {
+        if self.suspects.is_empty() {
+            return None;
+        }
+        let index = random.random_range(0..self.suspects.len());
+        let id = self.suspects.keys().nth(index)?;
+        self.by_id(*id)
+    }
+
+    /// Returns the record of the member with this name.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&Arc<Record>> {
+        self.by_id(id(name))
+    }
+
+    /// Returns the record of the member at this address.
+    #[must_use]
+    pub fn at(&self, address: SocketAddr) -> Option<&Arc<Record>> {
+        self.iter().find(|record| record.member.address == address)
+    }
+
+    /// Returns the record of the process itself.
+    #[must_use]
+    pub fn me(&self) -> Option<&Arc<Record>> {
+        self.by_id(self.me)
+    }
+
+    /// Says whether any member is suspected.
+    #[must_use]
+    pub fn has_suspects(&self) -> bool {
+        !self.suspects.is_empty()
+    }
+
+    /// Iterates over all records.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Record>> {
+        self.slots.iter().map(|(_, record)| record)
+    }
+
+    /// Drops members that have been suspected for an hour; says whether there were any.
+    pub fn forget(&mut self, now: Time) -> bool {
+        let old: Vec<u64> = self
+            .suspects
+            .iter()
+            .filter(|(_, since)| now.since(**since) > SUSPECT_KEPT)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in &old {
+            self.suspects.remove(id);
+            // A suspected record counts as 0 in the digest, which therefore stays the same.
+            self.slots.retain(|(slot, _)| slot != id);
+        }
+        !old.is_empty()
+    }
+
+    /// Says whether a record is about the process itself.
+    #[must_use]
+    pub fn is_me(&self, member: &Member) -> bool {
+        id(&member.name) == self.me
+    }
+
+    fn by_id(&self, id: u64) -> Option<&Arc<Record>> {
+        let index = self.slots.binary_search_by_key(&id, |(id, _)| *id).ok()?;
+        Some(&self.slots[index].1)
+    }
+}
+
+fn id(name: &str) -> u64 {
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&blake3::hash(name.as_bytes()).as_bytes()[..8]);
+    u64::from_le_bytes(bytes)
+}
+
+fn group(id: u64) -> usize {
+    (id >> 56) as usize
+}
+
+/// Returns the contribution of a record to a digest; suspected members contribute nothing, so that
+/// processes that forget them at different times agree.
+fn hash(id: u64, record: &Record) -> u64 {
+    if record.suspect {
+        return 0;
+    }
+    let state = record.member.incarnation.0 ^ (u64::from(record.refutations) << 48);
+    // The finalizer of SplitMix64: every bit of the input changes half of the bits of the output.
+    let mut mixed = id ^ state.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
--- /dev/null
+++ b/crates/control/tests/full_size.rs
@@ -0,0 +1,112 @@
+//! Runs the control parts of all 3,330 processes in virtual time.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{rules, settled};
+use control::network::{Network, Traffic};
+
+/// 930 entries and 2,400 agents.
+const SIZE: usize = 3_330;
+/// The time within which a change has to be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(4);
+
+fn total(network: &Network) -> Traffic {
+    let mut total = Traffic::default();
+    for index in 0..network.len() {
+        let traffic = network.traffic(index);
+        total.messages += traffic.messages;
+        total.sent += traffic.sent;
+        total.received += traffic.received;
+        total.heads += traffic.heads;
+        total.texts += traffic.texts;
+        total.scans += traffic.scans;
+        total.hosts += traffic.hosts;
+        total.registrations += traffic.registrations;
+    }
+    total
+}
+
+/// Runs until `version` is in force everywhere, or `limit` has passed; returns the time it took.
+fn spread(network: &mut Network, limit: Duration) -> Duration {
+    let start = network.now();
+    let version = network.platform.version();
+    while network.now().since(start) <= limit {
+        network.run(Duration::from_millis(20));
+        if network.versions().into_iter().eq([version]) {
+            break;
+        }
+    }
+    network.now().since(start)
+}
+
+/// Guards against a change that is late somewhere, and against traffic beyond the budget of a node
+/// or of the platform while there is a change every 4 s, ten times the expected rate.
+#[test]
+fn changes_are_in_force_everywhere_within_4_s_and_in_budget() {
+    let mut network = settled(SIZE, 40, 7);
+    network.run(Duration::from_secs(2));
+    let (before, start) = (total(&network), network.now());
+    let mut slowest = Duration::ZERO;
+    for change in 1..=4 {
+        network.platform.accept(&rules(40, change));
+        let took = spread(&mut network, IN_FORCE);
+        slowest = slowest.max(took);
+        network.run(IN_FORCE.saturating_sub(took));
+    }
+    let seconds = network.now().since(start).as_secs_f64();
+    let after = total(&network);
+    let rate = |after: u64, before: u64| (after - before) as f64 / seconds;
+    let bytes = rate(after.sent + after.received, before.sent + before.received) / SIZE as f64;
+    let messages = rate(after.messages, before.messages) / SIZE as f64;
+    let heads = rate(after.heads, before.heads);
+    println!(
+        "slowest {slowest:?}; per node {bytes:.0} B/s, {messages:.2} messages/s; platform \
+         {heads:.1} heads/s, {:.2} texts/s, {:.2} scans/s, {:.2} host lists/s",
+        rate(after.texts, before.texts),
+        rate(after.scans, before.scans),
+        rate(after.hosts, before.hosts),
+    );
+    assert!(slowest <= IN_FORCE, "in force after {slowest:?}");
+    assert!(bytes <= 4096.0, "{bytes} B/s per node");
+    assert!(heads <= 75.0, "{heads} reads/s of the accepted version");
+    assert!(rate(after.texts, before.texts) <= 10.0);
+}
+
+/// Guards against a restart of everything that overloads the platform or leaves processes that do
+/// not know each other or the configuration.
+#[test]
+fn a_restart_of_everything_stays_within_the_budget_of_the_platform() {
+    let mut network = settled(SIZE, 40, 11);
+    network.run(Duration::from_secs(1));
+    for index in 0..SIZE {
+        network.restart(index);
+    }
+    let (start, mut last) = (network.now(), total(&network));
+    let (mut busiest, mut ready_after) = (0, None);
+    for _ in 0..40 {
+        network.run(Duration::from_secs(1));
+        let now = total(&network);
+        busiest = busiest.max(reads(&now) - reads(&last));
+        last = now;
+        let is_ready = |index| network.node(index).is_some_and(control::Node::is_ready);
+        if ready_after.is_none() && (0..SIZE).all(is_ready) {
+            ready_after = Some(network.now().since(start));
+        }
+    }
+    let known = (0..SIZE).filter_map(|index| network.node(index).map(control::Node::size));
+    let (least, texts) = (known.min(), last.texts);
+    println!(
+        "ready after {ready_after:?}; busiest second {busiest} reads; {texts} texts; least known {least:?}; \
+         {} KB received per node in 40 s",
+        last.received / SIZE as u64 / 1024
+    );
+    assert!(ready_after.is_some_and(|after| after <= Duration::from_secs(10)));
+    assert!(busiest <= 1_000, "{busiest} reads in one second");
+    assert_eq!(least, Some(SIZE), "a process does not know all others");
+}
+
+fn reads(traffic: &Traffic) -> u64 {
+    traffic.heads + traffic.scans + traffic.hosts + traffic.registrations
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -21,6 +21,8 @@
     Resume(Resume),
     /// Gives a request up.
     Cancel,
+    /// What the control parts of two processes say to each other.
+    Control(control::Message),
 }
 
 /// A request on its way to a target.
