replay: requests wait at the agent instead of being refused

Cause: an entry that is refused polls 16 times in 320 ms and then gives up. Ruled out: a longer poll; it costs messages and serves whoever asks at the right moment.

--- a/xtask/src/replay/knobs.rs
+++ b/xtask/src/replay/knobs.rs
@@ -85,7 +85,7 @@
     fn default() -> Self {
         Self {
             candidates: 4,
-            waiting: 0,
+            waiting: 64,
             sent: Duration::ZERO,
             slot: Duration::from_millis(200),
             told: false,
