routing: the expected wait depends on the prompt's own length

Cause: an engine that computes in turn lets a short prompt pass a long one. Ruled out: the agent's total backlog alone.

--- a/xtask/src/replay/knobs.rs
+++ b/xtask/src/replay/knobs.rs
@@ -97,7 +97,7 @@
             spill: false,
             confirm_first: false,
             redirect: None,
-            sized: false,
+            sized: true,
         }
     }
 }
