--- a/xtask/src/replay/knobs.rs
+++ b/xtask/src/replay/knobs.rs
@@ -86,7 +86,7 @@
         Self {
             candidates: 4,
             waiting: 64,
-            sent: Duration::from_millis(60),
+            sent: Duration::ZERO,
             slot: Duration::ZERO,
             told: true,
             served: false,
