context: fetches go before exports on a link

Cause: an export is as large as a fetch, and nobody waits for it. Ruled out: limiting exports to a fixed share; it leaves an idle link unused.

--- a/xtask/src/replay/knobs.rs
+++ b/xtask/src/replay/knobs.rs
@@ -91,7 +91,7 @@
             told: true,
             served: false,
             fetch: Fetch::After,
-            urgent: false,
+            urgent: true,
             parallel: false,
             patience: 0.0,
             spill: false,
