--- a/xtask/src/replay/knobs.rs
+++ b/xtask/src/replay/knobs.rs
@@ -93,7 +93,7 @@
             fetch: Fetch::After,
             urgent: true,
             parallel: false,
-            patience: 0.0,
+            patience: 1.0,
             spill: false,
             confirm_first: false,
             redirect: Some(Duration::from_millis(20)),
