--- a/xtask/src/replay/knobs.rs
+++ b/xtask/src/replay/knobs.rs
@@ -94,7 +94,7 @@
             urgent: true,
             parallel: false,
             patience: 1.0,
-            spill: false,
+            spill: true,
             confirm_first: false,
             redirect: Some(Duration::from_millis(20)),
             sized: true,
