--- a/xtask/src/replay/knobs.rs
+++ b/xtask/src/replay/knobs.rs
@@ -92,7 +92,7 @@
             served: false,
             fetch: Fetch::After,
             urgent: true,
-            parallel: true,
+            parallel: false,
             patience: 1.0,
             spill: true,
             confirm_first: false,
