--- a/xtask/src/replay/knobs.rs
+++ b/xtask/src/replay/knobs.rs
@@ -89,7 +89,7 @@
             sent: Duration::ZERO,
             slot: Duration::ZERO,
             told: true,
-            served: true,
+            served: false,
             fetch: Fetch::After,
             urgent: true,
             parallel: false,
