--- a/xtask/src/replay/knobs.rs
+++ b/xtask/src/replay/knobs.rs
@@ -90,7 +90,7 @@
             slot: Duration::ZERO,
             told: true,
             served: false,
-            fetch: Fetch::Before,
+            fetch: Fetch::After,
             urgent: true,
             parallel: false,
             patience: 1.0,
