--- a/xtask/src/replay/knobs.rs
+++ b/xtask/src/replay/knobs.rs
@@ -95,7 +95,7 @@
             parallel: false,
             patience: 1.0,
             spill: true,
-            confirm_first: false,
+            confirm_first: true,
             redirect: Some(Duration::from_millis(20)),
             sized: true,
         }
