--- a/xtask/src/replay/knobs.rs
+++ b/xtask/src/replay/knobs.rs
@@ -95,7 +95,7 @@
             parallel: false,
             patience: 1.0,
             spill: true,
-            confirm_first: true,
+            confirm_first: false,
             redirect: Some(Duration::from_millis(20)),
             sized: true,
         }
