--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -7,6 +7,7 @@
 mod demo;
 mod deployment;
 mod process;
+mod slopes;
 mod replay;
 
 use std::process::ExitCode;
@@ -16,6 +17,7 @@
   demo [--deployment NAME]   send a conversation through all processes, let it return after the
                              engines dropped their caches, and print what each prompt cost;
                              without --deployment both, lakeshore and herrera
+  slopes [--no-processes]    measure how the cost of a node grows with the size of the system
   replay TRACE [--deployment NAME] [--policy NAME] [--set KNOB=VALUE] [--json]
                              replay a trace in virtual time; see docs/routing.md
 Exit codes: 0 passed, 1 failed, 2 wrong arguments.";
@@ -35,6 +37,7 @@
         Ok(Some(command)) => match command.as_str() {
             "replay" => replay::run(arguments),
             "demo" => runtime.block_on(demo::run(arguments)),
+            "slopes" => runtime.block_on(slopes::run(arguments)),
             other => {
                 eprintln!("unknown command {other:?}; see --help");
                 return ExitCode::from(2);
