daemon: use the measured decisions; the routing table is built when its inputs change

Cause: route.rs hashed and filtered every member for every request and knew only in-flight counts.

Agents tell the wait that they expect and how many prompts they compute, with every answer and refusal; a dispatch carries the wait above which the next candidate is expected to be faster, and the agent sends it back as not run ("slow") when it knows of a longer one, at most twice. After the first round all targets are candidates. The relay no longer polls for a slot: it goes over the candidates at most 8 times, for targets that are away or leaving, with growing waits that together are longer than the agents' probe interval (16 tries took 60 ms, a probe takes 200 ms). routing::rank is one function for the daemon and the replay.

Fault found by the replay: routing::top overflowed for a count of usize::MAX.

--- a/crates/daemon/src/agent/gate.rs
+++ b/crates/daemon/src/agent/gate.rs
@@ -48,6 +48,8 @@
 struct Rules(Arc<Snapshot>, bool);
 struct Stop;
 
+/// A request without a slot waits for whole answers, however short its prompt is.
+const SLOT_TURNS: u32 = 100;
 /// Requests that wait at an agent; more would wait longer than most callers do.
 pub(super) const WAITING: u32 = 64;
 /// How often the rules are compared with the drain state and expired requests are refused.
@@ -62,7 +64,7 @@
         let load = Load {
             in_flight: 0,
             limit: gate.allowed(),
-            wait_ms: 0,
+            ..Load::default()
         };
         let state = Arc::new(RwLock::new(State {
             name: gate.state().to_owned(),
@@ -107,6 +109,16 @@
 
     /// Waits for the admission of a request that makes the target compute `work` tokens.
     pub(super) async fn request(&self, dispatch: &Dispatch, work: u32) -> Result<(), Reason> {
+        let load = self.state().load;
+        let wait = routing::Load {
+            wait: Duration::from_millis(load.wait_ms.into()),
+            computing: load.computing,
+            heard: Time::default(),
+        };
+        let own = routing::compute_time(dispatch.new_tokens);
+        if wait.wait_for(own).as_millis() > dispatch.most_wait_ms.into() {
+            return Err(Reason::Slow);
+        }
         let left = Duration::from_millis(dispatch.deadline_ms.into());
         let ask = Ask {
             attempt: dispatch.attempt,
@@ -205,9 +217,13 @@
         self.gate.on_finish(attempt, outcome);
     }
 
+    /// Returns how many requests have to finish before a new one gets a slot.
+    fn ahead(&self) -> u32 {
+        (self.gate.in_flight() + 1).saturating_sub(self.gate.allowed())
+    }
+
     fn wait(&self) -> Duration {
-        let (running, allowed) = (self.gate.in_flight(), self.gate.allowed());
-        let ahead = (running + 1).saturating_sub(allowed);
+        let (ahead, allowed) = (self.ahead(), self.gate.allowed());
         let queued: u64 = self
             .waiting
             .values()
@@ -221,6 +237,7 @@
             in_flight: self.gate.in_flight() + self.gate.waiting(),
             limit: self.gate.allowed(),
             wait_ms: u32::try_from(self.wait().as_millis()).unwrap_or(u32::MAX),
+            computing: self.pace.computing() + self.gate.waiting() + SLOT_TURNS * self.ahead(),
         };
         self.metrics.in_flight.set(self.gate.in_flight().into());
         let mut state = self.state.write().unwrap_or_else(PoisonError::into_inner);
--- a/crates/daemon/src/entry/api.rs
+++ b/crates/daemon/src/entry/api.rs
@@ -65,6 +65,22 @@
         None
     }
 
+    /// Returns the tokens that no earlier visit computed: those behind the last answer, and the
+    /// rest of the last full block.
+    pub(super) fn new_tokens(&self) -> u32 {
+        let answered = self
+            .messages
+            .iter()
+            .rposition(|message| message.role == "assistant");
+        let new = &self.messages[answered.map_or(0, |index| index + 1)..];
+        let tokens: usize = new
+            .iter()
+            .map(|message| context::tokens(&message.content).count())
+            .sum();
+        let rest = answered.map_or(0, |_| context::BLOCK_TOKENS / 2);
+        u32::try_from(tokens + rest).unwrap_or(u32::MAX)
+    }
+
     /// Joins the messages to the text that the model continues.
     pub(super) fn prompt(&self) -> String {
         let mut text = String::new();
@@ -93,7 +109,9 @@
     /// A refusal for a reason inside the system.
     pub(super) fn system(reason: Reason, verdict: Verdict, retry_after_ms: u32) -> Self {
         let (status, kind, message) = match reason {
-            Reason::Full => (503, "overloaded", "all targets have as much as they bear"),
+            Reason::Full | Reason::Slow => {
+                (503, "overloaded", "all targets have as much as they bear")
+            }
             Reason::Leaving => (503, "unavailable", "the targets are leaving"),
             Reason::Unavailable => (503, "unavailable", "no target answers"),
             Reason::WrongTarget => (503, "unavailable", "no target serves this at the moment"),
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -121,6 +121,7 @@
             max_tokens: chat.max_tokens,
             delivered: Vec::new(),
         },
+        new_tokens: chat.new_tokens(),
         deadline: caller.deadline,
     };
     let started = Instant::now();
--- a/crates/daemon/src/entry/load.rs
+++ b/crates/daemon/src/entry/load.rs
@@ -1,56 +1,45 @@
-use std::collections::HashMap;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use types::Time;
 use wire::Load;
 
-/// What an entry last heard of the agents that it talked to; everything in it ages.
+/// What an entry last heard of the agents that it talked to; see [`routing::Loads`].
 #[derive(Debug, Default)]
-pub(super) struct Loads(Mutex<HashMap<String, Heard>>);
-
-#[derive(Debug, Clone, Copy, Default)]
-struct Heard {
-    load: Load,
-    at: Time,
-    avoid_until: Time,
-}
-
-/// How long a load that was heard counts.
-const LOAD_AGE: Duration = Duration::from_secs(2);
-/// How long an agent that failed is left out.
-const AVOID: Duration = Duration::from_millis(500);
-/// The wait that a target with all slots taken is assumed to cost.
-const SERVICE_TIME: Duration = Duration::from_millis(200);
+pub(super) struct Loads(Mutex<routing::Loads<String>>);
 
 impl Loads {
     /// Records the load that an answer carried.
     pub(super) fn heard(&self, agent: &str, load: Load, now: Time) {
-        let mut loads = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let heard = loads.entry(agent.to_owned()).or_default();
-        heard.load = load;
-        heard.at = now;
+        // A refusal that no agent made carries no load.
+        if load.limit == 0 {
+            return;
+        }
+        let load = routing::Load {
+            wait: Duration::from_millis(load.wait_ms.into()),
+            computing: load.computing,
+            heard: now,
+        };
+        self.lock().heard(agent.to_owned(), load);
     }
 
     /// Leaves an agent out for a short while.
     pub(super) fn failed(&self, agent: &str, now: Time) {
-        let mut loads = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        loads.entry(agent.to_owned()).or_default().avoid_until = now + AVOID;
+        self.lock().failed(agent.to_owned(), now);
     }
 
-    /// Returns the expected wait at an agent, or `None` while it is left out.
-    pub(super) fn wait(&self, agent: &str, now: Time) -> Option<Duration> {
-        let loads = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let Some(heard) = loads.get(agent) else {
-            return Some(Duration::ZERO);
-        };
-        if heard.avoid_until > now {
-            return None;
-        }
-        if now.since(heard.at) > LOAD_AGE || heard.load.in_flight < heard.load.limit {
-            return Some(Duration::ZERO);
-        }
-        let over = heard.load.in_flight + 1 - heard.load.limit;
-        Some(SERVICE_TIME * over)
+    /// Returns the expected wait at each agent for a prompt that takes the time `own` to compute;
+    /// an agent that is left out has none.
+    pub(super) fn waits<'name>(
+        &self,
+        agents: impl Iterator<Item = &'name str>,
+        own: Duration,
+    ) -> Vec<Option<Duration>> {
+        let (loads, now) = (self.lock(), crate::now());
+        agents.map(|agent| loads.wait(agent, own, now)).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, routing::Loads<String>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -24,6 +24,7 @@
 use crate::metrics::Metrics;
 use crate::settings::{Role, Settings};
 use load::Loads;
+use route::Routes;
 
 /// A running entry.
 #[derive(Debug)]
@@ -58,6 +59,7 @@
     secret: String,
     metrics: Metrics,
     loads: Loads,
+    routes: Arc<Routes>,
 }
 
 /// Starts an entry as the settings say.
@@ -81,7 +83,11 @@
         secret: settings.context_secret.clone(),
         metrics: metrics.clone(),
         loads: Loads::default(),
+        routes: Arc::default(),
     });
+    shared
+        .routes
+        .follow(Arc::clone(&shared.view), shared.region.clone());
     let admin = crate::admin::spawn(settings.admin_address, metrics, Arc::clone(&shared)).await?;
     let socket = TcpListener::bind(http_address).await?;
     let http = socket.local_addr()?;
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -10,7 +10,7 @@
 
 use super::Shared;
 use super::api::Refusal;
-use super::route::{Need, candidates};
+use super::route::{Candidate, Need, candidates};
 
 /// What a caller is sent of a streamed answer.
 #[derive(Debug)]
@@ -32,12 +32,16 @@
     pub(super) team: Team,
     pub(super) priority: Priority,
     pub(super) prompt: Prompt,
+    /// Tokens that were not part of an earlier visit, as far as the entry can tell.
+    pub(super) new_tokens: u32,
     pub(super) deadline: Instant,
 }
 
-/// How often a prompt is tried; each try after the first needs a reason of its own.
-const MAX_TRIES: u32 = 16;
-/// The wait between two rounds over the candidates.
+/// Rounds over the candidates. Requests wait for a slot at an agent, so a round only fails when
+/// targets are away, leaving or have a full queue.
+const MAX_ROUNDS: u32 = 8;
+/// The wait after the first round; each round waits that much longer. Together they are longer than
+/// an agent takes to notice that its target is back.
 const ROUND_WAIT: Duration = Duration::from_millis(20);
 
 /// How one try ended.
@@ -67,19 +71,31 @@
         retry_after_ms: 100,
         load: wire::Load::default(),
     };
-    let mut tries = 0;
-    while tries < MAX_TRIES {
-        for member in candidates(&shared, Need::Model(&job.prompt.model), key) {
+    let (mut redirects, mut rounds) = (0, 0);
+    let own = routing::compute_time(job.new_tokens);
+    'rounds: while rounds < MAX_ROUNDS {
+        let need = Need::Model(&job.prompt.model, own);
+        for mut candidate in candidates(&shared, need, key, rounds == 0) {
+            if redirects >= routing::MAX_REDIRECTS {
+                candidate.most_wait = Duration::MAX;
+            }
+            let member = Arc::clone(&candidate.member);
             if Instant::now() >= job.deadline {
                 last.reason = Reason::Deadline;
-                tries = MAX_TRIES;
-                break;
+                break 'rounds;
             }
-            tries += 1;
-            match attempt(&shared, &mut job, &member, &mut digest, &pieces).await {
+            match attempt(&shared, &mut job, &candidate, &mut digest, &pieces).await {
                 Try::Finished => return,
                 Try::Refused(refused) => {
                     shared.loads.heard(&member.name, refused.load, crate::now());
+                    if refused.reason == Reason::Slow {
+                        // The fresh load that came along may change the order.
+                        redirects += 1;
+                        continue 'rounds;
+                    }
+                    if matches!(refused.reason, Reason::Leaving | Reason::Unavailable) {
+                        shared.loads.failed(&member.name, crate::now());
+                    }
                     last = Refused {
                         verdict: last.verdict.weaken(refused.verdict),
                         ..refused
@@ -92,8 +108,8 @@
                 }
             }
         }
-        tries += 1;
-        tokio::time::sleep(ROUND_WAIT).await;
+        rounds += 1;
+        tokio::time::sleep(ROUND_WAIT * rounds).await;
     }
     let verdict = if job.prompt.delivered.is_empty() {
         last.verdict
@@ -107,16 +123,19 @@
 async fn attempt(
     shared: &Shared,
     job: &mut Job,
-    member: &Member,
+    candidate: &Candidate,
     digest: &mut Digest,
     pieces: &mpsc::Sender<Piece>,
 ) -> Try {
+    let member = &*candidate.member;
     let dispatch = Dispatch {
         request: job.request,
         attempt: Attempt(rand::random()),
         team: job.team.clone(),
         priority: job.priority,
         deadline_ms: left_ms(job.deadline),
+        new_tokens: job.new_tokens,
+        most_wait_ms: u32::try_from(candidate.most_wait.as_millis()).unwrap_or(u32::MAX),
         version: shared.view.version(),
         work: Work::Prompt(job.prompt.clone()),
     };
@@ -246,13 +265,16 @@
     shared.metrics.requests.with_label_values(&["call"]).inc();
     let key = routing::Key::new(&[&rand::random::<u128>().to_le_bytes()]);
     let mut last = Refusal::system(Reason::WrongTarget, Verdict::NotRun, 100);
-    for member in candidates(shared, Need::Service(&call.service), key) {
+    for candidate in candidates(shared, Need::Service(&call.service), key, true) {
+        let member = candidate.member;
         let dispatch = Dispatch {
             request,
             attempt: Attempt(rand::random()),
             team: team.clone(),
             priority,
             deadline_ms: left_ms(deadline),
+            new_tokens: 0,
+            most_wait_ms: u32::MAX,
             version: shared.view.version(),
             work: Work::Call(call.clone()),
         };
--- a/crates/daemon/src/entry/route.rs
+++ b/crates/daemon/src/entry/route.rs
@@ -1,64 +1,137 @@
-use control::{Member, Role};
-use routing::{Estimate, Key};
-use types::{Model, Service};
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use control::{Directory, Member, Role};
+use routing::{Estimate, Key, REDIRECT_MARGIN, Table};
+use rules::Snapshot;
+use types::{Model, Region, Service};
 
 use super::Shared;
+use super::load::Loads;
+use crate::control::View;
 
 /// What a request needs of a target.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum Need<'name> {
-    /// An engine that serves the model.
-    Model(&'name Model),
+    /// An engine that serves the model; the time is what this prompt takes to compute.
+    Model(&'name Model, Duration),
     /// An instance of the service.
     Service(&'name Service),
 }
 
-/// The number of candidates for a prompt.
+/// A target that may take a request.
+#[derive(Debug, Clone)]
+pub(super) struct Candidate {
+    pub(super) member: Arc<Member>,
+    /// The wait above which another candidate is expected to be faster.
+    pub(super) most_wait: Duration,
+}
+
+/// The targets that may receive work, kept up to date with the directory and the rules.
+#[derive(Debug, Default)]
+pub(super) struct Routes(ArcSwap<Tables>);
+
+#[derive(Debug, Default)]
+struct Tables {
+    directory: Arc<Directory>,
+    rules: Arc<Snapshot>,
+    models: Table<Model, Arc<Member>>,
+    services: Table<Service, Arc<Member>>,
+}
+
+/// The number of candidates for the first try of a prompt; 2 give a p95 of returning prompts that
+/// is 28% higher at 80% load, and 6 gain 3% for more link traffic.
 const CANDIDATES: usize = 4;
+/// How often the directory and the rules are compared with the tables; a drain has to reach the
+/// entries well within 3 s.
+const FOLLOW_INTERVAL: Duration = Duration::from_millis(50);
+
+impl Routes {
+    /// Rebuilds the tables whenever the view changes, away from the request path.
+    pub(super) fn follow(self: &Arc<Self>, view: Arc<View>, region: Region) {
+        let routes = Arc::clone(self);
+        tokio::spawn(async move {
+            loop {
+                routes.update(&view, &region);
+                tokio::time::sleep(FOLLOW_INTERVAL).await;
+            }
+        });
+    }
 
-/// Returns the agents to try, the best first.
-pub(super) fn candidates(shared: &Shared, need: Need<'_>, key: Key) -> Vec<Member> {
-    let directory = shared.view.directory();
-    let rules = shared.view.rules();
-    let fits = |member: &&Member| {
-        let target = match (&member.role, need) {
-            (Role::Engine { target, model }, Need::Model(wanted)) if model == wanted => target,
-            (Role::Service { target, service }, Need::Service(wanted)) if service == wanted => {
-                target
+    fn update(&self, view: &View, region: &Region) {
+        let (directory, rules) = (view.directory(), view.rules());
+        let known = self.0.load();
+        if Arc::ptr_eq(&known.directory, &directory) && Arc::ptr_eq(&known.rules, &rules) {
+            return;
+        }
+        self.0
+            .store(Arc::new(Tables::new(directory, rules, region)));
+    }
+}
+
+impl Tables {
+    fn new(directory: Arc<Directory>, rules: Arc<Snapshot>, region: &Region) -> Self {
+        let (mut models, mut services) = (Table::default(), Table::default());
+        for member in directory.iter().filter(|member| member.region == *region) {
+            let Some(target) = member.role.target() else {
+                continue;
+            };
+            if rules.is_drained(target, &member.host, &member.domain) {
+                continue;
+            }
+            let shared = Arc::new(member.clone());
+            match &member.role {
+                Role::Engine { model, .. } => models.insert(model.clone(), &member.name, shared),
+                Role::Service { service, .. } => {
+                    services.insert(service.clone(), &member.name, shared);
+                }
+                Role::Entry => {}
             }
-            _ => return false,
-        };
-        member.region == shared.region && !rules.is_drained(target, &member.host, &member.domain)
+        }
+        Self {
+            directory,
+            rules,
+            models,
+            services,
+        }
+    }
+}
+
+/// Returns the agents to try, the best first. From the second round on (`is_first` is false) all
+/// targets are candidates, since the first few may all be cold or away.
+pub(super) fn candidates(
+    shared: &Shared,
+    need: Need<'_>,
+    key: Key,
+    is_first: bool,
+) -> Vec<Candidate> {
+    let tables = shared.routes.0.load();
+    let count = if is_first { CANDIDATES } else { usize::MAX };
+    let (members, own) = match need {
+        Need::Model(model, own) => (tables.models.candidates(model, key, count), own),
+        Need::Service(service) => {
+            let members = tables.services.candidates(service, key, count);
+            (members, Duration::ZERO)
+        }
     };
-    let members: Vec<&Member> = directory.iter().filter(fits).collect();
-    let hashed = members
-        .iter()
-        .enumerate()
-        .map(|(index, member)| (hash(&member.name), index));
-    let mut best: Vec<&Member> = routing::top(key, hashed, CANDIDATES)
-        .into_iter()
-        .map(|index| members[index])
-        .collect();
-    let now = crate::now();
-    let waits: Vec<_> = best
-        .iter()
-        .map(|member| shared.loads.wait(&member.name, now))
-        .collect();
+    order(&shared.loads, &members, own)
+}
+
+fn order(loads: &Loads, members: &[&Arc<Member>], own: Duration) -> Vec<Candidate> {
+    let waits = loads.waits(members.iter().map(|member| member.name.as_str()), own);
     let estimates: Vec<Estimate> = waits
         .iter()
         .map(|wait| Estimate {
-            queue: wait.unwrap_or(std::time::Duration::MAX / 4),
+            queue: wait.unwrap_or(Duration::MAX / 4),
             ..Estimate::default()
         })
         .collect();
-    if let Some(chosen) = routing::choose(&estimates) {
-        best[..=chosen].rotate_right(1);
-    }
-    best.into_iter().cloned().collect()
-}
-
-fn hash(name: &str) -> u64 {
-    let mut bytes = [0; 8];
-    bytes.copy_from_slice(&blake3::hash(name.as_bytes()).as_bytes()[..8]);
-    u64::from_le_bytes(bytes)
+    routing::rank(&estimates, REDIRECT_MARGIN)
+        .into_iter()
+        .map(|ranked| Candidate {
+            member: Arc::clone(members[ranked.index]),
+            most_wait: ranked.most_wait,
+        })
+        .collect()
 }
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -2,14 +2,10 @@
 
 use types::Time;
 
-/// What an entry last heard of a target's load; it ages, since answers carry it.
+/// What an agent says of its target's load; it ages, since only answers carry it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Load {
-    /// Requests that run or wait at the target.
-    pub in_flight: u32,
-    /// Requests that the target may run now.
-    pub limit: u32,
-    /// How long the target's agent expects a new request to wait.
+    /// How long a long prompt would wait.
     pub wait: Duration,
     /// Prompts that the target computes in turn.
     pub computing: u32,
@@ -28,6 +24,17 @@
     pub recompute: Duration,
 }
 
+impl Load {
+    /// Returns the wait of a prompt that takes the time `own` to compute.
+    ///
+    /// An engine that computes in turn lets each other prompt go ahead by no more than the length
+    /// of this one, so a short prompt does not wait for the whole of a long one.
+    #[must_use]
+    pub fn wait_for(&self, own: Duration) -> Duration {
+        self.wait.min(own.saturating_mul(self.computing))
+    }
+}
+
 impl Estimate {
     /// Returns the expected time to first token; fetching overlaps with queueing.
     #[must_use]
@@ -36,9 +43,47 @@
     }
 }
 
-/// Returns the index of the candidate with the least estimate; the earlier one wins a tie, since
-/// candidates come in the order of the rendezvous hash.
+/// A candidate in the order in which it is to be tried.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ranked {
+    /// The position among the candidates.
+    pub index: usize,
+    /// The wait above which the next candidate is expected to be faster; the target's agent, which
+    /// knows the wait, sends the request back then.
+    pub most_wait: Duration,
+}
+
+/// How much longer than at the next candidate a wait may be before a request is sent back. It pays
+/// for the round trip; margins of 5 and 50 ms give the same figures, see `docs/routing.md`.
+pub const REDIRECT_MARGIN: Duration = Duration::from_millis(20);
+/// How often a request is sent back; after that it stays where it is.
+pub const MAX_REDIRECTS: u32 = 2;
+
+/// Returns the time that tokens of a prompt are assumed to take; only the order of the candidates
+/// depends on it, so 100 µs a token serves for every model.
+#[must_use]
+pub fn compute_time(tokens: u32) -> Duration {
+    Duration::from_micros(100) * tokens
+}
+
+/// Orders candidates by their estimates, the least first.
+///
+/// The sort is stable and candidates come in the order of the rendezvous hash, so that a
+/// conversation returns to the same target while the estimates are equal.
 #[must_use]
-pub fn choose(estimates: &[Estimate]) -> Option<usize> {
-    (0..estimates.len()).min_by_key(|&index| estimates[index].total())
+pub fn rank(estimates: &[Estimate], margin: Duration) -> Vec<Ranked> {
+    let mut order: Vec<usize> = (0..estimates.len()).collect();
+    order.sort_by_key(|&index| estimates[index].total());
+    let next = order
+        .iter()
+        .skip(1)
+        .map(|&index| Some(estimates[index].total()));
+    order
+        .iter()
+        .zip(next.chain([None]))
+        .map(|(&index, next)| Ranked {
+            index,
+            most_wait: next.map_or(Duration::MAX, |wait| wait.saturating_add(margin)),
+        })
+        .collect()
 }
--- a/crates/routing/src/rendezvous.rs
+++ b/crates/routing/src/rendezvous.rs
@@ -39,7 +39,7 @@
     Members: IntoIterator<Item = (u64, Member)>,
     Member: Ord,
 {
-    let mut best = BinaryHeap::with_capacity(count + 1);
+    let mut best = BinaryHeap::new();
     for (hash, member) in members {
         let weight = key.weight(hash);
         if best.len() < count {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -36,6 +36,10 @@
     pub priority: Priority,
     /// The time left until the caller gives up, in milliseconds.
     pub deadline_ms: u32,
+    /// Tokens of a prompt that no earlier visit computed, as far as the sender can tell.
+    pub new_tokens: u32,
+    /// The wait above which the sender expects another target to be faster, in milliseconds.
+    pub most_wait_ms: u32,
     /// The configuration in force at the sender.
     pub version: Version,
     /// What to do.
@@ -89,6 +93,8 @@
     pub limit: u32,
     /// How long the agent expects a new request to wait, in milliseconds.
     pub wait_ms: u32,
+    /// Prompts that the target computes in turn.
+    pub computing: u32,
 }
 
 /// The request was sent to the target.
@@ -137,6 +143,8 @@
     Isolated,
     /// The request itself cannot be accepted.
     Invalid,
+    /// Another target is expected to be faster.
+    Slow,
 }
 
 /// A piece of an answer.
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -7,8 +7,8 @@
 mod demo;
 mod deployment;
 mod process;
-mod slopes;
 mod replay;
+mod slopes;
 
 use std::process::ExitCode;
 
--- a/xtask/src/replay/flow.rs
+++ b/xtask/src/replay/flow.rs
@@ -8,17 +8,13 @@
 
 use super::engine::Accepted;
 use super::fleet;
-use super::knobs::{Fetch, Policy};
-use super::world::{Attempt, Event, Request, Why, World};
+use super::knobs::Policy;
+use super::world::{Attempt, Event, Why, World};
 
-/// How often a prompt is tried.
-const MAX_TRIES: u32 = 16;
-/// The wait between two rounds over the candidates.
+/// Rounds over the candidates, as in the entry's relay.
+const MAX_ROUNDS: u32 = 8;
+/// The wait after the first round.
 const ROUND_WAIT: Duration = Duration::from_millis(20);
-/// How often agents send a request back to its entry because another target may be faster.
-const MAX_REDIRECTS: u32 = 2;
-/// Conversations whose last target an entry remembers.
-const MAX_SERVED: usize = 4096;
 
 impl World {
     /// Sends a request to the next target of its list, or makes a new list.
@@ -27,30 +23,25 @@
         if now >= self.requests[request].deadline {
             return self.refuse(request, Why::Deadline);
         }
-        if self.requests[request].tries >= MAX_TRIES {
+        if self.requests[request].rounds >= MAX_ROUNDS {
             return self.refuse(request, Why::Full);
         }
-        self.requests[request].tries += 1;
         if self.requests[request].left.is_empty() {
             self.requests[request].left = self.candidates(request);
             self.requests[request].left.reverse();
         }
-        let Some(engine) = self.requests[request].left.pop() else {
-            return self.after(ROUND_WAIT, Event::Choose(request));
+        let Some((engine, most)) = self.requests[request].left.pop() else {
+            return self.next_round(request);
+        };
+        let most = match self.requests[request].redirects {
+            routing::MAX_REDIRECTS.. => Duration::MAX,
+            _ => most,
         };
         let entry = self.requests[request].entry;
-        self.entries[entry].loads.sent(engine);
-        let conversation = self.requests[request].conversation;
-        if self.entries[entry].served.len() >= MAX_SERVED {
-            self.entries[entry].served.clear();
-        }
-        self.entries[entry].served.insert(conversation, engine);
-        let most = self.most_wait(request);
         self.attempts.push(Attempt {
             most,
             request,
             engine,
-            asked: false,
             admitted: false,
             fetched: false,
             outstanding: 0,
@@ -61,14 +52,53 @@
         self.after(delay, Event::AtAgent(self.attempts.len() - 1));
     }
 
-    fn candidates(&mut self, request: usize) -> Vec<usize> {
-        let now = self.now;
-        let (entry, conversation) = (
-            self.requests[request].entry,
-            self.requests[request].conversation,
-        );
+    fn candidates(&mut self, request: usize) -> Vec<(usize, Duration)> {
+        if self.policy == Policy::Ours {
+            return self.ranked(request);
+        }
+        let order = self.baseline(request);
+        order
+            .into_iter()
+            .map(|engine| (engine, Duration::MAX))
+            .collect()
+    }
+
+    /// Decides as an entry of the product does.
+    fn ranked(&self, request: usize) -> Vec<(usize, Duration)> {
+        let state = &self.requests[request];
+        let known = &self.entries[state.entry];
+        let spills = self.knobs.spill && state.rounds > 0;
+        let count = if spills {
+            usize::MAX
+        } else {
+            self.knobs.candidates
+        };
+        let best = known.table.candidates("model", self.key(request), count);
+        let own = self.own(request);
+        let estimate = |engine: &&usize| Estimate {
+            queue: known
+                .loads
+                .wait(*engine, own, self.now)
+                .unwrap_or(Duration::MAX / 4),
+            ..Estimate::default()
+        };
+        let estimates: Vec<_> = best.iter().map(estimate).collect();
+        let margin = self.knobs.redirect.unwrap_or(Duration::MAX);
+        routing::rank(&estimates, margin)
+            .into_iter()
+            .map(|ranked| (*best[ranked.index], ranked.most_wait))
+            .collect()
+    }
+
+    fn key(&self, request: usize) -> Key {
+        let conversation = self.requests[request].conversation;
         let team = &self.conversations[conversation].team;
-        let key = Key::new(&[team.as_bytes(), &conversation.to_le_bytes()]);
+        Key::new(&[team.as_bytes(), &conversation.to_le_bytes()])
+    }
+
+    fn baseline(&mut self, request: usize) -> Vec<usize> {
+        let now = self.now;
+        let (key, entry) = (self.key(request), self.requests[request].entry);
         let count = self.engines.len();
         let known = &self.entries[entry];
         let hashed = |count| -> Vec<usize> {
@@ -79,41 +109,11 @@
                 .copied()
                 .collect()
         };
-        let own = self.own(request);
         let wait = |engine: usize| {
-            known
-                .loads
-                .wait(&engine, own, now)
-                .unwrap_or(Duration::MAX / 4)
+            let wait = known.loads.wait(&engine, Duration::MAX, now);
+            wait.unwrap_or(Duration::MAX / 4)
         };
         match self.policy {
-            Policy::Ours => {
-                let spill = self.knobs.spill && self.requests[request].tries > 1;
-                let mut best = hashed(if spill { count } else { self.knobs.candidates });
-                let tokens = self.requests[request].tokens;
-                let served = known.served.get(&conversation);
-                let estimate = |&engine: &usize| {
-                    let holds = self.knobs.served && served == Some(&engine);
-                    let fetch = match holds || !self.knobs.served {
-                        true => Duration::ZERO,
-                        false => fleet::BLOCK_TRANSFER * (tokens / fleet::BLOCK_TOKENS),
-                    };
-                    Estimate {
-                        queue: wait(engine),
-                        fetch,
-                        recompute: Duration::ZERO,
-                    }
-                };
-                if self.knobs.spill {
-                    best.sort_by_key(|engine| estimate(engine).total());
-                } else {
-                    let estimates: Vec<_> = best.iter().map(estimate).collect();
-                    if let Some(chosen) = routing::choose(&estimates) {
-                        best[..=chosen].rotate_right(1);
-                    }
-                }
-                best
-            }
             Policy::Sticky => hashed(count),
             Policy::LeastLoaded => {
                 let mut all = hashed(count);
@@ -129,7 +129,7 @@
                 self.entries[entry].next += 1;
                 all
             }
-            Policy::Bound => {
+            Policy::Ours | Policy::Bound => {
                 let best = (0..count)
                     .filter(|&engine| {
                         let engine = &self.engines[engine];
@@ -152,28 +152,6 @@
         fleet::compute(request.tokens - held)
     }
 
-    /// Returns the wait up to which no other candidate is expected to be faster.
-    fn most_wait(&self, request: usize) -> Duration {
-        let (Some(margin), Policy::Ours) = (self.knobs.redirect, self.policy) else {
-            return Duration::MAX;
-        };
-        let Request {
-            entry,
-            ref left,
-            redirects,
-            ..
-        } = self.requests[request];
-        if redirects >= MAX_REDIRECTS {
-            return Duration::MAX;
-        }
-        let loads = &self.entries[entry].loads;
-        let own = self.own(request);
-        let waits = left
-            .iter()
-            .filter_map(|engine| loads.wait(engine, own, self.now));
-        waits.min().map_or(Duration::MAX, |wait| wait + margin)
-    }
-
     /// Returns the exact time to first token at an engine.
     fn ideal_wait(&self, request: usize, engine: usize) -> Duration {
         let chain = self.chain(request, engine);
@@ -195,21 +173,13 @@
     pub(super) fn on_dispatch(&mut self, attempt: usize) {
         let own = self.own(self.attempts[attempt].request);
         let load = self.load(self.attempts[attempt].engine);
-        if load.wait.min(own * load.computing) > self.attempts[attempt].most {
+        if load.wait_for(own) > self.attempts[attempt].most {
             self.requests[self.attempts[attempt].request].redirects += 1;
             self.attempts[attempt].over = true;
             return self.reply(attempt, Event::Refused(attempt, Why::Slow));
         }
-        if self.knobs.fetch == Fetch::Before && !self.policy.is_ideal() {
-            // A target that takes nothing now is not worth a fetch.
-            if self.agents[self.attempts[attempt].engine].gate.is_open() {
-                return self.begin_lookup(attempt);
-            }
-            self.attempts[attempt].fetched = true;
-        }
         self.ask(attempt);
-        let overlaps = self.knobs.fetch == Fetch::Overlap || self.policy.is_ideal();
-        if overlaps && !self.attempts[attempt].over {
+        if self.policy.is_ideal() && !self.attempts[attempt].over {
             self.begin_lookup(attempt);
         }
     }
@@ -229,7 +199,6 @@
             deadline: request.deadline,
         };
         let deadline = request.deadline;
-        self.attempts[attempt].asked = true;
         let decision = self.agents[engine].gate.on_request(ask);
         if decision == Decision::Wait {
             self.agents[engine].waiting.insert(attempt, work);
@@ -253,7 +222,7 @@
                 self.attempts[attempt].admitted = true;
                 let engine = self.attempts[attempt].engine;
                 self.agents[engine].runs.insert(attempt);
-                if self.knobs.fetch == Fetch::After && !self.policy.is_ideal() {
+                if !self.policy.is_ideal() {
                     self.begin_lookup(attempt);
                 } else {
                     self.send_if_ready(attempt);
@@ -341,12 +310,8 @@
 
     pub(super) fn on_confirmed(&mut self, attempt: usize, boot: Boot) {
         let engine = self.attempts[attempt].engine;
-        if self.knobs.confirm_first {
-            self.agents[engine].gate.on_boot(boot);
-        } else {
-            let id = types::Attempt(attempt as u128);
-            self.agents[engine].gate.on_confirm(id, boot);
-        }
+        let id = types::Attempt(attempt as u128);
+        self.agents[engine].gate.on_confirm(id, boot);
         self.settle(engine);
         self.tell(attempt);
     }
@@ -361,16 +326,9 @@
         );
         let id = types::Attempt(attempt as u128);
         self.agents[engine].pace.on_first(id, self.now);
-        if self.knobs.confirm_first {
-            let boot = self.attempts[attempt].boot;
-            self.agents[engine].gate.on_confirm(id, boot);
-            self.settle(engine);
-        }
         let delay = self.delay(self.requests[request].entry, engine) + self.client_delay;
         self.after(delay, Event::AtCaller(request));
-        if self.knobs.told {
-            self.tell(attempt);
-        }
+        self.tell(attempt);
     }
 
     pub(super) fn on_finished(&mut self, attempt: usize) {
@@ -422,18 +380,23 @@
         if why == Why::Slow {
             // The fresh load that came along may change the order.
             self.requests[request].left.clear();
-            self.requests[request].tries -= 1;
             return self.choose(request);
         }
         if why == Why::Deadline {
             return self.refuse(request, why);
         }
-        let again = if self.requests[request].left.is_empty() {
-            ROUND_WAIT
-        } else {
-            Duration::ZERO
-        };
-        self.after(again, Event::Choose(request));
+        if self.requests[request].left.is_empty() {
+            return self.next_round(request);
+        }
+        self.choose(request);
+    }
+
+    fn next_round(&mut self, request: usize) {
+        self.requests[request].rounds += 1;
+        self.after(
+            ROUND_WAIT * self.requests[request].rounds,
+            Event::Choose(request),
+        );
     }
 
     fn refuse(&mut self, request: usize, why: Why) {
@@ -455,17 +418,6 @@
     fn load(&self, engine: usize) -> Load {
         let agent = &self.agents[engine];
         let (waiting, limit) = (agent.gate.waiting(), agent.gate.allowed());
-        let heard = self.now;
-        if !self.knobs.told {
-            let in_flight = agent.gate.in_flight() + waiting;
-            return Load {
-                in_flight,
-                limit,
-                heard,
-                computing: 1,
-                ..Load::default()
-            };
-        }
         let ahead = (agent.gate.in_flight() + 1).saturating_sub(limit);
         let queued: u32 = agent.waiting.values().sum();
         let wait = agent.pace.wait(self.now, ahead, limit) + agent.pace.compute(queued.into());
@@ -473,11 +425,9 @@
         let held = u32::from(agent.held_until > self.now) * 1000;
         let computing = agent.pace.computing() + waiting + held + 100 * ahead;
         Load {
-            in_flight: 0,
-            limit,
             wait,
             computing,
-            heard,
+            heard: self.now,
         }
     }
 
--- a/xtask/src/replay/kept.rs
+++ b/xtask/src/replay/kept.rs
@@ -4,7 +4,6 @@
 
 use super::engine::Block;
 use super::fleet;
-use super::knobs::Fetch;
 use super::world::{Event, Transfer, World};
 
 impl World {
@@ -57,14 +56,9 @@
         }
         let mut pushed = 0;
         for (position, &block) in chain.iter().enumerate().take(longest).skip(held) {
-            let turn = if self.knobs.parallel {
-                first + position
-            } else {
-                first
-            };
             let holds = |store: &usize| prefixes[*store] > position;
             let store = (0..self.stores.len())
-                .map(|step| (turn + step) % self.stores.len())
+                .map(|step| (first + step) % self.stores.len())
                 .find(holds);
             if let Some(store) = store {
                 let transfer = Transfer {
@@ -153,9 +147,6 @@
         if self.attempts[attempt].over {
             return;
         }
-        if self.knobs.fetch == Fetch::Before && !self.attempts[attempt].asked {
-            return self.ask(attempt);
-        }
         self.send_if_ready(attempt);
     }
 
--- a/xtask/src/replay/knobs.rs
+++ b/xtask/src/replay/knobs.rs
@@ -50,35 +50,23 @@
     }
 }
 
-/// When kept context is fetched.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Fetch {
-    /// After the agent has admitted the request.
-    After,
-    /// While it waits for admission.
-    Overlap,
-    /// Before admission is asked for.
-    Before,
-}
-
 /// What the rounds of `docs/routing.md` change, one at a time, with `--set NAME=VALUE`.
 #[derive(Debug, Clone)]
 pub(crate) struct Knobs {
+    /// Candidates of the first try.
     pub(crate) candidates: usize,
+    /// Requests that may wait at an agent.
     pub(crate) waiting: u32,
-    pub(crate) sent: Duration,
-    pub(crate) slot: Duration,
-    pub(crate) told: bool,
-    pub(crate) served: bool,
-    pub(crate) fetch: Fetch,
-    pub(crate) urgent: bool,
-    pub(crate) parallel: bool,
-    pub(crate) patience: f64,
-    pub(crate) spill: bool,
-    pub(crate) confirm_first: bool,
     /// The wait beyond the next candidate's at which an agent sends a request back.
     pub(crate) redirect: Option<Duration>,
+    /// Whether the expected wait depends on the prompt's own length.
     pub(crate) sized: bool,
+    /// Whether fetches go before exports.
+    pub(crate) urgent: bool,
+    /// The deadline of a fetch, as a multiple of the time to recompute; 0 for none.
+    pub(crate) patience: f64,
+    /// Whether all targets are candidates after the first try.
+    pub(crate) spill: bool,
 }
 
 impl Default for Knobs {
@@ -86,18 +74,11 @@
         Self {
             candidates: 4,
             waiting: 64,
-            sent: Duration::ZERO,
-            slot: Duration::ZERO,
-            told: true,
-            served: false,
-            fetch: Fetch::After,
+            redirect: Some(routing::REDIRECT_MARGIN),
+            sized: true,
             urgent: true,
-            parallel: false,
             patience: 1.0,
             spill: true,
-            confirm_first: false,
-            redirect: Some(Duration::from_millis(20)),
-            sized: true,
         }
     }
 }
@@ -106,30 +87,15 @@
     /// Changes one knob; `text` is `NAME=VALUE`.
     pub(crate) fn set(&mut self, text: &str) -> Result<()> {
         let (name, value) = text.split_once('=').ok_or("--set: write NAME=VALUE")?;
-        let millis = || -> Result<Duration> { Ok(Duration::from_millis(value.parse()?)) };
         match name {
             "candidates" => self.candidates = value.parse()?,
             "waiting" => self.waiting = value.parse()?,
-            "sent" => self.sent = millis()?,
-            "slot" => self.slot = millis()?,
-            "told" => self.told = value.parse()?,
-            "served" => self.served = value.parse()?,
-            "urgent" => self.urgent = value.parse()?,
-            "parallel" => self.parallel = value.parse()?,
-            "patience" => self.patience = value.parse()?,
-            "confirm_first" => self.confirm_first = value.parse()?,
             "redirect" if value == "none" => self.redirect = None,
-            "redirect" => self.redirect = Some(millis()?),
+            "redirect" => self.redirect = Some(Duration::from_millis(value.parse()?)),
             "sized" => self.sized = value.parse()?,
+            "urgent" => self.urgent = value.parse()?,
+            "patience" => self.patience = value.parse()?,
             "spill" => self.spill = value.parse()?,
-            "fetch" => {
-                self.fetch = match value {
-                    "after" => Fetch::After,
-                    "overlap" => Fetch::Overlap,
-                    "before" => Fetch::Before,
-                    _ => return Err("--set fetch: accepted are after, overlap, before".into()),
-                }
-            }
             _ => return Err(format!("--set: there is no knob {name:?}").into()),
         }
         Ok(())
--- a/xtask/src/replay/world.rs
+++ b/xtask/src/replay/world.rs
@@ -6,7 +6,7 @@
 
 use admission::{Gate, Limits, Pace};
 use context::{Bounds, Link};
-use routing::{Knobs as LoadKnobs, Load, Loads, Table};
+use routing::{Load, Loads, Table};
 use types::{Boot, Time};
 
 use super::engine::{Block, Cache, Engine};
@@ -69,8 +69,9 @@
     pub(crate) computed: u32,
     pub(crate) done: bool,
     pub(crate) refused: Option<Why>,
-    pub(crate) tries: u32,
-    pub(crate) left: Vec<usize>,
+    pub(crate) rounds: u32,
+    /// The candidates of this round that are left, the next one last.
+    pub(crate) left: Vec<(usize, Duration)>,
     pub(crate) redirects: u32,
 }
 
@@ -78,7 +79,6 @@
 pub(crate) struct Attempt {
     pub(crate) request: usize,
     pub(crate) engine: usize,
-    pub(crate) asked: bool,
     pub(crate) admitted: bool,
     pub(crate) fetched: bool,
     pub(crate) outstanding: usize,
@@ -127,7 +127,6 @@
 pub(crate) struct Entry {
     pub(crate) loads: Loads<usize>,
     pub(crate) table: Table<String, usize>,
-    pub(crate) served: HashMap<usize, usize>,
     pub(crate) next: usize,
 }
 
@@ -185,11 +184,6 @@
                 knobs.waiting
             },
         };
-        let loads = LoadKnobs {
-            sent: knobs.sent,
-            slot: knobs.slot,
-            ..LoadKnobs::default()
-        };
         let bulk = STORE_EXPORTS;
         let mut world = Self {
             now: Time::default(),
@@ -223,9 +217,8 @@
                 .collect(),
             entries: (0..deployment.entries)
                 .map(|_| Entry {
-                    loads: Loads::new(loads),
+                    loads: Loads::default(),
                     table: Table::default(),
-                    served: HashMap::new(),
                     next: 0,
                 })
                 .collect(),
@@ -415,7 +408,7 @@
             computed: 0,
             done: false,
             refused: None,
-            tries: 0,
+            rounds: 0,
             left: Vec::new(),
             redirects: 0,
         });
