--- /dev/null
+++ b/crates/admission/tests/gate.rs
@@ -0,0 +1,305 @@
+//! Guards against a cold target that gets more than it bears (I4) and against work that reaches a
+//! drained or leaving target (I5, I9), under random schedules of turning cold without warning,
+//! late reports, drains, failures and returns.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use admission::{Ask, Decision, Gate, Limits, Outcome, Refusal};
+use proptest::prelude::*;
+use types::{Attempt, Boot, Team, Time};
+
+const LIMITS: Limits = Limits {
+    cold: 2,
+    warm: 16,
+    warm_after: 8,
+    waiting: 12,
+};
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// A request of this team and priority asks, with so many milliseconds left.
+    Ask(u8, u8, u64),
+    /// The oldest request on its way reaches the target.
+    Arrive,
+    /// The oldest report of the target reaches the agent.
+    Report,
+    /// The target finishes one of its requests.
+    Finish(u8),
+    /// The target loses its runs and its warm-up without warning.
+    TurnCold,
+    /// The target begins to load other weights, or has loaded them; its runs survive that.
+    Load,
+    Drain(bool),
+    /// The target answers a probe.
+    Probe,
+    /// The oldest answer to a probe reaches the agent.
+    Probed,
+    Stop,
+    Wait(u64),
+}
+
+/// What the target tells the agent, some time later.
+#[derive(Debug, Clone, Copy)]
+enum Report {
+    Taken(Attempt, Boot),
+    Ended(Attempt, Outcome),
+}
+
+struct World {
+    gate: Gate,
+    now: Time,
+    next: u128,
+    /// Sent and not arrived.
+    sent: VecDeque<Attempt>,
+    /// Running at the target, with the boot id under which each was taken.
+    running: Vec<(Attempt, Boot)>,
+    /// What was told of requests, and the answers to probes, which may overtake it.
+    reports: VecDeque<Report>,
+    probes: VecDeque<Boot>,
+    boot: Boot,
+    /// Answers since the target lost its warm-up.
+    answers: u32,
+    loading: bool,
+    drained: bool,
+    stopped: bool,
+    waiting: BTreeMap<Attempt, Time>,
+    settled: BTreeSet<Attempt>,
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            gate: Gate::new(LIMITS),
+            now: Time(0),
+            next: 0,
+            sent: VecDeque::new(),
+            running: Vec::new(),
+            reports: VecDeque::new(),
+            probes: VecDeque::new(),
+            boot: Boot(1),
+            answers: 0,
+            loading: false,
+            drained: false,
+            stopped: false,
+            waiting: BTreeMap::new(),
+            settled: BTreeSet::new(),
+        }
+    }
+
+    fn step(&mut self, step: &Step) -> Result<(), TestCaseError> {
+        match *step {
+            Step::Ask(team, priority, left) => {
+                self.next += 1;
+                let attempt = Attempt(self.next);
+                let deadline = Time(self.now.0 + left * 1000);
+                let decision = self.gate.on_request(Ask {
+                    attempt,
+                    team: Team::from(format!("team-{team}")),
+                    share: u32::from(team) + 1,
+                    work: 100,
+                    priority,
+                    deadline,
+                });
+                match decision {
+                    Decision::Wait => drop(self.waiting.insert(attempt, deadline)),
+                    decision => self.decided(attempt, decision)?,
+                }
+            }
+            Step::Arrive => self.arrive()?,
+            Step::Report => self.report(),
+            Step::Finish(which) if !self.running.is_empty() => {
+                let which = usize::from(which) % self.running.len();
+                let (attempt, boot) = self.running.remove(which);
+                self.answers += u32::from(boot == self.boot);
+                self.reports
+                    .push_back(Report::Ended(attempt, Outcome::Success));
+            }
+            Step::TurnCold => {
+                self.boot.0 += 1;
+                self.answers = 0;
+                for (attempt, _) in std::mem::take(&mut self.running) {
+                    self.reports
+                        .push_back(Report::Ended(attempt, Outcome::Failure));
+                }
+            }
+            Step::Load if !self.loading => {
+                self.loading = true;
+                self.gate.hold();
+            }
+            Step::Load => {
+                self.loading = false;
+                self.boot.0 += 1;
+                self.answers = 0;
+                self.gate.release(true);
+                prop_assert_eq!(self.gate.allowed(), LIMITS.cold);
+            }
+            Step::Drain(drained) => {
+                self.drained = drained;
+                self.gate.set_drained(drained);
+            }
+            Step::Probe => self.probes.push_back(self.boot),
+            Step::Probed => {
+                if let Some(boot) = self.probes.pop_front() {
+                    self.gate.on_probe(boot);
+                }
+            }
+            Step::Stop => {
+                self.stopped = true;
+                self.gate.stop();
+            }
+            Step::Wait(millis) => self.now.0 += millis * 1000,
+            Step::Finish(_) => {}
+        }
+        while let Some((attempt, decision)) = self.gate.settle(self.now) {
+            prop_assert!(
+                self.waiting.remove(&attempt).is_some(),
+                "{attempt} did not wait"
+            );
+            self.decided(attempt, decision)?;
+        }
+        let open = self.waiting.values().all(|&deadline| deadline > self.now);
+        prop_assert!(open, "a request waits beyond its deadline");
+        prop_assert_eq!(self.gate.waiting() as usize, self.waiting.len());
+        prop_assert!(self.gate.waiting() <= LIMITS.waiting);
+        Ok(())
+    }
+
+    fn decided(&mut self, attempt: Attempt, decision: Decision) -> Result<(), TestCaseError> {
+        prop_assert!(self.settled.insert(attempt), "{attempt} was decided twice");
+        if decision == Decision::Admit {
+            prop_assert!(!self.drained, "a drained target got a request");
+            prop_assert!(!self.loading, "a target that loads weights got a request");
+            prop_assert!(!self.stopped, "a leaving target got a request");
+            self.sent.push_back(attempt);
+        }
+        Ok(())
+    }
+
+    fn arrive(&mut self) -> Result<(), TestCaseError> {
+        let Some(attempt) = self.sent.pop_front() else {
+            return Ok(());
+        };
+        self.running.push((attempt, self.boot));
+        // Runs that outlived a change of weights are no new load.
+        let new = self
+            .running
+            .iter()
+            .filter(|(_, boot)| *boot == self.boot)
+            .count();
+        if self.answers < LIMITS.warm_after {
+            prop_assert!(
+                new <= LIMITS.cold as usize,
+                "{new} requests at a cold target"
+            );
+        }
+        prop_assert!(
+            self.running.len() <= LIMITS.warm as usize,
+            "too many for a warm target"
+        );
+        self.reports.push_back(Report::Taken(attempt, self.boot));
+        Ok(())
+    }
+
+    fn report(&mut self) {
+        match self.reports.pop_front() {
+            Some(Report::Taken(attempt, boot)) => self.gate.on_confirm(attempt, boot),
+            Some(Report::Ended(attempt, outcome)) => self.gate.on_finish(attempt, outcome),
+            None => {}
+        }
+    }
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        8 => (0u8..4, 0u8..3, 1u64..3000).prop_map(|(team, priority, left)| Step::Ask(team, priority, left)),
+        8 => Just(Step::Arrive),
+        10 => Just(Step::Report),
+        6 => any::<u8>().prop_map(Step::Finish),
+        1 => Just(Step::TurnCold),
+        1 => Just(Step::Load),
+        1 => any::<bool>().prop_map(Step::Drain),
+        2 => Just(Step::Probe),
+        2 => Just(Step::Probed),
+        1 => (0u64..400).prop_map(Step::Wait),
+    ];
+    proptest::collection::vec(step, 0..600)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    #[test]
+    fn no_target_gets_more_than_it_bears(steps in steps(), warm in any::<bool>(), stops in any::<bool>()) {
+        let mut world = World::new();
+        for _ in 0..if warm { 60 } else { 0 } {
+            for step in [Step::Ask(0, 1, 3000), Step::Arrive, Step::Report, Step::Finish(0), Step::Report] {
+                world.step(&step)?;
+            }
+        }
+        prop_assert_eq!(world.gate.state() == "ready", warm);
+        for step in &steps {
+            world.step(step)?;
+        }
+        if stops {
+            world.step(&Step::Stop)?;
+            prop_assert_eq!(world.gate.waiting(), 0);
+            for step in &steps {
+                world.step(step)?;
+            }
+        }
+    }
+
+    #[test]
+    fn shares_decide_who_is_served(share in 1u32..9) {
+        let limits = Limits { cold: 1, warm: 1, warm_after: 1, waiting: 400 };
+        let mut gate = Gate::new(limits);
+        for number in 0..400u32 {
+            let is_large = number % 2 == 0;
+            gate.on_request(Ask {
+                attempt: Attempt(number.into()),
+                team: Team::from(if is_large { "large" } else { "small" }),
+                share: if is_large { share } else { 1 },
+                work: 100,
+                priority: 1,
+                deadline: Time(u64::MAX),
+            });
+        }
+        let (mut running, mut large) = (Attempt(0), 0);
+        for _ in 0..100 {
+            gate.on_confirm(running, Boot(1));
+            gate.on_finish(running, Outcome::Success);
+            let (attempt, decision) = gate.settle(Time(0)).expect("requests wait");
+            prop_assert_eq!(decision, Decision::Admit);
+            large += u32::from(attempt.0 % 2 == 0);
+            running = attempt;
+        }
+        let wanted = 100 * share / (share + 1);
+        prop_assert!(large.abs_diff(wanted) <= 2, "{large} of 100 for a share of {share} to 1");
+    }
+}
+
+#[test]
+fn the_lowest_priority_is_shed_first() {
+    let mut gate = Gate::new(Limits {
+        waiting: 2,
+        ..LIMITS
+    });
+    let mut ask = |number: u128, priority| {
+        gate.on_request(Ask {
+            attempt: Attempt(number),
+            team: Team::from("team"),
+            share: 1,
+            work: 1,
+            priority,
+            deadline: Time(u64::MAX),
+        })
+    };
+    assert_eq!(ask(1, 1), Decision::Admit);
+    assert_eq!(ask(2, 1), Decision::Admit);
+    assert_eq!(ask(3, 0), Decision::Wait);
+    assert_eq!(ask(4, 1), Decision::Wait);
+    assert_eq!(ask(5, 2), Decision::Wait);
+    assert_eq!(ask(6, 0), Decision::Refuse(Refusal::Full));
+    let shed = gate.settle(Time(0));
+    assert_eq!(shed, Some((Attempt(3), Decision::Refuse(Refusal::Full))));
+}
--- a/crates/routing/src/rendezvous.rs
+++ b/crates/routing/src/rendezvous.rs
@@ -1,6 +1,3 @@
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
-
 /// The hash key of a conversation; equal keys have equal candidates on every entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Key(u64);
@@ -37,22 +34,21 @@
 pub fn top<Member, Members>(key: Key, members: Members, count: usize) -> Vec<Member>
 where
     Members: IntoIterator<Item = (u64, Member)>,
-    Member: Ord,
 {
-    let mut best = BinaryHeap::new();
+    // The few best are kept in order; almost all members fail the first comparison.
+    let mut best: Vec<(u64, Member)> = Vec::with_capacity(count.min(8));
+    let mut least = 0;
     for (hash, member) in members {
         let weight = key.weight(hash);
-        if best.len() < count {
-            best.push(Reverse((weight, member)));
-        } else if let Some(Reverse((least, _))) = best.peek()
-            && weight > *least
-        {
+        if best.len() >= count {
+            if weight <= least {
+                continue;
+            }
             best.pop();
-            best.push(Reverse((weight, member)));
         }
+        let at = best.partition_point(|(better, _)| *better >= weight);
+        best.insert(at, (weight, member));
+        least = best.last().map_or(0, |(weight, _)| *weight);
     }
-    best.into_sorted_vec()
-        .into_iter()
-        .map(|Reverse((_, member))| member)
-        .collect()
+    best.into_iter().map(|(_, member)| member).collect()
 }
--- /dev/null
+++ b/crates/routing/tests/routing.rs
@@ -0,0 +1,129 @@
+//! Guards against a change of one target that moves conversations of others (their context would
+//! be recomputed), against a rank that sends requests back for no gain, and against loads that are
+//! believed for too long.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use routing::{Budget, Estimate, Key, Load, Loads, Table, rank};
+use types::Time;
+
+fn table(members: &BTreeSet<u8>) -> Table<String, u8> {
+    let mut table = Table::default();
+    for &member in members {
+        table.insert("model".to_owned(), &format!("agent-{member}"), member);
+    }
+    table
+}
+
+fn estimate(millis: u64) -> Estimate {
+    Estimate {
+        queue: Duration::from_millis(millis),
+        ..Estimate::default()
+    }
+}
+
+proptest! {
+    #[test]
+    fn only_the_conversations_of_a_removed_target_move(
+        members in proptest::collection::btree_set(any::<u8>(), 2..40),
+        removed in any::<proptest::sample::Index>(),
+        conversation in any::<u64>(),
+    ) {
+        let key = Key::new(&[&conversation.to_le_bytes()]);
+        let removed = *removed.get(&members.iter().copied().collect::<Vec<_>>());
+        let before = table(&members);
+        let before: Vec<u8> = before.candidates("model", key, 4).into_iter().copied().collect();
+        let mut rest = members;
+        rest.remove(&removed);
+        let after = table(&rest);
+        let after: Vec<u8> = after.candidates("model", key, 4).into_iter().copied().collect();
+        let kept: Vec<u8> = before.into_iter().filter(|&member| member != removed).collect();
+        prop_assert!(after.starts_with(&kept));
+    }
+
+    #[test]
+    fn a_rank_names_each_candidate_once_and_bounds_its_wait(waits in proptest::collection::vec(0u64..500, 0..9)) {
+        let estimates: Vec<Estimate> = waits.iter().copied().map(estimate).collect();
+        let ranked = rank(&estimates, Duration::from_millis(20));
+        let mut seen: Vec<usize> = ranked.iter().map(|ranked| ranked.index).collect();
+        for pair in ranked.windows(2) {
+            let (first, second) = (estimates[pair[0].index].total(), estimates[pair[1].index].total());
+            prop_assert!(first <= second);
+            prop_assert_eq!(pair[0].most_wait, second + Duration::from_millis(20));
+        }
+        prop_assert_eq!(ranked.last().map(|ranked| ranked.most_wait), waits.last().map(|_| Duration::MAX));
+        seen.sort_unstable();
+        prop_assert_eq!(seen, (0..waits.len()).collect::<Vec<_>>());
+    }
+
+    #[test]
+    fn a_wait_shrinks_with_age_and_with_a_shorter_prompt(wait in 0u64..3000, age in 0u64..4000, own in 0u64..500) {
+        let mut loads = Loads::default();
+        let load = Load { wait: Duration::from_millis(wait), computing: 3, heard: Time(0) };
+        loads.heard("a", load);
+        let now = Time::from_millis(age);
+        let seen = loads.wait("a", Duration::from_millis(own), now).unwrap();
+        prop_assert!(seen <= Duration::from_millis(wait.saturating_sub(age).min(own * 3)));
+        prop_assert!(age <= 2000 || seen.is_zero());
+    }
+}
+
+#[test]
+fn a_failed_target_is_left_out_for_a_short_while_only() {
+    let mut loads = Loads::default();
+    loads.failed("a", Time(0));
+    assert_eq!(loads.wait("a", Duration::MAX, Time::from_millis(499)), None);
+    assert_eq!(
+        loads.wait("a", Duration::MAX, Time::from_millis(501)),
+        Some(Duration::ZERO)
+    );
+}
+
+#[test]
+fn an_old_load_does_not_replace_a_newer_one() {
+    let mut loads = Loads::default();
+    let load = |wait, heard| Load {
+        wait: Duration::from_millis(wait),
+        computing: 1,
+        heard: Time(heard),
+    };
+    loads.heard("a", load(100, 20));
+    loads.heard("a", load(7, 10));
+    let wait = loads.wait("a", Duration::from_secs(9), Time(20));
+    assert_eq!(wait, Some(Duration::from_millis(100)));
+}
+
+#[test]
+fn retries_stay_within_a_tenth_of_the_requests() {
+    let mut budget = Budget::default();
+    let mut retries = 0;
+    for _ in 0..1000 {
+        budget.on_request();
+        retries += u32::from(budget.try_retry());
+    }
+    assert!(retries <= 110, "{retries} retries for 1000 requests");
+}
+
+#[test]
+fn a_list_without_limit_holds_every_target() {
+    let members: BTreeSet<u8> = (0..9).collect();
+    let key = Key::new(&[b"c"]);
+    let table = table(&members);
+    assert_eq!(table.candidates("model", key, usize::MAX).len(), 9);
+}
+
+#[test]
+fn conversations_spread_evenly() {
+    let table = table(&(0..9).collect());
+    let mut counts = [0; 9];
+    for conversation in 0..9000u64 {
+        let key = Key::new(&[&conversation.to_le_bytes()]);
+        counts[usize::from(*table.candidates("model", key, 1)[0])] += 1;
+    }
+    assert!(
+        counts.iter().all(|count| (850..1150).contains(count)),
+        "{counts:?}"
+    );
+}
