control: leases as a pure state machine over conditional writes

Cause: weight rollouts need at most one actor per model and per load slot, with fencing numbers. Ruled out: deleting the row on release, which would let fencing numbers start again. Conclusion: no state with two believers and no fencing number given out twice.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,7 +4,9 @@
 //! `docs/design.md`, sections 5.6 to 5.9.
 
 mod claim;
+mod lease;
 mod member;
 
 pub use claim::{Claim, Outcome, State};
+pub use lease::{Grant, Lease, Step, Write, Written};
 pub use member::{Directory, Member, Role};
--- /dev/null
+++ b/crates/control/tests/lease.rs
@@ -0,0 +1,278 @@
+//! Leases under pauses, losses, late writes, clock drift and crashes.
+//!
+//! Guards against two processes that act under one lease at the same time, and against a fencing
+//! number that is given out twice.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use control::{Grant, Lease, Step, Write, Written};
+use proptest::prelude::*;
+use types::{Incarnation, Time};
+
+const DURATION: Duration = Duration::from_millis(1000);
+
+/// A request on its way between a process and the platform.
+#[derive(Debug, Clone)]
+enum Flight {
+    Read,
+    ReadDone(Option<(u64, Grant)>),
+    Write(Write),
+    WriteDone(Written),
+}
+
+#[derive(Debug, Clone)]
+struct Process {
+    lease: Lease,
+    incarnation: u64,
+    flight: Option<Flight>,
+    /// The speed of its clock in percent.
+    rate: u64,
+}
+
+#[derive(Debug, Clone)]
+struct World {
+    row: Option<(u64, Grant)>,
+    version: u64,
+    /// Writes that were given up and may still arrive.
+    late: Vec<Write>,
+    processes: Vec<Process>,
+    real_ms: u64,
+    fence: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    /// The process takes its next step, or the platform executes its request, or it gets the
+    /// answer.
+    Advance(usize),
+    /// What is on its way is lost; a write may still arrive.
+    Lose(usize),
+    /// An old write arrives.
+    Late,
+    Crash(usize),
+    Want(usize, bool),
+    Pass(u64),
+}
+
+impl World {
+    fn new(rates: &[u64]) -> Self {
+        let processes = rates.iter().enumerate().map(|(index, &rate)| {
+            let mut lease = Lease::new(format!("p{index}"), Incarnation(1), DURATION);
+            lease.take();
+            Process {
+                lease,
+                incarnation: 1,
+                flight: None,
+                rate,
+            }
+        });
+        Self {
+            row: None,
+            version: 0,
+            late: Vec::new(),
+            processes: processes.collect(),
+            real_ms: 1000,
+            fence: 0,
+        }
+    }
+
+    fn now(&self, process: usize) -> Time {
+        Time(self.real_ms * 10 * self.processes[process].rate)
+    }
+
+    fn execute(&mut self, write: Write) -> Written {
+        let version = self.row.as_ref().map_or(0, |(version, _)| *version);
+        if version != write.expect {
+            return Written::Conflict;
+        }
+        self.version += 1;
+        let before = self.row.replace((self.version, write.grant.clone()));
+        let owner = |grant: &Grant| (grant.holder.clone(), grant.incarnation, grant.fence);
+        let renewed = before.is_some_and(|(_, grant)| owner(&grant) == owner(&write.grant));
+        let fence = write.grant.fence.0;
+        assert!(
+            renewed || fence > self.fence,
+            "fence {fence} was given out before"
+        );
+        self.fence = fence;
+        Written::Applied(self.version)
+    }
+
+    fn apply(&mut self, event: Event) -> Result<(), String> {
+        match event {
+            Event::Advance(index) => {
+                let now = self.now(index);
+                let process = &mut self.processes[index];
+                let next = match process.flight.take() {
+                    None => match process.lease.poll(now) {
+                        Step::Read => Some(Flight::Read),
+                        Step::Write(write) => Some(Flight::Write(write)),
+                        Step::Wait(_) | Step::Idle => None,
+                    },
+                    Some(Flight::Read) => Some(Flight::ReadDone(self.row.clone())),
+                    Some(Flight::Write(write)) => Some(Flight::WriteDone(self.execute(write))),
+                    Some(Flight::ReadDone(row)) => {
+                        process.lease.on_read(now, row);
+                        None
+                    }
+                    Some(Flight::WriteDone(written)) => {
+                        process.lease.on_write(written);
+                        None
+                    }
+                };
+                self.processes[index].flight = next;
+            }
+            Event::Lose(index) => match self.processes[index].flight.take() {
+                Some(Flight::Write(write)) => {
+                    self.late.push(write);
+                    self.processes[index].lease.on_write(Written::Lost);
+                }
+                Some(Flight::WriteDone(_)) => self.processes[index].lease.on_write(Written::Lost),
+                _ => {}
+            },
+            Event::Late => {
+                if let Some(write) = self.late.pop() {
+                    self.execute(write);
+                }
+            }
+            Event::Crash(index) => {
+                let process = &mut self.processes[index];
+                process.incarnation += 1;
+                let incarnation = Incarnation(process.incarnation);
+                process.lease = Lease::new(format!("p{index}"), incarnation, DURATION);
+                process.lease.take();
+                if let Some(Flight::Write(write)) = process.flight.take() {
+                    self.late.push(write);
+                }
+            }
+            Event::Want(index, true) => self.processes[index].lease.take(),
+            Event::Want(index, false) => self.processes[index].lease.release(),
+            Event::Pass(millis) => self.real_ms += millis,
+        }
+        let holders: Vec<_> = (0..self.processes.len())
+            .filter_map(|index| self.processes[index].lease.fence(self.now(index)))
+            .collect();
+        match holders.len() {
+            0 | 1 => Ok(()),
+            _ => Err(format!("two holders: {holders:?}")),
+        }
+    }
+
+    fn key(&self) -> String {
+        format!(
+            "{:?}",
+            (&self.row, &self.late, &self.processes, self.real_ms)
+        )
+    }
+
+    fn fence_of(&self, index: usize) -> Option<u64> {
+        let fence = self.processes[index].lease.fence(self.now(index));
+        fence.map(|fence| fence.0)
+    }
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let process = 0..3_usize;
+    prop_oneof![
+        20 => process.clone().prop_map(Event::Advance),
+        1 => process.clone().prop_map(Event::Lose),
+        1 => Just(Event::Late),
+        1 => process.clone().prop_map(Event::Crash),
+        2 => (process, any::<bool>()).prop_map(|(index, want)| Event::Want(index, want)),
+        2 => prop::sample::select(vec![1, 100, 300, 700, 999, 1001]).prop_map(Event::Pass),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(4000))]
+
+    /// Three processes, one with a slow and one with a fast clock. A process that takes no step
+    /// while time passes is paused; what it believes is checked at each moment.
+    #[test]
+    fn at_most_one_process_believes_it_holds_the_lease(
+        events in prop::collection::vec(event(), 0..400),
+    ) {
+        let mut world = World::new(&[91, 109, 100]);
+        for event in events {
+            if let Err(problem) = world.apply(event) {
+                return Err(TestCaseError::fail(problem));
+            }
+        }
+    }
+}
+
+/// All schedules of two contenders, one with a slow and one with a fast clock, up to 17 events and
+/// six steps of time with at most two faults; a state that was met before is not continued twice.
+#[test]
+fn two_contenders_exclude_each_other_in_every_schedule() {
+    const DEPTH: usize = 17;
+    const STEP_MS: u64 = 499;
+    let mut seen = HashSet::new();
+    let mut frontier = vec![(World::new(&[91, 109]), 0_u32)];
+    let (mut states, mut fence) = (0, 0);
+    for _ in 0..DEPTH {
+        let mut next = Vec::new();
+        for (world, faults) in frontier {
+            let mut events = vec![Event::Advance(0), Event::Advance(1), Event::Pass(STEP_MS)];
+            if faults < 2 {
+                events.extend([Event::Lose(0), Event::Lose(1), Event::Crash(0)]);
+                events.extend([Event::Want(0, false), Event::Want(0, true)]);
+            }
+            if !world.late.is_empty() {
+                events.push(Event::Late);
+            }
+            for event in events {
+                let mut after = world.clone();
+                if let Err(problem) = after.apply(event) {
+                    panic!("{problem} after {event:?} in {world:#?}");
+                }
+                let fault = matches!(event, Event::Lose(_) | Event::Crash(_) | Event::Want(..));
+                let faults = faults + u32::from(fault);
+                let over = after.real_ms > 1000 + 6 * STEP_MS;
+                if !over && seen.insert((after.key(), faults)) {
+                    fence = fence.max(after.fence);
+                    next.push((after, faults));
+                }
+            }
+        }
+        states += next.len();
+        frontier = next;
+    }
+    println!(
+        "{states} states, {} at the last depth, greatest fence {fence}",
+        frontier.len()
+    );
+    assert!(
+        fence >= 2,
+        "no schedule reached a second holder, so nothing was shown"
+    );
+}
+
+/// Guards against a lease that nobody can take again, or that is lost with one lost answer.
+#[test]
+fn a_lost_answer_keeps_the_lease_and_a_release_frees_it() {
+    let mut world = World::new(&[100, 100]);
+    let step = |world: &mut World, events: &[Event]| {
+        for &event in events {
+            world.apply(event).unwrap();
+        }
+    };
+    let read = [Event::Advance(0); 3];
+    step(&mut world, &read);
+    // The write takes effect and its answer is lost; reading the row settles it.
+    step(
+        &mut world,
+        &[Event::Advance(0), Event::Advance(0), Event::Lose(0)],
+    );
+    assert_eq!(world.fence_of(0), None);
+    step(&mut world, &read);
+    assert_eq!(world.fence_of(0), Some(1));
+    step(&mut world, &[Event::Advance(1); 6]);
+    assert_eq!(world.fence_of(1), None);
+    step(&mut world, &[Event::Want(0, false)]);
+    step(&mut world, &read);
+    step(&mut world, &[Event::Pass(300)]);
+    step(&mut world, &[Event::Advance(1); 6]);
+    assert_eq!(world.fence_of(1), Some(2));
+}
