--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -7,6 +7,11 @@
 mod demo;
 mod deployment;
 mod process;
+mod prove;
+mod relay;
+mod replay;
+mod slopes;
+mod torture;
 
 use std::process::ExitCode;
 
@@ -15,6 +20,18 @@
   demo [--deployment NAME]   send a conversation through all processes, let it return after the
                              engines dropped their caches, and print what each prompt cost;
                              without --deployment both, lakeshore and herrera
+  slopes [--no-processes]    measure how the cost of a node grows with the size of the system
+  replay TRACE [--deployment NAME] [--policy NAME] [--set KNOB=VALUE] [--json]
+                             replay a trace in virtual time; see docs/routing.md
+  torture [--seed N] [--rounds N] [--deployment NAME] [--json] [--only-round N] [--keep-logs]
+          [--fail-fast] [--no-build]
+                             rounds of random faults over a small cluster, and a check of what
+                             callers were told against what was executed; the same seed gives the
+                             same schedule
+  prove [NAME ...] [--deployment NAME] [--no-build]
+                             one focused test for each invariant over real processes: at-most-once,
+                             not-run, whole-answers, drained, in-force, foreign-blocks, cold,
+                             shutdown; without a name all of them
 Exit codes: 0 passed, 1 failed, 2 wrong arguments.";
 
 /// A failure with its message.
@@ -30,7 +47,11 @@
     let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
     let result = match arguments.subcommand() {
         Ok(Some(command)) => match command.as_str() {
+            "replay" => replay::run(arguments),
             "demo" => runtime.block_on(demo::run(arguments)),
+            "slopes" => runtime.block_on(slopes::run(arguments)),
+            "prove" => runtime.block_on(prove::run(arguments)),
+            "torture" => runtime.block_on(torture::run(arguments)),
             other => {
                 eprintln!("unknown command {other:?}; see --help");
                 return ExitCode::from(2);
