--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -77,9 +77,14 @@
             false => StatusCode::SERVICE_UNAVAILABLE.into_response(),
         })
     };
-    let status =
-        warp::path!("status").map(move || warp::reply::json(&source.status()).into_response());
-    let metrics = warp::path!("metrics").map(move || metrics.render().into_response());
+    let status = {
+        let source = Arc::clone(&source);
+        warp::path!("status").map(move || warp::reply::json(&source.status()).into_response())
+    };
+    let metrics = warp::path!("metrics").map(move || {
+        metrics.ready.set(source.is_ready().into());
+        metrics.render().into_response()
+    });
     let routes = warp::get().and(ready.or(status).unify().or(metrics).unify());
     tokio::spawn(warp::serve(routes).incoming(listener).run());
     Ok(address)
--- a/crates/daemon/src/agent/rollout.rs
+++ b/crates/daemon/src/agent/rollout.rs
@@ -58,6 +58,8 @@
 enum Stop {
     /// the lease was lost
     Lease,
+    /// the rules name other weights by now
+    Changed,
     /// it is the model's last ready target
     LastTarget,
     /// the platform is unavailable: {0}
@@ -188,6 +190,13 @@
         if !self.is_drained() && !self.has_ready_sibling().await? {
             return Err(Stop::LastTarget);
         }
+        // Waiting for the leases may have taken long: the rules and the turn may have changed.
+        let rules = self.view.rules();
+        let named = rules.models.get(&self.model).map(|served| &served.weights);
+        if named != Some(wanted) {
+            return Err(Stop::Changed);
+        }
+        turn.fence().ok_or(Stop::Lease)?;
         self.report(Some("finishes running requests"));
         self.gate.set_out(true);
         self.gate.wait_empty(DRAIN_TIMEOUT).await;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -9,7 +9,7 @@
 #[derive(Debug, Clone)]
 pub struct Metrics {
     registry: Registry,
-    /// Requests by how they ended.
+    /// Requests by kind.
     pub requests: IntCounterVec,
     /// Refusals by reason.
     pub refusals: IntCounterVec,
@@ -27,6 +27,8 @@
     pub rollouts: IntCounterVec,
     /// Requests sent to the target and not finished.
     pub in_flight: IntGauge,
+    /// Whether the process takes new work.
+    pub ready: IntGauge,
     /// The version of the configuration in force.
     pub version: IntGauge,
 }
@@ -80,8 +82,8 @@
         Self {
             requests: counters(
                 "boragereel_requests_total",
-                "requests by outcome",
-                "outcome",
+                "requests by kind",
+                "kind",
             ),
             refusals: counters("boragereel_refusals_total", "refusals by reason", "reason"),
             tokens: counter("boragereel_tokens_relayed_total", "tokens passed on"),
@@ -105,6 +107,7 @@
                 "outcome",
             ),
             in_flight: gauge("boragereel_in_flight", "requests at the target"),
+            ready: gauge("boragereel_ready", "1 if the process takes new work"),
             version: gauge(
                 "boragereel_config_version",
                 "configuration version in force",
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -32,8 +32,14 @@
     pub weights: String,
     /// Orders with their fencing number and the time since the test started.
     pub orders: Vec<(u64, String)>,
-    /// Whether the answers to orders are lost after they took effect.
+    /// Whether the answers to orders are lost while the orders are carried out.
     pub lose: bool,
+    /// Whether the next completion finds that an order was carried out right before it.
+    pub swap: bool,
+    /// Completions that were given up.
+    pub cancelled: u32,
+    /// Blocks that were read out of the cache.
+    pub exported: u32,
 }
 
 /// Everything that the agents of a test see.
@@ -164,7 +170,34 @@
                     let (engine, loads) = (Arc::clone(&ordered), Arc::clone(&loads));
                     async move { carry_out(&order, &engine, &loads).await }
                 });
-        (serve(load.or(orders).unify()).await, engine)
+        let completing = Arc::clone(&engine);
+        let complete = warp::path!("v1" / "completions").map(move || {
+            let mut engine = completing.lock().unwrap();
+            if std::mem::take(&mut engine.swap) {
+                engine.weights = "v2".to_owned();
+                engine.boot += 1;
+            }
+            let event = json!({ "choices": [{ "text": "w", "finish_reason": null }] });
+            let end = json!({ "choices": [{ "text": "", "finish_reason": "stop" }],
+                "usage": { "prompt_tokens": 2000, "completion_tokens": 1 } });
+            let body = format!("id: 0\ndata: {event}\n\ndata: {end}\n\n");
+            warp::reply::with_header(body, "x-boot", engine.boot.to_string()).into_response()
+        });
+        let cancelling = Arc::clone(&engine);
+        let cancel = warp::path!("v1" / "streams" / String).map(move |_| {
+            cancelling.lock().unwrap().cancelled += 1;
+            StatusCode::NO_CONTENT.into_response()
+        });
+        let exporting = Arc::clone(&engine);
+        let export = warp::path!("v1" / "kv" / String).map(move |_| {
+            let mut engine = exporting.lock().unwrap();
+            engine.exported += 1;
+            // Weights are loaded right after the block was read.
+            engine.boot += 1;
+            "block".into_response()
+        });
+        let routes = load.or(orders).unify().or(complete).unify();
+        (serve(routes.or(cancel).unify().or(export).unify()).await, engine)
     }
 
     /// Accepts rules.
@@ -233,7 +266,11 @@
     }
 }
 
-async fn carry_out(order: &Value, engine: &Mutex<Engine>, loads: &Mutex<(u32, u32)>) -> Response {
+async fn carry_out(
+    order: &Value,
+    engine: &Arc<Mutex<Engine>>,
+    loads: &Arc<Mutex<(u32, u32)>>,
+) -> Response {
     let weights = order["weights"].as_str().unwrap().to_owned();
     let fence = order["fence"].as_u64().unwrap();
     engine.lock().unwrap().orders.push((fence, weights.clone()));
@@ -242,15 +279,20 @@
         loads.0 += 1;
         loads.1 = loads.1.max(loads.0);
     }
-    sleep(LOAD).await;
-    loads.lock().unwrap().0 -= 1;
-    let mut engine = engine.lock().unwrap();
-    engine.weights = weights;
-    engine.boot += 1;
-    if engine.lose {
+    let lose = engine.lock().unwrap().lose;
+    let (loading, engine) = (Arc::clone(loads), Arc::clone(engine));
+    let load = tokio::spawn(async move {
+        sleep(if lose { LOAD * 4 } else { LOAD }).await;
+        loading.lock().unwrap().0 -= 1;
+        let mut engine = engine.lock().unwrap();
+        engine.weights = weights;
+        engine.boot += 1;
+    });
+    if lose {
         let lost = Err::<Vec<u8>, _>(std::io::Error::other("lost on purpose"));
         return warp::reply::stream(futures_util::stream::iter([lost])).into_response();
     }
+    load.await.unwrap();
     StatusCode::OK.into_response()
 }
 
