--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -20,7 +20,7 @@
   platform  table service, object store and host list
   weights   weight store              --load-ms N (2000)
   store     store host                --capacity-bytes N (268435456)
-  service   plain service             --name NAME
+  service   plain service             --name NAME --call-ms N (5)
   engine    model engine              --model NAME --weights VERSION --cold-limit N (2)
                                       --warm-limit N (16) --warm-after N (8) --blocks N (64)
                                       --prefill-us N (100) --token-us N (2000)
@@ -71,8 +71,9 @@
         }
         "service" => {
             let name: String = arguments.value_from_str("--name")?;
+            let call_ms = arguments.opt_value_from_str("--call-ms")?.unwrap_or(5);
             finish(arguments)?;
-            serve(&kind, listen, service::routes(&name)).await
+            serve(&kind, listen, service::routes(&name, call_ms)).await
         }
         "engine" => {
             let settings = engine::Settings {
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -18,11 +18,9 @@
     body: String,
 }
 
-/// How long a call takes.
-const CALL_TIME: Duration = Duration::from_millis(5);
-
 pub(crate) fn routes(
     name: &str,
+    call_ms: u64,
 ) -> impl Filter<Extract = (Response,), Error = Rejection> + Clone + use<> {
     let switch = Switch::default();
     let executed: Shared<Vec<Executed>> = Shared::default();
@@ -34,6 +32,7 @@
         .and(with(&switch))
         .and(with(&executed))
         .and(with(&name))
+        .and(with(&Duration::from_millis(call_ms)))
         .then(run);
     let log = warp::path!("log")
         .and(with(&executed))
@@ -54,6 +53,7 @@
     switch: Switch,
     executed: Shared<Vec<Executed>>,
     name: String,
+    call_time: Duration,
 ) -> Response {
     let verdict = switch.apply().await;
     if verdict == Verdict::Down {
@@ -70,7 +70,7 @@
         });
         executed.len()
     };
-    tokio::time::sleep(CALL_TIME).await;
+    tokio::time::sleep(call_time).await;
     let reply = json!({ "instance": name, "call": call, "receipt": receipt, "echo": body });
     answer(&verdict, json(&reply))
 }
--- a/xtask/src/cluster.rs
+++ b/xtask/src/cluster.rs
@@ -38,6 +38,8 @@
     pub(crate) with_links: bool,
     /// Further options of each engine.
     pub(crate) engine: Vec<String>,
+    /// Further options of each service.
+    pub(crate) service: Vec<String>,
     /// Requests at the same time that a warm engine and its agent take.
     pub(crate) warm_limit: Option<u32>,
 }
@@ -256,7 +258,9 @@
         }
         for index in 0..self.deployment.services {
             let name = format!("{}-{index}", self.deployment.service);
-            let service = standin(&folder, &name, &["service", "--name", &name]).await?;
+            let mut arguments = vec!["service", "--name", &name];
+            arguments.extend(self.options.service.iter().map(String::as_str));
+            let service = standin(&folder, &name, &arguments).await?;
             self.services.push(service);
         }
         Ok(())
--- a/xtask/src/torture/mod.rs
+++ b/xtask/src/torture/mod.rs
@@ -48,6 +48,8 @@
     let folder = std::env::temp_dir().join(format!("boragereel-torture-{}", std::process::id()));
     let options = Options {
         with_links: true,
+        // Long enough that faults meet calls that are under way.
+        service: vec!["--call-ms".to_owned(), "60".to_owned()],
         ..Options::default()
     };
     let cluster = Cluster::start_with(deployment, &folder, options).await?;
@@ -92,6 +94,8 @@
     client: Arc<Client>,
     injector: Injector,
     seed: u64,
+    /// The names of all links.
+    names: Vec<String>,
     outcomes: Vec<Outcome>,
     /// Team, prompt and answer of ended conversations.
     conversations: Vec<(usize, String)>,
@@ -118,6 +122,7 @@
             service: cluster.deployment.service.clone(),
         };
         Ok(Self {
+            names: cluster.links.iter().map(|link| link.name.clone()).collect(),
             cluster,
             client: Arc::new(client),
             injector: Injector::new(),
@@ -132,7 +137,7 @@
     /// Sends the requests of a round while its faults come and go, and waits for all of them.
     async fn round(&mut self, number: u32) -> Result<()> {
         let deployment = &self.cluster.deployment;
-        let round = schedule::draw(self.seed, number, deployment, self.cluster.links.len());
+        let round = schedule::draw(self.seed, number, deployment, &self.names);
         log::debug!("round {number}: {:?}", round.faults);
         let mut tasks = self.send(number, &round);
         self.inject(number, &round).await?;
@@ -314,8 +319,7 @@
             .and_then(|(_, rest)| rest.split(' ').next())
             .and_then(|number| number.parse().ok());
         if let Some(number) = number {
-            let links = &self.cluster.links;
-            let round = schedule::draw(self.seed, number, &self.cluster.deployment, links.len());
+            let round = schedule::draw(self.seed, number, &self.cluster.deployment, &self.names);
             detail.push_str(&format!(" {:?}", round.faults));
         }
     }
--- a/xtask/src/torture/schedule.rs
+++ b/xtask/src/torture/schedule.rs
@@ -102,7 +102,7 @@
 const CALLS: usize = 5;
 
 /// Draws a round; the same seed and number give the same round.
-pub(super) fn draw(seed: u64, number: u32, deployment: &Deployment, links: usize) -> Round {
+pub(super) fn draw(seed: u64, number: u32, deployment: &Deployment, links: &[String]) -> Round {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     rng.set_stream(u64::from(number) + 1);
     let faults = (0..rng.random_range(1..=2))
@@ -142,7 +142,7 @@
     Round { faults, asks }
 }
 
-fn draw_fault(rng: &mut ChaCha8Rng, deployment: &Deployment, links: usize) -> Fault {
+fn draw_fault(rng: &mut ChaCha8Rng, deployment: &Deployment, links: &[String]) -> Fault {
     let daemons = deployment.entries + deployment.engines + deployment.services;
     let daemon = |number: usize| match number.checked_sub(deployment.entries) {
         Some(agent) => Part::Agent(agent),
@@ -151,7 +151,7 @@
     let engine = rng.random_range(0..deployment.engines);
     let store = rng.random_range(0..deployment.stores);
     let service = rng.random_range(0..deployment.services);
-    let link = rng.random_range(0..links);
+    let link = draw_link(rng, links);
     let number = rng.random_range(0..daemons);
     match rng.random_range(0..KINDS) {
         0 | 1 => Fault::Kill(daemon(number)),
@@ -190,6 +190,22 @@
     }
 }
 
+/// Draws a link, more often one that requests pass than one between parts that seldom talk.
+fn draw_link(rng: &mut ChaCha8Rng, links: &[String]) -> usize {
+    let is_on_path = |name: &str| {
+        let (from, to) = name.split_once('>').unwrap_or_default();
+        from.starts_with("entry") && to.starts_with("agent")
+            || from.starts_with("agent") && !to.starts_with("agent") && !to.starts_with("entry")
+    };
+    let on_path: Vec<_> = (0..links.len())
+        .filter(|&link| is_on_path(&links[link]))
+        .collect();
+    match on_path.choose(rng) {
+        Some(&link) if rng.random_bool(0.7) => link,
+        _ => rng.random_range(0..links.len()),
+    }
+}
+
 impl Fault {
     /// Returns the kind for the count of injected faults.
     pub(super) fn kind(&self) -> &'static str {
