--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -9,6 +9,8 @@
 mod process;
 mod prove;
 mod relay;
+mod replay;
+mod slopes;
 mod torture;
 
 use std::process::ExitCode;
@@ -18,6 +20,9 @@
   demo [--deployment NAME]   send a conversation through all processes, let it return after the
                              engines dropped their caches, and print what each prompt cost;
                              without --deployment both, lakeshore and herrera
+  slopes [--no-processes]    measure how the cost of a node grows with the size of the system
+  replay TRACE [--deployment NAME] [--policy NAME] [--set KNOB=VALUE] [--json]
+                             replay a trace in virtual time; see docs/routing.md
   torture [--seed N] [--rounds N] [--deployment NAME] [--json] [--only-round N] [--keep-logs]
           [--fail-fast] [--no-build]
                              rounds of random faults over a small cluster, and a check of what
@@ -42,7 +47,9 @@
     let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
     let result = match arguments.subcommand() {
         Ok(Some(command)) => match command.as_str() {
+            "replay" => replay::run(arguments),
             "demo" => runtime.block_on(demo::run(arguments)),
+            "slopes" => runtime.block_on(slopes::run(arguments)),
             "prove" => runtime.block_on(prove::run(arguments)),
             "torture" => runtime.block_on(torture::run(arguments)),
             other => {
