xtask: slopes of the control protocol in virtual time

Cause: the cost of gossip at full size has to be measured, with every message counted as it is encoded. Ruled out: real processes beyond a few hundred on one machine.

--- a/xtask/src/slopes/mod.rs
+++ b/xtask/src/slopes/mod.rs
@@ -2,6 +2,7 @@
 
 mod fit;
 mod idle;
+mod network;
 mod probe;
 
 use fit::Series;
@@ -40,6 +41,9 @@
     for series in cores()? {
         println!("{}", series.row());
     }
+    for series in control() {
+        println!("{}", series.row());
+    }
     if !skip_processes {
         process::build()?;
         for series in processes().await? {
@@ -142,6 +146,62 @@
     Ok(all)
 }
 
+/// The time within which a change has to be in force everywhere, in seconds.
+const IN_FORCE_LIMIT: f64 = 4.0;
+/// Half of the reads a second that the platform takes.
+const READS_LIMIT: f64 = 1000.0;
+/// The seed of the simulated network.
+const SEED: u64 = 1;
+
+fn control() -> Vec<Series> {
+    let costs: Vec<(f64, network::Cost)> = PROCESS_SIZES
+        .iter()
+        .map(|&size| (size as f64, network::measure(size, SEED)))
+        .collect();
+    let series = |name, pick: fn(&network::Cost) -> f64, limit| Series {
+        name,
+        per: "processes",
+        points: costs
+            .iter()
+            .map(|(size, cost)| (*size, pick(cost)))
+            .collect(),
+        full: PROCESSES,
+        limit,
+    };
+    vec![
+        series(
+            "control bytes of a process, mean (B/s)",
+            |cost| cost.bytes,
+            Some(BYTES_LIMIT),
+        ),
+        series(
+            "control bytes of a process, most (B/s)",
+            |cost| cost.most_bytes,
+            Some(BYTES_LIMIT),
+        ),
+        series(
+            "control messages of a process (1/s)",
+            |cost| cost.messages,
+            None,
+        ),
+        series(
+            "platform calls of all processes (1/s)",
+            |cost| cost.reads,
+            Some(READS_LIMIT),
+        ),
+        series(
+            "change in force everywhere (s)",
+            |cost| cost.in_force,
+            Some(IN_FORCE_LIMIT),
+        ),
+        series(
+            "platform calls, worst second (1/s)",
+            |cost| cost.worst_second,
+            Some(READS_LIMIT),
+        ),
+    ]
+}
+
 const TEAM_SIZES: [usize; 4] = [525, 1050, 2100, 4200];
 const PROCESS_SIZES: [usize; 4] = [416, 832, 1665, 3330];
 const TARGET_SIZES: [usize; 4] = [300, 600, 1200, 2400];
@@ -176,6 +236,10 @@
             Some(MEMORY_LIMIT),
         ),
         series("idle process, control sent (B/s)", sent, Some(BYTES_LIMIT)),
-        series("platform reads of all processes (1/s)", reads, Some(1000.0)),
+        series(
+            "platform reads of all processes (1/s)",
+            reads,
+            Some(READS_LIMIT),
+        ),
     ])
 }
--- a/xtask/src/slopes/probe.rs
+++ b/xtask/src/slopes/probe.rs
@@ -1,15 +1,15 @@
 //! Measurements that run in a process of their own, so that memory can be read off cleanly.
 
 use std::hint::black_box;
-use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use context::Secret;
-use control::{Directory, Member, Role};
+use control::Directory;
 use rules::{Snapshot, key_digest};
 use serde::{Deserialize, Serialize};
-use types::{Incarnation, Model, Team, Version, Weights};
+use types::{Model, Team, Version, Weights};
 
+use super::network::member;
 use crate::Result;
 
 /// What a probe measured.
@@ -139,19 +139,3 @@
     }
     text
 }
-
-fn member(index: usize) -> Member {
-    let domain = index % 9;
-    Member {
-        name: format!("agent-engine-{index}"),
-        incarnation: Incarnation(1_700_000_000_000),
-        address: SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + index as u32), 7000)),
-        host: format!("host-{index}").into(),
-        domain: format!("domain-{domain}").into(),
-        region: format!("region-{}", domain / 3).into(),
-        role: Role::Engine {
-            target: format!("engine-{index}").into(),
-            model: format!("model-{}", index % 16).into(),
-        },
-    }
-}
