admission: team limits with grants in batches; each entry enforces its share

Cause: nothing limited a team's rate.

The daemon enforces the share of each entry (429, ran: no, Retry-After); the grant frames between entries are not written yet.

Ruled out: a concurrency limit in the same place; it needs the end of each request.

The overshoot is tested under random schedules of requests, lost and late grants and changes of coordinator: at most one burst per change and the fallback share.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -7,7 +7,9 @@
 mod gate;
 mod pace;
 mod queue;
+mod team;
 
 pub use gate::{Decision, Gate, Limits, Outcome, Refusal};
 pub use pace::Pace;
 pub use queue::Ask;
+pub use team::{Coordinator, Meter, Rate, Take};
--- /dev/null
+++ b/crates/admission/tests/team.rs
@@ -0,0 +1,152 @@
+//! Guards against a team that gets more than its rate over all entries, beyond the stated
+//! overshoot, and against one that gets nothing while its coordinator is silent.
+
+use std::time::Duration;
+
+use admission::{Coordinator, Meter, Rate, Take};
+use proptest::prelude::*;
+use types::{Team, Time};
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// A request at this entry.
+    Request(usize),
+    /// The grants on their way arrive.
+    Deliver,
+    /// The grants on their way are lost.
+    Lose,
+    /// Another entry becomes the coordinator, with full buckets.
+    Change,
+    Wait(u64),
+}
+
+const ENTRIES: usize = 3;
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        40 => (0..ENTRIES).prop_map(Step::Request),
+        20 => Just(Step::Deliver),
+        1 => Just(Step::Lose),
+        1 => Just(Step::Change),
+        10 => (1u64..120).prop_map(Step::Wait),
+    ];
+    proptest::collection::vec(step, 1..1500)
+}
+
+proptest! {
+    #[test]
+    fn a_team_gets_its_rate_and_no_more(steps in steps(), per_second in 1u32..200, burst in 1u32..50) {
+        let (team, rate) = (Team::from("team"), Rate { per_second, burst });
+        let mut meters: Vec<Meter> = (0..ENTRIES).map(|_| Meter::default()).collect();
+        let mut coordinator = Coordinator::default();
+        let (mut now, mut admitted, mut changes) = (Time(0), 0, 0);
+        let mut fell_back = false;
+        let mut grants = Vec::new();
+        for step in steps {
+            match step {
+                Step::Request(entry) => match meters[entry].take(&team, rate, ENTRIES, now) {
+                    Take::Admit => admitted += 1,
+                    Take::Ask(wanted) => {
+                        grants.push((entry, coordinator.grant(&team, rate, wanted, now)));
+                    }
+                    Take::Wait | Take::Refuse(_) => {}
+                },
+                Step::Deliver => {
+                    for (entry, granted) in grants.drain(..) {
+                        meters[entry].on_grant(&team, granted, now);
+                    }
+                }
+                Step::Lose => {
+                    fell_back |= !grants.is_empty();
+                    grants.clear();
+                }
+                Step::Change => {
+                    coordinator = Coordinator::default();
+                    changes += 1;
+                }
+                Step::Wait(millis) => {
+                    fell_back |= !grants.is_empty();
+                    now = now + Duration::from_millis(millis);
+                }
+            }
+        }
+        let seconds = now.since(Time(0)).as_secs_f64();
+        let filled = f64::from(rate.per_second) * seconds;
+        let mut bound = f64::from(burst) * (1.0 + f64::from(changes)) + filled;
+        if fell_back {
+            let share = rate.share(ENTRIES);
+            bound += ENTRIES as f64 * (f64::from(share.burst) + f64::from(share.per_second) * seconds);
+        }
+        prop_assert!(f64::from(admitted) <= bound + 1.0, "{admitted} admitted, at most {bound:.1}");
+    }
+
+    #[test]
+    fn a_silent_coordinator_leaves_each_entry_its_share(per_second in 1u32..1000, entries in 1usize..100) {
+        let (team, rate) = (Team::from("team"), Rate { per_second, burst: per_second });
+        let mut meter = Meter::default();
+        let mut admitted = 0u32;
+        for millis in 0..10_000 {
+            let decision = meter.take(&team, rate, entries, Time::from_millis(millis));
+            admitted += u32::from(decision == Take::Admit);
+        }
+        let share = (per_second / entries as u32).max(1);
+        prop_assert!(admitted >= share * 6, "{admitted} at a share of {share} in 10 s");
+        prop_assert!(admitted <= share * 11, "{admitted} at a share of {share} in 10 s");
+    }
+}
+
+#[test]
+fn an_empty_grant_refuses_for_a_short_while_and_asks_nobody() {
+    let (team, mut meter) = (Team::from("team"), Meter::default());
+    let rate = Rate {
+        per_second: 10,
+        burst: 10,
+    };
+    assert_eq!(meter.take(&team, rate, 3, Time(0)), Take::Ask(1));
+    assert_eq!(meter.take(&team, rate, 3, Time(0)), Take::Wait);
+    meter.on_grant(&team, 0, Time(0));
+    let refused = meter.take(&team, rate, 3, Time(0));
+    assert_eq!(refused, Take::Refuse(Duration::from_millis(100)));
+    let again = meter.take(&team, rate, 3, Time::from_millis(100));
+    assert_eq!(again, Take::Ask(1));
+}
+
+#[test]
+fn an_old_grant_is_not_used() {
+    let (team, mut meter) = (Team::from("team"), Meter::default());
+    let rate = Rate {
+        per_second: 100,
+        burst: 100,
+    };
+    assert_eq!(meter.take(&team, rate, 3, Time(0)), Take::Ask(10));
+    meter.on_grant(&team, 10, Time(0));
+    assert_eq!(meter.take(&team, rate, 3, Time(0)), Take::Admit);
+    // A copy of the grant that comes late adds nothing.
+    meter.on_grant(&team, 10, Time(0));
+    for _ in 0..8 {
+        assert_eq!(meter.take(&team, rate, 3, Time(0)), Take::Admit);
+    }
+    let late = meter.take(&team, rate, 3, Time::from_millis(1001));
+    assert_eq!(late, Take::Ask(10));
+    meter.on_grant(&team, 10, Time::from_millis(1001));
+    for _ in 0..10 {
+        let decision = meter.take(&team, rate, 3, Time::from_millis(1001));
+        assert_eq!(decision, Take::Admit);
+    }
+    meter.on_grant(&team, 10, Time::from_millis(1001));
+    let next = meter.take(&team, rate, 3, Time::from_millis(1001));
+    assert_eq!(next, Take::Ask(10));
+}
+
+#[test]
+fn an_idle_team_saves_up_no_more_than_its_burst() {
+    let (team, mut coordinator) = (Team::from("team"), Coordinator::default());
+    let rate = Rate {
+        per_second: 100,
+        burst: 20,
+    };
+    assert_eq!(coordinator.grant(&team, rate, 1000, Time(0)), 20);
+    let later = Time::from_millis(100_000);
+    assert_eq!(coordinator.grant(&team, rate, 1000, later), 20);
+    assert_eq!(coordinator.grant(&team, rate, 1000, later), 0);
+}
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -13,9 +13,9 @@
 use warp::{Filter, Rejection, Reply};
 use wire::{Call, End, Prompt, Reason, Token};
 
-use super::Shared;
 use super::api::{Chat, Refusal, chunk, completion, last_chunk};
 use super::relay::{self, Job, Piece};
+use super::{Shared, limit};
 
 /// The largest body that is read, in bytes.
 const MAX_BODY_BYTES: u64 = 8 << 20;
@@ -98,6 +98,7 @@
 
 async fn chat(shared: &Arc<Shared>, headers: &Headers, body: &[u8]) -> Result<Response, Refusal> {
     let caller = authenticate(shared, headers)?;
+    limit::check(shared, &caller.team)?;
     let chat: Chat = serde_json::from_slice(body)
         .map_err(|error| Refusal::caller(400, "invalid", &format!("the body: {error}")))?;
     if let Some(problem) = chat.problem() {
@@ -167,6 +168,7 @@
     body: &[u8],
 ) -> Result<Response, Refusal> {
     let caller = authenticate(shared, headers)?;
+    limit::check(shared, &caller.team)?;
     if headers
         .key
         .as_ref()
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -4,6 +4,7 @@
 
 mod api;
 mod http;
+mod limit;
 mod load;
 mod relay;
 mod route;
@@ -60,6 +61,7 @@
     metrics: Metrics,
     loads: Loads,
     routes: Arc<Routes>,
+    limits: limit::Limits,
 }
 
 /// Starts an entry as the settings say.
@@ -84,6 +86,7 @@
         metrics: metrics.clone(),
         loads: Loads::default(),
         routes: Arc::default(),
+        limits: limit::Limits::default(),
     });
     shared
         .routes
--- a/crates/daemon/src/entry/route.rs
+++ b/crates/daemon/src/entry/route.rs
@@ -38,6 +38,7 @@
     rules: Arc<Snapshot>,
     models: Table<Model, Arc<Member>>,
     services: Table<Service, Arc<Member>>,
+    entries: usize,
 }
 
 /// The number of candidates for the first try of a prompt; 2 give a p95 of returning prompts that
@@ -59,6 +60,11 @@
         });
     }
 
+    /// Returns the number of entries in the region.
+    pub(super) fn entries(&self) -> usize {
+        self.0.load().entries
+    }
+
     fn update(&self, view: &View, region: &Region) {
         let (directory, rules) = (view.directory(), view.rules());
         let known = self.0.load();
@@ -73,8 +79,10 @@
 impl Tables {
     fn new(directory: Arc<Directory>, rules: Arc<Snapshot>, region: &Region) -> Self {
         let (mut models, mut services) = (Table::default(), Table::default());
+        let mut entries = 0;
         for member in directory.iter().filter(|member| member.region == *region) {
             let Some(target) = member.role.target() else {
+                entries += 1;
                 continue;
             };
             if rules.is_drained(target, &member.host, &member.domain) {
@@ -94,6 +102,7 @@
             rules,
             models,
             services,
+            entries,
         }
     }
 }
