--- a/crates/daemon/src/agent/kept.rs
+++ b/crates/daemon/src/agent/kept.rs
@@ -1,11 +1,15 @@
 use std::sync::Arc;
 
-use context::{Block, Envelope, Secret};
+use context::{BLOCK_TOKENS, Block, Envelope, Secret, Urgency};
 use engine::{Client, Engine};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesOrdered;
 use store::Blocks;
+use tokio::time::{Instant, timeout_at};
 use types::Weights;
 
 use super::Error;
+use super::lane::Lane;
 use crate::metrics::Metrics;
 use crate::settings::StoreHost;
 
@@ -21,6 +25,7 @@
 struct Host {
     hash: u64,
     client: store::Client,
+    lane: Lane,
 }
 
 /// The number of store hosts that hold a block.
@@ -42,6 +47,7 @@
                 Ok(Host {
                     hash: u64::from_le_bytes(bytes),
                     client,
+                    lane: Lane::new(),
                 })
             })
             .collect();
@@ -52,54 +58,68 @@
         })
     }
 
-    /// Brings the longest held prefix of the blocks into the engine.
+    /// Brings the longest held prefix of the blocks into the engine; returns how many blocks it is.
     ///
-    /// Returns how many blocks it brought; whatever fails leaves the rest to be recomputed.
+    /// Fetching stops when recomputing everything would have taken as long: whatever fails or is
+    /// late is left to be recomputed.
     pub(super) async fn import(
         &self,
         secret: &Secret,
         weights: &Weights,
         blocks: &[Block],
     ) -> usize {
-        let Some((store, held)) = self.longest(blocks).await else {
+        let tokens = u32::try_from(blocks.len() * BLOCK_TOKENS).unwrap_or(u32::MAX);
+        let deadline = Instant::now() + routing::compute_time(tokens);
+        let Ok(Some((store, held))) = timeout_at(deadline, self.longest(blocks)).await else {
             return 0;
         };
-        for (index, block) in blocks[..held].iter().enumerate() {
-            let outcome = self.import_one(secret, weights, block, store).await;
-            self.metrics.blocks.with_label_values(&[outcome]).inc();
-            if outcome != "imported" {
-                return index;
+        // The lane bounds how many of them run at the same time.
+        let mut payloads = FuturesOrdered::new();
+        for block in &blocks[..held] {
+            payloads.push_back(self.fetch(secret, block, store));
+        }
+        let mut imported = 0;
+        // The blocks come in order, since an engine uses a prefix without gaps only.
+        while imported < held {
+            let outcome = match timeout_at(deadline, payloads.next()).await {
+                Err(_) => Err("late"),
+                Ok(None) => break,
+                Ok(Some(Err(outcome))) => Err(outcome),
+                Ok(Some(Ok(payload))) => {
+                    let id = &blocks[imported].id;
+                    let import = self.engine.import(id, weights, payload).await;
+                    import.map_err(|_| "import_failed")
+                }
+            };
+            let label = outcome.err().unwrap_or("imported");
+            self.metrics.blocks.with_label_values(&[label]).inc();
+            if outcome.is_err() {
+                break;
             }
+            imported += 1;
         }
-        held
+        imported
     }
 
-    async fn import_one(
+    /// Reads a block from a store and verifies it.
+    async fn fetch(
         &self,
         secret: &Secret,
-        weights: &Weights,
         block: &Block,
         store: &Host,
-    ) -> &'static str {
+    ) -> Result<Vec<u8>, &'static str> {
+        let _turn = store.lane.turn(Urgency::Fetch).await;
         let bytes = match store.client.get(&block.id).await {
             Ok(Some(bytes)) => bytes,
-            Ok(None) => return "missing",
-            Err(_) => return "store_failed",
+            Ok(None) => return Err("missing"),
+            Err(_) => return Err("store_failed"),
         };
-        let payload = match Envelope::open(secret, &block.id, &bytes) {
-            Ok(payload) => payload,
+        match Envelope::open(secret, &block.id, &bytes) {
+            Ok(payload) => Ok(payload.to_vec()),
             Err(miss) => {
                 log::warn!("a kept block was not used: {miss}");
-                return "not_verified";
+                Err("not_verified")
             }
-        };
-        match self
-            .engine
-            .import(&block.id, weights, payload.to_vec())
-            .await
-        {
-            Ok(()) => "imported",
-            Err(_) => "import_failed",
         }
     }
 
@@ -115,6 +135,10 @@
                     break;
                 };
                 let sealed = Envelope::seal(secret, id, &payload);
+                let Some(_turn) = store.lane.turn(Urgency::Export).await else {
+                    self.metrics.blocks.with_label_values(&["dropped"]).inc();
+                    break;
+                };
                 if store.client.put(id, sealed).await.is_err() {
                     break;
                 }
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -4,6 +4,7 @@
 mod claim;
 mod gate;
 mod kept;
+mod lane;
 mod prompt;
 mod service;
 
--- a/xtask/src/replay/kept.rs
+++ b/xtask/src/replay/kept.rs
@@ -37,6 +37,7 @@
             }
             return self.after(time, Event::FetchDeadline(attempt));
         }
+        let held = if self.knobs.believe { held } else { 0 };
         let prefixes: Vec<usize> = self
             .stores
             .iter()
--- a/xtask/src/replay/knobs.rs
+++ b/xtask/src/replay/knobs.rs
@@ -65,6 +65,9 @@
     pub(crate) urgent: bool,
     /// The deadline of a fetch, as a multiple of the time to recompute; 0 for none.
     pub(crate) patience: f64,
+    /// Whether an agent knows what its engine holds and fetches only the rest. Engines tell no
+    /// cache events yet, so the product fetches all.
+    pub(crate) believe: bool,
     /// Whether all targets are candidates after the first try.
     pub(crate) spill: bool,
 }
@@ -79,6 +82,7 @@
             urgent: true,
             patience: 1.0,
             spill: true,
+            believe: false,
         }
     }
 }
@@ -95,6 +99,7 @@
             "sized" => self.sized = value.parse()?,
             "urgent" => self.urgent = value.parse()?,
             "patience" => self.patience = value.parse()?,
+            "believe" => self.believe = value.parse()?,
             "spill" => self.spill = value.parse()?,
             _ => return Err(format!("--set: there is no knob {name:?}").into()),
         }
