--- a/crates/daemon/src/agent/kept.rs
+++ b/crates/daemon/src/agent/kept.rs
@@ -6,7 +6,7 @@
 use futures_util::stream::FuturesOrdered;
 use store::Blocks;
 use tokio::time::{Instant, timeout_at};
-use types::Weights;
+use types::{Boot, Weights};
 
 use super::Error;
 use super::lane::Lane;
@@ -123,8 +123,10 @@
         }
     }
 
-    /// Writes the blocks to their store hosts.
-    pub(super) async fn export(&self, secret: &Secret, blocks: &[Block]) {
+    /// Writes the blocks that the engine computed since this boot to their store hosts.
+    ///
+    /// An engine with another boot id may have bound the names to blocks of other weights.
+    pub(super) async fn export(&self, secret: &Secret, blocks: &[Block], boot: Boot) {
         for store in self.placed(blocks) {
             let ids: Vec<_> = blocks.iter().map(|block| block.id).collect();
             let Ok(held) = store.client.held(&ids).await else {
@@ -134,6 +136,10 @@
                 let Ok(Some(payload)) = self.engine.export(id).await else {
                     break;
                 };
+                let status = self.engine.status().await;
+                if !status.is_ok_and(|status| status.boot == boot) {
+                    return;
+                }
                 let sealed = Envelope::seal(secret, id, &payload);
                 let Some(_turn) = store.lane.turn(Urgency::Export).await else {
                     self.metrics.blocks.with_label_values(&["dropped"]).inc();
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -5,11 +5,13 @@
 mod gate;
 mod kept;
 mod lane;
+mod lease;
 mod prompt;
+mod rollout;
 mod service;
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use displaydoc::Display;
 use serde_json::{Value, json};
@@ -21,6 +23,7 @@
 use crate::settings::{Role, Settings};
 use answers::Answers;
 use gate::Gate;
+use rollout::{Progress, Rollout};
 
 /// A running agent.
 #[derive(Debug)]
@@ -54,6 +57,7 @@
     metrics: Metrics,
     answers: Answers,
     target: Target,
+    rollout: Option<Arc<Mutex<Progress>>>,
 }
 
 #[derive(Debug)]
@@ -72,6 +76,7 @@
     let listener = Listener::bind(settings.peer_address, settings.keys()).await?;
     let address = listener.address();
     let view = crate::control::spawn(settings, address, metrics.clone())?;
+    let mut rollout = None;
     let (gate, target) = match &settings.role {
         Role::Entry { .. } => return Err(Error::Role),
         Role::Engine {
@@ -80,7 +85,7 @@
             cold_limit,
             warm_limit,
             warm_after,
-            ..
+            target,
         } => {
             let limits = admission::Limits {
                 cold: *cold_limit,
@@ -91,6 +96,13 @@
             let gate = Gate::spawn(limits, metrics.clone());
             let backend =
                 prompt::Backend::spawn(settings, model.clone(), address, &gate, &metrics)?;
+            rollout = Some(Rollout::spawn(
+                settings,
+                (target.clone(), model.clone()),
+                (Arc::clone(&view), gate.clone()),
+                backend.engine(),
+                metrics.clone(),
+            )?);
             (gate, Target::Engine(backend))
         }
         Role::Service {
@@ -118,8 +130,10 @@
         metrics: metrics.clone(),
         answers: Answers::default(),
         target,
+        rollout,
     });
     let admin = crate::admin::spawn(settings.admin_address, metrics, Arc::clone(&shared)).await?;
+    crate::admin::register(Arc::clone(&shared.view), &settings.name, admin);
     tokio::spawn(accept(listener, shared));
     Ok(Agent {
         gate,
@@ -149,11 +163,16 @@
 
 impl Report for Shared {
     fn is_ready(&self) -> bool {
-        self.view.is_ready() && self.gate.state().is_ready()
+        !self.view.is_isolated() && self.gate.state().is_ready()
     }
 
     fn status(&self) -> Value {
         let state = self.gate.state();
+        let progress = self.rollout.as_ref().map(|progress| {
+            let progress = progress.lock().unwrap_or_else(PoisonError::into_inner);
+            progress.clone()
+        });
+        let progress = progress.unwrap_or_default();
         json!({
             "name": self.name,
             "version": self.view.version(),
@@ -161,6 +180,8 @@
             "state": state.name,
             "in_flight": state.load.in_flight,
             "limit": state.load.limit,
+            "weights": progress.weights,
+            "rollout": progress.rollout,
         })
     }
 }
@@ -177,7 +198,15 @@
         Ok(None) => return,
         Err(error) => return log::warn!("a stream carried no frame: {error}"),
     };
+    if let Frame::Dispatch(dispatch) = &frame {
+        shared.view.note_version(dispatch.version);
+    }
     match frame {
+        Frame::Control(message) => return shared.view.serve(message, &mut stream).await,
+        Frame::Dispatch(_) if shared.view.is_isolated() => {
+            let refused = shared.refuse(Reason::Isolated);
+            let _ = stream.sender.send(&refused).await;
+        }
         Frame::Dispatch(dispatch) => match (&shared.target, dispatch.work.clone()) {
             (Target::Engine(backend), Work::Prompt(prompt)) => {
                 prompt::run(&shared, backend, &dispatch, prompt, &mut stream).await;
--- a/crates/daemon/src/entry/route.rs
+++ b/crates/daemon/src/entry/route.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -5,7 +6,7 @@
 use control::{Directory, Member, Role};
 use routing::{Estimate, Key, REDIRECT_MARGIN, Table};
 use rules::Snapshot;
-use types::{Model, Region, Service};
+use types::{Host, Model, Region, Service};
 
 use super::Shared;
 use super::load::Loads;
@@ -36,6 +37,7 @@
 struct Tables {
     directory: Arc<Directory>,
     rules: Arc<Snapshot>,
+    leaving: Arc<BTreeSet<Host>>,
     models: Table<Model, Arc<Member>>,
     services: Table<Service, Arc<Member>>,
     entries: usize,
@@ -66,18 +68,26 @@
     }
 
     fn update(&self, view: &View, region: &Region) {
-        let (directory, rules) = (view.directory(), view.rules());
+        let (directory, rules, leaving) = (view.directory(), view.rules(), view.leaving());
         let known = self.0.load();
-        if Arc::ptr_eq(&known.directory, &directory) && Arc::ptr_eq(&known.rules, &rules) {
+        if Arc::ptr_eq(&known.directory, &directory)
+            && Arc::ptr_eq(&known.rules, &rules)
+            && Arc::ptr_eq(&known.leaving, &leaving)
+        {
             return;
         }
         self.0
-            .store(Arc::new(Tables::new(directory, rules, region)));
+            .store(Arc::new(Tables::new(directory, rules, leaving, region)));
     }
 }
 
 impl Tables {
-    fn new(directory: Arc<Directory>, rules: Arc<Snapshot>, region: &Region) -> Self {
+    fn new(
+        directory: Arc<Directory>,
+        rules: Arc<Snapshot>,
+        leaving: Arc<BTreeSet<Host>>,
+        region: &Region,
+    ) -> Self {
         let (mut models, mut services) = (Table::default(), Table::default());
         let mut entries = 0;
         for member in directory.iter().filter(|member| member.region == *region) {
@@ -85,7 +95,9 @@
                 entries += 1;
                 continue;
             };
-            if rules.is_drained(target, &member.host, &member.domain) {
+            if leaving.contains(&member.host)
+                || rules.is_drained(target, &member.host, &member.domain)
+            {
                 continue;
             }
             let shared = Arc::new(member.clone());
@@ -100,6 +112,7 @@
         Self {
             directory,
             rules,
+            leaving,
             models,
             services,
             entries,
