--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -64,7 +64,10 @@
         targets.push(json!({ "target": target, "region": member.region, "drained_by": rule }));
     }
     match &chosen {
-        Some(chosen) => lines.push(format!("the entry would choose: {chosen}")),
+        Some(chosen) => lines.push(format!(
+            "the entry would try, the first first: {}",
+            names(chosen).join(", ")
+        )),
         None if entry.is_some() => lines.push("the entry does not tell its choice".to_owned()),
         None => lines.push(
             "which candidates a conversation has follows from the team's secret; ask an entry with \
@@ -107,6 +110,13 @@
         .find(|drain| rules.drains.contains(drain))
 }
 
+/// Returns the names of the candidates in an entry's answer.
+fn names(chosen: &Value) -> Vec<&str> {
+    let candidates = chosen["candidates"].as_array();
+    let names = candidates.into_iter().flatten().filter_map(Value::as_str);
+    names.collect()
+}
+
 /// Asks an entry what it would choose; `None` when it does not offer that.
 async fn ask(
     entry: SocketAddr,
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use platform::{Commit, Table, Write};
+use serde::Deserialize;
 use serde_json::Value;
 use tokio::net::TcpListener;
+use types::{Model, Team};
 use warp::http::StatusCode;
 use warp::{Filter, Reply};
 
@@ -19,8 +21,28 @@
     fn is_ready(&self) -> bool;
     /// The state of the process, for people and for the command-line tool.
     fn status(&self) -> Value;
+    /// Where a prompt of a team would go, the best candidate first; `None` if this process does
+    /// not choose targets.
+    fn explain(&self, _question: &Question) -> Option<Value> {
+        None
+    }
+}
+
+/// A prompt whose way operators want to know; nothing is sent to a target.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Question {
+    /// The team that would ask.
+    pub team: Team,
+    /// The model that it would ask.
+    pub model: Model,
+    /// The text of the first message, as a user of the team would write it.
+    pub prompt: String,
 }
 
+/// The largest question that is read, in bytes.
+const MAX_QUESTION_BYTES: u64 = 8 << 20;
+
 /// How often the registration is tried while the platform is away.
 const REGISTER_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -81,11 +103,23 @@
         let source = Arc::clone(&source);
         warp::path!("status").map(move || warp::reply::json(&source.status()).into_response())
     };
+    let explain = {
+        let source = Arc::clone(&source);
+        warp::path!("explain")
+            .and(warp::post())
+            .and(warp::body::content_length_limit(MAX_QUESTION_BYTES))
+            .and(warp::body::json())
+            .map(move |question: Question| match source.explain(&question) {
+                Some(answer) => warp::reply::json(&answer).into_response(),
+                None => StatusCode::NOT_FOUND.into_response(),
+            })
+    };
     let metrics = warp::path!("metrics").map(move || {
         metrics.ready.set(source.is_ready().into());
         metrics.render().into_response()
     });
     let routes = warp::get().and(ready.or(status).unify().or(metrics).unify());
+    let routes = routes.or(explain).unify();
     tokio::spawn(warp::serve(routes).incoming(listener).run());
     Ok(address)
 }
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -19,7 +19,7 @@
 use tokio::task::JoinHandle;
 use wire::{Client, Keys, Listener};
 
-use crate::admin::Report;
+use crate::admin::{Question, Report};
 use crate::control::View;
 use crate::metrics::Metrics;
 use crate::settings::{Role, Settings};
@@ -143,6 +143,22 @@
         !self.view.is_isolated()
     }
 
+    fn explain(&self, question: &Question) -> Option<Value> {
+        let Question {
+            team,
+            model,
+            prompt,
+        } = question;
+        // The text of a chat with this one message, as `Chat::prompt` writes it.
+        let text = format!("user: {prompt}\n");
+        let root = context::root(&self.secret(team), model, &text);
+        let need = route::Need::Model(model, std::time::Duration::ZERO);
+        let key = routing::Key::new(&[&root]);
+        let candidates = route::candidates(self, need, key, true);
+        let names = candidates.iter().map(|one| one.member.name.as_str());
+        Some(json!({ "candidates": names.collect::<Vec<_>>() }))
+    }
+
     fn status(&self) -> Value {
         let members: Vec<_> = self.view.directory().iter().cloned().collect();
         json!({
