--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use daemon::agent::{self, Agent};
+use daemon::entry::{self, Entry};
 use daemon::settings::Settings;
 use platform::config::{self, Record};
 use platform::{Client, Commit, Row, Table, Write};
@@ -38,6 +39,8 @@
     pub lose: bool,
     /// Whether the next completion finds that an order was carried out right before it.
     pub swap: bool,
+    /// Completions that were taken.
+    pub taken: u32,
     /// Completions that were given up.
     pub cancelled: u32,
     /// Blocks that were read out of the cache.
@@ -184,6 +187,7 @@
         let completing = Arc::clone(&engine);
         let complete = warp::path!("v1" / "completions").map(move || {
             let mut engine = completing.lock().unwrap();
+            engine.taken += 1;
             if std::mem::take(&mut engine.swap) {
                 engine.weights = "v2".to_owned();
                 engine.boot += 1;
@@ -258,19 +262,31 @@
 
     /// Starts the agent beside an engine.
     pub async fn agent(&self, index: usize) -> Agent {
+        let role = json!({ "engine": { "target": format!("t{index}"), "model": "m",
+            "address": format!("http://{}", self.engines[index].0),
+            "cold_limit": 2, "warm_limit": 4 } });
+        agent::spawn(&self.settings(&index.to_string(), &role))
+            .await
+            .unwrap()
+    }
+
+    /// Starts an entry.
+    pub async fn entry(&self) -> Entry {
+        let role = json!({ "entry": { "http_address": "127.0.0.1:0" } });
+        entry::spawn(&self.settings("e", &role)).await.unwrap()
+    }
+
+    fn settings(&self, name: &str, role: &Value) -> Settings {
         let platform = format!("http://{}", self.address);
         let settings = json!({
-            "name": format!("a{index}"), "host": format!("h{index}"), "domain": "pier",
+            "name": format!("a{name}"), "host": format!("h{name}"), "domain": "pier",
             "region": "main", "peer_address": "127.0.0.1:0", "admin_address": "127.0.0.1:0",
             "cluster_keys": ["a cluster key of a test"], "context_secret": "a secret of the test",
             "platform": { "table": platform, "objects": platform, "hosts": platform },
             "stores": [{ "name": "store-0", "address": platform }],
-            "role": { "engine": { "target": format!("t{index}"), "model": "m",
-                "address": format!("http://{}", self.engines[index].0),
-                "cold_limit": 2, "warm_limit": 4 } },
+            "role": role,
         });
-        let settings = Settings::parse("settings", &settings.to_string()).unwrap();
-        agent::spawn(&settings).await.unwrap()
+        Settings::parse("settings", &settings.to_string()).unwrap()
     }
 
     /// Waits until a condition holds; fails after 30 s.
