--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use daemon::agent::{self, Agent};
+use daemon::entry::{self, Entry};
 use daemon::settings::Settings;
 use platform::config::{self, Record};
 use platform::{Client, Commit, Row, Table, Write};
@@ -23,6 +24,8 @@
     rows: BTreeMap<String, Row>,
     objects: BTreeMap<String, Vec<u8>>,
     writes: u64,
+    /// Blocks written to the store host.
+    stored: u32,
 }
 
 /// What an engine reports and has been told.
@@ -36,6 +39,8 @@
     pub lose: bool,
     /// Whether the next completion finds that an order was carried out right before it.
     pub swap: bool,
+    /// Completions that were taken.
+    pub taken: u32,
     /// Completions that were given up.
     pub cancelled: u32,
     /// Blocks that were read out of the cache.
@@ -46,6 +51,7 @@
 #[derive(Debug)]
 pub struct World {
     pub platform: Client,
+    store: Arc<Mutex<Store>>,
     address: SocketAddr,
     engines: Vec<(SocketAddr, Arc<Mutex<Engine>>)>,
     /// Engines that load weights now, and the most at one time.
@@ -115,6 +121,12 @@
                 self.objects.insert(name.to_owned(), body.to_vec());
                 StatusCode::NO_CONTENT.into_response()
             }
+            // The same server is the store host.
+            ("POST", "held") => warp::reply::json(&json!({ "held": 0 })).into_response(),
+            ("PUT", "blocks") => {
+                self.stored += 1;
+                StatusCode::NO_CONTENT.into_response()
+            }
             ("GET", "hosts") => warp::reply::json(&json!([])).into_response(),
             _ => not_found(),
         }
@@ -125,12 +137,13 @@
     /// Starts a platform and engines that serve the model `m` with the weights `v1`.
     pub async fn start(engines: usize) -> Self {
         let store: Arc<Mutex<Store>> = Arc::default();
+        let shared = Arc::clone(&store);
         let routes = warp::method()
             .and(warp::path::tail())
             .and(warp::body::bytes())
             .map(
                 move |method: http::Method, tail: Tail, body: bytes::Bytes| {
-                    let mut store = store.lock().unwrap();
+                    let mut store = shared.lock().unwrap();
                     store.serve(method.as_str(), tail.as_str(), &body)
                 },
             );
@@ -138,6 +151,7 @@
         let url = format!("http://{address}");
         let mut world = Self {
             platform: Client::new(&url, &url, &url).unwrap(),
+            store,
             address,
             engines: Vec::new(),
             loads: Arc::default(),
@@ -173,6 +187,7 @@
         let completing = Arc::clone(&engine);
         let complete = warp::path!("v1" / "completions").map(move || {
             let mut engine = completing.lock().unwrap();
+            engine.taken += 1;
             if std::mem::take(&mut engine.swap) {
                 engine.weights = "v2".to_owned();
                 engine.boot += 1;
@@ -240,20 +255,38 @@
         self.loads.lock().unwrap().1
     }
 
+    /// Returns how many blocks were written to the store host.
+    pub fn stored(&self) -> u32 {
+        self.store.lock().unwrap().stored
+    }
+
     /// Starts the agent beside an engine.
     pub async fn agent(&self, index: usize) -> Agent {
+        let role = json!({ "engine": { "target": format!("t{index}"), "model": "m",
+            "address": format!("http://{}", self.engines[index].0),
+            "cold_limit": 2, "warm_limit": 4 } });
+        agent::spawn(&self.settings(&index.to_string(), &role))
+            .await
+            .unwrap()
+    }
+
+    /// Starts an entry.
+    pub async fn entry(&self) -> Entry {
+        let role = json!({ "entry": { "http_address": "127.0.0.1:0" } });
+        entry::spawn(&self.settings("e", &role)).await.unwrap()
+    }
+
+    fn settings(&self, name: &str, role: &Value) -> Settings {
         let platform = format!("http://{}", self.address);
         let settings = json!({
-            "name": format!("a{index}"), "host": format!("h{index}"), "domain": "pier",
+            "name": format!("a{name}"), "host": format!("h{name}"), "domain": "pier",
             "region": "main", "peer_address": "127.0.0.1:0", "admin_address": "127.0.0.1:0",
             "cluster_keys": ["a cluster key of a test"], "context_secret": "a secret of the test",
             "platform": { "table": platform, "objects": platform, "hosts": platform },
-            "role": { "engine": { "target": format!("t{index}"), "model": "m",
-                "address": format!("http://{}", self.engines[index].0),
-                "cold_limit": 2, "warm_limit": 4 } },
+            "stores": [{ "name": "store-0", "address": platform }],
+            "role": role,
         });
-        let settings = Settings::parse("settings", &settings.to_string()).unwrap();
-        agent::spawn(&settings).await.unwrap()
+        Settings::parse("settings", &settings.to_string()).unwrap()
     }
 
     /// Waits until a condition holds; fails after 30 s.
@@ -285,7 +318,7 @@
     let lose = engine.lock().unwrap().lose;
     let (loading, engine) = (Arc::clone(loads), Arc::clone(engine));
     let load = tokio::spawn(async move {
-        sleep(if lose { LOAD * 4 } else { LOAD }).await;
+        sleep(if lose { LOAD * 10 } else { LOAD }).await;
         loading.lock().unwrap().0 -= 1;
         let mut engine = engine.lock().unwrap();
         engine.weights = weights;
