daemon: send first tokens without delay

Cause: the entry's sockets for callers delay small writes, so the first token waits for the acknowledgement of the response's head.

Ruled out: the agents' and the engines' connections set the option already, or are not slow when used directly.

Change: the listening socket sets TCP_NODELAY, which accepted sockets inherit.

--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -14,7 +14,7 @@
 use context::Secret;
 use displaydoc::Display;
 use serde_json::{Value, json};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use wire::{Client, Keys, Listener};
@@ -83,7 +83,7 @@
         loads: Loads::default(),
     });
     let admin = crate::admin::spawn(settings.admin_address, metrics, Arc::clone(&shared)).await?;
-    let socket = TcpListener::bind(http_address).await?;
+    let socket = listen(*http_address)?;
     let http = socket.local_addr()?;
     let (stop, mut stopped) = watch::channel(false);
     let server = warp::serve(http::routes(shared))
@@ -102,6 +102,23 @@
     })
 }
 
+/// The connections that may wait to be accepted; the same number as the standard library takes.
+const BACKLOG: u32 = 1024;
+
+/// Binds the address for callers without delayed sending: a first token that waits for the
+/// acknowledgement of the response's head comes about 40 ms late. Accepted sockets inherit the
+/// option from the listening one.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_nodelay(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 impl Entry {
     /// Returns the address for callers.
     #[must_use]
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -6,6 +6,7 @@
 mod cluster;
 mod demo;
 mod deployment;
+mod load;
 mod process;
 mod prove;
 mod relay;
@@ -32,6 +33,8 @@
                              one focused test for each invariant over real processes: at-most-once,
                              not-run, whole-answers, drained, in-force, foreign-blocks, cold,
                              shutdown; without a name all of them
+  load [--json]              added time to first token, tokens/s per core and memory of an entry; in a
+                             release build: cargo run --release --package xtask -- load
 Exit codes: 0 passed, 1 failed, 2 wrong arguments.";
 
 /// A failure with its message.
@@ -49,6 +52,7 @@
         Ok(Some(command)) => match command.as_str() {
             "replay" => replay::run(arguments),
             "demo" => runtime.block_on(demo::run(arguments)),
+            "load" => runtime.block_on(load::run(arguments)),
             "slopes" => runtime.block_on(slopes::run(arguments)),
             "prove" => runtime.block_on(prove::run(arguments)),
             "torture" => runtime.block_on(torture::run(arguments)),
