xtask: load, measure, restart of everything

Change: load (added time to first token, tokens/s per core, memory of an entry), measure (a deployment at 80% load while a failure domain leaves and returns and an agent is killed), a proof that everything can restart at once, and one that a process cut from the platform gets new configurations; stand-ins send without delay, as real servers of streams do.

--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
-use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use warp::Filter;
 
 const HELP: &str = "boragereel-standin KIND [--listen ADDRESS] [options]
@@ -119,7 +119,12 @@
         + Sync
         + 'static,
 {
-    let listener = TcpListener::bind(listen).await?;
+    // Accepted sockets inherit the option; real servers of streams send each token at once too.
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.set_nodelay(true)?;
+    socket.bind(listen)?;
+    let listener = socket.listen(1024)?;
     println!("ready {kind} {}", listener.local_addr()?);
     let stop = async {
         let mut term = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
--- a/xtask/src/load.rs
+++ b/xtask/src/load.rs
@@ -166,11 +166,15 @@
                 sleep(Duration::from_millis(100)).await;
             };
             started.send_modify(|count| *count += 1);
-            let mut seen = 0;
+            // Each event ends with an empty line; the last event and `[DONE]` carry no token.
+            let (mut ends, mut last) = (0, 0);
             while let Some(piece) = response.chunk().await? {
-                seen += piece.windows(4).filter(|window| *window == b"id: ").count();
+                for &byte in &piece {
+                    ends += u64::from(byte == b'\n' && last == b'\n');
+                    last = byte;
+                }
             }
-            Result::Ok(seen as u64)
+            Result::Ok(ends.saturating_sub(2))
         });
     }
     Streams { tasks, watch }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -7,6 +7,7 @@
 mod demo;
 mod deployment;
 mod load;
+mod measure;
 mod process;
 mod prove;
 mod relay;
@@ -31,10 +32,14 @@
                              same schedule
   prove [NAME ...] [--deployment NAME] [--no-build]
                              one focused test for each invariant over real processes: at-most-once,
-                             not-run, whole-answers, drained, in-force, foreign-blocks, cold,
-                             shutdown; without a name all of them
+                             not-run, whole-answers, drained, in-force, in-force-cut,
+                             foreign-blocks, cold, shutdown; without a name all of them
   load [--json]              added time to first token, tokens/s per core and memory of an entry; in a
                              release build: cargo run --release --package xtask -- load
+  measure [--deployment NAME]
+                             a deployment at about 80% load while a failure domain leaves and
+                             returns cold and an agent is killed; writes docs/measurements.md and
+                             the plots; in a release build, as above
 Exit codes: 0 passed, 1 failed, 2 wrong arguments.";
 
 /// A failure with its message.
@@ -53,6 +58,7 @@
             "replay" => replay::run(arguments),
             "demo" => runtime.block_on(demo::run(arguments)),
             "load" => runtime.block_on(load::run(arguments)),
+            "measure" => runtime.block_on(measure::run(arguments)),
             "slopes" => runtime.block_on(slopes::run(arguments)),
             "prove" => runtime.block_on(prove::run(arguments)),
             "torture" => runtime.block_on(torture::run(arguments)),
--- a/xtask/src/prove/config.rs
+++ b/xtask/src/prove/config.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use rustix::process::Signal;
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
@@ -142,11 +144,61 @@
         })?;
     }
     println!("  restarted processes are ready only with the accepted version");
-    set_platform_link(bench, "entry-0", true)?;
-    let accepted = apply(bench, "# cut\n").await?;
-    let taken = wait_in_force(bench, accepted).await?;
-    set_platform_link(bench, "entry-0", false)?;
-    println!("  an entry cut from the platform: in force within {taken:?}");
+    restart_all(bench).await
+}
+
+/// All processes are killed and come back at once while a drain is in force.
+async fn restart_all(bench: &mut Bench) -> Result<()> {
+    let domain = bench.cluster.deployment.domain(0).to_owned();
+    bench.call(0, Some("all"), "body-all", 10_000).await?;
+    let drain = format!("drain domain {domain} # desk: test\n");
+    let accepted = apply(bench, &drain).await?;
+    wait_in_force(bench, accepted).await?;
+    let before = executed(bench).await?;
+    let cluster = &mut bench.cluster;
+    for node in cluster.agents.iter_mut().chain(&mut cluster.entries) {
+        node.process.kill().await?;
+    }
+    let nodes = cluster.entries.iter_mut().chain(&mut cluster.agents);
+    let mut starts: FuturesUnordered<_> = nodes.map(Node::restart).collect();
+    while let Some(started) = starts.next().await {
+        started?;
+    }
+    drop(starts);
+    cluster.wait_ready().await?;
+    for node in bench.cluster.agents.iter().chain(&bench.cluster.entries) {
+        let version = version(bench, node).await?;
+        ensure(version >= accepted, || {
+            format!(
+                "{} is ready with {version}, {accepted} was accepted",
+                node.name
+            )
+        })?;
+    }
+    for entry in 0..10 {
+        bench.ask_whole(0, &prompt("all", 20)).await?;
+        let reply = bench.call(entry, Some("all"), "body-all", 10_000).await?;
+        ensure(reply.status == 200, || format!("the key got {reply:?}"))?;
+    }
+    bench.wait_runs("body-all", 1).await?;
+    let after = executed(bench).await?;
+    ensure(before == after, || {
+        format!("drained targets went from {before:?} to {after:?}")
+    })?;
+    println!("  all processes killed at once: the drain and the outcome of a key are kept");
+    Ok(())
+}
+
+/// Guards against a configuration that does not reach a process which is cut from the platform,
+/// although other processes have it (I11).
+pub(super) async fn in_force_cut(bench: &mut Bench) -> Result<()> {
+    for name in ["entry-0", "agent-engine-0"] {
+        set_platform_link(bench, name, true)?;
+        let accepted = apply(bench, &format!("# {name} is cut\n")).await?;
+        let taken = wait_in_force(bench, accepted).await?;
+        set_platform_link(bench, name, false)?;
+        println!("  {name} is cut from the platform: in force within {taken:?}");
+    }
     Ok(())
 }
 
--- a/xtask/src/prove/mod.rs
+++ b/xtask/src/prove/mod.rs
@@ -10,12 +10,13 @@
 use bench::Bench;
 
 /// The names of all proofs.
-const NAMES: [&str; 8] = [
+const NAMES: [&str; 9] = [
     "at-most-once",
     "not-run",
     "whole-answers",
     "drained",
     "in-force",
+    "in-force-cut",
     "foreign-blocks",
     "cold",
     "shutdown",
@@ -50,6 +51,7 @@
             "whole-answers" => answers::whole_answers(&mut bench).await,
             "drained" => config::drained(&mut bench).await,
             "in-force" => config::in_force(&mut bench).await,
+            "in-force-cut" => config::in_force_cut(&mut bench).await,
             "foreign-blocks" => blocks::foreign_blocks(&mut bench).await,
             "cold" => blocks::cold(&mut bench).await,
             _ => answers::shutdown(&mut bench).await,
--- a/xtask/tests/prove.rs
+++ b/xtask/tests/prove.rs
@@ -44,6 +44,12 @@
     prove("in-force", "lakeshore");
 }
 
+/// Guards against a configuration that does not reach a process cut from the platform (I11).
+#[test]
+fn in_force_cut() {
+    prove("in-force-cut", "lakeshore");
+}
+
 /// Guards against changed, foreign and stale blocks (I1, I2, I3).
 #[test]
 fn foreign_blocks() {
