--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -24,6 +24,7 @@
 use crate::metrics::Metrics;
 use crate::settings::{Role, Settings};
 use load::Loads;
+use route::Routes;
 
 /// A running entry.
 #[derive(Debug)]
@@ -33,7 +34,7 @@
     peer: SocketAddr,
     stop: watch::Sender<bool>,
     task: JoinHandle<()>,
-    _listener: Listener,
+    peers: JoinHandle<()>,
 }
 
 /// Why an entry did not start.
@@ -58,6 +59,7 @@
     secret: String,
     metrics: Metrics,
     loads: Loads,
+    routes: Arc<Routes>,
 }
 
 /// Starts an entry as the settings say.
@@ -71,7 +73,9 @@
     let metrics = Metrics::new();
     let keys = settings.keys();
     let listener = Listener::bind(settings.peer_address, keys.clone()).await?;
-    let view = crate::control::spawn(settings, listener.address(), metrics.clone())?;
+    let peer = listener.address();
+    let view = crate::control::spawn(settings, peer, metrics.clone())?;
+    let peers = tokio::spawn(crate::control::accept(listener, Arc::clone(&view)));
     let shared = Arc::new(Shared {
         name: settings.name.clone(),
         region: settings.region.clone(),
@@ -81,8 +85,13 @@
         secret: settings.context_secret.clone(),
         metrics: metrics.clone(),
         loads: Loads::default(),
+        routes: Arc::default(),
     });
+    shared
+        .routes
+        .follow(Arc::clone(&shared.view), shared.region.clone());
     let admin = crate::admin::spawn(settings.admin_address, metrics, Arc::clone(&shared)).await?;
+    crate::admin::register(Arc::clone(&shared.view), &settings.name, admin);
     let socket = listen(*http_address)?;
     let http = socket.local_addr()?;
     let (stop, mut stopped) = watch::channel(false);
@@ -95,14 +104,14 @@
     Ok(Entry {
         http,
         admin,
-        peer: listener.address(),
+        peer,
         stop,
         task,
-        _listener: listener,
+        peers,
     })
 }
 
-/// The connections that may wait to be accepted; the same number as the standard library takes.
+/// The connections that may wait to be accepted; the number that tokio takes by default.
 const BACKLOG: u32 = 1024;
 
 /// Binds the address for callers without delayed sending: a first token that waits for the
@@ -142,12 +151,13 @@
     pub async fn drain(self) {
         self.stop.send_replace(true);
         let _ = self.task.await;
+        self.peers.abort();
     }
 }
 
 impl Report for Shared {
     fn is_ready(&self) -> bool {
-        self.view.is_ready()
+        !self.view.is_isolated()
     }
 
     fn status(&self) -> Value {
@@ -162,6 +172,12 @@
 }
 
 impl Shared {
+    /// Records that an agent could not be reached.
+    fn unreachable(&self, name: &str) {
+        self.loads.failed(name, crate::now());
+        self.view.note_unreachable(name);
+    }
+
     fn secret(&self, team: &types::Team) -> Secret {
         Secret::derive(self.secret.as_bytes(), team)
     }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -9,7 +9,7 @@
 #[derive(Debug, Clone)]
 pub struct Metrics {
     registry: Registry,
-    /// Requests by how they ended.
+    /// Requests by kind.
     pub requests: IntCounterVec,
     /// Refusals by reason.
     pub refusals: IntCounterVec,
@@ -23,8 +23,12 @@
     pub computed: IntCounter,
     /// Kept blocks by what became of them.
     pub blocks: IntCounterVec,
+    /// Rollouts by how they ended.
+    pub rollouts: IntCounterVec,
     /// Requests sent to the target and not finished.
     pub in_flight: IntGauge,
+    /// Whether the process takes new work.
+    pub ready: IntGauge,
     /// The version of the configuration in force.
     pub version: IntGauge,
 }
@@ -76,11 +80,7 @@
             .register(Box::new(first_token.clone()))
             .expect("the name is unique");
         Self {
-            requests: counters(
-                "boragereel_requests_total",
-                "requests by outcome",
-                "outcome",
-            ),
+            requests: counters("boragereel_requests_total", "requests by kind", "kind"),
             refusals: counters("boragereel_refusals_total", "refusals by reason", "reason"),
             tokens: counter("boragereel_tokens_relayed_total", "tokens passed on"),
             first_token,
@@ -97,7 +97,13 @@
                 "kept blocks by outcome",
                 "outcome",
             ),
+            rollouts: counters(
+                "boragereel_rollouts_total",
+                "weight rollouts of this target by outcome",
+                "outcome",
+            ),
             in_flight: gauge("boragereel_in_flight", "requests at the target"),
+            ready: gauge("boragereel_ready", "1 if the process takes new work"),
             version: gauge(
                 "boragereel_config_version",
                 "configuration version in force",
--- a/xtask/src/measure/mod.rs
+++ b/xtask/src/measure/mod.rs
@@ -109,7 +109,7 @@
             "during" => {
                 cluster
                     .apply_rules(&format!("drain domain {domain} # measure\n"))
-                    .await?
+                    .await?;
             }
             "after" => {
                 // The engines of the domain come back cold.
