--- a/crates/control/src/exchange.rs
+++ b/crates/control/src/exchange.rs
@@ -33,11 +33,14 @@
     ) where
         Random: Rng,
     {
-        self.fresh.hear(now);
         let answer = match message {
             Message::Gossip(gossip) => {
                 let from = gossip.from;
                 self.note(gossip, now, out);
+                if self.roster.at(from).is_none() {
+                    // The sender was cut off while its record was being spread.
+                    self.compare(from, now, out);
+                }
                 Message::Gossip(self.summary(Some(from)))
             }
             Message::Fetch(fetch) => Message::Update(self.update(&fetch, now)),
@@ -47,7 +50,7 @@
             }),
             Message::Probe(address) => {
                 let gossip = Message::Gossip(self.summary(None));
-                return self.send(address, gossip, Purpose::Relay(token), out);
+                return self.send(address, gossip, Purpose::Relay(token), now, out);
             }
             Message::Update(_) | Message::Records(_) | Message::Probed(_) => return,
         };
@@ -77,28 +80,24 @@
                     true => self.unequal = 0,
                     false => self.unequal += 1,
                 }
-                let joining = !self.fresh.has_joined() && self.unequal > 0;
+                // After a start, differing records are hardly ever just on their way.
+                let joining = self.unequal > 0 && self.schedule.is_starting(now);
                 if joining || self.unequal >= UNEQUAL_LIMIT {
                     self.unequal = 0;
-                    self.compare(peer, out);
+                    self.compare(peer, now, out);
                 }
             }
             (Purpose::Fetch(peer), Message::Update(update)) => {
                 self.fetching = false;
-                self.updated(update, peer, random, out);
+                self.updated(update, peer, now, random, out);
             }
             (Purpose::Compare(peer), Message::Records(records)) => {
-                // A peer that is too busy answers without records.
-                if records.is_empty() {
-                    return;
-                }
                 let mut new = 0;
                 for record in records {
                     new += usize::from(self.learn(record, false, now, out));
                 }
-                match new >= BULK {
-                    true => self.compare(peer, out),
-                    false => self.fresh.join(),
+                if new >= BULK {
+                    self.compare(peer, now, out);
                 }
             }
             (Purpose::Relay(token), Message::Gossip(gossip)) => {
@@ -132,7 +131,7 @@
             }
             Purpose::Fetch(_) => {
                 self.fetching = false;
-                self.fetch_next(out);
+                self.fetch_next(now, out);
             }
             Purpose::Compare(_) => {}
             Purpose::Relay(token) => out.push(Action::Reply(token, Message::Probed(false))),
@@ -144,16 +143,11 @@
     }
 
     /// Takes the accepted version by the platform.
-    pub(crate) fn head(
-        &mut self,
-        head: Option<(Version, Digest)>,
-        now: Time,
-        out: &mut Vec<Action>,
-    ) {
+    pub(crate) fn head(&mut self, head: Option<(Version, Digest)>, out: &mut Vec<Action>) {
         let Some((version, digest)) = head else {
             return;
         };
-        self.fresh.hear_platform(now);
+        self.fresh.hear_platform();
         self.fresh.note(version);
         // A peer that has the text is asked first, so that a restart of everything does not read
         // the text from the object store thousands of times.
@@ -167,6 +161,7 @@
     pub(crate) fn list_hosts<Random>(
         &mut self,
         mut hosts: Vec<Host>,
+        now: Time,
         random: &mut Random,
         out: &mut Vec<Action>,
     ) where
@@ -183,7 +178,7 @@
         };
         self.leaving = (stamp, hosts);
         out.push(Action::Publish);
-        self.push(random, out);
+        self.push(now, random, out);
     }
 
     /// Looks for a greater version that a peer showed on the request path.
@@ -198,7 +193,7 @@
     {
         if version > self.config.version() && self.schedule.may_hint(now) {
             self.schedule.hurry(now, random);
-            self.push(random, out);
+            self.push(now, random, out);
         }
     }
 
@@ -289,7 +284,7 @@
             let nearby = prober.member.region == target.region;
             let purpose = Purpose::Probe(name.to_owned(), nearby);
             let message = Message::Probe(target.address);
-            self.send(prober.member.address, message, purpose, out);
+            self.send(prober.member.address, message, purpose, now, out);
         }
     }
 
@@ -306,13 +301,17 @@
     /// Answers a suspicion of this process, or a record from a start that the clock puts later,
     /// with a greater record.
     fn refute(&mut self, record: &Record, now: Time) {
-        let Some(me) = self.roster.me() else {
+        let Some(me) = self.roster.me().cloned() else {
             return;
         };
         if record.order() <= me.order() {
+            if record.suspect {
+                // The peer has not heard of the refutation, whose messages may have been lost.
+                self.roster.spread(me);
+            }
             return;
         }
-        let mut next = Record::clone(me);
+        let mut next = Record::clone(&me);
         if record.member.incarnation > next.member.incarnation {
             next.member.incarnation.0 = record.member.incarnation.0 + 1;
         } else {
@@ -337,11 +336,11 @@
             }
             self.offers
                 .push((gossip.version, gossip.hosts, gossip.from));
-            self.fetch_next(out);
+            self.fetch_next(now, out);
         }
     }
 
-    fn fetch_next(&mut self, out: &mut Vec<Action>) {
+    fn fetch_next(&mut self, now: Time, out: &mut Vec<Action>) {
         if self.fetching {
             return;
         }
@@ -357,12 +356,12 @@
             whole: self.whole,
             hosts: self.leaving.0,
         });
-        self.send(peer, fetch, Purpose::Fetch(peer), out);
+        self.send(peer, fetch, Purpose::Fetch(peer), now, out);
     }
 
-    fn compare(&mut self, peer: SocketAddr, out: &mut Vec<Action>) {
+    fn compare(&mut self, peer: SocketAddr, now: Time, out: &mut Vec<Action>) {
         let groups = Message::Compare(self.roster.groups());
-        self.send(peer, groups, Purpose::Compare(peer), out);
+        self.send(peer, groups, Purpose::Compare(peer), now, out);
     }
 
     fn update(&mut self, fetch: &Fetch, now: Time) -> Update {
@@ -379,6 +378,7 @@
         &mut self,
         update: Update,
         peer: SocketAddr,
+        now: Time,
         random: &mut Random,
         out: &mut Vec<Action>,
     ) where
@@ -402,8 +402,8 @@
             news = true;
         }
         if news {
-            self.push(random, out);
+            self.push(now, random, out);
         }
-        self.fetch_next(out);
+        self.fetch_next(now, out);
     }
 }
--- a/crates/control/src/freshness.rs
+++ b/crates/control/src/freshness.rs
@@ -12,7 +12,6 @@
     seeds: BTreeSet<SocketAddr>,
     greatest: Version,
     ready: bool,
-    joined: bool,
 }
 
 /// How long a process may hear from nobody before it refuses new work; the time within which a
@@ -23,14 +22,16 @@
 const FADING: Duration = Duration::from_millis(1500);
 
 impl Freshness {
-    /// Records that the platform or a peer was heard.
-    pub fn hear(&mut self, now: Time) {
-        self.heard = self.heard.max(Some(now));
+    /// Records that the platform or a peer answered a question that was asked at `asked`.
+    ///
+    /// The time of the question counts, and questions of others do not count at all: a process that
+    /// was paused finds messages of any age when it goes on.
+    pub fn hear(&mut self, asked: Time) {
+        self.heard = self.heard.max(Some(asked));
     }
 
     /// Records that the platform told the accepted version.
-    pub fn hear_platform(&mut self, now: Time) {
-        self.hear(now);
+    pub fn hear_platform(&mut self) {
         self.platform = true;
     }
 
@@ -77,20 +78,9 @@
         self.heard.is_none_or(|heard| now.since(heard) >= FADING)
     }
 
-    /// Returns when the platform or a peer was last heard.
+    /// Returns when the last question was asked that the platform or a peer answered.
     #[must_use]
     pub fn heard(&self) -> Option<Time> {
         self.heard
     }
-
-    /// Records that the process has taken over the member records of a peer.
-    pub fn join(&mut self) {
-        self.joined = true;
-    }
-
-    /// Says whether the process has taken over the member records of a peer since its start.
-    #[must_use]
-    pub fn has_joined(&self) -> bool {
-        self.joined
-    }
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -38,7 +38,10 @@
     /// Comparisons in a row in which the member digests differed.
     pub(crate) unequal: u32,
     address: SocketAddr,
-    pending: BTreeMap<u64, Purpose>,
+    /// Questions whose answer is awaited, with the time at which each was asked.
+    pending: BTreeMap<u64, (Purpose, Time)>,
+    /// When the read of the accepted version that is awaited was started.
+    head_asked: Option<Time>,
     next_id: u64,
     expired: Time,
     /// The greatest number of members that a peer knew.
@@ -147,6 +150,7 @@
             unequal: 0,
             address,
             pending: BTreeMap::new(),
+            head_asked: None,
             next_id: 0,
             expired: now,
             heard_size: 0,
@@ -163,23 +167,28 @@
             Event::Tick => self.tick(now, random, &mut out),
             Event::Request(token, message) => self.serve(token, message, now, random, &mut out),
             Event::Reply(id, message) => {
-                self.fresh.hear(now);
-                if let Some(purpose) = self.pending.remove(&id) {
+                if let Some((purpose, sent)) = self.pending.remove(&id) {
+                    self.fresh.hear(sent);
                     self.reply(purpose, message, now, random, &mut out);
                 }
             }
             Event::Failed(id) => {
-                if let Some(purpose) = self.pending.remove(&id) {
+                if let Some((purpose, _)) = self.pending.remove(&id) {
                     self.fail(purpose, now, random, &mut out);
                 }
             }
-            Event::Head(head) => self.head(head, now, &mut out),
+            Event::Head(head) => {
+                if let (Some(asked), Some(_)) = (self.head_asked.take(), head) {
+                    self.fresh.hear(asked);
+                }
+                self.head(head, &mut out);
+            }
             Event::Text(version, digest, text) => {
                 self.reading = false;
                 if let Some(text) = text {
                     let offer = self.config.offer(version, &digest, &text);
                     if self.adopt(offer, &mut out) {
-                        self.push(random, &mut out);
+                        self.push(now, random, &mut out);
                     }
                 }
             }
@@ -191,8 +200,7 @@
             Event::Registered(done) => self.schedule.registered(done, now, random),
             Event::Hosts(hosts) => {
                 if let Some(hosts) = hosts {
-                    self.fresh.hear(now);
-                    self.list_hosts(hosts, random, &mut out);
+                    self.list_hosts(hosts, now, random, &mut out);
                 }
             }
             Event::Hint(version) => self.hint(version, now, random, &mut out),
@@ -200,7 +208,7 @@
         }
         if self.fresh.settle(self.config.version(), self.seeds.len()) {
             // Others that start wait for a ready peer, and need not ask the platform then.
-            self.push(random, &mut out);
+            self.push(now, random, &mut out);
             let interval = pace::head(self.expected_size(now), random);
             self.schedule.head_at = self.schedule.head_at.max(now + interval);
         }
@@ -217,9 +225,9 @@
     {
         self.roster = roster;
         self.schedule = Schedule::settled(self.roster.len(), now, random);
-        self.fresh.hear_platform(now);
+        self.fresh.hear(now);
+        self.fresh.hear_platform();
         self.fresh.settle(Version::default(), 0);
-        self.fresh.join();
     }
 
     /// Returns when the next [`Event::Tick`] is due.
@@ -299,6 +307,7 @@
         let size = self.expected_size(now);
         let interval = pace::head(size, random);
         if Schedule::due(&mut self.schedule.head_at, now, interval) {
+            self.head_asked.get_or_insert(now);
             out.push(Action::ReadHead);
         }
         if Schedule::due(&mut self.schedule.hosts_at, now, pace::hosts(size, random)) {
@@ -314,10 +323,11 @@
         if Schedule::due(&mut self.schedule.members_at, now, interval) {
             out.push(Action::ReadMembers);
         }
-        let urgent = !self.fresh.is_ready() || self.fresh.is_fading(now);
+        // A process that learned the configuration from the platform first still needs its seeds.
+        let urgent = !self.fresh.is_ready() || self.fresh.is_fading(now) || alone;
         let interval = pace::gossip(urgent, random);
         if Schedule::due(&mut self.schedule.gossip_at, now, interval) {
-            self.round(urgent, random, out);
+            self.round(urgent, now, random, out);
             if self.fresh.is_fading(now) {
                 self.schedule.hurry(now, random);
             }
@@ -329,7 +339,7 @@
     }
 
     /// Compares versions with a random peer; an unready or fading process asks its seeds as well.
-    fn round<Random>(&mut self, urgent: bool, random: &mut Random, out: &mut Vec<Action>)
+    fn round<Random>(&mut self, urgent: bool, now: Time, random: &mut Random, out: &mut Vec<Action>)
     where
         Random: Rng,
     {
@@ -351,24 +361,30 @@
             peers.extend(seeds.take(SEEDS_PER_ROUND.min(self.seeds.len())));
         }
         for peer in peers {
-            self.gossip(peer, out);
+            self.gossip(peer, now, out);
         }
     }
 
-    pub(crate) fn gossip(&mut self, peer: SocketAddr, out: &mut Vec<Action>) {
+    pub(crate) fn gossip(&mut self, peer: SocketAddr, now: Time, out: &mut Vec<Action>) {
         let gossip = self.summary(Some(peer));
-        self.send(peer, Message::Gossip(gossip), Purpose::Gossip(peer), out);
+        self.send(
+            peer,
+            Message::Gossip(gossip),
+            Purpose::Gossip(peer),
+            now,
+            out,
+        );
     }
 
     /// Tells random peers of something new, at once.
-    pub(crate) fn push<Random>(&mut self, random: &mut Random, out: &mut Vec<Action>)
+    pub(crate) fn push<Random>(&mut self, now: Time, random: &mut Random, out: &mut Vec<Action>)
     where
         Random: Rng,
     {
         for _ in 0..FANOUT {
             let peer = self.roster.draw(random, |record| !record.suspect);
             if let Some(address) = peer.map(|record| record.member.address) {
-                self.gossip(address, out);
+                self.gossip(address, now, out);
             }
         }
     }
@@ -395,11 +411,12 @@
         to: SocketAddr,
         message: Message,
         why: Purpose,
+        now: Time,
         out: &mut Vec<Action>,
     ) {
         let id = self.next_id;
         self.next_id += 1;
-        self.pending.insert(id, why);
+        self.pending.insert(id, (why, now));
         out.push(Action::Send(id, to, message));
     }
 }
--- /dev/null
+++ b/crates/control/tests/random.rs
@@ -0,0 +1,179 @@
+//! Random schedules of losses, duplicates, pauses, crashes, restarts, cuts and changes.
+
+mod common;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use common::{address, measure, member, rules};
+use control::network::Network;
+use control::{ISOLATION, Node};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use types::{Time, Version};
+
+const PROCESSES: usize = 7;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Accept,
+    Crash(usize),
+    Restart(usize),
+    Pause(usize, u64),
+    Cut(usize, u32),
+    Heal,
+    Platform(bool),
+    Conditions {
+        delay: u64,
+        loss: f64,
+        duplicates: f64,
+    },
+    Run(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let process = 0..PROCESSES;
+    prop_oneof![
+        3 => Just(Step::Accept),
+        1 => process.clone().prop_map(Step::Crash),
+        2 => process.clone().prop_map(Step::Restart),
+        2 => (process.clone(), 10..8_000_u64).prop_map(|(index, time)| Step::Pause(index, time)),
+        2 => (process, 0..8_u32).prop_map(|(index, part)| Step::Cut(index, part)),
+        1 => Just(Step::Heal),
+        1 => any::<bool>().prop_map(Step::Platform),
+        2 => (1..400_u64, 0.0..0.6, 0.0..0.5).prop_map(|(delay, loss, duplicates)| {
+            Step::Conditions { delay, loss, duplicates }
+        }),
+        6 => (10..5_000_u64).prop_map(Step::Run),
+    ]
+}
+
+/// What the test knows of the processes by itself.
+#[derive(Default)]
+struct Ledger {
+    /// The greatest version seen in force, by process and incarnation.
+    versions: HashMap<(usize, u64), Version>,
+    /// Since when a process can hear neither a peer nor the platform.
+    alone: HashMap<usize, Time>,
+    /// The part that each process is in.
+    parts: [u32; PROCESSES],
+    starts: [u64; PROCESSES],
+}
+
+impl Ledger {
+    fn check(&mut self, network: &Network) -> Result<(), TestCaseError> {
+        let now = network.now();
+        for index in 0..PROCESSES {
+            let Some(node) = network.node(index) else {
+                continue;
+            };
+            let version = node.rules().version;
+            let key = (index, self.starts[index]);
+            let before = self.versions.insert(key, version).unwrap_or_default();
+            prop_assert!(version >= before, "{index} went from {before} to {version}");
+            let accepted = network.platform.text(version).unwrap_or_default();
+            prop_assert_eq!(&node.rules().text, accepted, "not the accepted {}", version);
+            let alone = self.alone.get(&index);
+            if alone.is_some_and(|since| now.since(*since) >= ISOLATION) {
+                prop_assert!(node.is_isolated(now), "{index} is cut off but takes work");
+            }
+        }
+        Ok(())
+    }
+
+    fn note_parts(&mut self, network: &Network) {
+        for index in 0..PROCESSES {
+            let part = self.parts[index];
+            let others = self.parts.iter().filter(|other| **other == part).count();
+            match part != 0 && others == 1 {
+                true => self.alone.entry(index).or_insert(network.now()),
+                false => {
+                    self.alone.remove(&index);
+                    continue;
+                }
+            };
+        }
+    }
+}
+
+fn apply(network: &mut Network, ledger: &mut Ledger, step: &Step) -> Result<(), TestCaseError> {
+    match *step {
+        Step::Accept => {
+            let change = network.platform.version().0 as usize + 1;
+            network.platform.accept(&rules(12, change));
+        }
+        Step::Crash(index) => network.crash(index),
+        Step::Restart(index) => {
+            network.restart(index);
+            ledger.starts[index] += 1;
+        }
+        Step::Pause(index, time) => network.pause(index, Duration::from_millis(time)),
+        Step::Cut(index, part) => {
+            network.cut(index, part);
+            ledger.parts[index] = part;
+        }
+        Step::Heal => {
+            for index in 0..PROCESSES {
+                network.cut(index, 0);
+            }
+            ledger.parts = [0; PROCESSES];
+        }
+        Step::Platform(down) => network.platform.down = down,
+        Step::Conditions {
+            delay,
+            loss,
+            duplicates,
+        } => {
+            network.conditions.delay = Duration::from_millis(delay);
+            network.conditions.loss = loss;
+            network.conditions.duplicates = duplicates;
+        }
+        Step::Run(time) => {
+            let end = network.now() + Duration::from_millis(time);
+            while network.step(end) {
+                ledger.check(network)?;
+            }
+            network.run(end.since(network.now()));
+        }
+    }
+    ledger.note_parts(network);
+    ledger.check(network)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against versions that revert, rules in force that were never accepted, processes that
+    /// are cut off and take work, and processes that do not recover once the faults are over.
+    #[test]
+    fn faults_never_revert_a_version(seed in any::<u64>(), steps in vec(step(), 1..60)) {
+        let mut network = Network::new(measure, seed);
+        network.platform.accept(&rules(12, 0));
+        for index in 0..PROCESSES {
+            network.add(member(index), vec![address(0), address(1), address(2)]);
+        }
+        let mut ledger = Ledger::default();
+        for step in &steps {
+            apply(&mut network, &mut ledger, step)?;
+        }
+        let calm = Step::Conditions { delay: 1, loss: 0.0, duplicates: 0.0 };
+        for step in [Step::Heal, Step::Platform(false), calm] {
+            apply(&mut network, &mut ledger, &step)?;
+        }
+        for index in 0..PROCESSES {
+            if network.node(index).is_none() {
+                apply(&mut network, &mut ledger, &Step::Restart(index))?;
+            }
+        }
+        // The longest pause is 8 s.
+        apply(&mut network, &mut ledger, &Step::Run(8_000))?;
+        apply(&mut network, &mut ledger, &Step::Accept)?;
+        apply(&mut network, &mut ledger, &Step::Run(4_000))?;
+        for index in 0..PROCESSES {
+            let node = network.node(index).expect("all were restarted");
+            prop_assert_eq!(node.rules().version, network.platform.version(), "late at {}", index);
+            prop_assert!(node.is_ready() && !node.is_isolated(network.now()));
+            prop_assert_eq!(Node::size(node), PROCESSES);
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/tests/scenarios.rs
@@ -0,0 +1,226 @@
+//! Partitions, outages, deaths and starts in virtual time.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{address, member, rules, settled};
+use control::network::Network;
+use control::{Event, Gossip, ISOLATION, Message, Node, Stamp, apply, diff};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use types::{Host, Time, Version};
+
+const SIZE: usize = 90;
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn name(index: usize) -> String {
+    member(index).name
+}
+
+/// Returns how many processes that run hold a member for suspected.
+fn suspecting(network: &Network, index: usize) -> usize {
+    let nodes = (0..network.len()).filter_map(|node| network.node(node));
+    nodes.filter(|node| node.is_suspected(&name(index))).count()
+}
+
+/// Guards against a region that stops when it loses contact, against a suspicion of a whole region,
+/// and against a region that stays behind after the cut.
+#[test]
+fn a_region_that_is_cut_off_goes_on_and_catches_up() {
+    let mut network = settled(SIZE, 20, 3);
+    network.run(seconds(2));
+    let cut: Vec<usize> = (0..SIZE).filter(|index| index % 9 < 3).collect();
+    for &index in &cut {
+        network.cut(index, 1);
+    }
+    network.platform.accept(&rules(20, 1));
+    for _ in 0..3600 {
+        network.run(seconds(1));
+        let now = network.now();
+        let isolated = |index: &usize| network.node(*index).is_none_or(|n| n.is_isolated(now));
+        assert_eq!((0..SIZE).find(isolated), None, "isolated at {now:?}");
+    }
+    let of_version = |network: &Network, version| {
+        let nodes = (0..SIZE).filter_map(|index| network.node(index));
+        nodes.filter(|node| node.rules().version == version).count()
+    };
+    assert_eq!(of_version(&network, Version(1)), cut.len());
+    assert_eq!(of_version(&network, Version(2)), SIZE - cut.len());
+    let suspected = (0..SIZE).filter(|index| suspecting(&network, *index) > 0);
+    assert_eq!(suspected.count(), 0, "a cut is no failure of its members");
+    for &index in &cut {
+        network.cut(index, 0);
+    }
+    network.run(seconds(4));
+    assert_eq!(of_version(&network, Version(2)), SIZE);
+}
+
+/// Guards against a process that goes on alone, and one that does not come back.
+#[test]
+fn a_process_that_is_cut_off_is_isolated_after_3_s() {
+    let mut network = settled(SIZE, 20, 4);
+    network.run(seconds(2));
+    network.cut(5, 1);
+    network.run(ISOLATION);
+    let is_isolated = |network: &Network| {
+        let node = network.node(5).expect("it runs");
+        node.is_isolated(network.now())
+    };
+    assert!(is_isolated(&network));
+    network.cut(5, 0);
+    network.run(seconds(2));
+    assert!(!is_isolated(&network));
+}
+
+/// Guards against dead members that nobody notices and against a suspicion that a living member
+/// cannot get rid of.
+#[test]
+fn dead_members_are_suspected_and_returning_ones_refute_it() {
+    let mut network = settled(SIZE, 20, 5);
+    network.run(seconds(2));
+    network.crash(7);
+    network.pause(8, seconds(40));
+    network.observe(0, Event::Unreachable(name(7)));
+    network.observe(0, Event::Unreachable(name(8)));
+    let now = network.now();
+    let directory = network.node(0).expect("it runs").directory(now);
+    assert!(
+        directory.iter().all(|member| member.name != name(7)),
+        "it gets work at once"
+    );
+    network.run(seconds(20));
+    // Neither the dead process nor the paused one takes part.
+    assert_eq!(suspecting(&network, 7), SIZE - 2);
+    assert_eq!(suspecting(&network, 8), SIZE - 2);
+    network.restart(7);
+    network.run(seconds(40));
+    assert_eq!(suspecting(&network, 7), 0);
+    assert_eq!(suspecting(&network, 8), 0);
+}
+
+/// Guards against a suspicion that rests on one broken path only.
+#[test]
+fn one_silent_path_is_no_suspicion() {
+    let mut network = settled(SIZE, 20, 6);
+    network.run(seconds(2));
+    for _ in 0..30 {
+        network.observe(0, Event::Unreachable(name(7)));
+        network.run(seconds(1));
+        assert_eq!(suspecting(&network, 7), 0);
+    }
+    let now = network.now();
+    network.observe(0, Event::Unreachable(name(7)));
+    let directory = network.node(0).expect("it runs").directory(now);
+    assert!(directory.iter().all(|member| member.name != name(7)));
+    // The peers that are asked cannot answer either, so this stays the only silent path.
+    network.cut(0, 1);
+    network.observe(0, Event::Unreachable(name(9)));
+    network.run(seconds(10));
+    assert!(!network.node(0).expect("it runs").is_suspected(&name(9)));
+}
+
+/// Guards against hosts that leave and still get work after 3 s.
+#[test]
+fn leaving_hosts_are_known_everywhere_within_3_s() {
+    let mut network = settled(SIZE, 20, 8);
+    network.run(seconds(5));
+    for (leaving, wanted) in [(vec![Host::from("host-00003")], 1), (Vec::new(), 0)] {
+        network.platform.leaving = leaving;
+        network.run(seconds(3));
+        for index in 0..SIZE {
+            let node = network.node(index).expect("it runs");
+            assert_eq!(node.leaving().len(), wanted, "process {index}");
+        }
+    }
+}
+
+/// Guards against a process that cannot start while the platform is down, and against a restart of
+/// everything in that time that runs without rules.
+#[test]
+fn seeds_replace_the_platform_at_a_start() {
+    let mut network = settled(SIZE, 20, 9);
+    network.platform.accept(&rules(20, 1));
+    network.run(seconds(4));
+    network.platform.down = true;
+    network.restart(40);
+    network.run(seconds(2));
+    let node = network.node(40).expect("it runs");
+    assert!(node.is_ready() && node.rules().version == Version(2));
+    for index in 0..SIZE {
+        network.restart(index);
+    }
+    network.run(seconds(20));
+    let ready = |network: &Network| {
+        let nodes = (0..SIZE).filter_map(|index| network.node(index));
+        nodes.filter(|node| node.is_ready()).count()
+    };
+    assert_eq!(ready(&network), 0, "nobody can know the configuration");
+    network.platform.down = false;
+    network.run(seconds(8));
+    assert_eq!(ready(&network), SIZE);
+}
+
+/// Guards against a start from an older version than a peer holds.
+#[test]
+fn a_start_waits_for_the_greatest_known_version() {
+    let mut random = StdRng::seed_from_u64(10);
+    let seeds = vec![address(1), address(2), address(3)];
+    let mut node = Node::new(member(0), seeds, Time::default(), &mut random);
+    let mut asked = Vec::new();
+    while asked.len() < 3 {
+        for action in node.handle(Event::Tick, node.next(), &mut random) {
+            if let control::Action::Send(id, to, Message::Gossip(_)) = action {
+                asked.push((id, to));
+            }
+        }
+    }
+    let old = rules(2, 0);
+    let digest = *blake3::hash(old.as_bytes()).as_bytes();
+    let now = Time::from_millis(900);
+    for (index, (id, from)) in asked.into_iter().take(3).enumerate() {
+        let gossip = Message::Gossip(Gossip {
+            from,
+            ready: true,
+            version: Version(if index == 2 { 2 } else { 1 }),
+            hosts: Stamp::default(),
+            size: 4,
+            members: 0,
+            records: Vec::new(),
+        });
+        node.handle(Event::Reply(id, gossip), now, &mut random);
+    }
+    let text = Event::Text(Version(1), digest, Some(old.as_str().into()));
+    node.handle(text, now, &mut random);
+    assert_eq!(node.rules().version, Version(1));
+    assert!(
+        !node.is_ready(),
+        "it takes work under version 1 and a seed has version 2"
+    );
+    let new = rules(2, 1);
+    let digest = *blake3::hash(new.as_bytes()).as_bytes();
+    let text = Event::Text(Version(2), digest, Some(new.as_str().into()));
+    node.handle(text, now, &mut random);
+    assert!(node.is_ready());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against deltas that lead to another text, or fail on texts that do not fit.
+    #[test]
+    fn deltas_lead_to_the_newer_text(
+        older in "([a-c]{0,2}\n){0,200}[a-c]?",
+        newer in "([a-c]{0,2}\n){0,200}[a-c]?",
+        other in "([a-c]{0,2}\n){0,9}",
+    ) {
+        let edits = diff(&older, &newer);
+        prop_assert_eq!(apply(&older, &edits), Some(newer));
+        // Another text may take the edits by chance; the digest decides then.
+        let _ = apply(&other, &edits);
+    }
+}
