control: a platform read counts as news of the time at which it was started

Cause: with two reads under way the answer to the older one counted for the newer one, so a process could take work longer than 3 s after it was cut off. random.rs found it once messages and platform answers overtake each other (Conditions::jitter;).

--- a/crates/control/src/network.rs
+++ b/crates/control/src/network.rs
@@ -44,6 +44,9 @@
     pub delay: Duration,
     /// The time that the platform takes for an answer.
     pub platform_delay: Duration,
+    /// The longest further delay of a message or an answer, drawn for each, so that they overtake
+    /// each other.
+    pub jitter: Duration,
     /// The share of messages that is lost, from 0 to 1.
     pub loss: f64,
     /// The share of messages that arrives twice, from 0 to 1.
@@ -111,6 +114,7 @@
         Self {
             delay: Duration::from_micros(500),
             platform_delay: Duration::from_millis(5),
+            jitter: Duration::ZERO,
             loss: 0.0,
             duplicates: 0.0,
         }
@@ -141,10 +145,10 @@
     fn answer(&mut self, action: &Action) -> Option<Event> {
         let up = !self.down;
         Some(match action {
-            Action::ReadHead => {
+            Action::ReadHead(asked) => {
                 let head = self.configs.last_key_value();
                 let head = head.map(|(version, (digest, _))| (*version, *digest));
-                Event::Head(up.then(|| head.unwrap_or_default()))
+                Event::Head(*asked, up.then(|| head.unwrap_or_default()))
             }
             Action::ReadText(version, digest) => {
                 let text = self.configs.get(version).filter(|_| up);
@@ -433,7 +437,7 @@
                     let token = self.sequence;
                     self.tokens.insert(token, (index, start, *id));
                     let event = Event::Request(token, message.clone());
-                    let at = self.now + self.conditions.delay;
+                    let at = self.now + self.conditions.delay + self.jitter();
                     self.plan(at, Planned::Event(to, self.processes[to].start, event));
                 }
                 return;
@@ -445,12 +449,13 @@
                 if let Some((to, start, id)) = self.tokens.remove(token) {
                     for _ in 0..self.copies(part, to) {
                         let answer = Planned::Answer(to, start, id, message.clone());
-                        self.plan(self.now + self.conditions.delay, answer);
+                        let at = self.now + self.conditions.delay + self.jitter();
+                        self.plan(at, answer);
                     }
                 }
                 return;
             }
-            Action::ReadHead => traffic.heads += 1,
+            Action::ReadHead(_) => traffic.heads += 1,
             Action::ReadText(..) => traffic.texts += 1,
             Action::ReadMembers => traffic.scans += 1,
             Action::ReadHosts => traffic.hosts += 1,
@@ -461,7 +466,7 @@
         self.platform.down |= part != 0;
         let delay = match self.platform.down {
             true => PLATFORM_TIMEOUT,
-            false => self.conditions.platform_delay,
+            false => self.conditions.platform_delay + self.jitter(),
         };
         if let Some(event) = self.platform.answer(action) {
             self.plan(self.now + delay, Planned::Event(index, start, event));
@@ -469,6 +474,10 @@
         self.platform.down = down;
     }
 
+    fn jitter(&mut self) -> Duration {
+        self.conditions.jitter.mul_f64(self.random.random())
+    }
+
     /// Returns how often a message arrives.
     fn copies(&mut self, part: u32, to: usize) -> usize {
         if self.processes[to].part != part || self.random.random_bool(self.conditions.loss) {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -40,8 +40,6 @@
     address: SocketAddr,
     /// Questions whose answer is awaited, with the time at which each was asked.
     pending: BTreeMap<u64, (Purpose, Time)>,
-    /// When the read of the accepted version that is awaited was started.
-    head_asked: Option<Time>,
     next_id: u64,
     expired: Time,
     /// The greatest number of members that a peer knew.
@@ -72,8 +70,9 @@
     Reply(u64, Message),
     /// An [`Action::Send`] found no peer or no answer in time.
     Failed(u64),
-    /// The accepted configuration by the platform, or `None` when the platform did not answer.
-    Head(Option<(Version, Digest)>),
+    /// The accepted configuration by the platform, or `None` when the platform did not answer; the
+    /// time is that of the [`Action::ReadHead`].
+    Head(Time, Option<(Version, Digest)>),
     /// The text of an accepted configuration, or `None` when it could not be read.
     Text(Version, Digest, Option<Arc<str>>),
     /// The registered members, or `None` when the platform did not answer.
@@ -96,8 +95,8 @@
     Send(u64, SocketAddr, Message),
     /// Answer the request with this token.
     Reply(u64, Message),
-    /// Read which configuration is accepted.
-    ReadHead,
+    /// Read which configuration is accepted; the time goes into [`Event::Head`].
+    ReadHead(Time),
     /// Read the text of an accepted configuration.
     ReadText(Version, Digest),
     /// Read the registered members.
@@ -150,7 +149,6 @@
             unequal: 0,
             address,
             pending: BTreeMap::new(),
-            head_asked: None,
             next_id: 0,
             expired: now,
             heard_size: 0,
@@ -177,8 +175,8 @@
                     self.fail(purpose, now, random, &mut out);
                 }
             }
-            Event::Head(head) => {
-                if let (Some(asked), Some(_)) = (self.head_asked.take(), head) {
+            Event::Head(asked, head) => {
+                if head.is_some() {
                     self.fresh.hear(asked);
                 }
                 self.head(head, &mut out);
@@ -307,8 +305,7 @@
         let size = self.expected_size(now);
         let interval = pace::head(size, random);
         if Schedule::due(&mut self.schedule.head_at, now, interval) {
-            self.head_asked.get_or_insert(now);
-            out.push(Action::ReadHead);
+            out.push(Action::ReadHead(now));
         }
         if Schedule::due(&mut self.schedule.hosts_at, now, pace::hosts(size, random)) {
             out.push(Action::ReadHosts);
--- a/crates/control/tests/exhaustive.rs
+++ b/crates/control/tests/exhaustive.rs
@@ -90,7 +90,10 @@
 
     fn head(&self) -> Event {
         let (version, (_, text)) = self.accepted.last_key_value().expect("never empty");
-        Event::Head(Some((*version, *blake3::hash(text.as_bytes()).as_bytes())))
+        Event::Head(
+            self.now,
+            Some((*version, *blake3::hash(text.as_bytes()).as_bytes())),
+        )
     }
 
     fn text(&self, version: Version) -> Event {
@@ -119,7 +122,7 @@
                     let text = self.text(version);
                     self.flights.push(Flight::Platform(index, text));
                 }
-                Action::ReadHead => self.flights.push(Flight::Platform(index, self.head())),
+                Action::ReadHead(_) => self.flights.push(Flight::Platform(index, self.head())),
                 _ => {}
             }
         }
@@ -162,7 +165,7 @@
                 Flight::Platform(to, Event::Text(version, digest, _)) => {
                     self.handle(to, Event::Text(version, digest, None));
                 }
-                Flight::Platform(to, _) => self.handle(to, Event::Head(None)),
+                Flight::Platform(to, _) => self.handle(to, Event::Head(self.now, None)),
             },
             Choice::Read(node) => self.flights.push(Flight::Platform(node, self.head())),
             Choice::Tick(node) => {
--- a/crates/control/tests/random.rs
+++ b/crates/control/tests/random.rs
@@ -25,6 +25,7 @@
     Platform(bool),
     Conditions {
         delay: u64,
+        jitter: u64,
         loss: f64,
         duplicates: f64,
     },
@@ -41,8 +42,8 @@
         2 => (process, 0..8_u32).prop_map(|(index, part)| Step::Cut(index, part)),
         1 => Just(Step::Heal),
         1 => any::<bool>().prop_map(Step::Platform),
-        2 => (1..400_u64, 0.0..0.6, 0.0..0.5).prop_map(|(delay, loss, duplicates)| {
-            Step::Conditions { delay, loss, duplicates }
+        2 => (1..400_u64, 0..2_000_u64, 0.0..0.6, 0.0..0.5).prop_map(|(delay, jitter, loss, duplicates)| {
+            Step::Conditions { delay, jitter, loss, duplicates }
         }),
         6 => (10..5_000_u64).prop_map(Step::Run),
     ]
@@ -121,10 +122,12 @@
         Step::Platform(down) => network.platform.down = down,
         Step::Conditions {
             delay,
+            jitter,
             loss,
             duplicates,
         } => {
             network.conditions.delay = Duration::from_millis(delay);
+            network.conditions.jitter = Duration::from_millis(jitter);
             network.conditions.loss = loss;
             network.conditions.duplicates = duplicates;
         }
@@ -156,7 +159,7 @@
         for step in &steps {
             apply(&mut network, &mut ledger, step)?;
         }
-        let calm = Step::Conditions { delay: 1, loss: 0.0, duplicates: 0.0 };
+        let calm = Step::Conditions { delay: 1, jitter: 0, loss: 0.0, duplicates: 0.0 };
         for step in [Step::Heal, Step::Platform(false), calm] {
             apply(&mut network, &mut ledger, &step)?;
         }
--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -122,7 +122,9 @@
                     let _ = answer.send(message);
                 }
             }
-            Action::ReadHead => self.start(async move { Event::Head(read_head(&view).await) }),
+            Action::ReadHead(asked) => {
+                self.start(async move { Event::Head(asked, read_head(&view).await) });
+            }
             Action::ReadText(version, digest) => self.start(async move {
                 let name = format!("config/{}", blake3::Hash::from_bytes(digest).to_hex());
                 let bytes = view.platform.get_object(&name).await.ok().flatten();
