--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -62,7 +62,7 @@
 
 #[derive(Debug)]
 enum Target {
-    Engine(prompt::Backend),
+    Engine(Box<prompt::Backend>),
     Service(service::Backend),
 }
 
@@ -103,7 +103,7 @@
                 backend.engine(),
                 metrics.clone(),
             )?);
-            (gate, Target::Engine(backend))
+            (gate, Target::Engine(Box::new(backend)))
         }
         Role::Service {
             service,
