--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,7 +4,9 @@
 //! `docs/design.md`, sections 5.6 to 5.9.
 
 mod claim;
+mod ledger;
 mod member;
 
-pub use claim::{Claim, Outcome, State};
+pub use claim::{Acquire, Claim, Fate, Found, Outcome, State, Step, Stop, Written};
+pub use ledger::Ledger;
 pub use member::{Directory, Member, Role};
--- a/crates/daemon/src/agent/claim.rs
+++ b/crates/daemon/src/agent/claim.rs
@@ -1,89 +1,253 @@
-use control::{Claim, Outcome, State};
-use platform::{Commit, Error, Table, Write};
-use types::Team;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
-/// What became of a claim.
+use control::{Acquire, Claim, Fate, Found, Ledger, Outcome, State, Step, Stop, Written};
+use platform::Table as _;
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout, timeout_at};
+use types::{Attempt, Team};
+use wire::{Claimed, Client, Frame};
+
+use super::batch::Batch;
+use super::track::Tracker;
+use crate::control::View;
+
+/// The claims of an agent: the rows on the platform and what the agent knows of its own attempts.
+#[derive(Debug, Clone)]
+pub(super) struct Claims {
+    name: String,
+    view: Arc<View>,
+    client: Client,
+    batch: Batch,
+    ledger: Arc<Mutex<Ledger>>,
+    settled: watch::Sender<()>,
+    work: Tracker,
+}
+
+/// A claim that this agent holds; the attempt may be sent once.
 #[derive(Debug)]
-pub(super) enum Claimed {
-    /// The attempt may be sent; the row has this version.
-    Ours(u64),
-    /// An earlier attempt has this outcome.
-    Done(Outcome),
-    /// An earlier attempt may have run.
-    InDoubt,
-    /// The platform did not say; the attempt must not be sent.
-    Unknown,
+pub(super) struct Held {
+    key: String,
+    version: u64,
+    claim: Claim,
 }
 
+/// The attempts that an agent remembers, in number; each is forgotten when its outcome is stored.
+const MAX_ATTEMPTS: usize = 16_384;
 /// How often the outcome of a call is written before it is given up.
 const STORE_TRIES: u32 = 5;
+/// The wait between two such writes.
+const STORE_WAIT: Duration = Duration::from_millis(200);
+/// How long a caller waits for its outcome to be stored; the agent knows it until then.
+const STORE_PATIENCE: Duration = Duration::from_millis(500);
+/// How long an agent that is asked waits for an attempt that is on its way.
+const SETTLE_PATIENCE: Duration = Duration::from_millis(500);
+/// How long another agent may take to answer; it may wait for [`SETTLE_PATIENCE`] itself.
+const ASK_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Returns the row of a team's idempotency key; hashing keeps the caller's text out of it.
 pub(super) fn row_key(team: &Team, key: &str) -> String {
     format!("claim/{team}/{}", blake3::hash(key.as_bytes()).to_hex())
 }
 
-/// Claims a key for an attempt; only the attempt that holds the claim may be sent.
-pub(super) async fn acquire<Platform>(platform: &Platform, key: &str, claim: &Claim) -> Claimed
-where
-    Platform: Table + Sync,
-{
-    match write(platform, key, 0, claim).await {
-        Ok(Commit::Applied(versions)) => match versions.first() {
-            Some(&version) => Claimed::Ours(version),
-            None => Claimed::Unknown,
-        },
-        // The answer may be lost after the write took effect, so the row decides.
-        Ok(Commit::Conflict(_)) | Err(_) => read_back(platform, key, claim).await,
+impl Claims {
+    pub(super) fn new(name: String, view: Arc<View>, client: Client, work: Tracker) -> Self {
+        Self {
+            name,
+            batch: Batch::spawn(Arc::clone(&view)),
+            view,
+            client,
+            ledger: Arc::new(Mutex::new(Ledger::new(MAX_ATTEMPTS))),
+            settled: watch::channel(()).0,
+            work,
+        }
     }
-}
 
-async fn read_back<Platform>(platform: &Platform, key: &str, claim: &Claim) -> Claimed
-where
-    Platform: Table + Sync,
-{
-    let Ok(Some(row)) = platform.get(key).await else {
-        return Claimed::Unknown;
-    };
-    let Ok(found) = serde_json::from_value::<Claim>(row.value) else {
-        return Claimed::InDoubt;
-    };
-    match found.state {
-        State::Done(outcome) => Claimed::Done(outcome),
-        State::Claimed if found.attempt == claim.attempt => Claimed::Ours(row.version),
-        State::Claimed => Claimed::InDoubt,
+    /// Claims a key for a new attempt; only the holder of the claim may send the call.
+    ///
+    /// # Errors
+    /// Fails when the call must not be sent; the attempt is given up for good then.
+    pub(super) async fn acquire(
+        &self,
+        key: String,
+        digest: String,
+        deadline: Instant,
+    ) -> Result<Held, Stop> {
+        let attempt = Attempt(rand::random());
+        self.ledger().open(attempt);
+        let claim = Claim {
+            attempt,
+            agent: self.name.clone(),
+            incarnation: self.view.incarnation(),
+            digest,
+            state: State::Claimed,
+        };
+        let (mut acquire, mut step) = Acquire::start(claim.clone());
+        loop {
+            if Instant::now() >= deadline && !matches!(step, Step::Send(_)) {
+                step = acquire.give_up();
+            }
+            step = match step {
+                Step::Write { expect, claim } => {
+                    acquire.on_written(self.write(&key, expect, &claim).await)
+                }
+                Step::Read => acquire.on_found(self.read(&key).await),
+                Step::Ask(other) => acquire.on_fate(self.ask(&other).await),
+                Step::Send(version) => {
+                    let held = Held {
+                        key,
+                        version,
+                        claim,
+                    };
+                    return self.permit(held, deadline);
+                }
+                Step::Stop(stop) => {
+                    self.ledger().retire(attempt);
+                    self.settled.send_replace(());
+                    return Err(stop);
+                }
+            };
+        }
+    }
+
+    fn permit(&self, held: Held, deadline: Instant) -> Result<Held, Stop> {
+        if Instant::now() >= deadline {
+            self.ledger().retire(held.claim.attempt);
+            self.settled.send_replace(());
+            self.release_row(held);
+            return Err(Stop::Platform);
+        }
+        // Another agent that was promised this attempt is never sent may send its own now.
+        if self.ledger().permit(held.claim.attempt) {
+            Ok(held)
+        } else {
+            Err(Stop::InDoubt)
+        }
+    }
+
+    /// Keeps the outcome for later requests with the same key.
+    pub(super) async fn store(&self, held: Held, outcome: Outcome) {
+        let attempt = held.claim.attempt;
+        self.ledger().answer(attempt, outcome.clone());
+        self.settled.send_replace(());
+        let (claims, guard) = (self.clone(), self.work.start());
+        let stored = tokio::spawn(async move {
+            let _guard = guard;
+            if claims.finish(&held, State::Done(outcome)).await {
+                claims.ledger().forget(attempt);
+            }
+        });
+        let _ = timeout(STORE_PATIENCE, stored).await;
+    }
+
+    /// Gives the key back after an attempt that certainly did not reach the target.
+    pub(super) fn release(&self, held: Held) {
+        self.ledger().fail(held.claim.attempt);
+        self.settled.send_replace(());
+        self.release_row(held);
+    }
+
+    /// Records that the outcome of a sent attempt is not known.
+    pub(super) fn doubt(&self) {
+        self.settled.send_replace(());
+    }
+
+    /// Answers another agent that found a claim of this one.
+    ///
+    /// An attempt on its way gets a short time to end; one that is not sent by then never will be.
+    pub(super) async fn answer(&self, claimed: &Claimed) -> Fate {
+        if claimed.incarnation != self.view.incarnation() {
+            return Fate::Unknown;
+        }
+        let mut settled = self.settled.subscribe();
+        let deadline = Instant::now() + SETTLE_PATIENCE;
+        while self.ledger().is_open(claimed.attempt) {
+            if !matches!(timeout_at(deadline, settled.changed()).await, Ok(Ok(()))) {
+                break;
+            }
+        }
+        self.ledger().ask(claimed.attempt)
+    }
+
+    fn release_row(&self, held: Held) {
+        let (claims, guard) = (self.clone(), self.work.start());
+        tokio::spawn(async move {
+            let _guard = guard;
+            claims.finish(&held, State::Released).await;
+        });
+    }
+
+    async fn finish(&self, held: &Held, state: State) -> bool {
+        let claim = Claim {
+            state,
+            ..held.claim.clone()
+        };
+        for _ in 0..STORE_TRIES {
+            match self.write(&held.key, held.version, &claim).await {
+                Written::Applied(_) => return true,
+                // The row changes only by an earlier one of these writes, or by a takeover after
+                // this agent has promised not to send.
+                Written::Conflict => return true,
+                Written::Lost | Written::NotSent => tokio::time::sleep(STORE_WAIT).await,
+            }
+        }
+        log::warn!("the end of a call was not stored after {STORE_TRIES} tries");
+        false
+    }
+
+    async fn write(&self, key: &str, expect: u64, claim: &Claim) -> Written {
+        match serde_json::to_value(claim) {
+            Ok(value) => self.batch.write(key, expect, value).await,
+            Err(_) => Written::NotSent,
+        }
     }
-}
 
-/// Keeps the outcome of a call for later requests with the same key.
-pub(super) async fn store<Platform>(platform: &Platform, key: &str, version: u64, claim: &Claim)
-where
-    Platform: Table + Sync,
-{
-    for _ in 0..STORE_TRIES {
-        match write(platform, key, version, claim).await {
-            Ok(_) => return,
-            Err(error) => log::warn!("the outcome of a call was not stored: {error}"),
+    async fn read(&self, key: &str) -> Found {
+        match self.view.platform().get(key).await {
+            Err(_) => Found::Unavailable,
+            Ok(None) => Found::Nothing,
+            Ok(Some(row)) => match serde_json::from_value(row.value) {
+                Ok(claim) => Found::Row(row.version, claim),
+                Err(_) => Found::Malformed,
+            },
         }
-        tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+    }
+
+    async fn ask(&self, claim: &Claim) -> Fate {
+        let claimed = Claimed {
+            attempt: claim.attempt,
+            incarnation: claim.incarnation,
+        };
+        if claim.agent == self.name {
+            return self.answer(&claimed).await;
+        }
+        match timeout(ASK_TIMEOUT, self.ask_peer(&claim.agent, claimed)).await {
+            Ok(Some(fate)) => fate,
+            _ => Fate::Unknown,
+        }
+    }
+
+    async fn ask_peer(&self, agent: &str, claimed: Claimed) -> Option<Fate> {
+        let address = self.view.directory().get(agent)?.address;
+        let mut stream = self.client.open(address).await.ok()?;
+        stream.sender.send(&Frame::Claimed(claimed)).await.ok()?;
+        match stream.receiver.recv().await {
+            Ok(Some(Frame::Fate(answer))) if answer.attempt == claimed.attempt => Some(answer.fate),
+            _ => None,
+        }
+    }
+
+    fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-async fn write<Platform>(
-    platform: &Platform,
-    key: &str,
-    expect: u64,
-    claim: &Claim,
-) -> Result<Commit, Error>
-where
-    Platform: Table + Sync,
-{
-    let value = serde_json::to_value(claim).map_err(|error| Error::Data(error.to_string()))?;
-    platform
-        .commit(&[Write {
-            key: key.to_owned(),
-            expect,
-            value: Some(value),
-        }])
-        .await
+/// Returns the digest that tells two calls under one key apart.
+pub(super) fn digest(call: &wire::Call) -> String {
+    let mut hasher = blake3::Hasher::new();
+    for part in [&*call.service, &*call.call, &call.body] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part.as_bytes());
+    }
+    hasher.finalize().to_hex().to_string()
 }
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -1,34 +1,48 @@
 //! The agent: the only process that talks to its target, and so the authority on it.
 
 mod answers;
+mod batch;
 mod claim;
 mod gate;
 mod kept;
 mod prompt;
 mod service;
+mod track;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use displaydoc::Display;
 use serde_json::{Value, json};
-use wire::{Frame, Listener, Reason, Refused, Stream, Work};
+use tokio::time::{Instant, timeout};
+use types::{Request, Verdict};
+use wire::{
+    Admitted, Answered, Client, Control, Dispatch, Frame, Listener, Reason, Refused, Stream, Work,
+};
 
 use crate::admin::Report;
 use crate::control::View;
 use crate::metrics::Metrics;
 use crate::settings::{Role, Settings};
 use answers::Answers;
+use claim::Claims;
 use gate::Gate;
+use track::Tracker;
 
 /// A running agent.
 #[derive(Debug)]
 pub struct Agent {
     gate: Gate,
+    work: Tracker,
+    control: Control,
     address: SocketAddr,
     admin: SocketAddr,
 }
 
+/// How long a peer may take to say what a stream is for.
+const FIRST_FRAME_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Why an agent did not start.
 #[derive(Debug, Display, thiserror::Error)]
 pub enum Error {
@@ -52,6 +66,8 @@
     gate: Gate,
     metrics: Metrics,
     answers: Answers,
+    claims: Claims,
+    control: Control,
     target: Target,
 }
 
@@ -105,7 +121,16 @@
         }
     };
     gate.follow(Arc::clone(&view), settings);
+    let (work, control) = (Tracker::default(), listener.control());
+    let client = Client::new(settings.keys());
     let shared = Arc::new(Shared {
+        claims: Claims::new(
+            settings.name.clone(),
+            Arc::clone(&view),
+            client,
+            work.clone(),
+        ),
+        control: control.clone(),
         name: settings.name.clone(),
         view,
         gate: gate.clone(),
@@ -117,6 +142,8 @@
     tokio::spawn(accept(listener, shared));
     Ok(Agent {
         gate,
+        work,
+        control,
         address,
         admin,
     })
@@ -135,9 +162,12 @@
         self.admin
     }
 
-    /// Refuses new work and returns once all running work is finished.
+    /// Refuses new work and returns once all running work is finished, its outcomes are stored and
+    /// everybody who follows an answer has it whole.
     pub async fn drain(&self) {
         self.gate.stop().await;
+        self.work.idle().await;
+        self.control.close().await;
     }
 }
 
@@ -155,6 +185,7 @@
             "state": state.name,
             "in_flight": state.load.in_flight,
             "limit": state.load.limit,
+            "refused_connections": self.control.refused(),
         })
     }
 }
@@ -166,55 +197,86 @@
 }
 
 async fn serve(mut stream: Stream, shared: Arc<Shared>) {
-    let frame = match stream.receiver.recv().await {
-        Ok(Some(frame)) => frame,
-        Ok(None) => return,
-        Err(error) => return log::warn!("a stream carried no frame: {error}"),
+    let frame = match timeout(FIRST_FRAME_TIMEOUT, stream.receiver.recv()).await {
+        Ok(Ok(Some(frame))) => frame,
+        Ok(Ok(None)) => return,
+        Ok(Err(error)) => return shared.reject(&error.to_string()),
+        Err(_) => return shared.reject("nothing came within 10 s"),
     };
     match frame {
-        Frame::Dispatch(dispatch) => match (&shared.target, dispatch.work.clone()) {
-            (Target::Engine(backend), Work::Prompt(prompt)) => {
-                prompt::run(&shared, backend, &dispatch, prompt, &mut stream).await;
-            }
-            (Target::Service(backend), Work::Call(call)) => {
-                let answer = service::run(&shared, backend, &dispatch, &call).await;
-                let _ = stream.sender.send(&answer).await;
-            }
-            _ => {
-                let refused = shared.refuse(Reason::WrongTarget);
-                let _ = stream.sender.send(&refused).await;
-            }
-        },
+        Frame::Dispatch(dispatch) => run(dispatch, &mut stream, &shared).await,
         Frame::Resume(resume) => match shared.answers.get(resume.request, &resume.team) {
-            Some(answer) => answers::follow(&answer, resume.from, &mut stream, &shared).await,
+            Some(answer) => {
+                let admitted = Frame::Admitted(Admitted {
+                    load: shared.gate.state().load,
+                    version: shared.view.version(),
+                });
+                if stream.sender.send(&admitted).await.is_ok() {
+                    answers::follow(&answer, resume.from, &mut stream, &shared).await;
+                }
+            }
             None => {
-                // Another team's answer is unknown too, so that nothing can be learned of it.
-                let refused = shared.refuse(Reason::Unknown);
+                // Another team's answer is unknown too, so that nothing can be learned of it. The
+                // request may have run here before this process started.
+                let (request, verdict) = (resume.request, Verdict::MayHaveRun);
+                let refused = shared.refuse_with(request, verdict, Reason::Unknown);
                 let _ = stream.sender.send(&refused).await;
             }
         },
-        _ => log::warn!("a stream started with a frame that no request starts with"),
+        Frame::Claimed(claimed) => {
+            let answered = Answered {
+                attempt: claimed.attempt,
+                fate: shared.claims.answer(&claimed).await,
+            };
+            let _ = stream.sender.send(&Frame::Fate(answered)).await;
+        }
+        _ => shared.reject("its first frame starts no request"),
     }
     stream.sender.finish();
 }
 
+async fn run(dispatch: Dispatch, stream: &mut Stream, shared: &Arc<Shared>) {
+    let deadline = Instant::now() + Duration::from_millis(dispatch.deadline_ms.into());
+    if dispatch.deadline_ms == 0 {
+        let refused = shared.refuse(dispatch.request, Reason::Deadline);
+        let _ = stream.sender.send(&refused).await;
+        return;
+    }
+    match (&shared.target, dispatch.work.clone()) {
+        (Target::Engine(backend), Work::Prompt(prompt)) => {
+            prompt::run(shared, backend, &dispatch, prompt, deadline, stream).await;
+        }
+        (Target::Service(backend), Work::Call(call)) => {
+            let answer = service::run(shared, backend, &dispatch, &call, deadline).await;
+            let _ = stream.sender.send(&answer).await;
+        }
+        _ => {
+            let refused = shared.refuse(dispatch.request, Reason::WrongTarget);
+            let _ = stream.sender.send(&refused).await;
+        }
+    }
+}
+
 impl Shared {
     /// Makes a refusal of something that was not sent to the target and never will be.
-    fn refuse(&self, reason: Reason) -> Frame {
-        self.refuse_with(types::Verdict::NotRun, reason)
+    fn refuse(&self, request: Request, reason: Reason) -> Frame {
+        self.refuse_with(request, Verdict::NotRun, reason)
     }
 
-    fn refuse_with(&self, verdict: types::Verdict, reason: Reason) -> Frame {
-        let label = format!("{reason:?}");
-        self.metrics
-            .refusals
-            .with_label_values(&[label.as_str()])
-            .inc();
+    fn refuse_with(&self, request: Request, verdict: Verdict, reason: Reason) -> Frame {
+        self.metrics.refused(&format!("{reason:?}"));
         Frame::Refused(Refused {
+            request,
             verdict,
             reason,
             retry_after_ms: 50,
             load: self.gate.state().load,
         })
     }
+
+    /// Counts a stream that starts no request; dropping it closes it.
+    fn reject(&self, problem: &str) {
+        log::debug!("a stream was closed: {problem}");
+        self.metrics.refused("bad_stream");
+    }
 }
--- a/crates/daemon/src/agent/prompt.rs
+++ b/crates/daemon/src/agent/prompt.rs
@@ -6,6 +6,7 @@
 use context::Secret;
 use engine::{Answer as _, Chunk, Client, Completion, Engine};
 use rules::Priority;
+use tokio::time::Instant;
 use types::{Model, Weights};
 use wire::{Admitted, Dispatch, Frame, Prompt, Reason, Stream, Usage};
 
@@ -24,6 +25,7 @@
     weights: Arc<ArcSwapOption<Weights>>,
     kept: Kept,
     secret: String,
+    patience: Duration,
 }
 
 /// How often the engine is asked how it is.
@@ -50,6 +52,7 @@
             weights,
             kept,
             secret: settings.context_secret.clone(),
+            patience: Duration::from_millis(settings.abandon_ms),
         })
     }
 }
@@ -70,9 +73,10 @@
     backend: &Backend,
     dispatch: &Dispatch,
     prompt: Prompt,
+    deadline: Instant,
     stream: &mut Stream,
 ) {
-    match start(shared, backend, dispatch, prompt).await {
+    match start(shared, backend, dispatch, prompt, deadline).await {
         Ok(answer) => {
             let admitted = Frame::Admitted(Admitted {
                 load: shared.gate.state().load,
@@ -99,19 +103,25 @@
     backend: &Backend,
     dispatch: &Dispatch,
     prompt: Prompt,
+    deadline: Instant,
 ) -> Result<Started, Frame> {
     if prompt.model != backend.model {
-        return Err(shared.refuse(Reason::WrongTarget));
+        return Err(shared.refuse(dispatch.request, Reason::WrongTarget));
     }
     let Some(weights) = backend.weights.load_full() else {
-        return Err(shared.refuse(Reason::Unavailable));
+        return Err(shared.refuse(dispatch.request, Reason::Unavailable));
     };
     if let Err(reason) = shared.gate.request(dispatch.attempt).await {
-        return Err(shared.refuse(reason));
+        return Err(shared.refuse(dispatch.request, reason));
     }
     let secret = Secret::derive(backend.secret.as_bytes(), &dispatch.team);
     let blocks = context::chain(&secret, &prompt.model, &weights, &prompt.text);
     backend.kept.import(&secret, &weights, &blocks).await;
+    if Instant::now() >= deadline {
+        let cancelled = Outcome::Cancelled;
+        shared.gate.finish(dispatch.attempt, cancelled).await;
+        return Err(shared.refuse(dispatch.request, Reason::Deadline));
+    }
     let completion = Completion {
         request_id: dispatch.attempt,
         model: prompt.model,
@@ -136,7 +146,8 @@
                 "the engine did not take attempt {}: {error}",
                 dispatch.attempt
             );
-            return Err(shared.refuse_with(error.verdict(), Reason::Unavailable));
+            let verdict = error.verdict();
+            return Err(shared.refuse_with(dispatch.request, verdict, Reason::Unavailable));
         }
     };
     shared.gate.confirm(dispatch.attempt, running.boot()).await;
@@ -149,6 +160,7 @@
     let pump = Pump {
         shared: Arc::clone(shared),
         engine: backend.engine.clone(),
+        patience: backend.patience,
         attempt: dispatch.attempt,
         answer: Arc::clone(&answer),
     };
@@ -165,6 +177,8 @@
 struct Pump {
     shared: Arc<Shared>,
     engine: Client,
+    /// How long an answer goes on that nobody follows.
+    patience: Duration,
     attempt: types::Attempt,
     answer: Arc<Answer>,
 }
@@ -172,52 +186,73 @@
 impl Pump {
     /// Returns whether the answer is whole.
     async fn run(&self, running: engine::Running) -> bool {
+        // A caller that is gone for good must not cost tokens up to the end of the answer.
+        let ended = tokio::select! {
+            ended = self.read(running) => ended,
+            () = self.answer.abandoned(self.patience) => Ended::Cancelled,
+        };
+        let (outcome, ending) = match ended {
+            Ended::Whole(ending) => (Outcome::Success, ending),
+            Ended::Lost => (Outcome::Failure, Ending::Lost),
+            Ended::Cancelled => {
+                if let Err(error) = self.engine.cancel(self.attempt).await {
+                    log::debug!("attempt {} was not cancelled: {error}", self.attempt);
+                }
+                (Outcome::Cancelled, Ending::Lost)
+            }
+        };
+        self.shared.gate.finish(self.attempt, outcome).await;
+        let is_whole = matches!(ending, Ending::Whole { .. });
+        self.answer.end(ending);
+        is_whole
+    }
+
+    async fn read(&self, running: engine::Running) -> Ended {
         let mut running = running;
         let mut resumes = RESUMES;
         loop {
             match running.next().await {
                 Ok(Some(Chunk::Token { text, .. })) => {
-                    self.answer.push(text);
-                    continue;
-                }
-                Ok(Some(Chunk::End(finish))) => {
-                    let usage = Usage {
-                        prompt: finish.prompt,
-                        reused: finish.cached,
-                        completion: finish.completion,
-                    };
-                    let metrics = &self.shared.metrics;
-                    metrics.reused.inc_by(usage.reused.into());
-                    metrics
-                        .computed
-                        .inc_by(usage.prompt.saturating_sub(usage.reused).into());
-                    self.shared
-                        .gate
-                        .finish(self.attempt, Outcome::Success)
-                        .await;
-                    self.answer.end(Ending::Whole {
-                        finish: finish.reason,
-                        usage,
-                    });
-                    return true;
+                    if self.answer.push(text) {
+                        continue;
+                    }
+                    return Ended::Cancelled;
                 }
+                Ok(Some(Chunk::End(finish))) => return Ended::Whole(self.whole(finish)),
                 Ok(None) => log::debug!("the engine cut attempt {}", self.attempt),
                 Err(error) => log::debug!("attempt {} broke: {error}", self.attempt),
             }
             if resumes == 0 {
-                break;
+                return Ended::Lost;
             }
             resumes -= 1;
             match self.engine.resume(self.attempt, self.answer.len()).await {
                 Ok(resumed) => running = resumed,
-                Err(_) => break,
+                Err(_) => return Ended::Lost,
             }
         }
-        self.shared
-            .gate
-            .finish(self.attempt, Outcome::Failure)
-            .await;
-        self.answer.end(Ending::Lost);
-        false
     }
+
+    fn whole(&self, finish: engine::Finish) -> Ending {
+        let usage = Usage {
+            prompt: finish.prompt,
+            reused: finish.cached,
+            completion: finish.completion,
+        };
+        let metrics = &self.shared.metrics;
+        metrics.reused.inc_by(usage.reused.into());
+        let computed = usage.prompt.saturating_sub(usage.reused);
+        metrics.computed.inc_by(computed.into());
+        Ending::Whole {
+            finish: finish.reason,
+            usage,
+        }
+    }
+}
+
+/// How reading an answer ended.
+enum Ended {
+    Whole(Ending),
+    Lost,
+    Cancelled,
 }
--- a/crates/daemon/src/agent/service.rs
+++ b/crates/daemon/src/agent/service.rs
@@ -1,12 +1,13 @@
 use std::time::Duration;
 
 use admission::Outcome;
-use control::{Claim, State};
+use control::Stop;
 use engine::{Plain, Service as _};
-use types::{Boot, Service, Verdict};
+use tokio::time::Instant;
+use types::{Boot, Service};
 use wire::{Call, Dispatch, Frame, Reason, Reply};
 
-use super::claim::{self, Claimed};
+use super::claim;
 use super::gate::Gate;
 use super::{Error, Shared};
 
@@ -45,14 +46,15 @@
     backend: &Backend,
     dispatch: &Dispatch,
     call: &Call,
+    deadline: Instant,
 ) -> Frame {
     if call.service != backend.service {
-        return shared.refuse(Reason::WrongTarget);
+        return shared.refuse(dispatch.request, Reason::WrongTarget);
     }
     if let Err(reason) = shared.gate.request(dispatch.attempt).await {
-        return shared.refuse(reason);
+        return shared.refuse(dispatch.request, reason);
     }
-    let (answer, outcome) = claim_and_send(shared, backend, dispatch, call).await;
+    let (answer, outcome) = claim_and_send(shared, backend, dispatch, call, deadline).await;
     shared.gate.finish(dispatch.attempt, outcome).await;
     answer
 }
@@ -62,72 +64,94 @@
     backend: &Backend,
     dispatch: &Dispatch,
     call: &Call,
+    deadline: Instant,
 ) -> (Frame, Outcome) {
     let key = match &call.key {
         Some(key) if !call.repeatable => claim::row_key(&dispatch.team, key),
-        _ => return send(shared, backend, dispatch, call).await,
+        _ if Instant::now() >= deadline => {
+            let refused = shared.refuse(dispatch.request, Reason::Deadline);
+            return (refused, Outcome::Cancelled);
+        }
+        _ => {
+            return match send(backend, dispatch, call).await {
+                Ok(reply) => answered(shared, dispatch, reply).await,
+                Err(error) => failed(shared, dispatch, &error),
+            };
+        }
     };
-    let platform = shared.view.platform();
-    let mut claim = Claim {
-        attempt: dispatch.attempt,
-        agent: shared.name.clone(),
-        incarnation: shared.view.incarnation(),
-        state: State::Claimed,
+    let digest = claim::digest(call);
+    let held = match shared.claims.acquire(key, digest, deadline).await {
+        Ok(held) => held,
+        Err(stop) => {
+            return (
+                stopped(shared, dispatch, stop, deadline),
+                Outcome::Cancelled,
+            );
+        }
     };
-    let version = match claim::acquire(platform, &key, &claim).await {
-        Claimed::Ours(version) => version,
-        Claimed::Done(outcome) => {
-            let reply = Frame::Reply(Reply {
+    match send(backend, dispatch, call).await {
+        Ok(reply) => {
+            let (status, body) = (reply.status, reply.body.clone());
+            let stored = shared.claims.store(held, control::Outcome { status, body });
+            let (answer, ()) = tokio::join!(answered(shared, dispatch, reply), stored);
+            answer
+        }
+        Err(error) => {
+            if error.verdict() == types::Verdict::NotRun {
+                shared.claims.release(held);
+            } else {
+                shared.claims.doubt();
+            }
+            failed(shared, dispatch, &error)
+        }
+    }
+}
+
+fn stopped(shared: &Shared, dispatch: &Dispatch, stop: Stop, deadline: Instant) -> Frame {
+    let verdict = stop.verdict();
+    let reason = match stop {
+        Stop::Replay(outcome) => {
+            return Frame::Reply(Reply {
+                request: dispatch.request,
                 status: outcome.status,
                 body: outcome.body,
                 replayed: true,
                 load: shared.gate.state().load,
             });
-            return (reply, Outcome::Cancelled);
-        }
-        Claimed::InDoubt => {
-            let refused = shared.refuse_with(Verdict::MayHaveRun, Reason::InDoubt);
-            return (refused, Outcome::Cancelled);
         }
-        Claimed::Unknown => return (shared.refuse(Reason::Platform), Outcome::Cancelled),
+        Stop::InDoubt => Reason::InDoubt,
+        Stop::Mismatch => Reason::Mismatch,
+        Stop::Platform if Instant::now() >= deadline => Reason::Deadline,
+        Stop::Platform => Reason::Platform,
     };
-    let (answer, outcome) = send(shared, backend, dispatch, call).await;
-    if let Frame::Reply(reply) = &answer {
-        let (status, body) = (reply.status, reply.body.clone());
-        claim.state = State::Done(control::Outcome { status, body });
-        claim::store(platform, &key, version, &claim).await;
-    }
-    (answer, outcome)
+    shared.refuse_with(dispatch.request, verdict, reason)
 }
 
 async fn send(
-    shared: &Shared,
     backend: &Backend,
     dispatch: &Dispatch,
     call: &Call,
-) -> (Frame, Outcome) {
-    match backend
-        .plain
-        .call(&call.call, dispatch.attempt, &call.body)
-        .await
-    {
-        Ok(reply) => {
-            shared.gate.confirm(dispatch.attempt, NO_BOOT).await;
-            let reply = Frame::Reply(Reply {
-                status: reply.status,
-                body: reply.body,
-                replayed: false,
-                load: shared.gate.state().load,
-            });
-            (reply, Outcome::Success)
-        }
-        Err(error) => {
-            log::debug!(
-                "the service did not answer attempt {}: {error}",
-                dispatch.attempt
-            );
-            let refused = shared.refuse_with(error.verdict(), Reason::Unavailable);
-            (refused, Outcome::Failure)
-        }
-    }
+) -> Result<engine::Reply, engine::Error> {
+    let (call, body) = (&call.call, &call.body);
+    backend.plain.call(call, dispatch.attempt, body).await
+}
+
+async fn answered(shared: &Shared, dispatch: &Dispatch, reply: engine::Reply) -> (Frame, Outcome) {
+    shared.gate.confirm(dispatch.attempt, NO_BOOT).await;
+    let reply = Frame::Reply(Reply {
+        request: dispatch.request,
+        status: reply.status,
+        body: reply.body,
+        replayed: false,
+        load: shared.gate.state().load,
+    });
+    (reply, Outcome::Success)
+}
+
+fn failed(shared: &Shared, dispatch: &Dispatch, error: &engine::Error) -> (Frame, Outcome) {
+    let attempt = dispatch.attempt;
+    log::debug!("the service did not answer attempt {attempt}: {error}");
+    let verdict = error.verdict();
+    let refused = shared.refuse_with(dispatch.request, verdict, Reason::Unavailable);
+    (refused, Outcome::Failure)
 }
--- a/crates/daemon/src/entry/api.rs
+++ b/crates/daemon/src/entry/api.rs
@@ -1,3 +1,5 @@
+use std::io::Write;
+
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use types::{Model, Request, Verdict};
@@ -110,6 +112,11 @@
             ),
             Reason::Unknown => (404, "unknown", "there is no such answer"),
             Reason::Isolated => (503, "unavailable", "this process is cut off"),
+            Reason::Mismatch => (
+                422,
+                "key_reused",
+                "the idempotency key was used for another call or body",
+            ),
             Reason::Invalid => (422, "invalid", "the request cannot be accepted"),
         };
         let retry_after_ms = (status == 503).then_some(retry_after_ms);
@@ -133,15 +140,34 @@
     }
 }
 
-/// Returns one event of a streamed answer.
-pub(super) fn chunk(request: Request, model: &Model, text: &str) -> String {
-    json!({
-        "id": format!("chatcmpl-{request}"),
-        "object": "chat.completion.chunk",
-        "model": model,
-        "choices": [{ "index": 0, "delta": { "content": text }, "finish_reason": null }],
-    })
-    .to_string()
+/// Writes the events of a streamed answer.
+///
+/// Only the text differs between the events of an answer, so the rest is made once.
+#[derive(Debug)]
+pub(super) struct Chunks {
+    head: String,
+}
+
+const CHUNK_TAIL: &[u8] = b"},\"finish_reason\":null}]}\n\n";
+
+impl Chunks {
+    pub(super) fn new(request: Request, model: &Model) -> Self {
+        let model = serde_json::Value::from(&**model);
+        Self {
+            head: format!(
+                "{{\"id\":\"chatcmpl-{request}\",\"object\":\"chat.completion.chunk\",\
+                 \"model\":{model},\"choices\":[{{\"index\":0,\"delta\":{{\"content\":"
+            ),
+        }
+    }
+
+    /// Appends the event with this number.
+    pub(super) fn write(&self, seq: u32, text: &str, out: &mut Vec<u8>) {
+        // Writing to memory does not fail.
+        let _ = write!(out, "id: {seq}\ndata: {}", self.head);
+        let _ = serde_json::to_writer(&mut *out, text);
+        out.extend_from_slice(CHUNK_TAIL);
+    }
 }
 
 /// Returns the last event of a streamed answer.
--- /dev/null
+++ b/crates/daemon/src/entry/call.rs
@@ -0,0 +1,106 @@
+use control::Member;
+use rules::Priority;
+use tokio::time::{Instant, timeout_at};
+use types::{Attempt, Request, Team, Verdict};
+use wire::{Call, Dispatch, Frame, Reason, Refused, Reply, Work};
+
+use super::Shared;
+use super::api::Refusal;
+use super::relay::{is_redirect, left_ms, refused, send};
+use super::route::{Need, candidates};
+
+/// Runs a call of a plain service.
+///
+/// Only a call that was not run, that may repeat or that has a key is tried again; the claim of
+/// the key keeps the latter from running twice.
+pub(super) async fn run(
+    shared: &Shared,
+    request: Request,
+    (team, priority): (Team, Priority),
+    call: Call,
+    deadline: Instant,
+) -> Result<Reply, Refusal> {
+    shared.metrics.requests.with_label_values(&["call"]).inc();
+    shared.budget().on_request();
+    let key = routing::Key::new(&[&rand::random::<u128>().to_le_bytes()]);
+    let mut last = refused(request, Verdict::NotRun, Reason::WrongTarget);
+    let mut is_first = true;
+    for member in candidates(shared, Need::Service(&call.service), key) {
+        if !is_first && !may_retry(shared, &last, &call) {
+            break;
+        }
+        if Instant::now() >= deadline {
+            last.reason = Reason::Deadline;
+            break;
+        }
+        is_first = false;
+        let dispatch = Dispatch {
+            request,
+            attempt: Attempt(rand::random()),
+            team: team.clone(),
+            priority,
+            deadline_ms: left_ms(deadline),
+            version: shared.view.version(),
+            work: Work::Call(call.clone()),
+        };
+        match once(shared, &member, dispatch, deadline).await {
+            Ok(reply) => return Ok(reply),
+            Err(refused) => {
+                if matches!(refused.reason, Reason::Leaving | Reason::Unavailable) {
+                    shared.loads.failed(&member.name, crate::now());
+                }
+                last = Refused {
+                    verdict: last.verdict.weaken(refused.verdict),
+                    ..refused
+                };
+            }
+        }
+    }
+    Err(Refusal::system(
+        last.reason,
+        last.verdict,
+        last.retry_after_ms,
+    ))
+}
+
+fn may_retry(shared: &Shared, last: &Refused, call: &Call) -> bool {
+    let is_final = matches!(
+        last.reason,
+        Reason::Deadline | Reason::Platform | Reason::InDoubt | Reason::Invalid | Reason::Mismatch
+    );
+    let is_safe = last.verdict == Verdict::NotRun || call.repeatable || call.key.is_some();
+    !is_final && is_safe && (is_redirect(last) || shared.budget().try_retry())
+}
+
+async fn once(
+    shared: &Shared,
+    member: &Member,
+    dispatch: Dispatch,
+    deadline: Instant,
+) -> Result<Reply, Refused> {
+    let request = dispatch.request;
+    let refuse = |verdict, reason| refused(request, verdict, reason);
+    let mut stream = match send(shared, member, &Frame::Dispatch(dispatch)).await {
+        Ok(stream) => stream,
+        Err(error) => return Err(refuse(error.verdict(), Reason::Unavailable)),
+    };
+    let frame = match timeout_at(deadline, stream.receiver.recv()).await {
+        Ok(Ok(Some(frame))) => frame,
+        Ok(Ok(None) | Err(_)) => return Err(refuse(Verdict::MayHaveRun, Reason::Unavailable)),
+        Err(_) => return Err(refuse(Verdict::MayHaveRun, Reason::Deadline)),
+    };
+    match frame {
+        Frame::Reply(reply) if reply.request == request => {
+            shared.loads.heard(&member.name, reply.load, crate::now());
+            Ok(reply)
+        }
+        Frame::Refused(refused) if refused.request == request => {
+            shared.loads.heard(&member.name, refused.load, crate::now());
+            Err(refused)
+        }
+        _ => {
+            shared.metrics.refused("crossed");
+            Err(refuse(Verdict::MayHaveRun, Reason::Unavailable))
+        }
+    }
+}
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -1,24 +1,24 @@
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures_util::StreamExt;
+use bytes::Buf;
+use futures_util::Stream;
 use rules::{Priority, key_digest};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
-use tokio_stream::wrappers::ReceiverStream;
-use types::{Model, Request, Service, Team};
-use warp::http::{HeaderValue, StatusCode};
+use types::{Request, Service, Team};
+use warp::http::{HeaderMap, HeaderValue, StatusCode};
 use warp::reply::Response;
-use warp::{Filter, Rejection, Reply};
-use wire::{Call, End, Prompt, Reason, Token};
+use warp::{Filter, Rejection};
+use wire::{Call, Prompt, Reason, Token};
 
 use super::Shared;
-use super::api::{Chat, Refusal, chunk, completion, last_chunk};
+use super::api::{Chat, Refusal, completion};
 use super::relay::{self, Job, Piece};
+use super::reply::{collect, json, refuse, stream};
+use super::{body, call};
 
-/// The largest body that is read, in bytes.
-const MAX_BODY_BYTES: u64 = 8 << 20;
 /// The longest idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 256;
 /// How long a caller waits when it does not say.
@@ -28,15 +28,6 @@
 /// Events on their way to one caller; a slow caller holds back its own stream only.
 const PIECES: usize = 64;
 
-/// What a caller says in headers.
-#[derive(Debug, Clone)]
-struct Headers {
-    authorization: Option<String>,
-    deadline_ms: Option<String>,
-    key: Option<String>,
-    last_event: Option<String>,
-}
-
 /// A caller that is known.
 struct Caller {
     team: Team,
@@ -44,61 +35,73 @@
     deadline: Instant,
 }
 
-/// Returns the routes for callers.
+/// Returns the routes for callers; whatever does not fit them is refused in JSON as well.
 pub(super) fn routes(
     shared: Arc<Shared>,
-) -> impl Filter<Extract = (Response,), Error = Rejection> + Clone {
+) -> impl Filter<Extract = (Response,), Error = Infallible> + Clone {
+    let metrics = shared.metrics.clone();
     let shared = warp::any().map(move || Arc::clone(&shared));
-    let headers = warp::header::optional("authorization")
-        .and(warp::header::optional("x-deadline-ms"))
-        .and(warp::header::optional("idempotency-key"))
-        .and(warp::header::optional("last-event-id"))
-        .map(|authorization, deadline_ms, key, last_event| Headers {
-            authorization,
-            deadline_ms,
-            key,
-            last_event,
-        });
-    let body = warp::body::content_length_limit(MAX_BODY_BYTES).and(warp::body::bytes());
     let chat = warp::path!("v1" / "chat" / "completions")
         .and(warp::post())
         .and(shared.clone())
-        .and(headers)
-        .and(body)
-        .then(async |shared: Arc<Shared>, headers: Headers, body: Bytes| {
-            chat(&shared, &headers, &body)
-                .await
-                .unwrap_or_else(|refusal| refuse(&refusal))
+        .and(warp::header::headers_cloned())
+        .and(warp::body::stream())
+        .then(async |shared: Arc<Shared>, headers: HeaderMap, body| {
+            let answer = chat(&shared, &headers, body).await;
+            answer.unwrap_or_else(|refusal| refuse(&shared.metrics, &refusal))
         });
     let call = warp::path!("v1" / "services" / String / String)
         .and(warp::post())
         .and(shared.clone())
-        .and(headers)
-        .and(body)
+        .and(warp::header::headers_cloned())
+        .and(warp::body::stream())
         .then(
-            async |service, call, shared: Arc<Shared>, headers: Headers, body: Bytes| {
-                plain(&shared, &headers, service, call, &body)
-                    .await
-                    .unwrap_or_else(|refusal| refuse(&refusal))
+            async |service, call, shared: Arc<Shared>, headers: HeaderMap, body| {
+                let answer = plain(&shared, &headers, service, call, body).await;
+                answer.unwrap_or_else(|refusal| refuse(&shared.metrics, &refusal))
             },
         );
     let answer = warp::path!("v1" / "answers" / String)
         .and(warp::get())
         .and(shared)
-        .and(headers)
+        .and(warp::header::headers_cloned())
         .then(
-            async |token: String, shared: Arc<Shared>, headers: Headers| {
-                answer(&shared, &headers, &token)
-                    .await
-                    .unwrap_or_else(|refusal| refuse(&refusal))
+            async |token: String, shared: Arc<Shared>, headers: HeaderMap| {
+                let answer = answer(&shared, &headers, &token).await;
+                answer.unwrap_or_else(|refusal| refuse(&shared.metrics, &refusal))
             },
         );
-    chat.or(call).unify().or(answer).unify()
+    let routes = chat.or(call).unify().or(answer).unify();
+    routes
+        .recover(move |rejection| {
+            let response = refuse(&metrics, &rejected(&rejection));
+            std::future::ready(Ok::<_, Infallible>(response))
+        })
+        .unify()
+}
+
+fn rejected(rejection: &Rejection) -> Refusal {
+    if rejection.find::<warp::reject::MethodNotAllowed>().is_some() {
+        return Refusal::caller(405, "method", "this path has another method");
+    }
+    if rejection.is_not_found() {
+        return Refusal::caller(404, "not_found", "there is no such path");
+    }
+    Refusal::caller(400, "invalid", "the request cannot be read")
 }
 
-async fn chat(shared: &Arc<Shared>, headers: &Headers, body: &[u8]) -> Result<Response, Refusal> {
+async fn chat<Body, Piece>(
+    shared: &Arc<Shared>,
+    headers: &HeaderMap,
+    body: Body,
+) -> Result<Response, Refusal>
+where
+    Body: Stream<Item = Result<Piece, warp::Error>>,
+    Piece: Buf,
+{
     let caller = authenticate(shared, headers)?;
-    let chat: Chat = serde_json::from_slice(body)
+    let body = body::read(headers, body).await?;
+    let chat: Chat = serde_json::from_slice(&body)
         .map_err(|error| Refusal::caller(400, "invalid", &format!("the body: {error}")))?;
     if let Some(problem) = chat.problem() {
         return Err(Refusal::caller(400, "invalid", problem));
@@ -111,32 +114,25 @@
         ));
     }
     let request = Request(rand::random());
+    let text = chat.prompt();
+    let root = context::root(&shared.secret(&caller.team), &chat.model, &text);
     let job = Job {
         request,
         team: caller.team.clone(),
         priority: caller.priority,
         prompt: Prompt {
             model: chat.model.clone(),
-            text: chat.prompt(),
+            text: text.into(),
             max_tokens: chat.max_tokens,
             delivered: Vec::new(),
         },
+        root,
         deadline: caller.deadline,
     };
     let started = Instant::now();
     let (sender, mut pieces) = mpsc::channel(PIECES);
     tokio::spawn(relay::run(Arc::clone(shared), job, sender));
-    let agent = match pieces.recv().await {
-        Some(Piece::Agent(agent)) => agent,
-        Some(Piece::Refused(refusal)) => return Err(refusal),
-        _ => {
-            return Err(Refusal::system(
-                Reason::Unavailable,
-                types::Verdict::MayHaveRun,
-                100,
-            ));
-        }
-    };
+    let agent = agent(&mut pieces).await?;
     if !chat.stream {
         let (text, end) = collect(shared, pieces, started).await?;
         let body = completion(request, &chat.model, &text, &end.finish, end.usage);
@@ -146,6 +142,8 @@
         request,
         team: caller.team,
         agent,
+        model: chat.model.clone(),
+        root,
     }
     .seal(&shared.keys);
     Ok(stream(
@@ -158,23 +156,43 @@
     ))
 }
 
-async fn plain(
+/// Waits until an agent has taken the request, so that a refusal still has its own status.
+async fn agent(pieces: &mut mpsc::Receiver<Piece>) -> Result<String, Refusal> {
+    match pieces.recv().await {
+        Some(Piece::Agent(agent)) => Ok(agent),
+        Some(Piece::Refused(refusal)) => Err(refusal),
+        _ => Err(Refusal::system(
+            Reason::Unavailable,
+            types::Verdict::MayHaveRun,
+            100,
+        )),
+    }
+}
+
+async fn plain<Body, Piece>(
     shared: &Shared,
-    headers: &Headers,
+    headers: &HeaderMap,
     service: String,
     call: String,
-    body: &[u8],
-) -> Result<Response, Refusal> {
+    body: Body,
+) -> Result<Response, Refusal>
+where
+    Body: Stream<Item = Result<Piece, warp::Error>>,
+    Piece: Buf,
+{
     let caller = authenticate(shared, headers)?;
-    if headers
-        .key
-        .as_ref()
-        .is_some_and(|key| key.is_empty() || key.len() > MAX_KEY_BYTES)
-    {
+    let key = header(headers, "idempotency-key")?;
+    if key.is_some_and(|key| key.is_empty() || key.len() > MAX_KEY_BYTES) {
         let message = "idempotency-key: accepted are 1 to 256 characters";
         return Err(Refusal::caller(400, "invalid", message));
     }
-    let body = std::str::from_utf8(body)
+    // The name becomes a part of the service's URL, where dots and slashes have a meaning.
+    if !is_name(&call) {
+        let message = "call: accepted are letters, digits, _ and -";
+        return Err(Refusal::caller(400, "invalid", message));
+    }
+    let body = body::read(headers, body).await?;
+    let body = std::str::from_utf8(&body)
         .map_err(|_error| Refusal::caller(400, "invalid", "the body is not UTF-8"))?;
     let (service, call) = (Service::from(service), types::Call::from(call));
     let rules = shared.view.rules();
@@ -190,11 +208,11 @@
         service,
         call,
         body: body.to_owned(),
-        key: headers.key.clone(),
+        key: key.map(str::to_owned),
         repeatable,
     };
     let request = Request(rand::random());
-    let reply = relay::call(
+    let reply = call::run(
         shared,
         request,
         (caller.team, caller.priority),
@@ -212,42 +230,59 @@
     Ok(response)
 }
 
-async fn answer(shared: &Arc<Shared>, headers: &Headers, token: &str) -> Result<Response, Refusal> {
+fn is_name(text: &str) -> bool {
+    let is_part = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'_' || byte == b'-';
+    text.bytes().all(is_part)
+}
+
+async fn answer(
+    shared: &Arc<Shared>,
+    headers: &HeaderMap,
+    token: &str,
+) -> Result<Response, Refusal> {
     let caller = authenticate(shared, headers)?;
-    let unknown = || Refusal::caller(404, "unknown", "there is no such answer");
+    // The request that the caller means may well have run.
+    let unknown = || Refusal::system(Reason::Unknown, types::Verdict::MayHaveRun, 0);
     let token = Token::open(token, &shared.keys).ok_or_else(unknown)?;
     if token.team != caller.team {
         return Err(unknown());
     }
-    let from = match &headers.last_event {
+    let from = match header(headers, "last-event-id")? {
         None => 0,
-        Some(id) => {
-            let last: u32 = id.parse().map_err(|_error| {
-                Refusal::caller(
-                    400,
-                    "invalid",
-                    "last-event-id: accepted is an event's number",
-                )
-            })?;
-            last.saturating_add(1)
-        }
+        Some(id) => id
+            .parse::<u32>()
+            .map(|last| last.saturating_add(1))
+            .map_err(|_error| {
+                let message = "last-event-id: accepted is an event's number";
+                Refusal::caller(400, "invalid", message)
+            })?,
     };
-    let (request, sealed) = (token.request, token.seal(&shared.keys));
-    let (sender, pieces) = mpsc::channel(PIECES);
+    let (request, model, sealed) = (token.request, token.model.clone(), token.seal(&shared.keys));
+    let (sender, mut pieces) = mpsc::channel(PIECES);
     let task = relay::resume(Arc::clone(shared), token, from, caller.deadline, sender);
     tokio::spawn(task);
-    let model = Model::from("");
-    Ok(stream(
-        Arc::clone(shared),
-        pieces,
-        request,
-        model,
-        &sealed,
-        Instant::now(),
-    ))
+    agent(&mut pieces).await?;
+    let started = Instant::now();
+    let shared = Arc::clone(shared);
+    Ok(stream(shared, pieces, request, model, &sealed, started))
+}
+
+/// Returns the value of a header.
+fn header<'headers>(
+    headers: &'headers HeaderMap,
+    name: &str,
+) -> Result<Option<&'headers str>, Refusal> {
+    headers
+        .get(name)
+        .map(|value| value.to_str())
+        .transpose()
+        .map_err(|_error| {
+            let message = format!("{name}: accepted are visible ASCII characters");
+            Refusal::caller(400, "invalid", &message)
+        })
 }
 
-fn authenticate(shared: &Shared, headers: &Headers) -> Result<Caller, Refusal> {
+fn authenticate(shared: &Shared, headers: &HeaderMap) -> Result<Caller, Refusal> {
     if !shared.view.is_ready() {
         return Err(Refusal::system(
             Reason::Isolated,
@@ -256,10 +291,7 @@
         ));
     }
     let denied = || Refusal::caller(401, "unauthorized", "the key is not known");
-    let key = headers
-        .authorization
-        .as_deref()
-        .and_then(|text| text.strip_prefix("Bearer "));
+    let key = header(headers, "authorization")?.and_then(|text| text.strip_prefix("Bearer "));
     let rules = shared.view.rules();
     // The digest of the key is looked up, so the time taken says nothing of the key itself.
     let team = rules
@@ -269,7 +301,7 @@
         .teams
         .get(team)
         .map_or(Priority::Normal, |account| account.priority);
-    let deadline = match &headers.deadline_ms {
+    let deadline = match header(headers, "x-deadline-ms")? {
         None => DEFAULT_DEADLINE,
         Some(text) => match text.parse() {
             Ok(millis @ 1..=MAX_DEADLINE_MS) => Duration::from_millis(millis),
@@ -285,95 +317,3 @@
         deadline: Instant::now() + deadline,
     })
 }
-
-async fn collect(
-    shared: &Shared,
-    mut pieces: mpsc::Receiver<Piece>,
-    started: Instant,
-) -> Result<(String, End), Refusal> {
-    let mut text = String::new();
-    while let Some(piece) = pieces.recv().await {
-        match piece {
-            Piece::Agent(_) => {}
-            Piece::Event(seq, event) => {
-                if seq == 0 {
-                    shared
-                        .metrics
-                        .first_token
-                        .observe(started.elapsed().as_secs_f64());
-                }
-                text.push_str(&event);
-            }
-            Piece::End(end) => return Ok((text, end)),
-            Piece::Refused(refusal) => return Err(refusal),
-        }
-    }
-    Err(Refusal::system(
-        Reason::Unavailable,
-        types::Verdict::MayHaveRun,
-        100,
-    ))
-}
-
-/// Streams an answer; without its last event the connection breaks, so that a cut answer is never
-/// taken for a whole one.
-fn stream(
-    shared: Arc<Shared>,
-    pieces: mpsc::Receiver<Piece>,
-    request: Request,
-    model: Model,
-    token: &str,
-    started: Instant,
-) -> Response {
-    let end_of_pieces = futures_util::stream::once(async { None });
-    let pieces = ReceiverStream::new(pieces).map(Some).chain(end_of_pieces);
-    let mut whole = false;
-    let events = pieces.filter_map(move |piece| {
-        let event = match piece {
-            Some(Piece::Agent(_)) => None,
-            Some(Piece::Event(seq, text)) => {
-                if seq == 0 {
-                    shared
-                        .metrics
-                        .first_token
-                        .observe(started.elapsed().as_secs_f64());
-                }
-                Some(Ok(format!(
-                    "id: {seq}\ndata: {}\n\n",
-                    chunk(request, &model, &text)
-                )))
-            }
-            Some(Piece::End(end)) => {
-                whole = true;
-                let last = last_chunk(request, &model, &end.finish, end.usage);
-                Some(Ok(format!("data: {last}\n\ndata: [DONE]\n\n")))
-            }
-            Some(Piece::Refused(refusal)) => {
-                Some(Ok(format!("event: error\ndata: {}\n\n", refusal.body())))
-            }
-            None if whole => None,
-            None => Some(Err(std::io::Error::other("the answer is not whole"))),
-        };
-        std::future::ready(event.map(|event| event.map(Bytes::from)))
-    });
-    let reply = warp::reply::stream(events);
-    let reply = warp::reply::with_header(reply, "content-type", "text/event-stream");
-    let reply = warp::reply::with_header(reply, "cache-control", "no-store");
-    warp::reply::with_header(reply, "x-resume-token", token).into_response()
-}
-
-fn refuse(refusal: &Refusal) -> Response {
-    let status = StatusCode::from_u16(refusal.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut response = json(status, refusal.body());
-    if let Some(millis) = refusal.retry_after_ms {
-        // The header counts in whole seconds.
-        let seconds = u64::from(millis.div_ceil(1000).max(1));
-        response.headers_mut().insert("retry-after", seconds.into());
-    }
-    response
-}
-
-fn json(status: StatusCode, body: String) -> Response {
-    let reply = warp::reply::with_header(body, "content-type", "application/json");
-    warp::reply::with_status(reply, status).into_response()
-}
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -3,13 +3,17 @@
 //! It holds soft state only. What it believes of a target may be wrong; the agent decides.
 
 mod api;
+mod body;
+mod call;
 mod http;
 mod load;
 mod relay;
+mod reply;
 mod route;
+mod server;
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use context::Secret;
 use displaydoc::Display;
@@ -17,7 +21,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use wire::{Client, Keys, Listener};
+use wire::{Client, Control, Keys, Listener};
 
 use crate::admin::Report;
 use crate::control::View;
@@ -58,6 +62,8 @@
     secret: String,
     metrics: Metrics,
     loads: Loads,
+    budget: Mutex<routing::Budget>,
+    control: Control,
 }
 
 /// Starts an entry as the settings say.
@@ -81,17 +87,14 @@
         secret: settings.context_secret.clone(),
         metrics: metrics.clone(),
         loads: Loads::default(),
+        budget: Mutex::default(),
+        control: listener.control(),
     });
     let admin = crate::admin::spawn(settings.admin_address, metrics, Arc::clone(&shared)).await?;
     let socket = TcpListener::bind(http_address).await?;
     let http = socket.local_addr()?;
-    let (stop, mut stopped) = watch::channel(false);
-    let server = warp::serve(http::routes(shared))
-        .incoming(socket)
-        .graceful(async move {
-            let _ = stopped.wait_for(|&stop| stop).await;
-        });
-    let task = tokio::spawn(server.run());
+    let (stop, stopped) = watch::channel(false);
+    let task = tokio::spawn(server::run(socket, http::routes(shared), stopped));
     Ok(Entry {
         http,
         admin,
@@ -140,11 +143,16 @@
             "version": self.view.version(),
             "incarnation": self.view.incarnation(),
             "members": members,
+            "refused_connections": self.control.refused(),
         })
     }
 }
 
 impl Shared {
+    fn budget(&self) -> MutexGuard<'_, routing::Budget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn secret(&self, team: &types::Team) -> Secret {
         Secret::derive(self.secret.as_bytes(), team)
     }
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -4,9 +4,9 @@
 use control::Member;
 use rules::Priority;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 use types::{Attempt, Request, Team, Verdict};
-use wire::{Call, Digest, Dispatch, End, Frame, Prompt, Reason, Refused, Reply, Stream, Work};
+use wire::{Digest, Dispatch, End, Frame, Prompt, Reason, Refused, Stream, Token, Work};
 
 use super::Shared;
 use super::api::Refusal;
@@ -17,8 +17,8 @@
 pub(super) enum Piece {
     /// The agent that keeps the answer, before the first event.
     Agent(String),
-    /// The next event.
-    Event(u32, String),
+    /// The next events; the number is that of the first one.
+    Events(u32, Vec<Arc<str>>),
     /// The end; the answer is whole.
     End(End),
     /// The answer cannot be completed.
@@ -32,13 +32,22 @@
     pub(super) team: Team,
     pub(super) priority: Priority,
     pub(super) prompt: Prompt,
+    pub(super) root: [u8; 32],
     pub(super) deadline: Instant,
 }
 
 /// How often a prompt is tried; each try after the first needs a reason of its own.
 const MAX_TRIES: u32 = 16;
-/// The wait between two rounds over the candidates.
-const ROUND_WAIT: Duration = Duration::from_millis(20);
+/// Tries that only follow the agents' corrections of the choice; they cost the targets nothing.
+const MAX_REDIRECTS: u32 = 4;
+/// The same for an answer that has begun, which is cut when it is given up.
+const MAX_TRIES_BEGUN: u32 = 64;
+/// The wait after the first round over the candidates; it doubles with each round.
+const MIN_WAIT: Duration = Duration::from_millis(20);
+/// The longest such wait; a target that failed is probed five times a second.
+const MAX_WAIT: Duration = Duration::from_millis(500);
+/// How long a caller may read nothing; it can resume the answer later.
+const SLOW_CALLER: Duration = Duration::from_secs(30);
 
 /// How one try ended.
 enum Try {
@@ -48,38 +57,49 @@
     Refused(Refused),
     /// The stream broke; the answer has to be completed elsewhere.
     Broken,
+    /// What was delivered is not the answer; nothing can complete it.
+    Corrupt,
+}
+
+/// One answer on its way to one caller, whatever targets it comes from.
+struct Relay<'shared> {
+    shared: &'shared Shared,
+    request: Request,
+    team: Team,
+    deadline: Instant,
+    delivered: Vec<Arc<str>>,
+    digest: Digest,
+    /// The events that the caller has already.
+    skip: u32,
+    pieces: mpsc::Sender<Piece>,
 }
 
 /// Answers a prompt on one or, if need be, several targets; a prompt has no effect beside its
 /// answer, so it may be tried again.
-pub(super) async fn run(shared: Arc<Shared>, mut job: Job, pieces: mpsc::Sender<Piece>) {
+pub(super) async fn run(shared: Arc<Shared>, job: Job, pieces: mpsc::Sender<Piece>) {
     shared.metrics.requests.with_label_values(&["prompt"]).inc();
-    let root = context::root(
-        &shared.secret(&job.team),
-        &job.prompt.model,
-        &job.prompt.text,
-    );
-    let key = routing::Key::new(&[&root]);
-    let mut digest = Digest::default();
-    let mut last = Refused {
-        verdict: Verdict::NotRun,
-        reason: Reason::WrongTarget,
-        retry_after_ms: 100,
-        load: wire::Load::default(),
-    };
-    let mut tries = 0;
-    while tries < MAX_TRIES {
+    shared.budget().on_request();
+    let key = routing::Key::new(&[&job.root]);
+    let mut relay = Relay::new(&shared, job.request, &job.team, job.deadline, pieces);
+    let mut last = refused(job.request, Verdict::NotRun, Reason::WrongTarget);
+    let (mut tries, mut wait) = (0, MIN_WAIT);
+    'tries: while tries < relay.max_tries() && !relay.pieces.is_closed() {
         for member in candidates(&shared, Need::Model(&job.prompt.model), key) {
             if Instant::now() >= job.deadline {
                 last.reason = Reason::Deadline;
-                tries = MAX_TRIES;
-                break;
+                break 'tries;
+            }
+            if tries > 0 && !relay.may_retry(&last, tries) {
+                break 'tries;
             }
             tries += 1;
-            match attempt(&shared, &mut job, &member, &mut digest, &pieces).await {
+            match relay.attempt(&job, &member).await {
                 Try::Finished => return,
                 Try::Refused(refused) => {
                     shared.loads.heard(&member.name, refused.load, crate::now());
+                    if refused.reason == Reason::Leaving || refused.reason == Reason::Unavailable {
+                        shared.loads.failed(&member.name, crate::now());
+                    }
                     last = Refused {
                         verdict: last.verdict.weaken(refused.verdict),
                         ..refused
@@ -90,291 +110,272 @@
                     last.verdict = last.verdict.weaken(Verdict::MayHaveRun);
                     last.reason = Reason::Unavailable;
                 }
+                Try::Corrupt => {
+                    last.verdict = Verdict::Ran;
+                    last.reason = Reason::Unavailable;
+                    break 'tries;
+                }
             }
         }
         tries += 1;
-        tokio::time::sleep(ROUND_WAIT).await;
+        // Jitter keeps the entries from coming back to a target all at once.
+        tokio::time::sleep(wait.mul_f64(rand::random_range(0.5..1.5))).await;
+        wait = (wait * 2).min(MAX_WAIT);
     }
-    let verdict = if job.prompt.delivered.is_empty() {
-        last.verdict
-    } else {
-        Verdict::Ran
-    };
-    let refusal = Refusal::system(last.reason, verdict, last.retry_after_ms);
-    let _ = pieces.send(Piece::Refused(refusal)).await;
+    relay.refuse(&last).await;
 }
 
-async fn attempt(
-    shared: &Shared,
-    job: &mut Job,
-    member: &Member,
-    digest: &mut Digest,
-    pieces: &mpsc::Sender<Piece>,
-) -> Try {
-    let dispatch = Dispatch {
-        request: job.request,
-        attempt: Attempt(rand::random()),
-        team: job.team.clone(),
-        priority: job.priority,
-        deadline_ms: left_ms(job.deadline),
-        version: shared.view.version(),
-        work: Work::Prompt(job.prompt.clone()),
-    };
-    let mut stream = match send(shared, member, &Frame::Dispatch(dispatch)).await {
-        Ok(stream) => stream,
-        Err(error) => {
-            shared.loads.failed(&member.name, crate::now());
-            return refused_by(&error);
+/// Follows an answer that an agent keeps, for a caller that returns.
+pub(super) async fn resume(
+    shared: Arc<Shared>,
+    token: Token,
+    from: u32,
+    deadline: Instant,
+    pieces: mpsc::Sender<Piece>,
+) {
+    shared.metrics.requests.with_label_values(&["resume"]).inc();
+    let directory = shared.view.directory();
+    let key = routing::Key::new(&[&token.root]);
+    let others = candidates(&shared, Need::Model(&token.model), key);
+    let others = others.iter().filter(|member| member.name != token.agent);
+    let mut relay = Relay::new(&shared, token.request, &token.team, deadline, pieces);
+    relay.skip = from;
+    for member in directory.get(&token.agent).into_iter().chain(others) {
+        match relay.resume(member).await {
+            Try::Finished => return,
+            Try::Refused(_) | Try::Broken => {}
+            Try::Corrupt => break,
         }
-    };
-    let delivered = &mut job.prompt.delivered;
-    match follow(
-        shared,
-        &mut stream,
-        member,
-        job.deadline,
-        delivered,
-        digest,
-        pieces,
-    )
-    .await
-    {
-        Try::Broken => {}
-        other => return other,
     }
-    // The agent may still have the answer: only the stream to it may have broken.
-    let resume = Frame::Resume(wire::Resume {
-        request: job.request,
-        team: job.team.clone(),
-        from: delivered.len() as u32,
-    });
-    match send(shared, member, &resume).await {
-        Ok(mut stream) => {
-            match follow(
-                shared,
-                &mut stream,
-                member,
-                job.deadline,
-                delivered,
-                digest,
-                pieces,
-            )
-            .await
-            {
-                Try::Refused(_) | Try::Broken => Try::Broken,
-                Try::Finished => Try::Finished,
-            }
+    // The agent is gone or has forgotten the answer, so how far it came is not known.
+    let gone = refused(token.request, Verdict::MayHaveRun, Reason::Unknown);
+    relay.refuse(&gone).await;
+}
+
+impl<'shared> Relay<'shared> {
+    fn new(
+        shared: &'shared Shared,
+        request: Request,
+        team: &Team,
+        deadline: Instant,
+        pieces: mpsc::Sender<Piece>,
+    ) -> Self {
+        Self {
+            shared,
+            request,
+            team: team.clone(),
+            deadline,
+            delivered: Vec::new(),
+            digest: Digest::default(),
+            skip: 0,
+            pieces,
         }
-        Err(_) => Try::Broken,
     }
-}
 
-/// Passes events on until the end of the answer or of the stream.
-async fn follow(
-    shared: &Shared,
-    stream: &mut Stream,
-    member: &Member,
-    deadline: Instant,
-    delivered: &mut Vec<String>,
-    digest: &mut Digest,
-    pieces: &mpsc::Sender<Piece>,
-) -> Try {
-    loop {
-        let frame = match timeout_at(deadline, stream.receiver.recv()).await {
-            Ok(Ok(Some(frame))) => frame,
-            Ok(Ok(None) | Err(_)) | Err(_) => return Try::Broken,
+    fn max_tries(&self) -> u32 {
+        if self.delivered.is_empty() {
+            MAX_TRIES
+        } else {
+            MAX_TRIES_BEGUN
+        }
+    }
+
+    /// Says whether another try is allowed after the last one.
+    fn may_retry(&self, last: &Refused, tries: u32) -> bool {
+        // A begun answer is completed for its caller, which costs only the rest of its tokens; the
+        // number of tries bounds it.
+        if !self.delivered.is_empty() {
+            return true;
+        }
+        is_redirect(last) && tries < MAX_REDIRECTS || self.shared.budget().try_retry()
+    }
+
+    async fn attempt(&mut self, job: &Job, member: &Member) -> Try {
+        let dispatch = Dispatch {
+            request: job.request,
+            attempt: Attempt(rand::random()),
+            team: job.team.clone(),
+            priority: job.priority,
+            deadline_ms: left_ms(job.deadline),
+            version: self.shared.view.version(),
+            work: Work::Prompt(Prompt {
+                delivered: self.delivered.clone(),
+                ..job.prompt.clone()
+            }),
         };
-        match frame {
-            Frame::Admitted(admitted) => {
-                shared
-                    .loads
-                    .heard(&member.name, admitted.load, crate::now());
-                if pieces
-                    .send(Piece::Agent(member.name.clone()))
-                    .await
-                    .is_err()
-                {
-                    return Try::Finished;
-                }
+        let frame = Frame::Dispatch(dispatch);
+        let mut stream = match send(self.shared, member, &frame).await {
+            Ok(stream) => stream,
+            Err(error) => {
+                self.shared.loads.failed(&member.name, crate::now());
+                return Try::Refused(refused(job.request, error.verdict(), Reason::Unavailable));
+            }
+        };
+        match self.follow(&mut stream, member).await {
+            // The agent may still have the answer: only the stream to it may have broken.
+            Try::Broken => match self.resume(member).await {
+                Try::Refused(_) => Try::Broken,
+                other => other,
+            },
+            other => other,
+        }
+    }
+
+    /// Follows an answer that an agent keeps, behind what was delivered.
+    async fn resume(&mut self, member: &Member) -> Try {
+        let frame = Frame::Resume(wire::Resume {
+            request: self.request,
+            team: self.team.clone(),
+            from: self.delivered.len() as u32,
+        });
+        match send(self.shared, member, &frame).await {
+            Ok(mut stream) => self.follow(&mut stream, member).await,
+            Err(_) => Try::Broken,
+        }
+    }
+
+    /// Passes events on until the end of the answer or of the stream.
+    async fn follow(&mut self, stream: &mut Stream, member: &Member) -> Try {
+        let mut received = None;
+        loop {
+            let frame = match received.take() {
+                Some(frame) => frame,
+                None => match timeout_at(self.deadline, stream.receiver.recv()).await {
+                    Ok(Ok(Some(frame))) => frame,
+                    Ok(Ok(None) | Err(_)) | Err(_) => return Try::Broken,
+                },
+            };
+            let is_event = matches!(frame, Frame::Event(_));
+            let answered = frame.answered();
+            if !is_event && answered.is_some_and(|request| request != self.request) {
+                self.shared.metrics.refused("crossed");
+                return Try::Broken;
             }
-            Frame::Event(event) => {
-                let next = delivered.len() as u32;
-                if event.seq < next {
-                    continue;
+            let piece = match frame {
+                Frame::Admitted(admitted) => {
+                    let loads = &self.shared.loads;
+                    loads.heard(&member.name, admitted.load, crate::now());
+                    Piece::Agent(member.name.clone())
                 }
-                if event.seq > next {
-                    return Try::Broken;
+                Frame::Event(event) => {
+                    let (piece, next) = self.gather(event, &mut stream.receiver);
+                    let Ok(next) = next else {
+                        // What arrived in front of the break is delivered and never asked for
+                        // again.
+                        let is_there = self.pass(piece).await;
+                        return if is_there { Try::Broken } else { Try::Finished };
+                    };
+                    received = next;
+                    piece
                 }
-                digest.add(&event.text);
-                delivered.push(event.text.clone());
-                shared.metrics.tokens.inc();
-                if pieces
-                    .send(Piece::Event(event.seq, event.text))
-                    .await
-                    .is_err()
-                {
-                    // The caller went away; the agent keeps the answer for its return.
+                Frame::End(end) => {
+                    let loads = &self.shared.loads;
+                    loads.heard(&member.name, end.load, crate::now());
+                    if end.events as usize != self.delivered.len() {
+                        return Try::Broken;
+                    }
+                    if end.digest != self.digest.value() {
+                        self.shared.metrics.refused("corrupt");
+                        return Try::Corrupt;
+                    }
+                    self.pass(Piece::End(end)).await;
                     return Try::Finished;
                 }
-            }
-            Frame::End(end) => {
-                shared.loads.heard(&member.name, end.load, crate::now());
-                if end.events != delivered.len() as u32 || end.digest != digest.value() {
-                    log::warn!("an answer from {} does not match its digest", member.name);
-                    return Try::Broken;
+                Frame::Refused(refused) if refused.verdict == Verdict::NotRun => {
+                    return Try::Refused(refused);
                 }
-                let _ = pieces.send(Piece::End(end)).await;
+                _ => return Try::Broken,
+            };
+            if !self.pass(piece).await {
                 return Try::Finished;
             }
-            Frame::Refused(refused) if refused.verdict == Verdict::NotRun => {
-                return Try::Refused(refused);
-            }
-            _ => return Try::Broken,
         }
     }
-}
 
-/// Runs a call of a plain service. Only a call that was not run, or that may repeat, is tried
-/// again.
-pub(super) async fn call(
-    shared: &Shared,
-    request: Request,
-    (team, priority): (Team, Priority),
-    call: Call,
-    deadline: Instant,
-) -> Result<Reply, Refusal> {
-    shared.metrics.requests.with_label_values(&["call"]).inc();
-    let key = routing::Key::new(&[&rand::random::<u128>().to_le_bytes()]);
-    let mut last = Refusal::system(Reason::WrongTarget, Verdict::NotRun, 100);
-    for member in candidates(shared, Need::Service(&call.service), key) {
-        let dispatch = Dispatch {
-            request,
-            attempt: Attempt(rand::random()),
-            team: team.clone(),
-            priority,
-            deadline_ms: left_ms(deadline),
-            version: shared.view.version(),
-            work: Work::Call(call.clone()),
+    /// Takes an event and those behind it that have arrived already, so that a fast stream costs
+    /// one write for many events; returns the first frame that is no event, or fails behind them.
+    fn gather(
+        &mut self,
+        first: wire::Event,
+        receiver: &mut wire::Receiver,
+    ) -> (Piece, Result<Option<Frame>, ()>) {
+        let (mut texts, mut event) = (Vec::new(), first);
+        let next = loop {
+            let next = self.delivered.len() as u32;
+            if event.request != self.request {
+                self.shared.metrics.refused("crossed");
+                break Err(());
+            }
+            if event.seq > next {
+                break Err(());
+            }
+            if event.seq == next {
+                self.digest.add(&event.text);
+                self.delivered.push(Arc::clone(&event.text));
+                if next >= self.skip {
+                    texts.push(event.text);
+                }
+            }
+            match receiver.try_recv() {
+                Ok(Some(Frame::Event(ready))) => event = ready,
+                Ok(other) => break Ok(other),
+                Err(_) => break Err(()),
+            }
         };
-        let refused = match call_once(shared, &member, dispatch, deadline).await {
-            Ok(reply) => return Ok(reply),
-            Err(refused) => refused,
+        let from = self.delivered.len() - texts.len();
+        self.shared.metrics.tokens.inc_by(texts.len() as u64);
+        (Piece::Events(from as u32, texts), next)
+    }
+
+    /// Hands a piece to the caller's connection; returns whether the caller is there.
+    async fn pass(&self, piece: Piece) -> bool {
+        matches!(
+            timeout(SLOW_CALLER, self.pieces.send(piece)).await,
+            Ok(Ok(()))
+        )
+    }
+
+    async fn refuse(&self, last: &Refused) {
+        let verdict = if self.delivered.is_empty() {
+            last.verdict
+        } else {
+            last.verdict.weaken(Verdict::Ran)
         };
-        let verdict = last.verdict.weaken(refused.verdict);
-        last = Refusal::system(refused.reason, verdict, refused.retry_after_ms);
-        if refused.verdict != Verdict::NotRun && !call.repeatable {
-            break;
-        }
+        let refusal = Refusal::system(last.reason, verdict, last.retry_after_ms);
+        self.pass(Piece::Refused(refusal)).await;
     }
-    Err(last)
 }
 
-async fn call_once(
-    shared: &Shared,
-    member: &Member,
-    dispatch: Dispatch,
-    deadline: Instant,
-) -> Result<Reply, Refused> {
-    let refuse = |verdict| Refused {
+/// Says whether a refusal only corrects the entry's choice of a target.
+pub(super) fn is_redirect(refused: &Refused) -> bool {
+    refused.verdict == Verdict::NotRun
+        && matches!(
+            refused.reason,
+            Reason::Full | Reason::Leaving | Reason::WrongTarget
+        )
+}
+
+pub(super) fn refused(request: Request, verdict: Verdict, reason: Reason) -> Refused {
+    Refused {
+        request,
         verdict,
-        reason: Reason::Unavailable,
+        reason,
         retry_after_ms: 100,
         load: wire::Load::default(),
-    };
-    let mut stream = match send(shared, member, &Frame::Dispatch(dispatch)).await {
-        Ok(stream) => stream,
-        Err(error) => {
-            shared.loads.failed(&member.name, crate::now());
-            return Err(refuse(error.verdict()));
-        }
-    };
-    match timeout_at(deadline, stream.receiver.recv()).await {
-        Ok(Ok(Some(Frame::Reply(reply)))) => {
-            shared.loads.heard(&member.name, reply.load, crate::now());
-            Ok(reply)
-        }
-        Ok(Ok(Some(Frame::Refused(refused)))) => Err(refused),
-        Ok(Ok(_) | Err(_)) | Err(_) => {
-            shared.loads.failed(&member.name, crate::now());
-            Err(refuse(Verdict::MayHaveRun))
-        }
     }
 }
 
-/// Follows an answer that an agent keeps, for a caller that returns.
-pub(super) async fn resume(
-    shared: Arc<Shared>,
-    token: wire::Token,
-    from: u32,
-    deadline: Instant,
-    pieces: mpsc::Sender<Piece>,
-) {
-    shared.metrics.requests.with_label_values(&["resume"]).inc();
-    let unknown = || Refusal::system(Reason::Unknown, Verdict::MayHaveRun, 0);
-    let directory = shared.view.directory();
-    let Some(member) = directory.get(&token.agent) else {
-        let _ = pieces.send(Piece::Refused(unknown())).await;
-        return;
-    };
-    // Reading from the start lets the digest cover the whole answer.
-    let frame = Frame::Resume(wire::Resume {
-        request: token.request,
-        team: token.team,
-        from: 0,
-    });
-    let (mut delivered, mut digest) = (Vec::new(), Digest::default());
-    let (inner, mut events) = mpsc::channel(64);
-    let forward = async {
-        while let Some(piece) = events.recv().await {
-            if matches!(&piece, Piece::Event(seq, _) if *seq < from) {
-                continue;
-            }
-            if pieces.send(piece).await.is_err() {
-                return;
-            }
-        }
-    };
-    let read = async {
-        let result = match send(&shared, member, &frame).await {
-            Ok(mut stream) => {
-                let (delivered, digest) = (&mut delivered, &mut digest);
-                follow(
-                    &shared,
-                    &mut stream,
-                    member,
-                    deadline,
-                    delivered,
-                    digest,
-                    &inner,
-                )
-                .await
-            }
-            Err(_) => Try::Broken,
-        };
-        if !matches!(result, Try::Finished) {
-            let _ = inner.send(Piece::Refused(unknown())).await;
-        }
-        drop(inner);
-    };
-    tokio::join!(forward, read);
-}
-
-async fn send(shared: &Shared, member: &Member, frame: &Frame) -> Result<Stream, wire::Error> {
+pub(super) async fn send(
+    shared: &Shared,
+    member: &Member,
+    frame: &Frame,
+) -> Result<Stream, wire::Error> {
     let mut stream = shared.client.open(member.address).await?;
     stream.sender.send(frame).await?;
     Ok(stream)
 }
 
-fn refused_by(error: &wire::Error) -> Try {
-    Try::Refused(Refused {
-        verdict: error.verdict(),
-        reason: Reason::Unavailable,
-        retry_after_ms: 100,
-        load: wire::Load::default(),
-    })
-}
-
-fn left_ms(deadline: Instant) -> u32 {
+pub(super) fn left_ms(deadline: Instant) -> u32 {
     let left = deadline.saturating_duration_since(Instant::now());
     u32::try_from(left.as_millis()).unwrap_or(u32::MAX)
 }
--- /dev/null
+++ b/crates/daemon/src/entry/server.rs
@@ -0,0 +1,60 @@
+use std::convert::Infallible;
+use std::time::Duration;
+
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::service::TowerToHyperService;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use warp::Filter;
+use warp::reply::Response;
+
+/// How long a caller may take to send the head of a request; a connection that is idle for as long
+/// is closed.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
+/// The largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+
+/// Serves callers until it is stopped, then finishes the requests that run; idle connections do
+/// not hold it up.
+///
+/// warp's own server has no bound on the time that a caller takes for the head.
+pub(super) async fn run<Routes>(
+    listener: TcpListener,
+    routes: Routes,
+    mut stopped: watch::Receiver<bool>,
+) where
+    Routes: Filter<Extract = (Response,), Error = Infallible> + Clone + Send + Sync + 'static,
+    Routes::Future: Send,
+{
+    let connections = GracefulShutdown::new();
+    let mut builder = Builder::new(TokioExecutor::new()).http1_only();
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES);
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopped.wait_for(|&stop| stop) => break,
+        };
+        let Ok((socket, _)) = accepted else {
+            // Running out of file descriptors passes; a busy loop would not help.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let _ = socket.set_nodelay(true);
+        let service = TowerToHyperService::new(warp::service(routes.clone()));
+        let (builder, watcher) = (builder.clone(), connections.watcher());
+        tokio::spawn(async move {
+            let connection = builder.serve_connection(TokioIo::new(socket), service);
+            if let Err(error) = watcher.watch(connection).await {
+                log::debug!("a caller's connection broke: {error}");
+            }
+        });
+    }
+    drop(listener);
+    connections.shutdown().await;
+}
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -106,6 +106,11 @@
         }
     }
 
+    /// Counts a refusal or a fault of a peer.
+    pub fn refused(&self, reason: &str) {
+        self.refusals.with_label_values(&[reason]).inc();
+    }
+
     /// Writes the counters in the text format of Prometheus.
     #[must_use]
     pub fn render(&self) -> Vec<u8> {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -37,10 +37,18 @@
     /// Addresses of other processes to start from.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// How long an answer goes on that nobody follows, in milliseconds; callers can resume it for
+    /// as long.
+    #[serde(default = "default_abandon_ms")]
+    pub abandon_ms: u64,
     /// What the process does.
     pub role: Role,
 }
 
+fn default_abandon_ms() -> u64 {
+    30_000
+}
+
 /// The addresses of the platform's services, like `http://10.0.0.1:80`.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/crates/daemon/tests/answers.rs
@@ -0,0 +1,396 @@
+//! Guards against answers that are cut, repeated or mixed up when something breaks on their way,
+//! and against tokens that are made for nobody.
+
+mod common;
+
+use std::sync::atomic::Ordering::SeqCst;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use common::fake::Engine;
+use common::{Cluster, KEY, Process, expected, read, until};
+use futures_util::StreamExt;
+use serde_json::{Value, json};
+use types::{Request, Verdict, Version};
+use wire::{
+    Admitted, Digest, End, Event, Frame, Key, Keys, Listener, Load, Reason, Refused, Stream, Usage,
+};
+
+const TOKENS: u32 = 40;
+
+async fn start(engines: &[&Engine]) -> (Cluster, Vec<Process>) {
+    let cluster = Cluster::start().await;
+    let mut agents = Vec::new();
+    let names: Vec<String> = (0..engines.len())
+        .map(|index| format!("engine-{index}"))
+        .collect();
+    for (name, engine) in names.iter().zip(engines) {
+        agents.push(cluster.engine(name, engine.address).await);
+    }
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    cluster
+        .ready(&names, &agents.iter().collect::<Vec<_>>())
+        .await;
+    (cluster, agents)
+}
+
+async fn whole(cluster: &Cluster) {
+    let response = cluster.prompt(0, TOKENS).send().await.unwrap();
+    assert_eq!(response.status(), 200);
+    let body = response.text().await.unwrap();
+    assert_eq!(read(&body), (expected(TOKENS), true), "{body}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_engine_stream_is_resumed_on_the_engine() {
+    let engine = Engine::start().await;
+    let (cluster, _agents) = start(&[&engine]).await;
+    engine.state.cut_after.store(7, SeqCst);
+    engine.state.cuts.store(2, SeqCst);
+    whole(&cluster).await;
+    assert_eq!(engine.state.started.load(SeqCst), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_the_engine_lost_is_completed_on_another() {
+    let (one, two) = (Engine::start().await, Engine::start().await);
+    let (cluster, _agents) = start(&[&one, &two]).await;
+    for engine in [&one, &two] {
+        engine.state.is_resumable.store(false, SeqCst);
+        engine.state.cut_after.store(7, SeqCst);
+        engine.state.cuts.store(1, SeqCst);
+    }
+    whole(&cluster).await;
+    let started = [&one, &two].map(|engine| engine.state.started.load(SeqCst));
+    assert!(started.iter().sum::<u32>() >= 2, "{started:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_that_dies_does_not_cut_the_answer() {
+    let (one, two) = (Engine::start().await, Engine::start().await);
+    let (cluster, mut agents) = start(&[&one, &two]).await;
+    for engine in [&one, &two] {
+        engine.state.made.send_replace(5);
+    }
+    let mut events = cluster
+        .prompt(0, TOKENS)
+        .send()
+        .await
+        .unwrap()
+        .bytes_stream();
+    let mut body = events.next().await.unwrap().unwrap().to_vec();
+    let running = usize::from(one.state.started.load(SeqCst) == 0);
+    agents[running].kill();
+    for engine in [&one, &two] {
+        engine.state.made.send_replace(u32::MAX);
+    }
+    while let Some(piece) = events.next().await {
+        body.extend_from_slice(&piece.unwrap());
+    }
+    let body = String::from_utf8(body).unwrap();
+    assert_eq!(read(&body), (expected(TOKENS), true), "{body}");
+}
+
+/// What an agent of a test does with a stream.
+type Script = fn(Frame) -> Vec<Frame>;
+
+/// Registers a member that answers each stream as the script says and then breaks it.
+async fn scripted(cluster: &Cluster, script: Script) -> Arc<Mutex<Vec<Frame>>> {
+    let keys = Keys::new(vec![Key::new(KEY)]).unwrap();
+    let mut listener = Listener::bind("127.0.0.1:0".parse().unwrap(), keys)
+        .await
+        .unwrap();
+    let member = json!({ "name": "scripted", "incarnation": 1, "address": listener.address(),
+        "host": "h", "domain": "d", "region": "r", "role": { "engine": { "target": "x", "model": "m" } } });
+    cluster
+        .platform
+        .state
+        .rows
+        .lock()
+        .unwrap()
+        .insert("member/scripted".into(), (1 << 40, member));
+    let seen: Arc<Mutex<Vec<Frame>>> = Arc::default();
+    let log = Arc::clone(&seen);
+    tokio::spawn(async move {
+        while let Some(stream) = listener.accept().await {
+            let Stream {
+                mut sender,
+                mut receiver,
+            } = stream;
+            let Ok(Some(frame)) = receiver.recv().await else {
+                continue;
+            };
+            log.lock().unwrap().push(frame.clone());
+            sender.send_all(&script(frame)).await.unwrap();
+            sender.finish();
+        }
+    });
+    cluster.ready(&["scripted"], &[]).await;
+    seen
+}
+
+fn admitted() -> Frame {
+    Frame::Admitted(Admitted {
+        load: Load::default(),
+        version: Version(1),
+    })
+}
+
+fn events(request: Request, seqs: std::ops::Range<u32>) -> Vec<Frame> {
+    seqs.map(|seq| {
+        Frame::Event(Event {
+            request,
+            seq,
+            text: format!("t{seq} ").into(),
+        })
+    })
+    .collect()
+}
+
+fn end(request: Request, tokens: u32) -> Frame {
+    let mut digest = Digest::default();
+    expected(tokens).iter().for_each(|text| digest.add(text));
+    Frame::End(End {
+        request,
+        events: tokens,
+        digest: digest.value(),
+        finish: "stop".into(),
+        usage: Usage::default(),
+        load: Load::default(),
+    })
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_breaks_between_entry_and_agent_is_resumed_behind_the_last_event() {
+    let cluster = Cluster::start().await;
+    let seen = scripted(&cluster, |frame| match frame {
+        Frame::Dispatch(dispatch) => {
+            let mut frames = vec![admitted()];
+            frames.extend(events(dispatch.request, 0..3));
+            frames
+        }
+        Frame::Resume(resume) => {
+            // An event that the entry has already comes again.
+            let mut frames = events(resume.request, resume.from - 1..6);
+            frames.push(end(resume.request, 6));
+            frames
+        }
+        _ => Vec::new(),
+    })
+    .await;
+    let body = cluster
+        .prompt(0, 6)
+        .send()
+        .await
+        .unwrap()
+        .text()
+        .await
+        .unwrap();
+    assert_eq!(read(&body), (expected(6), true), "{body}");
+    let is_resumed = matches!(&seen.lock().unwrap()[..], [Frame::Dispatch(_), Frame::Resume(resume)] if resume.from == 3);
+    assert!(is_resumed);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn frames_of_another_request_never_reach_a_caller() {
+    let cluster = Cluster::start().await;
+    let _seen = scripted(&cluster, |frame| match frame {
+        Frame::Dispatch(dispatch) => {
+            let mut frames = vec![admitted()];
+            frames.extend(events(dispatch.request, 0..2));
+            frames.extend(events(Request(dispatch.request.0 ^ 1), 2..6));
+            frames.push(end(dispatch.request, 6));
+            frames
+        }
+        Frame::Resume(resume) => {
+            let mut frames = events(resume.request, resume.from..6);
+            frames.push(end(resume.request, 6));
+            frames
+                .into_iter()
+                .map(|frame| match frame {
+                    Frame::Event(event) => Frame::Event(Event {
+                        text: format!("t{} ", event.seq).into(),
+                        ..event
+                    }),
+                    other => other,
+                })
+                .collect()
+        }
+        _ => Vec::new(),
+    })
+    .await;
+    let body = cluster
+        .prompt(0, 6)
+        .send()
+        .await
+        .unwrap()
+        .text()
+        .await
+        .unwrap();
+    assert_eq!(read(&body), (expected(6), true), "{body}");
+    let url = format!("http://{}/metrics", cluster.entries[0].admin());
+    let metrics = cluster
+        .http
+        .get(url)
+        .send()
+        .await
+        .unwrap()
+        .text()
+        .await
+        .unwrap();
+    let is_counted = metrics.contains("boragereel_refusals_total{reason=\"crossed\"} 1");
+    assert!(is_counted, "{metrics}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_whose_digest_is_wrong_is_never_called_whole() {
+    let cluster = Cluster::start().await;
+    let _seen = scripted(&cluster, |frame| match frame {
+        Frame::Dispatch(dispatch) => {
+            let mut frames = vec![admitted()];
+            frames.extend(events(dispatch.request, 0..2));
+            let Frame::End(end) = end(dispatch.request, 2) else {
+                return frames;
+            };
+            frames.push(Frame::End(End {
+                digest: [0; 32],
+                ..end
+            }));
+            frames
+        }
+        _ => Vec::new(),
+    })
+    .await;
+    let response = cluster.prompt(0, 2).send().await.unwrap();
+    let mut body = Vec::new();
+    let mut pieces = response.bytes_stream();
+    let mut is_broken = false;
+    while let Some(piece) = pieces.next().await {
+        match piece {
+            Ok(piece) => body.extend_from_slice(&piece),
+            Err(_) => is_broken = true,
+        }
+    }
+    let body = String::from_utf8(body).unwrap();
+    assert!(
+        is_broken && !read(&body).1 && body.contains("\"ran\":\"yes\""),
+        "{body}"
+    );
+}
+
+/// "Not run" must not survive that another try may have run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_behind_a_broken_try_does_not_say_not_run() {
+    let cluster = Cluster::start().await;
+    let _seen = scripted(&cluster, |frame| match frame {
+        // The prompt is lost without a word, then refused as not run.
+        Frame::Resume(resume) => vec![Frame::Refused(Refused {
+            request: resume.request,
+            verdict: Verdict::NotRun,
+            reason: Reason::Full,
+            retry_after_ms: 10,
+            load: Load::default(),
+        })],
+        _ => Vec::new(),
+    })
+    .await;
+    let response = cluster.prompt(0, 2).send().await.unwrap();
+    let body: Value = response.json().await.unwrap();
+    assert_eq!(body["error"]["ran"], "maybe", "{body}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_resumes_through_another_entry_and_only_its_team_can() {
+    let engine = Engine::start().await;
+    let (cluster, mut agents) = start(&[&engine]).await;
+    engine.state.made.send_replace(10);
+    let response = cluster.prompt(0, TOKENS).send().await.unwrap();
+    let token = response.headers()["x-resume-token"]
+        .to_str()
+        .unwrap()
+        .to_owned();
+    let mut pieces = response.bytes_stream();
+    let mut body = String::new();
+    while read(&body).0.len() < 4 {
+        body.push_str(std::str::from_utf8(&pieces.next().await.unwrap().unwrap()).unwrap());
+    }
+    drop(pieces);
+    let have = read(&body).0.len();
+    let resumed = cluster
+        .resume(1, &token, "key-a")
+        .header("last-event-id", (have - 1).to_string());
+    let response = resumed.send().await.unwrap();
+    engine.state.made.send_replace(u32::MAX);
+    let rest = read(&response.text().await.unwrap());
+    assert_eq!(rest, (expected(TOKENS)[have..].to_vec(), true));
+    // Another team's token and a token whose agent is gone are refused alike.
+    let foreign = cluster.resume(1, &token, "key-b").send().await.unwrap();
+    assert_eq!(foreign.status(), 404);
+    agents[0].kill();
+    let gone = cluster.resume(1, &token, "key-a").send().await.unwrap();
+    let (status, body): (_, Value) = (gone.status(), gone.json().await.unwrap());
+    assert_eq!(
+        (status.as_u16(), &body["error"]["ran"]),
+        (404, &json!("maybe")),
+        "{body}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drain_under_load_cuts_no_answer() {
+    let (one, two) = (Engine::start().await, Engine::start().await);
+    let (mut cluster, mut agents) = start(&[&one, &two]).await;
+    for engine in [&one, &two] {
+        engine.state.made.send_replace(3);
+    }
+    let answers: Vec<_> = (0..6)
+        .map(|_| tokio::spawn(cluster.prompt(0, TOKENS).send()))
+        .collect();
+    let started = || one.state.started.load(SeqCst) + two.state.started.load(SeqCst);
+    until("the prompts run", async || started() == 6).await;
+    // Idle connections of callers must not hold up the entry.
+    let idle = tokio::net::TcpStream::connect(cluster.entries[0].http())
+        .await
+        .unwrap();
+    let running = usize::from(one.state.started.load(SeqCst) == 0);
+    let stopping = agents[running].agent.take().unwrap();
+    let drained = tokio::spawn(async move { stopping.drain().await });
+    let mut entry = tokio::spawn(cluster.entries.remove(0).drain());
+    // Neither may end while answers run.
+    assert!(
+        tokio::time::timeout(Duration::from_millis(100), &mut entry)
+            .await
+            .is_err()
+    );
+    assert!(!drained.is_finished());
+    for engine in [&one, &two] {
+        engine.state.made.send_replace(u32::MAX);
+    }
+    for answer in answers {
+        let body = answer.await.unwrap().unwrap().text().await.unwrap();
+        assert_eq!(read(&body), (expected(TOKENS), true), "{body}");
+    }
+    until("the entry is drained", async || entry.is_finished()).await;
+    until("the agent is drained", async || drained.is_finished()).await;
+    drop(idle);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_nobody_follows_is_cancelled_at_the_engine() {
+    let engine = Engine::start().await;
+    let (cluster, _agents) = start(&[&engine]).await;
+    engine.state.made.send_replace(3);
+    let mut pieces = cluster
+        .prompt(0, TOKENS)
+        .send()
+        .await
+        .unwrap()
+        .bytes_stream();
+    pieces.next().await.unwrap().unwrap();
+    assert_eq!(engine.state.cancelled.load(SeqCst), 0);
+    drop(pieces);
+    until("the engine is told", async || {
+        engine.state.cancelled.load(SeqCst) == 1
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/daemon/tests/claims.rs
@@ -0,0 +1,189 @@
+//! Guards against calls that run twice and refusals that say "not run" of a call that ran.
+
+mod common;
+
+use std::sync::atomic::Ordering::SeqCst;
+
+use common::fake::Service;
+use common::{Cluster, until};
+use futures_util::future::join_all;
+use serde_json::Value;
+
+const FEW: &[&str] = &["service-0", "service-1"];
+
+/// Two agents beside two instances of a service that count together.
+async fn start() -> (Cluster, Service, [common::Process; 2]) {
+    let cluster = Cluster::start().await;
+    let service = Service::start().await;
+    let agents = [
+        cluster.service(FEW[0], service.address).await,
+        cluster.service(FEW[1], service.address).await,
+    ];
+    cluster.ready(FEW, &[&agents[0], &agents[1]]).await;
+    (cluster, service, agents)
+}
+
+fn ran(body: &Value) -> &str {
+    body["error"]["ran"].as_str().unwrap_or("reply")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_claim_answer_neither_loses_nor_repeats_the_call() {
+    let (cluster, service, _agents) = start().await;
+    cluster.platform.state.lose_claims.store(1, SeqCst);
+    let first = cluster.call(0, "pay", Some("k"), "1").await;
+    assert_eq!((first.0, service.executed()), (200, 1), "{first:?}");
+    let again = cluster.call(1, "pay", Some("k"), "1").await;
+    assert_eq!((again, service.executed()), (first, 1));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn without_the_platform_a_call_with_a_key_is_not_run() {
+    let (cluster, service, _agents) = start().await;
+    cluster.platform.state.is_down.store(true, SeqCst);
+    let (status, body) = cluster.call(0, "pay", Some("k"), "1").await;
+    assert_eq!(
+        (status, ran(&body), service.executed()),
+        (503, "no", 0),
+        "{body}"
+    );
+    assert_eq!(cluster.call(0, "look", None, "1").await.0, 200);
+    cluster.platform.state.is_down.store(false, SeqCst);
+    assert_eq!(cluster.call(0, "pay", Some("k"), "1").await.0, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_same_key_at_once_through_two_entries_runs_once() {
+    let (cluster, service, _agents) = start().await;
+    for round in 0..10 {
+        let key = format!("k{round}");
+        let calls = (0..8).map(|index| cluster.call(index % 2, "pay", Some(&key), "1"));
+        let answers = join_all(calls).await;
+        assert_eq!(service.executed(), round + 1, "{answers:?}");
+        for (status, body) in answers {
+            let is_honest =
+                status == 200 && body["receipt"] == round || status == 409 && ran(&body) == "maybe";
+            assert!(is_honest, "{status} {body}");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_answer_of_the_service_is_reported_as_unknown_and_never_repeated() {
+    let (cluster, service, agents) = start().await;
+    for key in [None, Some("k"), Some("k")] {
+        // After a lost answer the target is suspect until it is probed.
+        cluster.ready(FEW, &[&agents[0], &agents[1]]).await;
+        service.state.lose_answers.store(1, SeqCst);
+        let (status, body) = cluster.call(0, "pay", key, "1").await;
+        assert!(status >= 400 && ran(&body) == "maybe", "{status} {body}");
+    }
+    assert_eq!(service.executed(), 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_is_not_answered_for_another_call_or_body() {
+    let (cluster, service, _agents) = start().await;
+    assert_eq!(cluster.call(0, "pay", Some("k"), "1").await.0, 200);
+    for (call, body) in [("pay", "2"), ("refund", "1")] {
+        let (status, answer) = cluster.call(1, call, Some("k"), body).await;
+        assert_eq!((status, ran(&answer)), (422, "no"), "{answer}");
+    }
+    assert_eq!(service.executed(), 1);
+}
+
+/// A redirect that keeps the method makes an HTTP client send the call again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_redirect_does_not_send_a_call_again() {
+    let (cluster, service, _agents) = start().await;
+    service.state.redirects.store(1, SeqCst);
+    let url = format!("http://{}/v1/services/s/pay", cluster.entries[0].http());
+    let http = reqwest::Client::builder()
+        .redirect(reqwest::redirect::Policy::none())
+        .build()
+        .unwrap();
+    let response = http
+        .post(url)
+        .bearer_auth("key-a")
+        .body("1")
+        .send()
+        .await
+        .unwrap();
+    assert_eq!((response.status().as_u16(), service.executed()), (307, 1));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_that_dies_after_the_dispatch_leaves_the_outcome_unknown() {
+    let (cluster, service, mut agents) = start().await;
+    service.state.permits.forget_permits(usize::MAX);
+    let answer = {
+        let call = cluster.call(0, "pay", Some("k"), "1");
+        let kill = async {
+            until("the call reached the service", async || {
+                service.executed() == 1
+            })
+            .await;
+            agents.iter_mut().for_each(common::Process::kill);
+        };
+        tokio::join!(call, kill).0
+    };
+    assert_eq!(ran(&answer.1), "maybe", "{answer:?}");
+    service.state.permits.add_permits(1 << 20);
+    let agent = cluster.service("service-2", service.address).await;
+    cluster.ready(&["service-2"], &[&agent]).await;
+    until(
+        "the new agent says that the call may have run",
+        async || {
+            let (_, body) = cluster.call(1, "pay", Some("k"), "1").await;
+            assert_ne!(ran(&body), "reply", "{body}");
+            ran(&body) == "maybe"
+        },
+    )
+    .await;
+    assert_eq!(service.executed(), 1);
+}
+
+/// The claim takes effect, its answer is lost and the row cannot be read back: the call is not run,
+/// and the key stays usable, through whatever agent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claim_of_an_attempt_that_was_never_sent_is_taken_over() {
+    let (cluster, service, _agents) = start().await;
+    let platform = &cluster.platform.state;
+    platform.goes_down.store(true, SeqCst);
+    for index in 0..4 {
+        platform.lose_claims.store(1, SeqCst);
+        let key = format!("k{index}");
+        let (status, body) = cluster.call(0, "pay", Some(&key), "1").await;
+        assert_eq!(
+            (status, ran(&body), service.executed()),
+            (503, "no", index),
+            "{body}"
+        );
+        platform.is_down.store(false, SeqCst);
+        let (status, body) = cluster.call(1, "pay", Some(&key), "1").await;
+        assert_eq!((status, service.executed()), (200, index + 1), "{body}");
+    }
+}
+
+/// An agent that cannot reach its service gives the key back, and the call goes on at another.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_did_not_reach_its_service_goes_on_elsewhere() {
+    let cluster = Cluster::start().await;
+    let (service, gone) = (
+        Service::start().await,
+        std::net::TcpListener::bind("127.0.0.1:0").unwrap(),
+    );
+    let address = gone.local_addr().unwrap();
+    drop(gone);
+    let agents = [
+        cluster.service(FEW[0], address).await,
+        cluster.service(FEW[1], service.address).await,
+    ];
+    cluster.ready(FEW, &[&agents[1]]).await;
+    for index in 0..4 {
+        let (status, body) = cluster
+            .call(0, "pay", Some(&format!("k{index}")), "1")
+            .await;
+        assert_eq!((status, service.executed()), (200, index + 1), "{body}");
+    }
+}
--- a/crates/engine/src/completion.rs
+++ b/crates/engine/src/completion.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 use types::{Attempt, Boot, Fence, Model, Weights};
 
@@ -10,7 +12,7 @@
     /// The model.
     pub model: Model,
     /// The whole conversation.
-    pub prompt: String,
+    pub prompt: Arc<str>,
     /// The most tokens that the answer may have.
     pub max_tokens: u32,
     /// The greater, the earlier.
@@ -20,7 +22,7 @@
     /// The names of the prompt's full blocks.
     pub blocks: Vec<String>,
     /// Tokens of the answer that exist already; the engine continues behind them.
-    pub delivered: Vec<String>,
+    pub delivered: Vec<Arc<str>>,
     /// Always true: answers are streamed.
     pub stream: bool,
 }
@@ -33,7 +35,7 @@
         /// Its position in the answer, from 0.
         seq: u32,
         /// Its text.
-        text: String,
+        text: Arc<str>,
     },
     /// The end of the answer.
     End(Finish),
--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -75,6 +75,9 @@
             .connect_timeout(CONNECT_TIMEOUT)
             .read_timeout(READ_TIMEOUT)
             .tcp_nodelay(true)
+            // A redirect would send the request a second time.
+            .redirect(reqwest::redirect::Policy::none())
+            .retry(reqwest::retry::never())
             .no_proxy()
             .build()
             .map_err(Error::Unreachable)?;
@@ -189,7 +192,7 @@
         self.next += 1;
         Ok(Some(Chunk::Token {
             seq,
-            text: choice.text,
+            text: choice.text.into(),
         }))
     }
 }
@@ -226,7 +229,7 @@
         200..=299 => Ok(()),
         404 => Err(Error::Unknown),
         412 => Err(Error::Fenced),
-        429 | 503 => Err(Error::Overloaded),
+        429 => Err(Error::Overloaded),
         status => Err(Error::Status(status)),
     }
 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -112,13 +112,17 @@
 
 impl Error {
     /// Says whether the request may have run.
+    ///
+    /// Only a connection that was never made and the status by which an engine's protocol refuses
+    /// a completion before it starts are certain; a 503 may come from an engine that failed while
+    /// it ran the request.
     #[must_use]
     pub fn verdict(&self) -> Verdict {
         match self {
-            Self::Unreachable(_) | Self::Overloaded | Self::Unknown | Self::Fenced => {
-                Verdict::NotRun
+            Self::Unreachable(_) | Self::Overloaded => Verdict::NotRun,
+            Self::Broken(_) | Self::Unknown | Self::Fenced | Self::Status(_) | Self::Data(_) => {
+                Verdict::MayHaveRun
             }
-            Self::Broken(_) | Self::Status(_) | Self::Data(_) => Verdict::MayHaveRun,
         }
     }
 }
--- a/crates/engine/src/service.rs
+++ b/crates/engine/src/service.rs
@@ -45,6 +45,9 @@
 /// How long a service may take for an answer.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The largest reply that is read, in bytes; it is kept in a row of the platform.
+const MAX_REPLY_BYTES: usize = 1 << 20;
+
 impl Plain {
     /// Makes a client for the service at an address like `http://127.0.0.1:80`.
     ///
@@ -58,6 +61,8 @@
             // call that must not repeat could run twice; no connection is kept idle.
             .pool_max_idle_per_host(0)
             .retry(reqwest::retry::never())
+            // A redirect that keeps the method would send the call a second time.
+            .redirect(reqwest::redirect::Policy::none())
             .no_proxy()
             .build()
             .map_err(Error::Unreachable)?;
@@ -70,7 +75,7 @@
 
 impl Service for Plain {
     async fn call(&self, call: &Call, attempt: Attempt, body: &str) -> Result<Reply, Error> {
-        let response = self
+        let mut response = self
             .http
             .post(format!("{}/v1/calls/{call}", self.base))
             .header("x-attempt", attempt.to_string())
@@ -79,10 +84,17 @@
             .send()
             .await?;
         let status = response.status().as_u16();
-        Ok(Reply {
-            status,
-            body: response.text().await?,
-        })
+        let mut bytes = Vec::new();
+        // The call reached the service, so whatever fails from here on leaves its outcome open.
+        while let Some(piece) = response.chunk().await.map_err(Error::Broken)? {
+            if bytes.len() + piece.len() > MAX_REPLY_BYTES {
+                return Err(Error::Data("the reply is larger than 1 MiB"));
+            }
+            bytes.extend_from_slice(&piece);
+        }
+        let body =
+            String::from_utf8(bytes).map_err(|_error| Error::Data("the reply is not UTF-8"))?;
+        Ok(Reply { status, body })
     }
 
     async fn probe(&self) -> Result<(), Error> {
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -15,15 +15,23 @@
 /// # Errors
 /// Fails when the frame is larger than [`MAX_FRAME_BYTES`].
 pub fn encode(frame: &Frame) -> Result<Bytes, Error> {
-    let mut bytes = vec![0; LENGTH_BYTES];
-    bincode::serde::encode_into_std_write(frame, &mut bytes, CONFIG)
+    let mut bytes = Vec::new();
+    encode_into(frame, &mut bytes)?;
+    Ok(bytes.into())
+}
+
+/// Appends a frame with its length in front.
+pub(crate) fn encode_into(frame: &Frame, bytes: &mut Vec<u8>) -> Result<(), Error> {
+    let start = bytes.len();
+    bytes.extend_from_slice(&[0; LENGTH_BYTES]);
+    bincode::serde::encode_into_std_write(frame, bytes, CONFIG)
         .map_err(|_error| Error::Frame("it cannot be encoded"))?;
-    let length = bytes.len() - LENGTH_BYTES;
+    let length = bytes.len() - start - LENGTH_BYTES;
     if length > MAX_FRAME_BYTES {
         return Err(Error::Frame("it is larger than 16 MiB"));
     }
-    bytes[..LENGTH_BYTES].copy_from_slice(&(length as u32).to_le_bytes());
-    Ok(bytes.into())
+    bytes[start..start + LENGTH_BYTES].copy_from_slice(&(length as u32).to_le_bytes());
+    Ok(())
 }
 
 /// Cuts a stream of bytes into frames, whatever pieces the bytes arrive in.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,6 +1,9 @@
+use std::sync::Arc;
+
+use control::Fate;
 use rules::Priority;
 use serde::{Deserialize, Serialize};
-use types::{Attempt, Model, Request, Service, Team, Verdict, Version};
+use types::{Attempt, Incarnation, Model, Request, Service, Team, Verdict, Version};
 
 /// What two processes say to each other on a stream.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -21,6 +24,24 @@
     Resume(Resume),
     /// Gives a request up.
     Cancel,
+    /// Asks an agent what became of an attempt that it claimed.
+    Claimed(Claimed),
+    /// The answer to [`Frame::Claimed`].
+    Fate(Answered),
+}
+
+impl Frame {
+    /// Returns the request that a frame of an answer belongs to.
+    #[must_use]
+    pub fn answered(&self) -> Option<Request> {
+        match self {
+            Self::Refused(refused) => Some(refused.request),
+            Self::Event(event) => Some(event.request),
+            Self::End(end) => Some(end.request),
+            Self::Reply(reply) => Some(reply.request),
+            _ => None,
+        }
+    }
 }
 
 /// A request on its way to a target.
@@ -56,13 +77,13 @@
 pub struct Prompt {
     /// The model that is asked.
     pub model: Model,
-    /// The whole conversation.
-    pub text: String,
+    /// The whole conversation; shared, since each try of a prompt sends it.
+    pub text: Arc<str>,
     /// The most tokens that the answer may have.
     pub max_tokens: u32,
     /// The tokens of the answer that the caller has already, when the answer is completed on
     /// another target.
-    pub delivered: Vec<String>,
+    pub delivered: Vec<Arc<str>>,
 }
 
 /// A call of a plain service.
@@ -101,6 +122,8 @@
 /// The request was not taken or was lost.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refused {
+    /// The request that was refused.
+    pub request: Request,
     /// Whether the request may have run.
     pub verdict: Verdict,
     /// Why.
@@ -135,20 +158,26 @@
     Isolated,
     /// The request itself cannot be accepted.
     Invalid,
+    /// The idempotency key was used for another call or body.
+    Mismatch,
 }
 
 /// A piece of an answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Event {
+    /// The request that is answered, so that a crossed event is never taken for another answer's.
+    pub request: Request,
     /// The position in the answer, from 0 without gaps.
     pub seq: u32,
     /// The text.
-    pub text: String,
+    pub text: Arc<str>,
 }
 
 /// The end of an answer, with what is needed to see that it is whole.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct End {
+    /// The request that is answered.
+    pub request: Request,
     /// The number of events in the whole answer.
     pub events: u32,
     /// The digest of all events; see [`Digest`].
@@ -175,6 +204,8 @@
 /// The whole answer of a plain service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reply {
+    /// The request that is answered.
+    pub request: Request,
     /// The HTTP status of the service's answer.
     pub status: u16,
     /// The body.
@@ -196,6 +227,25 @@
     pub from: u32,
 }
 
+/// Asks what became of a claimed attempt; by answering that it was not sent, the agent commits
+/// itself never to send it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claimed {
+    /// The attempt in the claim.
+    pub attempt: Attempt,
+    /// The incarnation of the agent that made the claim.
+    pub incarnation: Incarnation,
+}
+
+/// What became of a claimed attempt.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answered {
+    /// The attempt that was asked about.
+    pub attempt: Attempt,
+    /// What the agent knows.
+    pub fate: Fate,
+}
+
 /// Computes the digest of an answer, event by event.
 #[derive(Debug, Clone, Default)]
 pub struct Digest(blake3::Hasher);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,10 +16,10 @@
 pub use client::Client;
 pub use codec::{Decoder, MAX_FRAME_BYTES, encode};
 pub use frame::{
-    Admitted, Call, Digest, Dispatch, End, Event, Frame, Load, Prompt, Reason, Refused, Reply,
-    Resume, Usage, Work,
+    Admitted, Answered, Call, Claimed, Digest, Dispatch, End, Event, Frame, Load, Prompt, Reason,
+    Refused, Reply, Resume, Usage, Work,
 };
-pub use server::Listener;
+pub use server::{Control, Listener};
 pub use stream::{Receiver, Sender, Stream};
 pub use token::Token;
 
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -4,7 +4,8 @@
 use h2::client::ResponseFuture;
 use h2::{RecvStream, SendStream};
 
-use crate::{Decoder, Error, Frame, encode};
+use crate::codec::encode_into;
+use crate::{Decoder, Error, Frame};
 
 /// A stream of frames in both directions.
 #[derive(Debug)]
@@ -39,7 +40,19 @@
     /// # Errors
     /// Fails when the frame is too large or the stream is broken.
     pub async fn send(&mut self, frame: &Frame) -> Result<(), Error> {
-        let mut bytes = encode(frame)?;
+        self.send_all(std::slice::from_ref(frame)).await
+    }
+
+    /// Sends frames together, which costs much less than sending them one by one.
+    ///
+    /// # Errors
+    /// As [`Sender::send`]; some of the frames may have been sent.
+    pub async fn send_all(&mut self, frames: &[Frame]) -> Result<(), Error> {
+        let mut bytes = Vec::new();
+        for frame in frames {
+            encode_into(frame, &mut bytes)?;
+        }
+        let mut bytes = Bytes::from(bytes);
         while !bytes.is_empty() {
             self.0.reserve_capacity(bytes.len());
             let capacity = match poll_fn(|context| self.0.poll_capacity(context)).await {
@@ -80,6 +93,14 @@
         }
     }
 
+    /// Returns the next frame if it has arrived already.
+    ///
+    /// # Errors
+    /// Fails on bytes that are no frame.
+    pub fn try_recv(&mut self) -> Result<Option<Frame>, Error> {
+        self.decoder.decode()
+    }
+
     /// Returns the next frame, or `None` when the peer ended its direction.
     ///
     /// # Errors
--- a/crates/wire/src/token.rs
+++ b/crates/wire/src/token.rs
@@ -1,7 +1,7 @@
 use bincode::config::standard;
 use serde::{Deserialize, Serialize};
 use subtle::ConstantTimeEq;
-use types::{Request, Team};
+use types::{Model, Request, Team};
 
 use crate::Keys;
 
@@ -12,8 +12,13 @@
     pub request: Request,
     /// Whose request it was.
     pub team: Team,
-    /// The name of the agent's process.
+    /// The name of the process of the agent that began the answer.
     pub agent: String,
+    /// The model that answers.
+    pub model: Model,
+    /// The conversation's root, from which the other candidates follow: one of them has the answer
+    /// when the entry completed it there.
+    pub root: [u8; 32],
 }
 
 /// The longest token that is looked at.
--- a/crates/wire/tests/decoder.rs
+++ b/crates/wire/tests/decoder.rs
@@ -16,7 +16,7 @@
     #[test]
     fn frames_survive_any_cut(texts in proptest::collection::vec(".{0,40}", 1..8), piece in 1usize..17) {
         let frames: Vec<Frame> = texts.into_iter().enumerate()
-            .map(|(seq, text)| Frame::Event(Event { seq: seq as u32, text }))
+            .map(|(seq, text)| Frame::Event(Event { request: types::Request(7), seq: seq as u32, text: text.into() }))
             .collect();
         let bytes: Vec<u8> = frames.iter().flat_map(|frame| encode(frame).unwrap()).collect();
         let mut decoder = Decoder::default();
@@ -34,7 +34,7 @@
     #[test]
     fn a_changed_token_opens_nothing(at in 0usize..200, team in "[a-z]{1,8}") {
         let keys = keys("one");
-        let token = Token { request: types::Request(7), team: Team::from(team), agent: "a".into() };
+        let token = Token { request: types::Request(7), team: Team::from(team), agent: "a".into(), model: "m".into(), root: [1; 32] };
         let mut text = token.seal(&keys).into_bytes();
         let at = at % text.len();
         text[at] = if text[at] == b'0' { b'1' } else { b'0' };
@@ -78,8 +78,9 @@
         .await
         .unwrap();
     let frame = Frame::Event(Event {
+        request: types::Request(7),
         seq: 0,
-        text: "x".repeat(5 << 20),
+        text: "x".repeat(5 << 20).into(),
     });
     let sent = frame.clone();
     let send = tokio::spawn(async move {
