--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -20,6 +20,8 @@
 enum Known {
     Open,
     Sent,
+    /// Sent, and its outcome will not be known.
+    Lost,
     Done(Outcome),
     Never,
 }
@@ -71,6 +73,13 @@
         }
     }
 
+    /// Records that the outcome of a permitted attempt will not be known.
+    pub fn lose(&mut self, attempt: Attempt) {
+        if let Some(known @ Known::Sent) = self.attempts.get_mut(&attempt) {
+            *known = Known::Lost;
+        }
+    }
+
     /// Records the answer to an attempt.
     pub fn answer(&mut self, attempt: Attempt, outcome: Outcome) {
         if let Some(known @ Known::Sent) = self.attempts.get_mut(&attempt) {
@@ -97,7 +106,7 @@
         match self.attempts.get(&attempt) {
             Some(Known::Never) => Fate::Never,
             Some(Known::Done(outcome)) => Fate::Done(outcome.clone()),
-            Some(Known::Open | Known::Sent) => Fate::Sent,
+            Some(Known::Open | Known::Sent | Known::Lost) => Fate::Sent,
             None => Fate::Unknown,
         }
     }
--- a/crates/control/tests/claim.rs
+++ b/crates/control/tests/claim.rs
@@ -195,6 +195,9 @@
             return;
         }
         self.executed.push(index);
+        if kind == 2 {
+            self.agents[self.tries[index].agent].ledger.lose(attempt);
+        }
         if kind <= 1 {
             self.agents[self.tries[index].agent]
                 .ledger
--- a/crates/daemon/src/agent/claim.rs
+++ b/crates/daemon/src/agent/claim.rs
@@ -148,7 +148,8 @@
     }
 
     /// Records that the outcome of a sent attempt is not known.
-    pub(super) fn doubt(&self) {
+    pub(super) fn lose(&self, held: &Held) {
+        self.ledger().lose(held.claim.attempt);
         self.settled.send_replace(());
     }
 
--- a/crates/daemon/src/agent/service.rs
+++ b/crates/daemon/src/agent/service.rs
@@ -31,7 +31,7 @@
         tokio::spawn(async move {
             loop {
                 if probed.probe().await.is_ok() {
-                    gate.observe(NO_BOOT).await;
+                    gate.probed(NO_BOOT).await;
                 }
                 tokio::time::sleep(PROBE_INTERVAL).await;
             }
@@ -51,7 +51,7 @@
     if call.service != backend.service {
         return shared.refuse(dispatch.request, Reason::WrongTarget);
     }
-    if let Err(reason) = shared.gate.request(dispatch.attempt).await {
+    if let Err(reason) = shared.gate.request(dispatch, 1).await {
         return shared.refuse(dispatch.request, reason);
     }
     let (answer, outcome) = claim_and_send(shared, backend, dispatch, call, deadline).await;
@@ -100,7 +100,7 @@
             if error.verdict() == types::Verdict::NotRun {
                 shared.claims.release(held);
             } else {
-                shared.claims.doubt();
+                shared.claims.lose(&held);
             }
             failed(shared, dispatch, &error)
         }
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -240,10 +240,18 @@
         loop {
             let frame = match received.take() {
                 Some(frame) => frame,
-                None => match timeout_at(self.deadline, stream.receiver.recv()).await {
-                    Ok(Ok(Some(frame))) => frame,
-                    Ok(Ok(None) | Err(_)) | Err(_) => return Try::Broken,
-                },
+                None => {
+                    let next = tokio::select! {
+                        biased;
+                        next = timeout_at(self.deadline, stream.receiver.recv()) => next,
+                        // Without tokens, nothing else tells that the caller went away.
+                        () = self.pieces.closed() => return Try::Finished,
+                    };
+                    match next {
+                        Ok(Ok(Some(frame))) => frame,
+                        Ok(Ok(None) | Err(_)) | Err(_) => return Try::Broken,
+                    }
+                }
             };
             let is_event = matches!(frame, Frame::Event(_));
             let answered = frame.answered();
--- a/crates/daemon/src/entry/reply.rs
+++ b/crates/daemon/src/entry/reply.rs
@@ -41,8 +41,8 @@
     ))
 }
 
-/// Streams an answer; without its last event the connection breaks, so that a cut answer is never
-/// taken for a whole one.
+/// Streams an answer; without its last event or an error event the connection breaks, so that a cut
+/// answer is never taken for a whole one.
 pub(super) fn stream(
     shared: Arc<Shared>,
     pieces: mpsc::Receiver<Piece>,
@@ -51,14 +51,10 @@
     token: &str,
     started: Instant,
 ) -> Response {
-    let end_of_pieces = futures_util::stream::once(async {
-        // Without this pause, breaking the connection takes back what is not flushed yet.
-        tokio::task::yield_now().await;
-        None
-    });
+    let end_of_pieces = futures_util::stream::once(async { None });
     let pieces = ReceiverStream::new(pieces).map(Some).chain(end_of_pieces);
     let chunks = Chunks::new(request, &model);
-    let mut whole = false;
+    let mut ended = false;
     let events = pieces.filter_map(move |piece| {
         let event = match piece {
             Some(Piece::Agent(_)) => None,
@@ -71,16 +67,18 @@
                 (!out.is_empty()).then_some(Ok(out))
             }
             Some(Piece::End(end)) => {
-                whole = true;
+                ended = true;
                 let last = last_chunk(request, &model, &end.finish, end.usage);
                 Some(Ok(format!("data: {last}\n\ndata: [DONE]\n\n").into()))
             }
             Some(Piece::Refused(refusal)) => {
+                // Breaking the connection here would drop the event before it is sent.
+                ended = true;
                 shared.metrics.refused(refusal.kind);
                 let body = refusal.body();
                 Some(Ok(format!("event: error\ndata: {body}\n\n").into()))
             }
-            None if whole => None,
+            None if ended => None,
             None => Some(Err(std::io::Error::other("the answer is not whole"))),
         };
         std::future::ready(event.map(|event| event.map(Bytes::from)))
