--- a/crates/control/src/claim.rs
+++ b/crates/control/src/claim.rs
@@ -1,3 +1,5 @@
+//! Claims of idempotency keys, so that a call runs at most once; see `docs/design.md`, section 5.9.
+
 use serde::{Deserialize, Serialize};
 use types::{Attempt, Incarnation, Verdict};
 
--- a/crates/control/tests/claim.rs
+++ b/crates/control/tests/claim.rs
@@ -5,7 +5,8 @@
 use std::collections::HashSet;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use control::{Acquire, Claim, Fate, Found, Ledger, Outcome, State, Step, Stop, Written};
+use control::claim::{Step, Written};
+use control::{Acquire, Claim, Fate, Found, Ledger, Outcome, State, Stop};
 use proptest::prelude::*;
 use types::{Attempt, Incarnation, Verdict};
 
--- a/crates/daemon/src/agent/batch.rs
+++ b/crates/daemon/src/agent/batch.rs
@@ -1,7 +1,7 @@
 use std::collections::{HashSet, VecDeque};
 use std::sync::Arc;
 
-use control::Written;
+use control::claim::Written;
 use futures_util::future::join_all;
 use platform::{Commit, Table as _, Write};
 use serde_json::Value;
--- a/crates/daemon/src/agent/claim.rs
+++ b/crates/daemon/src/agent/claim.rs
@@ -1,7 +1,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use control::{Acquire, Claim, Fate, Found, Ledger, Outcome, State, Step, Stop, Written};
+use control::claim::{Step, Written};
+use control::{Acquire, Claim, Fate, Found, Ledger, Outcome, State, Stop};
 use platform::Table as _;
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout, timeout_at};
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -5,12 +5,15 @@
 mod claim;
 mod gate;
 mod kept;
+mod lane;
+mod lease;
 mod prompt;
+mod rollout;
 mod service;
 mod track;
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use displaydoc::Display;
@@ -28,6 +31,7 @@
 use answers::Answers;
 use claim::Claims;
 use gate::Gate;
+use rollout::{Progress, Rollout};
 use track::Tracker;
 
 /// A running agent.
@@ -69,6 +73,7 @@
     claims: Claims,
     control: Control,
     target: Target,
+    rollout: Option<Arc<Mutex<Progress>>>,
 }
 
 #[derive(Debug)]
@@ -87,6 +92,7 @@
     let listener = Listener::bind(settings.peer_address, settings.keys()).await?;
     let address = listener.address();
     let view = crate::control::spawn(settings, address, metrics.clone())?;
+    let mut rollout = None;
     let (gate, target) = match &settings.role {
         Role::Entry { .. } => return Err(Error::Role),
         Role::Engine {
@@ -95,7 +101,7 @@
             cold_limit,
             warm_limit,
             warm_after,
-            ..
+            target,
         } => {
             let limits = admission::Limits {
                 cold: *cold_limit,
@@ -106,6 +112,13 @@
             let gate = Gate::spawn(limits, metrics.clone());
             let backend =
                 prompt::Backend::spawn(settings, model.clone(), address, &gate, &metrics)?;
+            rollout = Some(Rollout::spawn(
+                settings,
+                (target.clone(), model.clone()),
+                (Arc::clone(&view), gate.clone()),
+                backend.engine(),
+                metrics.clone(),
+            )?);
             (gate, Target::Engine(backend))
         }
         Role::Service {
@@ -142,8 +155,10 @@
         metrics: metrics.clone(),
         answers: Answers::default(),
         target,
+        rollout,
     });
     let admin = crate::admin::spawn(settings.admin_address, metrics, Arc::clone(&shared)).await?;
+    crate::admin::register(Arc::clone(&shared.view), &settings.name, admin);
     tokio::spawn(accept(listener, shared));
     Ok(Agent {
         gate,
@@ -178,11 +193,16 @@
 
 impl Report for Shared {
     fn is_ready(&self) -> bool {
-        self.view.is_ready() && self.gate.state().is_ready()
+        !self.view.is_isolated() && self.gate.state().is_ready()
     }
 
     fn status(&self) -> Value {
         let state = self.gate.state();
+        let progress = self.rollout.as_ref().map(|progress| {
+            let progress = progress.lock().unwrap_or_else(PoisonError::into_inner);
+            progress.clone()
+        });
+        let progress = progress.unwrap_or_default();
         json!({
             "name": self.name,
             "version": self.view.version(),
@@ -191,6 +211,8 @@
             "in_flight": state.load.in_flight,
             "limit": state.load.limit,
             "refused_connections": self.control.refused(),
+            "weights": progress.weights,
+            "rollout": progress.rollout,
         })
     }
 }
@@ -208,7 +230,15 @@
         Ok(Err(error)) => return shared.reject(&error.to_string()),
         Err(_) => return shared.reject("nothing came within 10 s"),
     };
+    if let Frame::Dispatch(dispatch) = &frame {
+        shared.view.note_version(dispatch.version);
+    }
     match frame {
+        Frame::Control(message) => return shared.view.serve(message, &mut stream).await,
+        Frame::Dispatch(dispatch) if shared.view.is_isolated() => {
+            let refused = shared.refuse(dispatch.request, Reason::Isolated);
+            let _ = stream.sender.send(&refused).await;
+        }
         Frame::Dispatch(dispatch) => run(dispatch, &mut stream, &shared).await,
         Frame::Resume(resume) => match shared.answers.get(resume.request, &resume.team) {
             Some(answer) => {
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -25,7 +25,8 @@
     let key = routing::Key::new(&[&rand::random::<u128>().to_le_bytes()]);
     let mut last = refused(request, Verdict::NotRun, Reason::WrongTarget);
     let mut is_first = true;
-    for member in candidates(shared, Need::Service(&call.service), key) {
+    for candidate in candidates(shared, Need::Service(&call.service), key, true) {
+        let member = candidate.member;
         if !is_first && !may_retry(shared, &last, &call) {
             break;
         }
@@ -40,6 +41,8 @@
             team: team.clone(),
             priority,
             deadline_ms: left_ms(deadline),
+            new_tokens: 0,
+            most_wait_ms: u32::MAX,
             version: shared.view.version(),
             work: Work::Call(call.clone()),
         };
@@ -82,7 +85,10 @@
     let refuse = |verdict, reason| refused(request, verdict, reason);
     let mut stream = match send(shared, member, &Frame::Dispatch(dispatch)).await {
         Ok(stream) => stream,
-        Err(error) => return Err(refuse(error.verdict(), Reason::Unavailable)),
+        Err(error) => {
+            shared.unreachable(&member.name);
+            return Err(refuse(error.verdict(), Reason::Unavailable));
+        }
     };
     let frame = match timeout_at(deadline, stream.receiver.recv()).await {
         Ok(Ok(Some(frame))) => frame,
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -13,11 +13,10 @@
 use warp::{Filter, Rejection};
 use wire::{Call, Prompt, Reason, Token};
 
-use super::Shared;
 use super::api::{Chat, Refusal, completion};
 use super::relay::{self, Job, Piece};
 use super::reply::{collect, json, refuse, stream};
-use super::{body, call};
+use super::{Shared, body, call, limit};
 
 /// The longest idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 256;
@@ -99,7 +98,9 @@
     Body: Stream<Item = Result<Piece, warp::Error>>,
     Piece: Buf,
 {
+    require_fresh(shared)?;
     let caller = authenticate(shared, headers)?;
+    limit::check(shared, &caller.team)?;
     let body = body::read(headers, body).await?;
     let chat: Chat = serde_json::from_slice(&body)
         .map_err(|error| Refusal::caller(400, "invalid", &format!("the body: {error}")))?;
@@ -127,6 +128,7 @@
             delivered: Vec::new(),
         },
         root,
+        new_tokens: chat.new_tokens(),
         deadline: caller.deadline,
     };
     let started = Instant::now();
@@ -180,7 +182,9 @@
     Body: Stream<Item = Result<Piece, warp::Error>>,
     Piece: Buf,
 {
+    require_fresh(shared)?;
     let caller = authenticate(shared, headers)?;
+    limit::check(shared, &caller.team)?;
     let key = header(headers, "idempotency-key")?;
     if key.is_some_and(|key| key.is_empty() || key.len() > MAX_KEY_BYTES) {
         let message = "idempotency-key: accepted are 1 to 256 characters";
@@ -282,6 +286,18 @@
         })
 }
 
+/// Refuses new work while the rules in force cannot be known; answers that run may still be read.
+fn require_fresh(shared: &Shared) -> Result<(), Refusal> {
+    if shared.view.is_isolated() {
+        return Err(Refusal::system(
+            Reason::Isolated,
+            types::Verdict::NotRun,
+            500,
+        ));
+    }
+    Ok(())
+}
+
 fn authenticate(shared: &Shared, headers: &HeaderMap) -> Result<Caller, Refusal> {
     if !shared.view.is_ready() {
         return Err(Refusal::system(
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod body;
 mod call;
 mod http;
+mod limit;
 mod load;
 mod relay;
 mod reply;
@@ -18,16 +19,17 @@
 use context::Secret;
 use displaydoc::Display;
 use serde_json::{Value, json};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use wire::{Client, Control, Keys, Listener};
 
-use crate::admin::Report;
+use crate::admin::{Question, Report};
 use crate::control::View;
 use crate::metrics::Metrics;
 use crate::settings::{Role, Settings};
 use load::Loads;
+use route::Routes;
 
 /// A running entry.
 #[derive(Debug)]
@@ -37,7 +39,7 @@
     peer: SocketAddr,
     stop: watch::Sender<bool>,
     task: JoinHandle<()>,
-    _listener: Listener,
+    peers: JoinHandle<()>,
 }
 
 /// Why an entry did not start.
@@ -64,6 +66,8 @@
     loads: Loads,
     budget: Mutex<routing::Budget>,
     control: Control,
+    routes: Arc<Routes>,
+    limits: limit::Limits,
 }
 
 /// Starts an entry as the settings say.
@@ -77,7 +81,9 @@
     let metrics = Metrics::new();
     let keys = settings.keys();
     let listener = Listener::bind(settings.peer_address, keys.clone()).await?;
-    let view = crate::control::spawn(settings, listener.address(), metrics.clone())?;
+    let (peer, control) = (listener.address(), listener.control());
+    let view = crate::control::spawn(settings, peer, metrics.clone())?;
+    let peers = tokio::spawn(crate::control::accept(listener, Arc::clone(&view)));
     let shared = Arc::new(Shared {
         name: settings.name.clone(),
         region: settings.region.clone(),
@@ -88,23 +94,46 @@
         metrics: metrics.clone(),
         loads: Loads::default(),
         budget: Mutex::default(),
-        control: listener.control(),
+        control,
+        routes: Arc::default(),
+        limits: limit::Limits::default(),
     });
+    shared
+        .routes
+        .follow(Arc::clone(&shared.view), shared.region.clone());
     let admin = crate::admin::spawn(settings.admin_address, metrics, Arc::clone(&shared)).await?;
-    let socket = TcpListener::bind(http_address).await?;
+    crate::admin::register(Arc::clone(&shared.view), &settings.name, admin);
+    let socket = listen(*http_address)?;
     let http = socket.local_addr()?;
     let (stop, stopped) = watch::channel(false);
     let task = tokio::spawn(server::run(socket, http::routes(shared), stopped));
     Ok(Entry {
         http,
         admin,
-        peer: listener.address(),
+        peer,
         stop,
         task,
-        _listener: listener,
+        peers,
     })
 }
 
+/// The connections that may wait to be accepted; the number that tokio takes by default.
+const BACKLOG: u32 = 1024;
+
+/// Binds the address for callers without delayed sending: a first token that waits for the
+/// acknowledgement of the response's head comes about 40 ms late. Accepted sockets inherit the
+/// option from the listening one.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_nodelay(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 impl Entry {
     /// Returns the address for callers.
     #[must_use]
@@ -128,12 +157,29 @@
     pub async fn drain(self) {
         self.stop.send_replace(true);
         let _ = self.task.await;
+        self.peers.abort();
     }
 }
 
 impl Report for Shared {
     fn is_ready(&self) -> bool {
-        self.view.is_ready()
+        !self.view.is_isolated()
+    }
+
+    fn explain(&self, question: &Question) -> Option<Value> {
+        let Question {
+            team,
+            model,
+            prompt,
+        } = question;
+        // The text of a chat with this one message, as `Chat::prompt` writes it.
+        let text = format!("user: {prompt}\n");
+        let root = context::root(&self.secret(team), model, &text);
+        let need = route::Need::Model(model, std::time::Duration::ZERO);
+        let key = routing::Key::new(&[&root]);
+        let candidates = route::candidates(self, need, key, true);
+        let names = candidates.iter().map(|one| one.member.name.as_str());
+        Some(json!({ "candidates": names.collect::<Vec<_>>() }))
     }
 
     fn status(&self) -> Value {
@@ -153,6 +199,12 @@
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records that an agent could not be reached.
+    fn unreachable(&self, name: &str) {
+        self.loads.failed(name, crate::now());
+        self.view.note_unreachable(name);
+    }
+
     fn secret(&self, team: &types::Team) -> Secret {
         Secret::derive(self.secret.as_bytes(), team)
     }
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -10,7 +10,7 @@
 
 use super::Shared;
 use super::api::Refusal;
-use super::route::{Need, candidates};
+use super::route::{Candidate, Need, candidates};
 
 /// What a caller is sent of a streamed answer.
 #[derive(Debug)]
@@ -33,17 +33,21 @@
     pub(super) priority: Priority,
     pub(super) prompt: Prompt,
     pub(super) root: [u8; 32],
+    /// Tokens that were not part of an earlier visit, as far as the entry can tell.
+    pub(super) new_tokens: u32,
     pub(super) deadline: Instant,
 }
 
-/// How often a prompt is tried; each try after the first needs a reason of its own.
-const MAX_TRIES: u32 = 16;
-/// Tries that only follow the agents' corrections of the choice; they cost the targets nothing.
-const MAX_REDIRECTS: u32 = 4;
+/// Rounds over the candidates. Requests wait for a slot at an agent, so a round only fails when
+/// targets are away, leaving or have a full queue.
+const MAX_ROUNDS: u32 = 8;
 /// The same for an answer that has begun, which is cut when it is given up.
-const MAX_TRIES_BEGUN: u32 = 64;
-/// The wait after the first round over the candidates; it doubles with each round.
-const MIN_WAIT: Duration = Duration::from_millis(20);
+const MAX_ROUNDS_BEGUN: u32 = 32;
+/// The tries that may follow from agents that are full or leave; they cost the targets nothing.
+const MAX_CORRECTIONS: u32 = 4;
+/// The wait after the first round; each round waits that much longer. Together they are longer than
+/// an agent takes to notice that its target is back.
+const ROUND_WAIT: Duration = Duration::from_millis(20);
 /// The longest such wait; a target that failed is probed five times a second.
 const MAX_WAIT: Duration = Duration::from_millis(500);
 /// How long a caller may read nothing; it can resume the answer later.
@@ -82,22 +86,32 @@
     let key = routing::Key::new(&[&job.root]);
     let mut relay = Relay::new(&shared, job.request, &job.team, job.deadline, pieces);
     let mut last = refused(job.request, Verdict::NotRun, Reason::WrongTarget);
-    let (mut tries, mut wait) = (0, MIN_WAIT);
-    'tries: while tries < relay.max_tries() && !relay.pieces.is_closed() {
-        for member in candidates(&shared, Need::Model(&job.prompt.model), key) {
+    let (mut tries, mut redirects, mut rounds) = (0, 0, 0);
+    let own = routing::compute_time(job.new_tokens);
+    'rounds: while rounds < relay.max_rounds() && !relay.pieces.is_closed() {
+        let need = Need::Model(&job.prompt.model, own);
+        for mut candidate in candidates(&shared, need, key, rounds == 0) {
+            if redirects >= routing::MAX_REDIRECTS {
+                candidate.most_wait = Duration::MAX;
+            }
+            let member = Arc::clone(&candidate.member);
             if Instant::now() >= job.deadline {
                 last.reason = Reason::Deadline;
-                break 'tries;
+                break 'rounds;
             }
             if tries > 0 && !relay.may_retry(&last, tries) {
-                break 'tries;
+                break 'rounds;
             }
-            tries += 1;
-            match relay.attempt(&job, &member).await {
+            match relay.attempt(&job, &candidate).await {
                 Try::Finished => return,
                 Try::Refused(refused) => {
                     shared.loads.heard(&member.name, refused.load, crate::now());
-                    if refused.reason == Reason::Leaving || refused.reason == Reason::Unavailable {
+                    if refused.reason == Reason::Slow && redirects < routing::MAX_REDIRECTS {
+                        // The fresh load that came along may change the order.
+                        redirects += 1;
+                        continue 'rounds;
+                    }
+                    if matches!(refused.reason, Reason::Leaving | Reason::Unavailable) {
                         shared.loads.failed(&member.name, crate::now());
                     }
                     last = Refused {
@@ -106,21 +120,22 @@
                     };
                 }
                 Try::Broken => {
-                    shared.loads.failed(&member.name, crate::now());
+                    shared.unreachable(&member.name);
                     last.verdict = last.verdict.weaken(Verdict::MayHaveRun);
                     last.reason = Reason::Unavailable;
                 }
                 Try::Corrupt => {
                     last.verdict = Verdict::Ran;
                     last.reason = Reason::Unavailable;
-                    break 'tries;
+                    break 'rounds;
                 }
             }
+            tries += 1;
         }
-        tries += 1;
+        rounds += 1;
         // Jitter keeps the entries from coming back to a target all at once.
+        let wait = (ROUND_WAIT * rounds).min(MAX_WAIT);
         tokio::time::sleep(wait.mul_f64(rand::random_range(0.5..1.5))).await;
-        wait = (wait * 2).min(MAX_WAIT);
     }
     relay.refuse(&last).await;
 }
@@ -136,8 +151,12 @@
     shared.metrics.requests.with_label_values(&["resume"]).inc();
     let directory = shared.view.directory();
     let key = routing::Key::new(&[&token.root]);
-    let others = candidates(&shared, Need::Model(&token.model), key);
-    let others = others.iter().filter(|member| member.name != token.agent);
+    let need = Need::Model(&token.model, Duration::ZERO);
+    let others = candidates(&shared, need, key, true);
+    let others = others
+        .iter()
+        .map(|candidate| &*candidate.member)
+        .filter(|member| member.name != token.agent);
     let mut relay = Relay::new(&shared, token.request, &token.team, deadline, pieces);
     relay.skip = from;
     for member in directory.get(&token.agent).into_iter().chain(others) {
@@ -172,11 +191,11 @@
         }
     }
 
-    fn max_tries(&self) -> u32 {
+    fn max_rounds(&self) -> u32 {
         if self.delivered.is_empty() {
-            MAX_TRIES
+            MAX_ROUNDS
         } else {
-            MAX_TRIES_BEGUN
+            MAX_ROUNDS_BEGUN
         }
     }
 
@@ -187,16 +206,19 @@
         if !self.delivered.is_empty() {
             return true;
         }
-        is_redirect(last) && tries < MAX_REDIRECTS || self.shared.budget().try_retry()
+        is_redirect(last) && tries < MAX_CORRECTIONS || self.shared.budget().try_retry()
     }
 
-    async fn attempt(&mut self, job: &Job, member: &Member) -> Try {
+    async fn attempt(&mut self, job: &Job, candidate: &Candidate) -> Try {
+        let member = &*candidate.member;
         let dispatch = Dispatch {
             request: job.request,
             attempt: Attempt(rand::random()),
             team: job.team.clone(),
             priority: job.priority,
             deadline_ms: left_ms(job.deadline),
+            new_tokens: job.new_tokens,
+            most_wait_ms: u32::try_from(candidate.most_wait.as_millis()).unwrap_or(u32::MAX),
             version: self.shared.view.version(),
             work: Work::Prompt(Prompt {
                 delivered: self.delivered.clone(),
@@ -207,7 +229,7 @@
         let mut stream = match send(self.shared, member, &frame).await {
             Ok(stream) => stream,
             Err(error) => {
-                self.shared.loads.failed(&member.name, crate::now());
+                self.shared.unreachable(&member.name);
                 return Try::Refused(refused(job.request, error.verdict(), Reason::Unavailable));
             }
         };
@@ -261,6 +283,7 @@
             }
             let piece = match frame {
                 Frame::Admitted(admitted) => {
+                    self.shared.view.note_version(admitted.version);
                     let loads = &self.shared.loads;
                     loads.heard(&member.name, admitted.load, crate::now());
                     Piece::Agent(member.name.clone())
@@ -359,7 +382,7 @@
     refused.verdict == Verdict::NotRun
         && matches!(
             refused.reason,
-            Reason::Full | Reason::Leaving | Reason::WrongTarget
+            Reason::Full | Reason::Leaving | Reason::WrongTarget | Reason::Slow
         )
 }
 
--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -120,7 +120,10 @@
             let Ok(Some(frame)) = receiver.recv().await else {
                 continue;
             };
-            log.lock().unwrap().push(frame.clone());
+            // The entry's gossip comes on streams of its own.
+            if matches!(frame, Frame::Dispatch(_) | Frame::Resume(_)) {
+                log.lock().unwrap().push(frame.clone());
+            }
             sender.send_all(&script(frame)).await.unwrap();
             sender.finish();
         }
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
-use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use warp::Filter;
 
 const HELP: &str = "boragereel-standin KIND [--listen ADDRESS] [options]
@@ -20,7 +20,7 @@
   platform  table service, object store and host list
   weights   weight store              --load-ms N (2000)
   store     store host                --capacity-bytes N (268435456)
-  service   plain service             --name NAME
+  service   plain service             --name NAME --call-ms N (5)
   engine    model engine              --model NAME --weights VERSION --cold-limit N (2)
                                       --warm-limit N (16) --warm-after N (8) --blocks N (64)
                                       --prefill-us N (100) --token-us N (2000)
@@ -71,8 +71,9 @@
         }
         "service" => {
             let name: String = arguments.value_from_str("--name")?;
+            let call_ms = arguments.opt_value_from_str("--call-ms")?.unwrap_or(5);
             finish(arguments)?;
-            serve(&kind, listen, service::routes(&name)).await
+            serve(&kind, listen, service::routes(&name, call_ms)).await
         }
         "engine" => {
             let settings = engine::Settings {
@@ -118,7 +119,12 @@
         + Sync
         + 'static,
 {
-    let listener = TcpListener::bind(listen).await?;
+    // Accepted sockets inherit the option; real servers of streams send each token at once too.
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.set_nodelay(true)?;
+    socket.bind(listen)?;
+    let listener = socket.listen(1024)?;
     println!("ready {kind} {}", listener.local_addr()?);
     let stop = async {
         let mut term = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
--- a/xtask/src/replay/kept.rs
+++ b/xtask/src/replay/kept.rs
@@ -4,7 +4,6 @@
 
 use super::engine::Block;
 use super::fleet;
-use super::knobs::Fetch;
 use super::world::{Event, Transfer, World};
 
 impl World {
@@ -38,6 +37,7 @@
             }
             return self.after(time, Event::FetchDeadline(attempt));
         }
+        let held = if self.knobs.believe { held } else { 0 };
         let prefixes: Vec<usize> = self
             .stores
             .iter()
@@ -57,14 +57,9 @@
         }
         let mut pushed = 0;
         for (position, &block) in chain.iter().enumerate().take(longest).skip(held) {
-            let turn = if self.knobs.parallel {
-                first + position
-            } else {
-                first
-            };
             let holds = |store: &usize| prefixes[*store] > position;
             let store = (0..self.stores.len())
-                .map(|step| (turn + step) % self.stores.len())
+                .map(|step| (first + step) % self.stores.len())
                 .find(holds);
             if let Some(store) = store {
                 let transfer = Transfer {
@@ -153,9 +148,6 @@
         if self.attempts[attempt].over {
             return;
         }
-        if self.knobs.fetch == Fetch::Before && !self.attempts[attempt].asked {
-            return self.ask(attempt);
-        }
         self.send_if_ready(attempt);
     }
 
