--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,12 +4,13 @@
 //! the control part of one process, [`network::Network`] runs many of them in virtual time. See
 //! `docs/control.md`.
 
-mod claim;
+pub mod claim;
 mod config;
 mod delta;
 mod exchange;
 mod freshness;
 mod lease;
+mod ledger;
 mod member;
 mod message;
 pub mod network;
@@ -18,10 +19,11 @@
 mod roster;
 mod suspicion;
 
-pub use claim::{Claim, Outcome, State};
+pub use claim::{Acquire, Claim, Fate, Found, Outcome, State, Stop};
 pub use delta::{Edit, apply, diff};
 pub use freshness::ISOLATION;
 pub use lease::{Grant, Lease, Step, Terms, Write, Written};
+pub use ledger::Ledger;
 pub use member::{Directory, Member, Record, Role};
 pub use message::{Body, Change, Fetch, Gossip, Message, Stamp, Update};
 pub use node::{Action, Event, Node};
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -3,14 +3,18 @@
 //! It holds soft state only. What it believes of a target may be wrong; the agent decides.
 
 mod api;
+mod body;
+mod call;
 mod http;
 mod limit;
 mod load;
 mod relay;
+mod reply;
 mod route;
+mod server;
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use context::Secret;
 use displaydoc::Display;
@@ -18,7 +22,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use wire::{Client, Keys, Listener};
+use wire::{Client, Control, Keys, Listener};
 
 use crate::admin::{Question, Report};
 use crate::control::View;
@@ -60,6 +64,8 @@
     secret: String,
     metrics: Metrics,
     loads: Loads,
+    budget: Mutex<routing::Budget>,
+    control: Control,
     routes: Arc<Routes>,
     limits: limit::Limits,
 }
@@ -75,7 +81,7 @@
     let metrics = Metrics::new();
     let keys = settings.keys();
     let listener = Listener::bind(settings.peer_address, keys.clone()).await?;
-    let peer = listener.address();
+    let (peer, control) = (listener.address(), listener.control());
     let view = crate::control::spawn(settings, peer, metrics.clone())?;
     let peers = tokio::spawn(crate::control::accept(listener, Arc::clone(&view)));
     let shared = Arc::new(Shared {
@@ -87,6 +93,8 @@
         secret: settings.context_secret.clone(),
         metrics: metrics.clone(),
         loads: Loads::default(),
+        budget: Mutex::default(),
+        control,
         routes: Arc::default(),
         limits: limit::Limits::default(),
     });
@@ -97,13 +105,8 @@
     crate::admin::register(Arc::clone(&shared.view), &settings.name, admin);
     let socket = listen(*http_address)?;
     let http = socket.local_addr()?;
-    let (stop, mut stopped) = watch::channel(false);
-    let server = warp::serve(http::routes(shared))
-        .incoming(socket)
-        .graceful(async move {
-            let _ = stopped.wait_for(|&stop| stop).await;
-        });
-    let task = tokio::spawn(server.run());
+    let (stop, stopped) = watch::channel(false);
+    let task = tokio::spawn(server::run(socket, http::routes(shared), stopped));
     Ok(Entry {
         http,
         admin,
@@ -186,11 +189,16 @@
             "version": self.view.version(),
             "incarnation": self.view.incarnation(),
             "members": members,
+            "refused_connections": self.control.refused(),
         })
     }
 }
 
 impl Shared {
+    fn budget(&self) -> MutexGuard<'_, routing::Budget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records that an agent could not be reached.
     fn unreachable(&self, name: &str) {
         self.loads.failed(name, crate::now());
--- a/crates/daemon/tests/weights.rs
+++ b/crates/daemon/tests/weights.rs
@@ -42,7 +42,7 @@
         most_wait_ms: u32::MAX,
         work: Work::Prompt(Prompt {
             model: Model::from("m"),
-            text: text.join(" "),
+            text: text.join(" ").into(),
             max_tokens: 1,
             delivered: Vec::new(),
         }),
