rollouts read the platform at a rate that does not grow, and pause after failures

Cause: each agent that waited for its model's turn read the row four times a second, 9600 reads/s at 2400 targets, and weights that no engine can load took targets out without a pause. Ruled out: taking a lease that seems to have lapsed without another read; it would cost a failed write per waiting agent each time. Conclusion: at most 160 reads/s for turns with 16 models, computed from the interval and not measured.

--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -57,6 +57,16 @@
     Lost,
 }
 
+/// How a lease is taken.
+#[derive(Debug, Clone, Copy)]
+pub struct Terms {
+    /// How long it holds after each write.
+    pub duration: Duration,
+    /// How often a row that another process holds is read again. When many wait, each reads seldom
+    /// and yet one of them soon sees a release.
+    pub look: Duration,
+}
+
 /// One process's view of a lease: a state machine over conditional writes.
 ///
 /// At most one process believes that it holds the lease at any time, as long as no clock runs more
@@ -65,7 +75,7 @@
 pub struct Lease {
     holder: String,
     incarnation: Incarnation,
-    duration: Duration,
+    terms: Terms,
     wanted: bool,
     writes: u64,
     state: State,
@@ -98,8 +108,9 @@
     sent: Time,
 }
 
-/// How often a row that another process holds is read again; a release is seen this much later.
-const READ_INTERVAL: Duration = Duration::from_millis(250);
+/// A view that is older is read again before a lease that seems to have lapsed is taken, because
+/// the holder has renewed it in most cases and a read costs less than a write that fails.
+const FRESH: Duration = Duration::from_secs(1);
 
 impl Lease {
     /// Makes the view of a process that neither holds nor wants the lease.
@@ -107,11 +118,11 @@
     /// `nonce` is drawn at random: writes of an earlier view of the same process may still arrive
     /// and must not be taken for writes of this one.
     #[must_use]
-    pub fn new(holder: String, incarnation: Incarnation, duration: Duration, nonce: u64) -> Self {
+    pub fn new(holder: String, incarnation: Incarnation, terms: Terms, nonce: u64) -> Self {
         Self {
             holder,
             incarnation,
-            duration,
+            terms,
             wanted: false,
             writes: nonce,
             state: State::Unknown,
@@ -165,7 +176,7 @@
                     return Step::Read;
                 }
                 // Renewed at half time, one lost write can be repeated before the lease lapses.
-                let renewal = taken + self.duration / 2;
+                let renewal = taken + self.terms.duration / 2;
                 if now < renewal {
                     return Step::Wait(renewal);
                 }
@@ -179,11 +190,19 @@
                 last_read,
             } => {
                 let fence = grant.as_ref().map_or(0, |grant| grant.fence.0);
-                let free = grant.is_none_or(|grant| self.is_free(&grant, now, first_seen));
-                if free {
+                let lapse = grant.as_ref().map_or(first_seen, |grant| {
+                    first_seen + Duration::from_millis(grant.duration_ms) / 10 * 11
+                });
+                if grant.is_none_or(|grant| self.is_free(&grant)) {
                     return self.write(now, version, Fence(fence + 1), false);
                 }
-                match last_read + READ_INTERVAL {
+                if now >= lapse {
+                    return match now.since(last_read) <= FRESH {
+                        true => self.write(now, version, Fence(fence + 1), false),
+                        false => Step::Read,
+                    };
+                }
+                match (last_read + self.terms.look).min(lapse) {
                     again if again <= now => Step::Read,
                     again => Step::Wait(again),
                 }
@@ -255,13 +274,13 @@
 
     /// How long the holder relies on the lease, by its own clock.
     fn held(&self) -> Duration {
-        self.duration / 10 * 9
+        self.terms.duration / 10 * 9
     }
 
-    fn is_free(&self, grant: &Grant, now: Time, first_seen: Time) -> bool {
+    /// Says whether nobody else holds the lease, however long ago the row was seen first.
+    fn is_free(&self, grant: &Grant) -> bool {
         let own = grant.holder == self.holder && grant.incarnation == self.incarnation;
-        let lapse = Duration::from_millis(grant.duration_ms) / 10 * 11;
-        grant.released || own || now >= first_seen + lapse
+        grant.released || own
     }
 
     fn write(&mut self, now: Time, expect: u64, fence: Fence, released: bool) -> Step {
@@ -271,7 +290,7 @@
             incarnation: self.incarnation,
             write: self.writes,
             fence,
-            duration_ms: u64::try_from(self.duration.as_millis()).unwrap_or(u64::MAX),
+            duration_ms: u64::try_from(self.terms.duration.as_millis()).unwrap_or(u64::MAX),
             released,
         };
         self.pending = Some(Pending {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -21,7 +21,7 @@
 pub use claim::{Claim, Outcome, State};
 pub use delta::{Edit, apply, diff};
 pub use freshness::ISOLATION;
-pub use lease::{Grant, Lease, Step, Write, Written};
+pub use lease::{Grant, Lease, Step, Terms, Write, Written};
 pub use member::{Directory, Member, Record, Role};
 pub use message::{Body, Change, Fetch, Gossip, Message, Stamp, Update};
 pub use node::{Action, Event, Node};
--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -6,11 +6,14 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use control::{Grant, Lease, Step, Write, Written};
+use control::{Grant, Lease, Step, Terms, Write, Written};
 use proptest::prelude::*;
 use types::{Incarnation, Time};
 
-const DURATION: Duration = Duration::from_millis(1000);
+const TERMS: Terms = Terms {
+    duration: Duration::from_millis(1000),
+    look: Duration::from_millis(250),
+};
 
 /// A request on its way between a process and the platform.
 #[derive(Debug, Clone)]
@@ -58,7 +61,7 @@
 impl World {
     fn new(rates: &[u64]) -> Self {
         let processes = rates.iter().enumerate().map(|(index, &rate)| {
-            let mut lease = Lease::new(format!("p{index}"), Incarnation(1), DURATION, 0);
+            let mut lease = Lease::new(format!("p{index}"), Incarnation(1), TERMS, 0);
             lease.take();
             Process {
                 lease,
@@ -140,7 +143,7 @@
                 let process = &mut self.processes[index];
                 process.incarnation += 1;
                 let incarnation = Incarnation(process.incarnation);
-                process.lease = Lease::new(format!("p{index}"), incarnation, DURATION, 0);
+                process.lease = Lease::new(format!("p{index}"), incarnation, TERMS, 0);
                 process.lease.take();
                 if let Some(Flight::Write(write)) = process.flight.take() {
                     self.late.push(write);
@@ -202,22 +205,27 @@
     }
 }
 
-/// All schedules of two contenders, one with a slow and one with a fast clock, up to 18 events and
-/// six steps of time with at most two faults; a state that was met before is not continued twice.
+/// All schedules of two contenders up to 24 events with one fault and up to 18 with two.
 #[test]
 fn two_contenders_exclude_each_other_in_every_schedule() {
-    const DEPTH: usize = 18;
+    explore(24, 1);
+    explore(18, 2);
+}
+
+/// Runs all schedules of two contenders, one with a slow and one with a fast clock, up to six steps
+/// of time; a state that was met before is not continued twice.
+fn explore(depth: usize, most_faults: u32) {
     // Multiples of it lie between each pair of the moments at which a lease lapses for the
     // holder and for the other, with right and with wrong margins.
     const STEP_MS: u64 = 210;
     let mut seen = HashSet::new();
     let mut frontier = vec![(World::new(&[91, 109]), 0_u32)];
     let (mut states, mut fence) = (0, 0);
-    for _ in 0..DEPTH {
+    for _ in 0..depth {
         let mut next = Vec::new();
         for (world, faults) in frontier {
             let mut events = vec![Event::Advance(0), Event::Advance(1), Event::Pass(STEP_MS)];
-            if faults < 2 {
+            if faults < most_faults {
                 events.extend([Event::Lose(0), Event::Lose(1), Event::Crash(0)]);
                 events.extend([Event::Want(0, false), Event::Want(0, true)]);
             }
--- a/crates/daemon/src/agent/rollout.rs
+++ b/crates/daemon/src/agent/rollout.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use control::{Member, Role};
+use control::{Member, Role, Terms};
 use engine::{Client, Engine, Order};
 use platform::{Commit, Table, Write};
 use rules::Check;
@@ -82,10 +82,18 @@
 const ORDER_TIMEOUT: Duration = Duration::from_secs(30);
 /// How long the next target waits for this one to warm up; without traffic it does not.
 const WARM_TIMEOUT: Duration = Duration::from_secs(3);
-/// Pauses after a rollout that stopped, with jitter, so that agents do not compete in step.
+/// The first pause after a rollout that stopped; it doubles each time, so that weights that no
+/// engine can load do not keep taking targets out.
 const RETRY: Duration = Duration::from_secs(1);
+/// The greatest number of doublings of [`RETRY`]: about four minutes.
+const DOUBLINGS: u32 = 8;
 /// How long another agent may take to say whether it is ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(1);
+/// Reads of a model's turn by all its agents together; at 16 models they stay below a tenth of
+/// what the platform bears.
+const READS_PER_S: f64 = 10.0;
+/// How often an agent that has its model's turn looks for a slot.
+const SLOT_LOOK: Duration = Duration::from_secs(1);
 /// Servers that may load weights at the same time without slowing each other down.
 const SLOTS: u32 = 2;
 
@@ -121,10 +129,12 @@
     }
 
     async fn run(self) {
+        let mut failures = 0;
         loop {
             sleep(INTERVAL).await;
             let Some((serves, wanted)) = self.compare().await else {
                 self.report(None);
+                failures = 0;
                 continue;
             };
             log::info!("rollout from weights {serves} to {wanted}");
@@ -140,12 +150,34 @@
                 Ok(()) => log::info!("the engine serves weights {wanted}"),
                 Err(stop) => {
                     log::warn!("the rollout to weights {wanted} stopped: {stop}");
-                    sleep(RETRY.mul_f64(rand::random_range(0.5..1.5))).await;
+                    let pause = RETRY * 2_u32.pow(failures.min(DOUBLINGS));
+                    failures += 1;
+                    let changed = self.pause(pause, &wanted).await;
+                    if changed {
+                        failures = 0;
+                    }
                 }
             }
         }
     }
 
+    /// Waits, or returns true as soon as the rules name other weights or the target is drained.
+    async fn pause(&self, pause: Duration, wanted: &Weights) -> bool {
+        self.report(Some("pauses after a rollout that stopped"));
+        // With jitter, agents that failed together do not compete in step.
+        let end = Instant::now() + pause.mul_f64(rand::random_range(0.5..1.5));
+        let drained = self.is_drained();
+        while Instant::now() < end {
+            let rules = self.view.rules();
+            let named = rules.models.get(&self.model).map(|served| &served.weights);
+            if named != Some(wanted) || self.is_drained() != drained {
+                return true;
+            }
+            sleep(INTERVAL).await;
+        }
+        false
+    }
+
     /// Returns the weights served and wanted if they differ.
     async fn compare(&self) -> Option<(Weights, Weights)> {
         let serves = self.engine.status().await.ok()?.weights;
@@ -156,7 +188,7 @@
 
     async fn roll(&self, wanted: &Weights) -> Result<(), Stop> {
         self.report(Some("waits for the model's turn"));
-        let turn = self.lease(format!("lease/rollout/{}", self.model));
+        let turn = self.lease(format!("lease/rollout/{}", self.model), self.look());
         turn.wait().await;
         let result = self.roll_in_turn(&turn, wanted).await;
         turn.release().await;
@@ -166,7 +198,7 @@
     async fn roll_in_turn(&self, turn: &Handle, wanted: &Weights) -> Result<(), Stop> {
         self.report(Some("waits for a slot to load weights"));
         let slots: Vec<Handle> = (0..SLOTS)
-            .map(|slot| self.lease(format!("lease/weights/{slot}")))
+            .map(|slot| self.lease(format!("lease/weights/{slot}"), SLOT_LOOK))
             .collect();
         let slot = Handle::wait_any(&slots).await;
         let result = self.load(turn, &slots[slot], wanted).await;
@@ -348,9 +380,22 @@
         Ok(false)
     }
 
-    fn lease(&self, key: String) -> Handle {
+    fn lease(&self, key: String, look: Duration) -> Handle {
         let view = Arc::clone(&self.view);
-        Handle::spawn(view, key, self.name.clone(), LEASE)
+        let terms = Terms {
+            duration: LEASE,
+            look: look.mul_f64(rand::random_range(0.5..1.5)),
+        };
+        Handle::spawn(view, key, self.name.clone(), terms)
+    }
+
+    /// Returns how often this agent looks for the model's turn, so that all agents of the model
+    /// together read the row [`READS_PER_S`] times a second, however many they are.
+    fn look(&self) -> Duration {
+        let directory = self.view.directory();
+        let serves = |member: &&Member| matches!(&member.role, Role::Engine { model, .. } if *model == self.model);
+        let agents = directory.iter().filter(serves).count();
+        Duration::from_secs_f64(agents.max(1) as f64 / READS_PER_S)
     }
 
     fn order_key(&self) -> String {
