--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -205,22 +205,27 @@
     }
 }
 
-/// All schedules of two contenders, one with a slow and one with a fast clock, up to 22 events and
-/// six steps of time with at most one fault; a state that was met before is not continued twice.
+/// All schedules of two contenders up to 24 events with one fault and up to 18 with two.
 #[test]
 fn two_contenders_exclude_each_other_in_every_schedule() {
-    const DEPTH: usize = 22;
+    explore(24, 1);
+    explore(18, 2);
+}
+
+/// Runs all schedules of two contenders, one with a slow and one with a fast clock, up to six steps
+/// of time; a state that was met before is not continued twice.
+fn explore(depth: usize, most_faults: u32) {
     // Multiples of it lie between each pair of the moments at which a lease lapses for the
     // holder and for the other, with right and with wrong margins.
     const STEP_MS: u64 = 210;
     let mut seen = HashSet::new();
     let mut frontier = vec![(World::new(&[91, 109]), 0_u32)];
     let (mut states, mut fence) = (0, 0);
-    for _ in 0..DEPTH {
+    for _ in 0..depth {
         let mut next = Vec::new();
         for (world, faults) in frontier {
             let mut events = vec![Event::Advance(0), Event::Advance(1), Event::Pass(STEP_MS)];
-            if faults < 1 {
+            if faults < most_faults {
                 events.extend([Event::Lose(0), Event::Lose(1), Event::Crash(0)]);
                 events.extend([Event::Want(0, false), Event::Want(0, true)]);
             }
