--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -15,12 +15,12 @@
 use context::Secret;
 use displaydoc::Display;
 use serde_json::{Value, json};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use wire::{Client, Keys, Listener};
 
-use crate::admin::Report;
+use crate::admin::{Question, Report};
 use crate::control::View;
 use crate::metrics::Metrics;
 use crate::settings::{Role, Settings};
@@ -95,7 +95,7 @@
         .follow(Arc::clone(&shared.view), shared.region.clone());
     let admin = crate::admin::spawn(settings.admin_address, metrics, Arc::clone(&shared)).await?;
     crate::admin::register(Arc::clone(&shared.view), &settings.name, admin);
-    let socket = TcpListener::bind(http_address).await?;
+    let socket = listen(*http_address)?;
     let http = socket.local_addr()?;
     let (stop, mut stopped) = watch::channel(false);
     let server = warp::serve(http::routes(shared))
@@ -114,6 +114,23 @@
     })
 }
 
+/// The connections that may wait to be accepted; the number that tokio takes by default.
+const BACKLOG: u32 = 1024;
+
+/// Binds the address for callers without delayed sending: a first token that waits for the
+/// acknowledgement of the response's head comes about 40 ms late. Accepted sockets inherit the
+/// option from the listening one.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_nodelay(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 impl Entry {
     /// Returns the address for callers.
     #[must_use]
@@ -146,6 +163,22 @@
         !self.view.is_isolated()
     }
 
+    fn explain(&self, question: &Question) -> Option<Value> {
+        let Question {
+            team,
+            model,
+            prompt,
+        } = question;
+        // The text of a chat with this one message, as `Chat::prompt` writes it.
+        let text = format!("user: {prompt}\n");
+        let root = context::root(&self.secret(team), model, &text);
+        let need = route::Need::Model(model, std::time::Duration::ZERO);
+        let key = routing::Key::new(&[&root]);
+        let candidates = route::candidates(self, need, key, true);
+        let names = candidates.iter().map(|one| one.member.name.as_str());
+        Some(json!({ "candidates": names.collect::<Vec<_>>() }))
+    }
+
     fn status(&self) -> Value {
         let members: Vec<_> = self.view.directory().iter().cloned().collect();
         json!({
