--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -38,7 +38,8 @@
     /// Comparisons in a row in which the member digests differed.
     pub(crate) unequal: u32,
     address: SocketAddr,
-    pending: BTreeMap<u64, Purpose>,
+    /// Questions whose answer is awaited, with the time at which each was asked.
+    pending: BTreeMap<u64, (Purpose, Time)>,
     next_id: u64,
     expired: Time,
     /// The greatest number of members that a peer knew.
@@ -69,8 +70,9 @@
     Reply(u64, Message),
     /// An [`Action::Send`] found no peer or no answer in time.
     Failed(u64),
-    /// The accepted configuration by the platform, or `None` when the platform did not answer.
-    Head(Option<(Version, Digest)>),
+    /// The accepted configuration by the platform, or `None` when the platform did not answer; the
+    /// time is that of the [`Action::ReadHead`].
+    Head(Time, Option<(Version, Digest)>),
     /// The text of an accepted configuration, or `None` when it could not be read.
     Text(Version, Digest, Option<Arc<str>>),
     /// The registered members, or `None` when the platform did not answer.
@@ -93,8 +95,8 @@
     Send(u64, SocketAddr, Message),
     /// Answer the request with this token.
     Reply(u64, Message),
-    /// Read which configuration is accepted.
-    ReadHead,
+    /// Read which configuration is accepted; the time goes into [`Event::Head`].
+    ReadHead(Time),
     /// Read the text of an accepted configuration.
     ReadText(Version, Digest),
     /// Read the registered members.
@@ -163,23 +165,28 @@
             Event::Tick => self.tick(now, random, &mut out),
             Event::Request(token, message) => self.serve(token, message, now, random, &mut out),
             Event::Reply(id, message) => {
-                self.fresh.hear(now);
-                if let Some(purpose) = self.pending.remove(&id) {
+                if let Some((purpose, sent)) = self.pending.remove(&id) {
+                    self.fresh.hear(sent);
                     self.reply(purpose, message, now, random, &mut out);
                 }
             }
             Event::Failed(id) => {
-                if let Some(purpose) = self.pending.remove(&id) {
+                if let Some((purpose, _)) = self.pending.remove(&id) {
                     self.fail(purpose, now, random, &mut out);
                 }
             }
-            Event::Head(head) => self.head(head, now, &mut out),
+            Event::Head(asked, head) => {
+                if head.is_some() {
+                    self.fresh.hear(asked);
+                }
+                self.head(head, &mut out);
+            }
             Event::Text(version, digest, text) => {
                 self.reading = false;
                 if let Some(text) = text {
                     let offer = self.config.offer(version, &digest, &text);
                     if self.adopt(offer, &mut out) {
-                        self.push(random, &mut out);
+                        self.push(now, random, &mut out);
                     }
                 }
             }
@@ -191,8 +198,7 @@
             Event::Registered(done) => self.schedule.registered(done, now, random),
             Event::Hosts(hosts) => {
                 if let Some(hosts) = hosts {
-                    self.fresh.hear(now);
-                    self.list_hosts(hosts, random, &mut out);
+                    self.list_hosts(hosts, now, random, &mut out);
                 }
             }
             Event::Hint(version) => self.hint(version, now, random, &mut out),
@@ -200,7 +206,7 @@
         }
         if self.fresh.settle(self.config.version(), self.seeds.len()) {
             // Others that start wait for a ready peer, and need not ask the platform then.
-            self.push(random, &mut out);
+            self.push(now, random, &mut out);
             let interval = pace::head(self.expected_size(now), random);
             self.schedule.head_at = self.schedule.head_at.max(now + interval);
         }
@@ -217,9 +223,9 @@
     {
         self.roster = roster;
         self.schedule = Schedule::settled(self.roster.len(), now, random);
-        self.fresh.hear_platform(now);
+        self.fresh.hear(now);
+        self.fresh.hear_platform();
         self.fresh.settle(Version::default(), 0);
-        self.fresh.join();
     }
 
     /// Returns when the next [`Event::Tick`] is due.
@@ -299,7 +305,7 @@
         let size = self.expected_size(now);
         let interval = pace::head(size, random);
         if Schedule::due(&mut self.schedule.head_at, now, interval) {
-            out.push(Action::ReadHead);
+            out.push(Action::ReadHead(now));
         }
         if Schedule::due(&mut self.schedule.hosts_at, now, pace::hosts(size, random)) {
             out.push(Action::ReadHosts);
@@ -314,10 +320,11 @@
         if Schedule::due(&mut self.schedule.members_at, now, interval) {
             out.push(Action::ReadMembers);
         }
-        let urgent = !self.fresh.is_ready() || self.fresh.is_fading(now);
+        // A process that learned the configuration from the platform first still needs its seeds.
+        let urgent = !self.fresh.is_ready() || self.fresh.is_fading(now) || alone;
         let interval = pace::gossip(urgent, random);
         if Schedule::due(&mut self.schedule.gossip_at, now, interval) {
-            self.round(urgent, random, out);
+            self.round(urgent, now, random, out);
             if self.fresh.is_fading(now) {
                 self.schedule.hurry(now, random);
             }
@@ -329,7 +336,7 @@
     }
 
     /// Compares versions with a random peer; an unready or fading process asks its seeds as well.
-    fn round<Random>(&mut self, urgent: bool, random: &mut Random, out: &mut Vec<Action>)
+    fn round<Random>(&mut self, urgent: bool, now: Time, random: &mut Random, out: &mut Vec<Action>)
     where
         Random: Rng,
     {
@@ -351,24 +358,30 @@
             peers.extend(seeds.take(SEEDS_PER_ROUND.min(self.seeds.len())));
         }
         for peer in peers {
-            self.gossip(peer, out);
+            self.gossip(peer, now, out);
         }
     }
 
-    pub(crate) fn gossip(&mut self, peer: SocketAddr, out: &mut Vec<Action>) {
+    pub(crate) fn gossip(&mut self, peer: SocketAddr, now: Time, out: &mut Vec<Action>) {
         let gossip = self.summary(Some(peer));
-        self.send(peer, Message::Gossip(gossip), Purpose::Gossip(peer), out);
+        self.send(
+            peer,
+            Message::Gossip(gossip),
+            Purpose::Gossip(peer),
+            now,
+            out,
+        );
     }
 
     /// Tells random peers of something new, at once.
-    pub(crate) fn push<Random>(&mut self, random: &mut Random, out: &mut Vec<Action>)
+    pub(crate) fn push<Random>(&mut self, now: Time, random: &mut Random, out: &mut Vec<Action>)
     where
         Random: Rng,
     {
         for _ in 0..FANOUT {
             let peer = self.roster.draw(random, |record| !record.suspect);
             if let Some(address) = peer.map(|record| record.member.address) {
-                self.gossip(address, out);
+                self.gossip(address, now, out);
             }
         }
     }
@@ -395,11 +408,12 @@
         to: SocketAddr,
         message: Message,
         why: Purpose,
+        now: Time,
         out: &mut Vec<Action>,
     ) {
         let id = self.next_id;
         self.next_id += 1;
-        self.pending.insert(id, why);
+        self.pending.insert(id, (why, now));
         out.push(Action::Send(id, to, message));
     }
 }
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -4,6 +4,7 @@
 mod claim;
 mod gate;
 mod kept;
+mod lane;
 mod lease;
 mod prompt;
 mod rollout;
@@ -61,7 +62,7 @@
 
 #[derive(Debug)]
 enum Target {
-    Engine(prompt::Backend),
+    Engine(Box<prompt::Backend>),
     Service(service::Backend),
 }
 
@@ -102,7 +103,7 @@
                 backend.engine(),
                 metrics.clone(),
             )?);
-            (gate, Target::Engine(backend))
+            (gate, Target::Engine(Box::new(backend)))
         }
         Role::Service {
             service,
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -4,6 +4,7 @@
 
 mod api;
 mod http;
+mod limit;
 mod load;
 mod relay;
 mod route;
@@ -19,7 +20,7 @@
 use tokio::task::JoinHandle;
 use wire::{Client, Keys, Listener};
 
-use crate::admin::Report;
+use crate::admin::{Question, Report};
 use crate::control::View;
 use crate::metrics::Metrics;
 use crate::settings::{Role, Settings};
@@ -60,6 +61,7 @@
     metrics: Metrics,
     loads: Loads,
     routes: Arc<Routes>,
+    limits: limit::Limits,
 }
 
 /// Starts an entry as the settings say.
@@ -86,6 +88,7 @@
         metrics: metrics.clone(),
         loads: Loads::default(),
         routes: Arc::default(),
+        limits: limit::Limits::default(),
     });
     shared
         .routes
@@ -160,6 +163,22 @@
         !self.view.is_isolated()
     }
 
+    fn explain(&self, question: &Question) -> Option<Value> {
+        let Question {
+            team,
+            model,
+            prompt,
+        } = question;
+        // The text of a chat with this one message, as `Chat::prompt` writes it.
+        let text = format!("user: {prompt}\n");
+        let root = context::root(&self.secret(team), model, &text);
+        let need = route::Need::Model(model, std::time::Duration::ZERO);
+        let key = routing::Key::new(&[&root]);
+        let candidates = route::candidates(self, need, key, true);
+        let names = candidates.iter().map(|one| one.member.name.as_str());
+        Some(json!({ "candidates": names.collect::<Vec<_>>() }))
+    }
+
     fn status(&self) -> Value {
         let members: Vec<_> = self.view.directory().iter().cloned().collect();
         json!({
