--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -19,7 +19,7 @@
     pub questions: IntCounterVec,
     /// Reads and writes of the platform by the control part.
     pub platform_reads: IntCounterVec,
-    /// Requests by how they ended.
+    /// Requests by kind.
     pub requests: IntCounterVec,
     /// Refusals by reason.
     pub refusals: IntCounterVec,
@@ -33,8 +33,12 @@
     pub computed: IntCounter,
     /// Kept blocks by what became of them.
     pub blocks: IntCounterVec,
+    /// Rollouts by how they ended.
+    pub rollouts: IntCounterVec,
     /// Requests sent to the target and not finished.
     pub in_flight: IntGauge,
+    /// Whether the process takes new work.
+    pub ready: IntGauge,
     /// The version of the configuration in force.
     pub version: IntGauge,
 }
@@ -86,11 +90,7 @@
             .register(Box::new(first_token.clone()))
             .expect("the name is unique");
         Self {
-            requests: counters(
-                "boragereel_requests_total",
-                "requests by outcome",
-                "outcome",
-            ),
+            requests: counters("boragereel_requests_total", "requests by kind", "kind"),
             refusals: counters("boragereel_refusals_total", "refusals by reason", "reason"),
             tokens: counter("boragereel_tokens_relayed_total", "tokens passed on"),
             first_token,
@@ -107,6 +107,11 @@
                 "kept blocks by outcome",
                 "outcome",
             ),
+            rollouts: counters(
+                "boragereel_rollouts_total",
+                "weight rollouts of this target by outcome",
+                "outcome",
+            ),
             in_flight: gauge("boragereel_in_flight", "requests at the target"),
             isolated: gauge(
                 "boragereel_isolated",
@@ -127,6 +132,7 @@
                 "requests of the control part to the platform by kind",
                 "kind",
             ),
+            ready: gauge("boragereel_ready", "1 if the process takes new work"),
             version: gauge(
                 "boragereel_config_version",
                 "configuration version in force",
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -12,16 +12,15 @@
 /// A call that was executed.
 #[derive(Debug, Clone, Serialize)]
 struct Executed {
+    at_ms: u64,
     call: String,
     attempt: String,
     body: String,
 }
 
-/// How long a call takes.
-const CALL_TIME: Duration = Duration::from_millis(5);
-
 pub(crate) fn routes(
     name: &str,
+    call_ms: u64,
 ) -> impl Filter<Extract = (Response,), Error = Rejection> + Clone + use<> {
     let switch = Switch::default();
     let executed: Shared<Vec<Executed>> = Shared::default();
@@ -33,6 +32,7 @@
         .and(with(&switch))
         .and(with(&executed))
         .and(with(&name))
+        .and(with(&Duration::from_millis(call_ms)))
         .then(run);
     let log = warp::path!("log")
         .and(with(&executed))
@@ -53,6 +53,7 @@
     switch: Switch,
     executed: Shared<Vec<Executed>>,
     name: String,
+    call_time: Duration,
 ) -> Response {
     let verdict = switch.apply().await;
     if verdict == Verdict::Down {
@@ -62,13 +63,14 @@
     let receipt = {
         let mut executed = executed.lock().expect("no holder panics");
         executed.push(Executed {
+            at_ms: crate::fault::now_ms(),
             call: call.clone(),
             attempt,
             body: body.clone(),
         });
         executed.len()
     };
-    tokio::time::sleep(CALL_TIME).await;
+    tokio::time::sleep(call_time).await;
     let reply = json!({ "instance": name, "call": call, "receipt": receipt, "echo": body });
     answer(&verdict, json(&reply))
 }
