--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -206,8 +206,11 @@
         self.metrics.members.set(known);
         self.metrics.avoided.set(known - usable);
         let leaving = self.node.leaving().iter().cloned().collect();
+        // The request path keeps what it derives from the list for as long as it is the same one.
+        if *self.view.leaving.load_full() != leaving {
+            self.view.leaving.store(Arc::new(leaving));
+        }
         self.view.directory.store(Arc::new(directory));
-        self.view.leaving.store(Arc::new(leaving));
         self.changed = false;
         self.publish_at = now + PUBLISH_INTERVAL;
     }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -19,7 +19,7 @@
     pub questions: IntCounterVec,
     /// Reads and writes of the platform by the control part.
     pub platform_reads: IntCounterVec,
-    /// Requests by how they ended.
+    /// Requests by kind.
     pub requests: IntCounterVec,
     /// Refusals by reason.
     pub refusals: IntCounterVec,
@@ -113,7 +113,6 @@
                 "outcome",
             ),
             in_flight: gauge("boragereel_in_flight", "requests at the target"),
-            ready: gauge("boragereel_ready", "1 if the process takes new work"),
             isolated: gauge(
                 "boragereel_isolated",
                 "1 while new work is refused for lack of news",
@@ -133,6 +132,7 @@
                 "requests of the control part to the platform by kind",
                 "kind",
             ),
+            ready: gauge("boragereel_ready", "1 if the process takes new work"),
             version: gauge(
                 "boragereel_config_version",
                 "configuration version in force",
