--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use common::fake::Engine;
+use common::fake::{Engine, Platform};
 use common::{Cluster, KEY, Process, expected, read, until};
 use futures_util::StreamExt;
 use serde_json::{Value, json};
@@ -95,15 +95,15 @@
 type Script = fn(Frame) -> Vec<Frame>;
 
 /// Registers a member that answers each stream as the script says and then breaks it.
-async fn scripted(cluster: &Cluster, script: Script) -> Arc<Mutex<Vec<Frame>>> {
+async fn scripted(script: Script) -> (Cluster, Arc<Mutex<Vec<Frame>>>) {
     let keys = Keys::new(vec![Key::new(KEY)]).unwrap();
     let mut listener = Listener::bind("127.0.0.1:0".parse().unwrap(), keys)
         .await
         .unwrap();
     let member = json!({ "name": "scripted", "incarnation": 1, "address": listener.address(),
         "host": "h", "domain": "d", "region": "r", "role": { "engine": { "target": "x", "model": "m" } } });
-    cluster
-        .platform
+    let platform = Platform::start().await;
+    platform
         .state
         .rows
         .lock()
@@ -128,8 +128,9 @@
             sender.finish();
         }
     });
+    let cluster = Cluster::on(platform).await;
     cluster.ready(&["scripted"], &[]).await;
-    seen
+    (cluster, seen)
 }
 
 fn admitted() -> Frame {
@@ -165,8 +166,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_breaks_between_entry_and_agent_is_resumed_behind_the_last_event() {
-    let cluster = Cluster::start().await;
-    let seen = scripted(&cluster, |frame| match frame {
+    let (cluster, seen) = scripted(|frame| match frame {
         Frame::Dispatch(dispatch) => {
             let mut frames = vec![admitted()];
             frames.extend(events(dispatch.request, 0..3));
@@ -196,8 +196,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn frames_of_another_request_never_reach_a_caller() {
-    let cluster = Cluster::start().await;
-    let _seen = scripted(&cluster, |frame| match frame {
+    let (cluster, _seen) = scripted(|frame| match frame {
         Frame::Dispatch(dispatch) => {
             let mut frames = vec![admitted()];
             frames.extend(events(dispatch.request, 0..2));
@@ -247,8 +246,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_whose_digest_is_wrong_is_never_called_whole() {
-    let cluster = Cluster::start().await;
-    let _seen = scripted(&cluster, |frame| match frame {
+    let (cluster, _seen) = scripted(|frame| match frame {
         Frame::Dispatch(dispatch) => {
             let mut frames = vec![admitted()];
             frames.extend(events(dispatch.request, 0..2));
@@ -278,8 +276,7 @@
 /// "Not run" must not survive that another try may have run.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_refusal_behind_a_broken_try_does_not_say_not_run() {
-    let cluster = Cluster::start().await;
-    let _seen = scripted(&cluster, |frame| match frame {
+    let (cluster, _seen) = scripted(|frame| match frame {
         // The prompt is lost without a word, then refused as not run.
         Frame::Resume(resume) => vec![Frame::Refused(Refused {
             request: resume.request,
