tests: the scripted agent takes part in gossip

A member that does not answer gossip is suspected by both entries, and no prompt is sent to it. Ruled out: the interval at which entries read member rows; writing the row before the entries start made the tests fail in other places. Change: the scripted agent runs a real control part.

--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -7,14 +7,14 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use common::fake::{Engine, Platform};
-use common::{Cluster, KEY, Process, expected, read, until};
+use common::fake::Engine;
+use common::{Cluster, Process, expected, read, settings, until};
+use daemon::control;
+use daemon::metrics::Metrics;
 use futures_util::StreamExt;
 use serde_json::{Value, json};
 use types::{Request, Verdict, Version};
-use wire::{
-    Admitted, Digest, End, Event, Frame, Key, Keys, Listener, Load, Reason, Refused, Stream, Usage,
-};
+use wire::{Admitted, Digest, End, Event, Frame, Listener, Load, Reason, Refused, Usage};
 
 const TOKENS: u32 = 40;
 
@@ -94,41 +94,35 @@
 /// What an agent of a test does with a stream.
 type Script = fn(Frame) -> Vec<Frame>;
 
-/// Registers a member that answers each stream as the script says and then breaks it.
+/// Starts a member that answers the streams of requests as the script says and then breaks them.
+///
+/// Its control part is a real one: a member that does not gossip is soon suspected, and no prompt
+/// is sent to it.
 async fn scripted(script: Script) -> (Cluster, Arc<Mutex<Vec<Frame>>>) {
-    let keys = Keys::new(vec![Key::new(KEY)]).unwrap();
-    let mut listener = Listener::bind("127.0.0.1:0".parse().unwrap(), keys)
+    let cluster = Cluster::start().await;
+    let role = json!({ "engine": { "target": "x", "model": "m", "address": "http://127.0.0.1:1",
+        "cold_limit": 1, "warm_limit": 1 } });
+    let settings = settings(&cluster.platform, "scripted", &role);
+    let mut listener = Listener::bind(settings.peer_address, settings.keys())
         .await
         .unwrap();
-    let member = json!({ "name": "scripted", "incarnation": 1, "address": listener.address(),
-        "host": "h", "domain": "d", "region": "r", "role": { "engine": { "target": "x", "model": "m" } } });
-    let platform = Platform::start().await;
-    platform
-        .state
-        .rows
-        .lock()
-        .unwrap()
-        .insert("member/scripted".into(), (1 << 40, member));
+    let view = control::spawn(&settings, listener.address(), Metrics::new()).unwrap();
     let seen: Arc<Mutex<Vec<Frame>>> = Arc::default();
     let log = Arc::clone(&seen);
     tokio::spawn(async move {
-        while let Some(stream) = listener.accept().await {
-            let Stream {
-                mut sender,
-                mut receiver,
-            } = stream;
-            let Ok(Some(frame)) = receiver.recv().await else {
+        while let Some(mut stream) = listener.accept().await {
+            let Ok(Some(frame)) = stream.receiver.recv().await else {
                 continue;
             };
-            // The entry's gossip comes on streams of its own.
-            if matches!(frame, Frame::Dispatch(_) | Frame::Resume(_)) {
-                log.lock().unwrap().push(frame.clone());
+            if let Frame::Control(message) = frame {
+                view.serve(message, &mut stream).await;
+                continue;
             }
-            sender.send_all(&script(frame)).await.unwrap();
-            sender.finish();
+            log.lock().unwrap().push(frame.clone());
+            stream.sender.send_all(&script(frame)).await.unwrap();
+            stream.sender.finish();
         }
     });
-    let cluster = Cluster::on(platform).await;
     cluster.ready(&["scripted"], &[]).await;
     (cluster, seen)
 }
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -65,12 +65,7 @@
 impl Cluster {
     /// Starts the platform with rules for the teams `a` and `b`, and two entries.
     pub async fn start() -> Self {
-        Self::on(Platform::start().await).await
-    }
-
-    /// Starts the entries on a platform that may have rows already. An entry reads the rows of
-    /// members at its start and then only every 15 to 45 s, because real processes gossip.
-    pub async fn on(platform: Platform) -> Self {
+        let platform = Platform::start().await;
         let text = format!(
             "team a key={} rate=1000 # test: a\nteam b key={} rate=1000 # test: b\nmodel m weights=v1 # test: m\nservice s repeatable=look # test: s\n",
             hex(&rules::key_digest("key-a")),
