entry: an empty candidate list is checked against the view before a refusal

Ruled out: rebuilding the tables on each request, which is work on the request path. Change: only when no candidate is found, the tables are brought up to date and looked up again.

--- a/crates/daemon/src/entry/route.rs
+++ b/crates/daemon/src/entry/route.rs
@@ -128,6 +128,17 @@
     key: Key,
     is_first: bool,
 ) -> Vec<Candidate> {
+    let found = look_up(shared, need, key, is_first);
+    if !found.is_empty() {
+        return found;
+    }
+    // The view may know members that the tables do not have yet; refusing for lack of targets then
+    // would be wrong.
+    shared.routes.update(&shared.view, &shared.region);
+    look_up(shared, need, key, is_first)
+}
+
+fn look_up(shared: &Shared, need: Need<'_>, key: Key, is_first: bool) -> Vec<Candidate> {
     let tables = shared.routes.0.load();
     let count = if is_first { CANDIDATES } else { usize::MAX };
     let (members, own) = match need {
