xtask: slopes of idle processes count the bytes on the wire

Cause: the control bytes of real processes were read from a metric that does not exist, and the virtual network leaves out h2, TCP and IP headers. Ruled out: all processes together, since agents also ask the engine on their own host how it is, which never crosses the network. Change: the loopback interface's counter while only entries run.

--- a/xtask/src/slopes/idle.rs
+++ b/xtask/src/slopes/idle.rs
@@ -17,8 +17,8 @@
     pub(crate) cpu_percent: f64,
     /// Resident memory, in bytes.
     pub(crate) bytes: f64,
-    /// Bytes a second that the process sends for control.
-    pub(crate) sent: f64,
+    /// Bytes a second on the loopback interface, with all headers, for each process.
+    pub(crate) wire: f64,
     /// Platform reads a second of all processes together.
     pub(crate) reads: f64,
 }
@@ -28,8 +28,18 @@
 /// How long the processes may take to learn of each other.
 const READY_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Starts `count` processes, three agents to an entry, and watches them.
-pub(crate) async fn measure(count: usize, folder: &Path) -> Result<Cost> {
+/// Which processes are started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Mix {
+    /// Three agents to an entry.
+    Both,
+    /// Entries only: they send nothing but control messages and reads of the platform, while agents
+    /// also ask the engine on their own host how it is.
+    Entries,
+}
+
+/// Starts `count` processes and watches them.
+pub(crate) async fn measure(count: usize, mix: Mix, folder: &Path) -> Result<Cost> {
     std::fs::create_dir_all(folder)?;
     let log = |name: &str| folder.join(format!("{name}.log"));
     let standin = async |kind: &str, options: &[&str]| {
@@ -43,7 +53,7 @@
     let engine = format!("http://{}", engine.address("")?);
     let mut processes = Vec::new();
     for index in 0..count {
-        let role = if index % 4 == 0 {
+        let role = if mix == Mix::Entries || index % 4 == 0 {
             json!({ "entry": { "http_address": "127.0.0.1:0" } })
         } else {
             json!({ "engine": {
@@ -102,7 +112,7 @@
     Ok(Cost {
         cpu_percent: (after.cpu_us - before.cpu_us) / 1e6 / seconds / count * 100.0,
         bytes: after.bytes / count,
-        sent: (after.sent - before.sent) / seconds / count,
+        wire: (after.wire - before.wire) / seconds / count,
         reads: (after.reads - before.reads) / seconds,
     })
 }
@@ -111,7 +121,7 @@
 struct Totals {
     cpu_us: f64,
     bytes: f64,
-    sent: f64,
+    wire: f64,
     reads: f64,
 }
 
@@ -121,9 +131,6 @@
         let id = process.id().ok_or("a process has ended")?;
         totals.cpu_us += cpu_us(id)?;
         totals.bytes += resident_of(id)?;
-        let url = format!("http://{}/metrics", process.address("admin")?);
-        let metrics = http.get(url).send().await?.text().await?;
-        totals.sent += counter(&metrics, "boragereel_control_bytes_sent_total");
     }
     let log: Value = http
         .get(format!("{platform}/log"))
@@ -131,14 +138,17 @@
         .await?
         .json()
         .await?;
+    totals.wire = loopback_bytes()?;
     totals.reads = log["reads"].as_f64().unwrap_or(0.0);
     Ok(totals)
 }
 
-fn counter(metrics: &str, name: &str) -> f64 {
-    metrics
+/// Returns the bytes that the loopback interface has sent.
+fn loopback_bytes() -> Result<f64> {
+    let text = std::fs::read_to_string("/proc/net/dev")?;
+    let line = text
         .lines()
-        .filter(|line| line.starts_with(name))
-        .filter_map(|line| line.split_whitespace().last()?.parse::<f64>().ok())
-        .sum()
+        .find_map(|line| line.trim().strip_prefix("lo:"));
+    let sent = line.and_then(|line| line.split_whitespace().nth(8));
+    Ok(sent.ok_or("there is no loopback interface")?.parse()?)
 }
--- a/xtask/src/slopes/mod.rs
+++ b/xtask/src/slopes/mod.rs
@@ -6,6 +6,7 @@
 mod probe;
 
 use fit::Series;
+use idle::{Cost, Mix};
 
 use crate::{Result, process};
 
@@ -210,36 +211,54 @@
 const REAL_SIZES: [usize; 4] = [20, 40, 80, 160];
 
 async fn processes() -> Result<Vec<Series>> {
-    let (mut cpu, mut bytes, mut sent, mut reads) = (vec![], vec![], vec![], vec![]);
+    let mut costs = Vec::new();
     for count in REAL_SIZES {
-        let folder = std::env::temp_dir().join(format!("boragereel-slopes-{}", std::process::id()));
-        let cost = idle::measure(count, &folder).await?;
-        std::fs::remove_dir_all(&folder)?;
-        let size = count as f64;
-        cpu.push((size, cost.cpu_percent));
-        bytes.push((size, cost.bytes));
-        sent.push((size, cost.sent));
-        reads.push((size, cost.reads));
+        let both = watch(count, Mix::Both).await?;
+        let entries = watch(count, Mix::Entries).await?;
+        costs.push((count as f64, both, entries));
     }
-    let series = |name, points, limit| Series {
+    let series = |name, pick: fn(&Cost, &Cost) -> f64, limit| Series {
         name,
         per: "processes",
-        points,
+        points: costs
+            .iter()
+            .map(|(size, both, entries)| (*size, pick(both, entries)))
+            .collect(),
         full: PROCESSES,
         limit,
     };
     Ok(vec![
-        series("idle process, share of a core (%)", cpu, Some(CPU_LIMIT)),
+        series(
+            "idle process, share of a core (%)",
+            |both, _| both.cpu_percent,
+            Some(CPU_LIMIT),
+        ),
+        series(
+            "idle entry, share of a core (%)",
+            |_, entries| entries.cpu_percent,
+            Some(CPU_LIMIT),
+        ),
         series(
             "idle process, resident memory (B)",
-            bytes,
+            |both, _| both.bytes,
             Some(MEMORY_LIMIT),
         ),
-        series("idle process, control sent (B/s)", sent, Some(BYTES_LIMIT)),
+        series(
+            "idle entry, bytes on the wire (B/s)",
+            |_, entries| entries.wire,
+            Some(BYTES_LIMIT),
+        ),
         series(
             "platform reads of all processes (1/s)",
-            reads,
+            |both, _| both.reads,
             Some(READS_LIMIT),
         ),
     ])
 }
+
+async fn watch(count: usize, mix: Mix) -> Result<Cost> {
+    let folder = std::env::temp_dir().join(format!("boragereel-slopes-{}", std::process::id()));
+    let cost = idle::measure(count, mix, &folder).await?;
+    std::fs::remove_dir_all(&folder)?;
+    Ok(cost)
+}
