--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -89,6 +89,14 @@
     Refusal::caller(400, "invalid", "the request cannot be read")
 }
 
+/// Checks what every new request has to meet before its body is read.
+fn admit(shared: &Shared, headers: &HeaderMap) -> Result<Caller, Refusal> {
+    require_fresh(shared)?;
+    let caller = authenticate(shared, headers)?;
+    limit::check(shared, &caller.team)?;
+    Ok(caller)
+}
+
 async fn chat<Body, Piece>(
     shared: &Arc<Shared>,
     headers: &HeaderMap,
@@ -98,9 +106,7 @@
     Body: Stream<Item = Result<Piece, warp::Error>>,
     Piece: Buf,
 {
-    require_fresh(shared)?;
-    let caller = authenticate(shared, headers)?;
-    limit::check(shared, &caller.team)?;
+    let caller = admit(shared, headers)?;
     let body = body::read(headers, body).await?;
     let chat: Chat = serde_json::from_slice(&body)
         .map_err(|error| Refusal::caller(400, "invalid", &format!("the body: {error}")))?;
@@ -182,9 +188,7 @@
     Body: Stream<Item = Result<Piece, warp::Error>>,
     Piece: Buf,
 {
-    require_fresh(shared)?;
-    let caller = authenticate(shared, headers)?;
-    limit::check(shared, &caller.team)?;
+    let caller = admit(shared, headers)?;
     let key = header(headers, "idempotency-key")?;
     if key.is_some_and(|key| key.is_empty() || key.len() > MAX_KEY_BYTES) {
         let message = "idempotency-key: accepted are 1 to 256 characters";
--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -175,14 +175,7 @@
         _ => Vec::new(),
     })
     .await;
-    let body = cluster
-        .prompt(0, 6)
-        .send()
-        .await
-        .unwrap()
-        .text()
-        .await
-        .unwrap();
+    let body = cluster.answer(0, 6).await;
     assert_eq!(read(&body), (expected(6), true), "{body}");
     let is_resumed = matches!(&seen.lock().unwrap()[..], [Frame::Dispatch(_), Frame::Resume(resume)] if resume.from == 3);
     assert!(is_resumed);
@@ -215,14 +208,7 @@
         _ => Vec::new(),
     })
     .await;
-    let body = cluster
-        .prompt(0, 6)
-        .send()
-        .await
-        .unwrap()
-        .text()
-        .await
-        .unwrap();
+    let body = cluster.answer(0, 6).await;
     assert_eq!(read(&body), (expected(6), true), "{body}");
     let url = format!("http://{}/metrics", cluster.entries[0].admin());
     let metrics = cluster
@@ -256,14 +242,7 @@
         _ => Vec::new(),
     })
     .await;
-    let body = cluster
-        .prompt(0, 2)
-        .send()
-        .await
-        .unwrap()
-        .text()
-        .await
-        .unwrap();
+    let body = cluster.answer(0, 2).await;
     assert!(!read(&body).1 && body.contains("\"ran\":\"yes\""), "{body}");
 }
 
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -188,6 +188,12 @@
             .json(&body)
     }
 
+    /// Sends the prompt and reads the whole body of the answer.
+    pub async fn answer(&self, entry: usize, tokens: u32) -> String {
+        let response = self.prompt(entry, tokens).send().await.unwrap();
+        response.text().await.unwrap()
+    }
+
     pub fn resume(&self, entry: usize, token: &str, key: &str) -> reqwest::RequestBuilder {
         let url = format!("http://{}/v1/answers/{token}", self.entries[entry].http());
         self.http.get(url).bearer_auth(key)
--- a/crates/daemon/tests/input.rs
+++ b/crates/daemon/tests/input.rs
@@ -107,14 +107,7 @@
     }
     let long = format!("{auth}x-long: {}\r\n", "x".repeat(64 << 10));
     assert_eq!(raw(&cluster, chat, &long, good.as_bytes()).await.0, 431);
-    let body = cluster
-        .prompt(0, 3)
-        .send()
-        .await
-        .unwrap()
-        .text()
-        .await
-        .unwrap();
+    let body = cluster.answer(0, 3).await;
     assert_eq!(read(&body), (expected(3), true));
 }
 
@@ -162,13 +155,6 @@
     let mut stream = client.open(peer).await.unwrap();
     stream.sender.send(&Frame::Cancel).await.unwrap();
     assert!(matches!(stream.receiver.recv().await, Ok(None) | Err(_)));
-    let body = cluster
-        .prompt(0, 3)
-        .send()
-        .await
-        .unwrap()
-        .text()
-        .await
-        .unwrap();
+    let body = cluster.answer(0, 3).await;
     assert_eq!(read(&body), (expected(3), true));
 }
