--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,13 @@
+//! Decisions of an entry that talks to its targets directly.
+//!
+//! The crate knows which routes and keys are in force, which targets exist, how fresh that
+//! knowledge is, how much of the shared allowances an entry may use, and where a prompt goes. It
+//! does no I/O and knows neither header names nor the store's protocol; time is an argument. See
+//! `docs/platform.md`.
+
+pub mod allowance;
+pub mod catalog;
+pub mod placement;
+pub mod proof;
+pub mod rollout;
+pub mod roster;
--- /dev/null
+++ b/crates/fleet/src/placement.rs
@@ -0,0 +1,196 @@
+//! Which target answers a request first.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use types::{Target, Time};
+
+/// What one entry has under way at a target.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Load {
+    /// Requests that were sent and not answered to their end.
+    pub running: u32,
+    /// Tokens of prompts that were sent and have no first event.
+    pub reading: u64,
+    /// Tokens of memory that the requests under way take.
+    pub memory: u64,
+}
+
+/// What is known of a target's behaviour.
+#[derive(Debug, Clone, Copy, Default)]
+struct Health {
+    avoid_until: Time,
+    failures: u32,
+    refused_until: Time,
+}
+
+/// The loads and the health of all targets, as one entry sees them.
+#[derive(Debug)]
+pub struct Board {
+    own: HashMap<Target, Load>,
+    health: HashMap<Target, Health>,
+}
+
+/// A target that may get a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// What is under way there, from all entries.
+    pub load: Load,
+    /// Tokens of the prompt that have to be read there.
+    pub unread: u64,
+    /// How long it takes to bring what is kept elsewhere.
+    pub fetch: Duration,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Tokens of its memory; 0 for a plain service.
+    pub capacity: u64,
+    /// Tokens that the request needs in memory.
+    pub need: u64,
+    /// Whether it is in another failure domain than the entry.
+    pub remote: bool,
+    /// Whether it serves older weights than the newest named ones.
+    pub outdated: bool,
+}
+
+/// Tokens of a prompt that an engine reads in a millisecond; the operators' sheets name 74.8.
+const READ_PER_MS: f64 = 74.8;
+/// The time of one step of an engine in ms, which each chunk of a prompt waits for.
+const STEP_MS: f64 = 5.0;
+/// What a running request adds to the time of a step, in ms.
+const RUNNING_MS: f64 = 0.25;
+/// What older weights cost, in ms: a start on them loses a fifth of the worth.
+const OUTDATED_MS: f64 = 400.0;
+/// What a hop to another failure domain costs, in ms; breaks ties.
+const REMOTE_MS: f64 = 0.5;
+/// The wait that a full memory adds, in ms, for each part by which it is exceeded.
+const MEMORY_MS: f64 = 1500.0;
+/// The work of a request to a plain service in ms, for its queue.
+const PLAIN_MS: f64 = 30.0;
+
+/// How long a target is avoided after its first failure; each further one doubles it.
+const AVOID: Duration = Duration::from_millis(400);
+/// The longest time that a target is avoided.
+const MOST_AVOID: Duration = Duration::from_millis(6400);
+/// How long a target that refused a request for lack of room gets no other.
+const REFUSED: Duration = Duration::from_millis(150);
+
+impl Default for Board {
+    fn default() -> Self {
+        Self {
+            own: HashMap::new(),
+            health: HashMap::new(),
+        }
+    }
+}
+
+impl Candidate {
+    /// Returns the expected time to the first event in ms, with what else speaks against it.
+    #[must_use]
+    pub fn cost(&self) -> f64 {
+        let mut cost = 0.0;
+        if self.remote {
+            cost += REMOTE_MS;
+        }
+        if self.outdated {
+            cost += OUTDATED_MS;
+        }
+        if self.capacity == 0 {
+            let waiting = f64::from((self.load.running + 1).saturating_sub(self.slots));
+            let busy = f64::from(self.load.running) / f64::from(self.slots.max(1));
+            return cost + PLAIN_MS * waiting / f64::from(self.slots.max(1)) + busy * PLAIN_MS / 4.0;
+        }
+        let read = (self.load.reading + self.unread) as f64 / READ_PER_MS;
+        let step = STEP_MS + RUNNING_MS * f64::from(self.load.running);
+        let filled = (self.load.memory + self.need) as f64 / self.capacity as f64;
+        let excess = (filled - 0.9).max(0.0);
+        cost + read + step + self.fetch.as_secs_f64() * 1000.0 + MEMORY_MS * excess
+    }
+}
+
+impl Board {
+    /// Records a request that is sent.
+    pub fn on_sent(&mut self, target: &Target, reading: u64, memory: u64) {
+        let load = self.own.entry(target.clone()).or_default();
+        load.running += 1;
+        load.reading += reading;
+        load.memory += memory;
+    }
+
+    /// Records the first event of an answer.
+    pub fn on_first(&mut self, target: &Target, reading: u64) {
+        if let Some(load) = self.own.get_mut(target) {
+            load.reading = load.reading.saturating_sub(reading);
+        }
+    }
+
+    /// Records that a request is over.
+    pub fn on_end(&mut self, target: &Target, memory: u64) {
+        if let Some(load) = self.own.get_mut(target) {
+            load.running = load.running.saturating_sub(1);
+            load.memory = load.memory.saturating_sub(memory);
+        }
+    }
+
+    /// Records an answer that shows a target to be sound.
+    pub fn on_success(&mut self, target: &Target) {
+        self.health.remove(target);
+    }
+
+    /// Records a failure; the target is avoided for a while.
+    pub fn on_failure(&mut self, target: &Target, now: Time) {
+        let health = self.health.entry(target.clone()).or_default();
+        let avoid = AVOID * 2u32.saturating_pow(health.failures.min(8));
+        health.failures += 1;
+        health.avoid_until = now + avoid.min(MOST_AVOID);
+    }
+
+    /// Records that a target had no room.
+    pub fn on_refusal(&mut self, target: &Target, now: Time) {
+        self.health.entry(target.clone()).or_default().refused_until = now + REFUSED;
+    }
+
+    /// Returns what this entry has under way at a target.
+    #[must_use]
+    pub fn load(&self, target: &Target) -> Load {
+        self.own.get(target).copied().unwrap_or_default()
+    }
+
+    /// Returns all loads of this entry.
+    pub fn loads(&self) -> impl Iterator<Item = (&Target, &Load)> {
+        self.own.iter()
+    }
+
+    /// Says whether a target is to be left out for now.
+    #[must_use]
+    pub fn avoids(&self, target: &Target, now: Time) -> bool {
+        self.health
+            .get(target)
+            .is_some_and(|health| health.avoid_until > now || health.refused_until > now)
+    }
+
+    /// Forgets targets that are gone and have nothing under way.
+    pub fn retain<Known>(&mut self, known: Known)
+    where
+        Known: Fn(&Target) -> bool,
+    {
+        self.own
+            .retain(|target, load| known(target) || load.running > 0);
+        self.health.retain(|target, _| known(target));
+    }
+}
+
+/// Returns the position of the best candidate; equal ones are told apart by `draw`.
+#[must_use]
+pub fn best(candidates: &[Candidate], draw: u32) -> Option<usize> {
+    let costs: Vec<f64> = candidates.iter().map(Candidate::cost).collect();
+    let least = costs.iter().copied().fold(f64::INFINITY, f64::min);
+    // Estimates within half a millisecond are equal; always taking the first would send all
+    // entries to the same target.
+    let equal: Vec<usize> = (0..costs.len())
+        .filter(|&index| costs[index] <= least + 0.5)
+        .collect();
+    if equal.is_empty() {
+        return None;
+    }
+    Some(equal[draw as usize % equal.len()])
+}
--- /dev/null
+++ b/crates/fleet/src/proof.rs
@@ -0,0 +1,54 @@
+//! How old an entry's knowledge of the configuration is.
+
+use std::time::Duration;
+
+use types::Time;
+
+/// Evidence that the configuration was the newest one at some moment.
+///
+/// A key that was taken away must stop working within a bound, also at an entry that was frozen or
+/// cut off. So an entry serves keyed requests only while its newest evidence is younger than that
+/// bound. Times come from a clock that counts suspensions of the machine.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Proof {
+    at: Option<Time>,
+    offset: Option<i64>,
+}
+
+/// The part of the bound that is left for the way of a request to its target, and for a store whose
+/// waiting calls hear of changes up to a second late before it drops its history.
+const MARGIN: Duration = Duration::from_millis(1400);
+
+impl Proof {
+    /// Records an answer of the store that was asked at `asked`, arrived at `heard`, and was given
+    /// at `store` on the store's own steady clock, in milliseconds.
+    ///
+    /// An answer to a waiting call is younger than the question. The least difference of the two
+    /// clocks that was ever seen bounds how much younger, since an answer never arrives before it
+    /// is given.
+    pub fn renew(&mut self, asked: Time, heard: Time, store: u64) {
+        let micros = i64::try_from(heard.0).unwrap_or(i64::MAX);
+        let given = i64::try_from(store.saturating_mul(1000)).unwrap_or(i64::MAX);
+        let offset = micros.saturating_sub(given);
+        let least = self.offset.map_or(offset, |known| known.min(offset));
+        self.offset = Some(least);
+        let latest = given.saturating_add(least);
+        // Allows for the way of the fastest answer.
+        let early = u64::try_from(latest.saturating_sub(10_000)).unwrap_or(0);
+        let moment = asked.max(Time(early)).min(heard);
+        self.at = self.at.max(Some(moment));
+    }
+
+    /// Returns how old the evidence is; `None` if there is none yet.
+    #[must_use]
+    pub fn age(&self, now: Time) -> Option<Duration> {
+        self.at.map(|at| now.since(at))
+    }
+
+    /// Says whether keyed requests may be served under a bound.
+    #[must_use]
+    pub fn holds(&self, now: Time, bound: Duration) -> bool {
+        self.age(now)
+            .is_some_and(|age| age + MARGIN < bound)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/rollout.rs
@@ -0,0 +1,195 @@
+//! Which targets are told to take new weights, and when.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use types::{Model, Target, Time};
+
+use crate::roster::{Entry, Roster};
+
+/// The weight versions that the operator named, and the orders that are under way.
+///
+/// Only the holder of the lease on orders acts on it. Few targets change at the same time, so that
+/// the others carry the load; see `docs/platform.md`.
+#[derive(Debug, Default)]
+pub struct Rollout {
+    named: HashMap<Model, Named>,
+    ordered: HashMap<Target, Ordered>,
+}
+
+/// A version with the time at which this process learned of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Named {
+    /// The version.
+    pub version: u64,
+    /// When it was learned.
+    pub since: Time,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Ordered {
+    version: u64,
+    at: Time,
+    answer: Answer,
+}
+
+/// What a target answered to an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Answer {
+    /// The order is being carried out.
+    Accepted,
+    /// The target has these weights already.
+    Holds,
+    /// Another order is under way there.
+    Busy,
+    /// The target does not know the order, or it is another target.
+    Refused,
+    /// There was no answer; the order may still be carried out.
+    Lost,
+}
+
+/// An order for one target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Order {
+    /// The target.
+    pub target: Target,
+    /// The model.
+    pub model: Model,
+    /// The version that it is to serve.
+    pub version: u64,
+}
+
+/// How long an accepted order may take before it is given again; runs end first, and new weights
+/// take some seconds.
+const ACCEPTED: Duration = Duration::from_secs(8);
+/// How long a lost order is waited for.
+const LOST: Duration = Duration::from_millis(2500);
+/// How long after a refusal an order is given again.
+const REFUSED: Duration = Duration::from_millis(1000);
+/// How long after a report that another order is under way an order is given again.
+const BUSY: Duration = Duration::from_millis(500);
+/// One in this many targets changes at a time.
+const SHARE: usize = 5;
+/// This many change at a time in a small pool.
+const LEAST: usize = 2;
+
+impl Rollout {
+    /// Records that a version was named; says whether it is newer than what was known.
+    pub fn name(&mut self, model: &Model, version: u64, now: Time) -> bool {
+        let known = self.named.get(model).map_or(0, |named| named.version);
+        if version <= known {
+            return false;
+        }
+        let named = Named {
+            version,
+            since: now,
+        };
+        self.named.insert(model.clone(), named);
+        true
+    }
+
+    /// Returns the newest version of a model.
+    #[must_use]
+    pub fn named(&self, model: &str) -> Option<Named> {
+        let found = self.named.iter().find(|(name, _)| &***name == model);
+        found.map(|(_, named)| *named)
+    }
+
+    /// Says whether a target that stays serves older weights than were named.
+    #[must_use]
+    pub fn is_behind(&self, roster: &Roster) -> bool {
+        roster.iter().any(|entry| self.lag(entry).is_some())
+    }
+
+    /// Returns the orders to give now, at most as many as may be under way together.
+    pub fn due(&mut self, roster: &Roster, now: Time) -> Vec<Order> {
+        self.settle(roster, now);
+        let mut behind: Vec<(&Entry, Order)> = roster
+            .iter()
+            .filter_map(|entry| self.lag(entry).map(|order| (entry, order)))
+            .collect();
+        let pool = roster
+            .iter()
+            .filter(|entry| !entry.member.weights.is_empty())
+            .count();
+        let limit = (pool / SHARE).max(LEAST);
+        behind.sort_by(|(_, one), (_, other)| one.target.cmp(&other.target));
+        let under_way = self.ordered.values().filter(|order| order.runs()).count();
+        let free = limit.saturating_sub(under_way);
+        let due = behind
+            .into_iter()
+            .map(|(_, order)| order)
+            .filter(|order| !self.ordered.contains_key(&order.target))
+            .take(free);
+        due.collect()
+    }
+
+    /// Records that an order is sent.
+    pub fn on_sent(&mut self, order: &Order, now: Time) {
+        let ordered = Ordered {
+            version: order.version,
+            at: now,
+            answer: Answer::Lost,
+        };
+        self.ordered.insert(order.target.clone(), ordered);
+    }
+
+    /// Records the answer to an order.
+    pub fn on_answer(&mut self, target: &Target, answer: Answer, now: Time) {
+        if let Some(ordered) = self.ordered.get_mut(target) {
+            ordered.answer = answer;
+            ordered.at = now;
+        }
+    }
+
+    /// Forgets the orders, as the lease is lost.
+    pub fn forget(&mut self) {
+        self.ordered.clear();
+    }
+
+    /// Drops orders that are done or have to be given again.
+    fn settle(&mut self, roster: &Roster, now: Time) {
+        self.ordered.retain(|target, ordered| {
+            let Some(entry) = roster.get(target) else {
+                return false;
+            };
+            let done = entry
+                .member
+                .weights
+                .iter()
+                .any(|(_, version)| *version >= ordered.version);
+            !done && now.since(ordered.at) < ordered.patience()
+        });
+    }
+
+    fn lag(&self, entry: &Entry) -> Option<Order> {
+        let member = &entry.member;
+        if member.draining {
+            return None;
+        }
+        let lagging = member.weights.iter().find_map(|(model, version)| {
+            let named = self.named.get(model)?;
+            (*version < named.version).then(|| (model.clone(), named.version))
+        });
+        lagging.map(|(model, version)| Order {
+            target: member.id.clone(),
+            model,
+            version,
+        })
+    }
+}
+
+impl Ordered {
+    fn patience(&self) -> Duration {
+        match self.answer {
+            Answer::Accepted | Answer::Holds => ACCEPTED,
+            Answer::Busy => BUSY,
+            Answer::Refused => REFUSED,
+            Answer::Lost => LOST,
+        }
+    }
+
+    fn runs(&self) -> bool {
+        matches!(self.answer, Answer::Accepted | Answer::Lost | Answer::Busy)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/roster.rs
@@ -0,0 +1,130 @@
+//! The targets as the platform's list shows them.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use types::{Domain, Model, Service, Target, Time};
+
+/// One start of a target.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Member {
+    /// The name of this start; a target that gets another request answers that it is not it.
+    pub id: Target,
+    /// What it serves.
+    pub service: Service,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Whether it is about to leave.
+    pub draining: bool,
+    /// How much longer it is cold, counted from the report.
+    pub cold: Duration,
+    /// When it started, in Unix milliseconds; a restart may keep the name.
+    pub born: Option<u64>,
+    /// The weight versions of its models.
+    pub weights: Vec<(Model, u64)>,
+}
+
+/// A member with what was seen of it over time.
+#[derive(Debug, Clone)]
+pub struct Entry {
+    /// The newest report.
+    pub member: Arc<Member>,
+    /// Until when it is cold.
+    pub cold_until: Time,
+    /// Set when it vanished from the list in a way that may be the list's fault.
+    pub doubted_since: Option<Time>,
+}
+
+/// The targets by name.
+#[derive(Debug, Default)]
+pub struct Roster {
+    entries: HashMap<Target, Entry>,
+    shaken: Option<Time>,
+}
+
+/// How long a target that vanished around an outage of the store is still used: live targets are
+/// listed again within about two seconds of the store's return.
+pub const LAPSE_GRACE: Duration = Duration::from_millis(2200);
+
+impl Member {
+    /// Returns the weight version of a model.
+    #[must_use]
+    pub fn version(&self, model: &str) -> Option<u64> {
+        let found = self.weights.iter().find(|(name, _)| &**name == model);
+        found.map(|(_, version)| *version)
+    }
+}
+
+impl Roster {
+    /// Records that the store could not be used; what vanishes soon after may still be there.
+    pub fn shake(&mut self, now: Time) {
+        self.shaken = Some(now);
+    }
+
+    /// Records a report.
+    pub fn list(&mut self, member: Member, now: Time) {
+        let cold_until = now + member.cold;
+        let entry = Entry {
+            cold_until,
+            doubted_since: None,
+            member: Arc::new(member),
+        };
+        self.entries.insert(entry.member.id.clone(), entry);
+    }
+
+    /// Records that a target is on the list no more.
+    pub fn unlist(&mut self, id: &Target, now: Time) {
+        let shaken = self
+            .shaken
+            .is_some_and(|shaken| now.since(shaken) < LAPSE_GRACE);
+        if !shaken {
+            self.entries.remove(id);
+            return;
+        }
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.doubted_since.get_or_insert(now);
+        }
+    }
+
+    /// Replaces the whole list.
+    pub fn replace(&mut self, members: Vec<Member>, now: Time) {
+        let gone: Vec<Target> = self
+            .entries
+            .keys()
+            .filter(|id| !members.iter().any(|member| member.id == **id))
+            .cloned()
+            .collect();
+        for id in gone {
+            self.unlist(&id, now);
+        }
+        for member in members {
+            self.list(member, now);
+        }
+    }
+
+    /// Drops targets that stayed away for longer than the grace.
+    pub fn expire(&mut self, now: Time) {
+        self.entries.retain(|_, entry| {
+            entry
+                .doubted_since
+                .is_none_or(|since| now.since(since) < LAPSE_GRACE)
+        });
+    }
+
+    /// Returns all targets, those that leave among them.
+    pub fn iter(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    /// Returns one target.
+    #[must_use]
+    pub fn get(&self, id: &Target) -> Option<&Entry> {
+        self.entries.get(id)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/answer.rs
@@ -0,0 +1,151 @@
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use displaydoc::Display;
+use http::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use http::{HeaderMap, Response, StatusCode};
+use http_body::{Frame, SizeHint};
+use tokio::sync::mpsc;
+
+/// The body of an answer to a caller.
+#[derive(Debug)]
+pub(crate) enum Body {
+    /// A whole body.
+    Whole(Option<Bytes>),
+    /// A stream; an error cuts the connection, so that the answer does not look complete.
+    Stream(mpsc::Receiver<Result<Bytes, Cut>>),
+}
+
+/// A stream ended before its last event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, thiserror::Error)]
+pub(crate) enum Cut {
+    /// the target's stream ended early
+    Early,
+}
+
+/// Why an entry answers by itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub(crate) enum Reason {
+    /// no configuration is known yet
+    NoCatalog,
+    /// the configuration may be out of date
+    Stale,
+    /// no route matches
+    NoRoute,
+    /// the key is unknown
+    NoKey,
+    /// the request is malformed
+    Malformed,
+    /// the body is too large
+    TooLarge,
+    /// no target is available
+    NoTarget,
+    /// all targets refused the request
+    Refused,
+    /// the entry is stopping
+    Stopping,
+    /// the target failed after it may have run the request
+    Failed,
+    /// the time is over, and a target may have run the request
+    Late,
+    /// the time is over before the request was sent
+    TooLate,
+}
+
+impl Body {
+    /// Returns a body that is all there.
+    pub(crate) fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self::Whole(Some(bytes.into()))
+    }
+}
+
+impl http_body::Body for Body {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        match &mut *self {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Stream(events) => events
+                .poll_recv(context)
+                .map(|event| event.map(|event| event.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Self::Stream(_) => SizeHint::default(),
+        }
+    }
+}
+
+impl Reason {
+    /// Returns the status. 503 promises that the request has not run and will not; 502 and 504
+    /// promise nothing.
+    pub(crate) fn status(self) -> StatusCode {
+        match self {
+            Self::NoCatalog
+            | Self::Stale
+            | Self::NoTarget
+            | Self::Refused
+            | Self::Stopping
+            | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::NoKey => StatusCode::UNAUTHORIZED,
+            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Failed => StatusCode::BAD_GATEWAY,
+            Self::Late => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Returns the word for logs and counters.
+    pub(crate) fn word(self) -> &'static str {
+        match self {
+            Self::NoCatalog => "no_catalog",
+            Self::Stale => "stale",
+            Self::NoRoute => "no_route",
+            Self::NoKey => "no_key",
+            Self::Malformed => "malformed",
+            Self::TooLarge => "too_large",
+            Self::NoTarget => "no_target",
+            Self::Refused => "refused",
+            Self::Stopping => "stopping",
+            Self::Failed => "failed",
+            Self::Late => "late",
+            Self::TooLate => "too_late",
+        }
+    }
+
+    /// Makes the answer; `again` says when the caller may come back.
+    pub(crate) fn answer(self, again: Option<Duration>) -> Response<Body> {
+        let text = serde_json::json!({ "error": self.word(), "message": self.to_string() });
+        let mut response = Response::new(Body::whole(text.to_string()));
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Some(again) = again
+            && let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", again.as_secs_f64()))
+        {
+            headers.insert(RETRY_AFTER, seconds);
+        }
+        response
+    }
+}
+
+/// Asks the caller to open another connection for its next request.
+pub(crate) fn close(headers: &mut HeaderMap) {
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+}
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,379 @@
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fleet::catalog::{Kind, Pool, Route};
+use fleet::roster::Member;
+use http::uri::PathAndQuery;
+use http::{HeaderMap, Method, Request, Response, StatusCode, request};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use types::{Target, Time};
+
+use crate::border::{Ask, Platform, Send};
+use crate::clock::now;
+use crate::connection::{self, Connection, Next};
+use crate::relay::Events;
+use crate::shared::Shared;
+
+/// A request of a caller, whole and checked.
+#[derive(Debug)]
+pub(crate) struct Asked {
+    pub(crate) head: request::Parts,
+    pub(crate) body: Bytes,
+    pub(crate) ask: Ask,
+    pub(crate) route: Arc<Route>,
+    pub(crate) holder: Option<Arc<fleet::catalog::Holder>>,
+    pub(crate) arrived: Time,
+    /// When the caller or the route gives up.
+    pub(crate) deadline: Time,
+}
+
+/// Where an attempt goes.
+#[derive(Debug, Clone)]
+pub(crate) struct Choice {
+    pub(crate) member: Arc<Member>,
+    pub(crate) pool: Arc<Pool>,
+    pub(crate) send: Send,
+    /// Tokens that the target has to read.
+    pub(crate) unread: u64,
+    /// Tokens of memory that the request takes there.
+    pub(crate) need: u64,
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub(crate) enum Outcome<Border> {
+    /// The whole answer is there.
+    Answered(Box<Whole>),
+    /// The stream has begun.
+    Started(Box<Running<Border>>),
+    /// The request has not run at this target and will not; `sent` says whether it got there.
+    NotRun {
+        /// Whether the target got the request.
+        sent: bool,
+        /// What happened, for logs.
+        why: String,
+    },
+    /// The request may have run, or it ran and the answer is lost.
+    Failed {
+        /// What happened, for logs.
+        why: String,
+    },
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub(crate) struct Whole {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// A stream whose first event is there.
+#[derive(Debug)]
+pub(crate) struct Running<Border> {
+    pub(crate) headers: HeaderMap,
+    pub(crate) status: StatusCode,
+    pub(crate) first: Bytes,
+    pub(crate) events: Events,
+    pub(crate) body: Incoming,
+    pub(crate) connection: Connection,
+    pub(crate) flight: Flight<Border>,
+    pub(crate) keep: Option<Duration>,
+    pub(crate) closes: bool,
+    pub(crate) ended: bool,
+}
+
+/// Counts a request at its target while it is under way.
+#[derive(Debug)]
+pub(crate) struct Flight<Border> {
+    shared: Rc<Shared<Border>>,
+    target: Target,
+    unread: u64,
+    need: u64,
+    reading: bool,
+}
+
+/// The longest part of the remaining time that a repeatable request waits for the head of an
+/// answer, so that there is time for another target.
+const HEAD_SHARE: f64 = 0.5;
+/// Requests that may be repeated wait for the first byte this many times their objective before
+/// another target is tried.
+const OBJECTIVES: f64 = 2.0;
+/// The least time that a repeatable request waits for a target.
+const LEAST_WAIT: Duration = Duration::from_millis(300);
+/// The part of a target's connections that all entries use together; health checks and closing
+/// connections take the rest.
+const CONNECTIONS: f64 = 0.8;
+
+impl<Border> Flight<Border> {
+    fn start(shared: &Rc<Shared<Border>>, choice: &Choice) -> Self {
+        let target = choice.member.id.clone();
+        shared
+            .board
+            .borrow_mut()
+            .on_sent(&target, choice.unread, choice.need);
+        shared.ramp.borrow_mut().on_sent(&target, now());
+        Self {
+            shared: Rc::clone(shared),
+            target,
+            unread: choice.unread,
+            need: choice.need,
+            reading: true,
+        }
+    }
+
+    /// Records the first event.
+    pub(crate) fn on_first(&mut self) {
+        if std::mem::take(&mut self.reading) {
+            let mut board = self.shared.board.borrow_mut();
+            board.on_first(&self.target, self.unread);
+        }
+    }
+
+    /// Returns the target.
+    pub(crate) fn target(&self) -> &Target {
+        &self.target
+    }
+}
+
+impl<Border> Drop for Flight<Border> {
+    fn drop(&mut self) {
+        self.on_first();
+        let mut board = self.shared.board.borrow_mut();
+        board.on_end(&self.target, self.need);
+    }
+}
+
+impl Asked {
+    /// Returns the time that is left.
+    pub(crate) fn left(&self, now: Time) -> Duration {
+        self.deadline.since(now)
+    }
+
+    /// Returns how long the first byte of an answer is waited for.
+    fn patience(&self, now: Time) -> Duration {
+        let left = self.left(now);
+        if !self.route.repeatable() {
+            return left;
+        }
+        let objectives = self.route.objective.mul_f64(OBJECTIVES);
+        objectives
+            .min(left.mul_f64(HEAD_SHARE))
+            .max(LEAST_WAIT)
+            .min(left)
+    }
+}
+
+/// Sends a request to a target and waits for the whole answer, or for the first event of a stream.
+///
+/// Dropping the future closes the connection, which stops the target's work.
+pub(crate) async fn run<Border>(
+    shared: &Rc<Shared<Border>>,
+    asked: &Asked,
+    choice: &Choice,
+) -> Outcome<Border>
+where
+    Border: Platform,
+{
+    let once = !asked.route.repeatable();
+    let started = now();
+    let patience = asked.patience(started);
+    loop {
+        let connection = match connect(shared, choice, once).await {
+            Ok(connection) => connection,
+            Err(why) => return Outcome::NotRun { sent: false, why },
+        };
+        let used = connection.used;
+        let left = patience.saturating_sub(now().since(started));
+        match exchange(shared, asked, choice, connection, left).await {
+            // The target closed an idle connection; nothing of the request was sent.
+            Outcome::NotRun { sent: false, .. } if used => {}
+            outcome => return outcome,
+        }
+    }
+}
+
+async fn connect<Border>(
+    shared: &Rc<Shared<Border>>,
+    choice: &Choice,
+    once: bool,
+) -> Result<Connection, String>
+where
+    Border: Platform,
+{
+    let entries = shared.entries.get().max(1) as f64;
+    let share = f64::from(choice.pool.connections) * CONNECTIONS / entries;
+    let limit = (share as u32).max(1);
+    let next = shared
+        .lines
+        .borrow_mut()
+        .next(&choice.member.id, limit, once, now());
+    match next {
+        Next::Use(connection) => Ok(connection),
+        Next::Open(slot) => {
+            shared.metrics.connections.inc();
+            connection::open(choice.member.address, slot).await
+        }
+        Next::Full => Err(format!("all {limit} connections are in use")),
+    }
+}
+
+async fn exchange<Border>(
+    shared: &Rc<Shared<Border>>,
+    asked: &Asked,
+    choice: &Choice,
+    mut connection: Connection,
+    patience: Duration,
+) -> Outcome<Border>
+where
+    Border: Platform,
+{
+    let request = match compose(shared, asked, choice) {
+        Ok(request) => request,
+        Err(why) => return Outcome::NotRun { sent: false, why },
+    };
+    let mut flight = Flight::start(shared, choice);
+    let sending = connection.sender.try_send_request(request);
+    let response = match tokio::time::timeout(patience, sending).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(mut error)) => {
+            if error.take_message().is_some() {
+                let why = error.into_error().to_string();
+                return Outcome::NotRun { sent: false, why };
+            }
+            let why = error.into_error().to_string();
+            return Outcome::Failed { why };
+        }
+        Err(_) => {
+            let why = format!("no answer within {patience:?}");
+            return Outcome::Failed { why };
+        }
+    };
+    let (head, body) = response.into_parts();
+    let answer = shared.border.answer(head.status, &head.headers);
+    if answer.id.as_deref() != Some(&*asked.ask.id) && !answer.not_run && !answer.misdirected {
+        let why = "the answer belongs to another request".to_owned();
+        return Outcome::Failed { why };
+    }
+    if answer.not_run || answer.misdirected {
+        let why = format!("status {}", head.status.as_u16());
+        let collected = tokio::time::timeout(SHORT, body.collect()).await;
+        if !answer.closes && matches!(collected, Ok(Ok(_))) {
+            connection::keep(shared, flight.target(), connection, answer.keep);
+        }
+        return Outcome::NotRun { sent: true, why };
+    }
+    if !answer.sealed {
+        let why = format!("status {} without the target's mark", head.status.as_u16());
+        return Outcome::Failed { why };
+    }
+    let left = asked.left(now());
+    if asked.route.kind == Kind::Stream && head.status.is_success() {
+        return begin(shared, asked, head, body, connection, flight, &answer).await;
+    }
+    let whole = tokio::time::timeout(left, body.collect()).await;
+    flight.on_first();
+    let body = match whole {
+        Ok(Ok(whole)) => whole.to_bytes(),
+        Ok(Err(error)) => {
+            let why = format!("the answer broke off: {error}");
+            return Outcome::Failed { why };
+        }
+        Err(_) => {
+            let why = "the answer did not end in time".to_owned();
+            return Outcome::Failed { why };
+        }
+    };
+    if !answer.closes {
+        connection::keep(shared, flight.target(), connection, answer.keep);
+    }
+    Outcome::Answered(Box::new(Whole {
+        status: head.status,
+        headers: shared.border.passed(&head.headers),
+        body,
+    }))
+}
+
+/// How long the rest of a refusal may take.
+const SHORT: Duration = Duration::from_millis(200);
+
+/// Waits for the first event of a stream.
+async fn begin<Border>(
+    shared: &Rc<Shared<Border>>,
+    asked: &Asked,
+    head: http::response::Parts,
+    mut body: Incoming,
+    connection: Connection,
+    mut flight: Flight<Border>,
+    answer: &crate::border::Answer,
+) -> Outcome<Border>
+where
+    Border: Platform,
+{
+    let mut events = Events::default();
+    let patience = asked.patience(now());
+    let (first, ended) = loop {
+        match tokio::time::timeout(patience, events.next(&mut body)).await {
+            Ok(Ok(Some(first))) => break (first, false),
+            Ok(Ok(None)) => break (Bytes::new(), true),
+            Ok(Err(why)) => return Outcome::Failed { why },
+            Err(_) => {
+                let why = format!("no event within {patience:?}");
+                return Outcome::Failed { why };
+            }
+        }
+    };
+    flight.on_first();
+    Outcome::Started(Box::new(Running {
+        headers: shared.border.passed(&head.headers),
+        status: head.status,
+        first,
+        events,
+        body,
+        connection,
+        flight,
+        keep: answer.keep,
+        closes: answer.closes,
+        ended,
+    }))
+}
+
+fn compose<Border>(
+    shared: &Rc<Shared<Border>>,
+    asked: &Asked,
+    choice: &Choice,
+) -> Result<Request<Full<Bytes>>, String>
+where
+    Border: Platform,
+{
+    let mut send = choice.send.clone();
+    send.left = asked.left(now());
+    let path = asked.head.uri.path_and_query();
+    let path = path.map_or("/", PathAndQuery::as_str);
+    let mut request = Request::builder()
+        .method(asked.head.method.clone())
+        .uri(path)
+        .body(Full::new(asked.body.clone()))
+        .map_err(|error| error.to_string())?;
+    *request.headers_mut() = shared.border.forward(&asked.head, &send);
+    if asked.head.method != Method::GET || !asked.body.is_empty() {
+        let length = http::HeaderValue::from(asked.body.len());
+        request
+            .headers_mut()
+            .insert(http::header::CONTENT_LENGTH, length);
+    }
+    Ok(request)
+}
+
+impl Whole {
+    /// Makes the answer to the caller.
+    pub(crate) fn response(self) -> Response<crate::answer::Body> {
+        let mut response = Response::new(crate::answer::Body::whole(self.body));
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers;
+        response
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/connection.rs
@@ -0,0 +1,187 @@
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use types::{Target, Time};
+
+use crate::clock::now;
+
+/// The connections to all targets.
+#[derive(Debug, Default)]
+pub(crate) struct Lines {
+    lines: HashMap<Target, Line>,
+}
+
+/// The connections to one target.
+#[derive(Debug, Default)]
+struct Line {
+    idle: Vec<Idle>,
+    open: Rc<Cell<u32>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Time,
+    keep: Duration,
+}
+
+/// A connection that carries one request at a time.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    /// Whether it has carried a request before.
+    pub(crate) used: bool,
+    /// Counts it for as long as it lives.
+    _open: Open,
+}
+
+/// Counts a connection while it is open.
+#[derive(Debug)]
+struct Open(Rc<Cell<u32>>);
+
+/// What to do for a request that needs a connection.
+#[derive(Debug)]
+pub(crate) enum Next {
+    /// Use this one.
+    Use(Connection),
+    /// Open another one and count it.
+    Open(Slot),
+    /// The target accepts no more from this entry.
+    Full,
+}
+
+/// The permission to open a connection.
+#[derive(Debug)]
+pub(crate) struct Slot(Open);
+
+/// How long an idle connection is kept where the target does not say; some close after few seconds.
+const KEEP: Duration = Duration::from_secs(4);
+/// How long a connection may have been idle for a request that cannot be repeated: a target that
+/// closes it meanwhile leaves open whether the request ran.
+const KEEP_ONCE: Duration = Duration::from_millis(1500);
+/// How long it may take to open a connection; the first packet is sent again after a second.
+const CONNECT: Duration = Duration::from_millis(700);
+/// How long sent bytes may stay unconfirmed; a target that is cut off does not answer.
+const UNCONFIRMED: Duration = Duration::from_millis(2500);
+/// How long a connection may take to become free after an answer.
+const SETTLE: Duration = Duration::from_millis(100);
+
+impl Lines {
+    /// Returns the connection for a request; `limit` is the most that may be open.
+    pub(crate) fn next(&mut self, target: &Target, limit: u32, once: bool, now: Time) -> Next {
+        let line = self.lines.entry(target.clone()).or_default();
+        line.idle.retain(|idle| {
+            now.since(idle.since) < idle.keep && !idle.connection.sender.is_closed()
+        });
+        // The one that was used last is the least likely to be closed by the target.
+        while let Some(idle) = line.idle.pop() {
+            if once && now.since(idle.since) >= KEEP_ONCE {
+                line.idle.push(idle);
+                break;
+            }
+            if idle.connection.sender.is_ready() {
+                return Next::Use(idle.connection);
+            }
+        }
+        if line.open.get() >= limit && line.idle.pop().is_none() {
+            return Next::Full;
+        }
+        line.open.set(line.open.get() + 1);
+        Next::Open(Slot(Open(Rc::clone(&line.open))))
+    }
+
+    fn put(&mut self, target: &Target, connection: Connection, keep: Duration, now: Time) {
+        let line = self.lines.entry(target.clone()).or_default();
+        line.idle.push(Idle {
+            connection,
+            since: now,
+            keep,
+        });
+    }
+
+    /// Closes connections to targets that are gone, and those that were idle for long.
+    pub(crate) fn retain<Known>(&mut self, known: Known, now: Time)
+    where
+        Known: Fn(&Target) -> bool,
+    {
+        self.lines.retain(|target, line| {
+            line.idle.retain(|idle| {
+                now.since(idle.since) < idle.keep && !idle.connection.sender.is_closed()
+            });
+            known(target) || line.open.get() > 0
+        });
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// Opens a connection. Nothing of the request is sent, so a failure means that it has not run.
+pub(crate) async fn open(address: SocketAddr, slot: Slot) -> Result<Connection, String> {
+    let connecting = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
+    let stream = match connecting {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Err(error.to_string()),
+        Err(_) => return Err(format!("no connection within {CONNECT:?}")),
+    };
+    prepare(&stream);
+    let (sender, driver) = http1::Builder::new()
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| error.to_string())?;
+    tokio::task::spawn_local(async move {
+        // The request on the connection reports its own failure.
+        if let Err(error) = driver.await {
+            log::debug!("connection to {address} ended: {error}");
+        }
+    });
+    Ok(Connection {
+        sender,
+        used: false,
+        _open: slot.0,
+    })
+}
+
+/// Sets the options of a socket: no delay, and an end to connections that fell silent.
+pub(crate) fn prepare(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let nodelay = stream.set_nodelay(true);
+    let silent = socket.set_tcp_user_timeout(Some(UNCONFIRMED));
+    if let Err(error) = nodelay.and(silent) {
+        log::warn!("options of a socket cannot be set: {error}");
+    }
+}
+
+/// Keeps a connection for the next request, once the last answer has ended.
+pub(crate) fn keep<Border>(
+    shared: &Rc<crate::shared::Shared<Border>>,
+    target: &Target,
+    mut connection: Connection,
+    keep: Option<Duration>,
+) where
+    Border: 'static,
+{
+    let (shared, target) = (Rc::clone(shared), target.clone());
+    tokio::task::spawn_local(async move {
+        let settled = tokio::time::timeout(SETTLE, connection.sender.ready()).await;
+        if !matches!(settled, Ok(Ok(()))) {
+            return;
+        }
+        connection.used = true;
+        // A target counts from the end of its answer, which is earlier than this.
+        let keep = keep.map_or(KEEP, |keep| keep.mul_f64(0.7));
+        shared.lines.borrow_mut().put(&target, connection, keep, now());
+    });
+}
--- /dev/null
+++ b/crates/gateway/src/follow.rs
@@ -0,0 +1,186 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use fleet::roster::Member;
+use types::{Target, Time};
+
+use crate::border::{Batch, Change, List, Platform};
+use crate::clock::now;
+use crate::journal::{self, Event};
+use crate::serve::millis;
+use crate::shared::Shared;
+
+/// How long the store may hold a call while nothing changes. Evidence ages meanwhile, so it is well
+/// under the bound on removed keys.
+const WAIT: Duration = Duration::from_millis(1500);
+/// How long an entry waits after a failed call; each further one doubles it.
+const BACK_OFF: Duration = Duration::from_millis(60);
+/// The longest wait after a failed call.
+const MOST_BACK_OFF: Duration = Duration::from_millis(400);
+/// How often what is gone is forgotten.
+const SWEEP: Duration = Duration::from_millis(250);
+
+/// Follows a list for as long as the process runs.
+pub(crate) async fn follow<Border>(shared: Rc<Shared<Border>>, list: List)
+where
+    Border: Platform,
+{
+    let mut cursor = None;
+    let mut failures: u32 = 0;
+    loop {
+        let asked = now();
+        let heard = match cursor {
+            Some(cursor) => shared.border.follow(list, cursor, WAIT).await,
+            None => shared.border.load(list).await.map(Some),
+        };
+        let time = now();
+        match heard {
+            Ok(Some(batch)) => {
+                if failures > 0 || cursor.is_none() {
+                    Event::new("store_heard")
+                        .with("list", format!("{list:?}"))
+                        .with("failures", failures)
+                        .with("cursor", batch.cursor)
+                        .info();
+                }
+                failures = 0;
+                count(&shared, "ok");
+                if list == List::Operator {
+                    let mut proof = shared.proof.get();
+                    proof.renew(asked, time, batch.store_time);
+                    shared.proof.set(proof);
+                }
+                let whole = cursor.is_none();
+                cursor = Some(batch.cursor);
+                apply(&shared, list, batch, whole, time);
+            }
+            Ok(None) => {
+                count(&shared, "forgotten");
+                Event::new("store_forgot")
+                    .with("list", format!("{list:?}"))
+                    .with("cursor", cursor)
+                    .warn();
+                cursor = None;
+            }
+            Err(error) => {
+                count(&shared, "failed");
+                if failures == 0 {
+                    Event::new("store_lost")
+                        .with("list", format!("{list:?}"))
+                        .with("why", error.to_string())
+                        .warn();
+                }
+                failures += 1;
+                shared.roster.borrow_mut().shake(time);
+                let wait = BACK_OFF * 2u32.saturating_pow(failures.min(8) - 1);
+                // Spread, so that entries that failed together do not return together.
+                let jitter = f64::from(shared.draw()) / f64::from(u32::MAX);
+                tokio::time::sleep(wait.min(MOST_BACK_OFF).mul_f64(0.5 + jitter)).await;
+            }
+        }
+    }
+}
+
+fn count<Border>(shared: &Shared<Border>, outcome: &str) {
+    shared.metrics.store.with_label_values(&[outcome]).inc();
+}
+
+fn apply<Border>(shared: &Shared<Border>, list: List, batch: Batch, whole: bool, time: Time) {
+    let mut members = Vec::new();
+    let mut evacuated = Vec::new();
+    for change in batch.changes {
+        match change {
+            Change::Listed(member) if whole => members.push(member),
+            Change::Listed(member) => report(shared, member, time),
+            Change::Unlisted(target) => unlist(shared, &target, time),
+            Change::Catalog(catalog) => adopt(shared, *catalog),
+            Change::Weights(model, version) => {
+                if shared.rollout.borrow_mut().name(&model, version, time) {
+                    Event::new("weights_named")
+                        .with("model", &*model)
+                        .with("version", version)
+                        .info();
+                }
+            }
+            Change::Evacuate(domain, true) if whole => evacuated.push(domain),
+            Change::Evacuate(domain, out) => {
+                Event::new("evacuation")
+                    .with("domain", &*domain)
+                    .with("out", out)
+                    .info();
+                let mut set = shared.evacuated.borrow_mut();
+                if out {
+                    set.insert(domain);
+                } else {
+                    set.remove(&domain);
+                }
+            }
+        }
+    }
+    if whole && list == List::Targets {
+        shared.roster.borrow_mut().replace(members, time);
+    }
+    if whole && list == List::Operator {
+        *shared.evacuated.borrow_mut() = evacuated.into_iter().collect();
+    }
+    if shared.rollout.borrow().is_behind(&shared.roster.borrow()) {
+        shared.lag.notify_waiters();
+    }
+}
+
+fn report<Border>(shared: &Shared<Border>, member: Member, time: Time) {
+    let mut roster = shared.roster.borrow_mut();
+    let known = roster.get(&member.id).map(|entry| Rc::new(entry.clone()));
+    let changed = known.is_none_or(|known| {
+        known.member.draining != member.draining
+            || known.member.weights != member.weights
+            || known.member.born != member.born
+    });
+    if changed {
+        Event::new("target")
+            .with("target", &*member.id)
+            .with("service", &*member.service)
+            .with("address", member.address.to_string())
+            .with("draining", member.draining)
+            .with("cold_ms", millis(member.cold))
+            .with("weights", member.weights.first().map(|(_, version)| *version))
+            .info();
+    }
+    roster.list(member, time);
+}
+
+fn unlist<Border>(shared: &Shared<Border>, target: &Target, time: Time) {
+    Event::new("target_gone").with("target", &**target).info();
+    shared.roster.borrow_mut().unlist(target, time);
+}
+
+fn adopt<Border>(shared: &Shared<Border>, catalog: fleet::catalog::Catalog) {
+    let known = shared.catalog();
+    if known.is_some_and(|known| known.version >= catalog.version) {
+        return;
+    }
+    Event::new("config").with("version", catalog.version.0).info();
+    let version = i64::try_from(catalog.version.0).unwrap_or(i64::MAX);
+    shared.metrics.version.set(version);
+    *shared.catalog.borrow_mut() = Some(Rc::new(catalog));
+}
+
+/// Forgets what is gone and keeps the gauges up to date.
+pub(crate) async fn sweep<Border>(shared: Rc<Shared<Border>>) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        let time = now();
+        shared.roster.borrow_mut().expire(time);
+        let roster = shared.roster.borrow();
+        let known = |target: &Target| roster.get(target).is_some();
+        shared.lines.borrow_mut().retain(known, time);
+        shared.board.borrow_mut().retain(known);
+        shared.ramp.borrow_mut().retain(known);
+        let age = shared.proof.get().age(time).map_or(-1, |age| {
+            i64::try_from(age.as_millis()).unwrap_or(i64::MAX)
+        });
+        shared.metrics.proof.set(age);
+        let dropped = i64::try_from(journal::dropped()).unwrap_or(i64::MAX);
+        shared.metrics.dropped.set(dropped);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,30 @@
+//! An entry that talks to its targets directly: callers' connections, attempts, streams, the
+//! platform's lists, and orders for new weights.
+//!
+//! Decisions are those of `fleet` and `control`; this crate carries them out. What the platform
+//! says on the wire is behind [`Platform`]. See `docs/platform.md`.
+
+mod answer;
+mod attempt;
+mod border;
+mod clock;
+mod connection;
+mod follow;
+mod journal;
+mod lead;
+mod metrics;
+
+mod relay;
+mod serve;
+mod server;
+mod settings;
+mod shared;
+
+pub use clock::now;
+pub use journal::{Event, open as open_journal};
+pub use border::{
+    Answer, Ask, Batch, Change, Dialect, Fault, Fetch, List, Orders, Part, Platform, Prompt, Send,
+    Source, State,
+};
+pub use server::{Entry, Error, spawn};
+pub use settings::{Bounds, Problem, Settings};
--- /dev/null
+++ b/crates/gateway/src/serve.rs
@@ -0,0 +1,509 @@
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fleet::catalog::{Caller, Catalog, Limits};
+use fleet::placement;
+use http::header::HOST;
+use http::{Request, Response, request};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use types::{Service, Target, Time};
+
+use crate::answer::{Body, Reason, close};
+use crate::attempt::{self, Asked, Choice, Outcome};
+use crate::border::{Platform, Send};
+use crate::clock::now;
+use crate::journal::Event;
+use crate::relay;
+use crate::shared::Shared;
+
+/// The time that a request without a deadline gets.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
+/// When a caller may come back after a refusal that has nothing to do with load.
+const SOON: Duration = Duration::from_millis(300);
+/// How long a request waits before it looks again for a target.
+const LOOK_AGAIN: Duration = Duration::from_millis(15);
+/// The part of a request's objective for which it waits for a target with room.
+const WAIT_SHARE: f64 = 0.4;
+
+/// What was tried for a request.
+#[derive(Debug)]
+pub(crate) struct Tries {
+    service: Service,
+    left_out: Vec<Target>,
+    /// Targets that got the request.
+    arrivals: u32,
+    /// Targets at which it may have run.
+    runs: u32,
+}
+
+/// What a request needs next.
+enum Step {
+    Send(Choice),
+    Wait,
+    End(Reason),
+}
+
+/// Answers a request of a caller.
+pub(crate) async fn serve<Border>(
+    shared: Rc<Shared<Border>>,
+    request: Request<Incoming>,
+) -> Response<Body>
+where
+    Border: Platform,
+{
+    let arrived = now();
+    let (head, body) = request.into_parts();
+    let mut response = match admit(&shared, head, body, arrived).await {
+        Ok(asked) => answer(&shared, Rc::new(asked)).await,
+        Err((reason, id)) => refuse(&shared, reason, &id, arrived),
+    };
+    if shared.stopping.get() {
+        close(response.headers_mut());
+    }
+    response
+}
+
+/// Checks a request against the configuration and reads its body.
+async fn admit<Border>(
+    shared: &Rc<Shared<Border>>,
+    head: request::Parts,
+    body: Incoming,
+    arrived: Time,
+) -> Result<Asked, (Reason, Box<str>)>
+where
+    Border: Platform,
+{
+    let ask = match shared.border.ask(&head) {
+        Ok(ask) => ask,
+        Err(fault) => {
+            Event::new("malformed").with("why", fault.to_string()).warn();
+            return Err((Reason::Malformed, "".into()));
+        }
+    };
+    let refused = |reason| (reason, ask.id.clone());
+    let catalog = shared
+        .catalog()
+        .ok_or_else(|| refused(Reason::NoCatalog))?;
+    // An unknown route or key may only be unknown because the configuration is old.
+    let fresh = shared.is_fresh(arrived);
+    let unless_stale = |reason| refused(if fresh { reason } else { Reason::Stale });
+    let route = catalog
+        .route(host(&head), head.uri.path())
+        .ok_or_else(|| unless_stale(Reason::NoRoute))?;
+    let holder = match catalog.caller(route, ask.key.as_deref()) {
+        Caller::Anyone => None,
+        Caller::Unknown => return Err(unless_stale(Reason::NoKey)),
+        Caller::Known(_) if !fresh => return Err(refused(Reason::Stale)),
+        Caller::Known(holder) => Some(holder),
+    };
+    let patience = ask.patience.unwrap_or(DEFAULT_PATIENCE).min(route.timeout);
+    let deadline = arrived + patience;
+    let body = match read(body, &catalog.limits, patience).await {
+        Ok(body) => body,
+        Err(reason) => return Err(refused(reason)),
+    };
+    let route = Arc::clone(route);
+    Ok(Asked {
+        head,
+        body,
+        ask,
+        route,
+        holder,
+        arrived,
+        deadline,
+    })
+}
+
+async fn read(body: Incoming, limits: &Limits, patience: Duration) -> Result<Bytes, Reason> {
+    let limited = Limited::new(body, limits.body_bytes);
+    match tokio::time::timeout(patience, limited.collect()).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Reason::TooLarge),
+        Ok(Err(_)) => Err(Reason::Malformed),
+        Err(_) => Err(Reason::TooLate),
+    }
+}
+
+fn host(head: &request::Parts) -> &str {
+    let named = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    named.or_else(|| head.uri.host()).unwrap_or("")
+}
+
+/// Sends a request to targets until one answers, or until it is clear that none will.
+async fn answer<Border>(shared: &Rc<Shared<Border>>, asked: Rc<Asked>) -> Response<Body>
+where
+    Border: Platform,
+{
+    let Some(service) = asked.route.service(shared.draw()).cloned() else {
+        return give_up(shared, &asked, Reason::NoTarget);
+    };
+    shared
+        .retries
+        .borrow_mut()
+        .on_request(&service, asked.arrived);
+    let mut tries = Tries::new(service);
+    loop {
+        let choice = match tries.step(shared, &asked, asked.ask.seen) {
+            Step::Send(choice) => choice,
+            Step::Wait => {
+                tokio::time::sleep(LOOK_AGAIN).await;
+                continue;
+            }
+            Step::End(reason) => return give_up(shared, &asked, reason),
+        };
+        match attempt(shared, &asked, &mut tries, &choice).await {
+            Outcome::Answered(whole) => {
+                let retry = whole.status.is_server_error()
+                    && asked.route.repeatable()
+                    && tries.may_run_again(&asked);
+                if retry && let Some(Step::Send(_)) = tries.peek(shared, &asked) {
+                    continue;
+                }
+                shared.metrics.on_first(now().since(asked.arrived));
+                ended(shared, &asked, "served");
+                return whole.response();
+            }
+            Outcome::Started(running) => {
+                shared.metrics.on_first(now().since(asked.arrived));
+                return relay::respond(Rc::clone(shared), asked, tries, *running);
+            }
+            Outcome::NotRun { .. } => {}
+            Outcome::Failed { .. } => {
+                if !asked.route.repeatable() || !tries.may_run_again(&asked) {
+                    let late = asked.left(now()).is_zero();
+                    let reason = if late { Reason::Late } else { Reason::Failed };
+                    return give_up(shared, &asked, reason);
+                }
+            }
+        }
+    }
+}
+
+/// Makes one attempt and records what it says of its target.
+pub(crate) async fn attempt<Border>(
+    shared: &Rc<Shared<Border>>,
+    asked: &Asked,
+    tries: &mut Tries,
+    choice: &Choice,
+) -> Outcome<Border>
+where
+    Border: Platform,
+{
+    let target = &choice.member.id;
+    let sent = now();
+    let outcome = attempt::run(shared, asked, choice).await;
+    let time = now();
+    let (word, why) = match &outcome {
+        Outcome::Answered(whole) if whole.status.is_server_error() => {
+            tries.arrivals += 1;
+            tries.runs += 1;
+            shared.board.borrow_mut().on_failure(target, time);
+            ("error", whole.status.as_u16().to_string())
+        }
+        Outcome::Answered(whole) => {
+            tries.arrivals += 1;
+            tries.runs += 1;
+            shared.board.borrow_mut().on_success(target);
+            ("answered", whole.status.as_u16().to_string())
+        }
+        Outcome::Started(_) => {
+            tries.arrivals += 1;
+            tries.runs += 1;
+            ("started", String::new())
+        }
+        Outcome::NotRun { sent: true, why } => {
+            tries.arrivals += 1;
+            shared.board.borrow_mut().on_refusal(target, time);
+            ("refused", why.clone())
+        }
+        Outcome::NotRun { sent: false, why } => {
+            shared.board.borrow_mut().on_failure(target, time);
+            ("unsent", why.clone())
+        }
+        Outcome::Failed { why } => {
+            tries.arrivals += 1;
+            tries.runs += 1;
+            shared.board.borrow_mut().on_failure(target, time);
+            ("failed", why.clone())
+        }
+    };
+    tries.leave_out(target);
+    shared.metrics.attempts.with_label_values(&[word]).inc();
+    Event::new("attempt")
+        .with("request", &*asked.ask.id)
+        .with("target", &**target)
+        .with("outcome", word)
+        .with("why", why)
+        .with("waited_ms", millis(sent.since(asked.arrived)))
+        .with("took_ms", millis(time.since(sent)))
+        .with("unread", choice.unread)
+        .with("running", shared.board.borrow().load(target).running)
+        .info();
+    outcome
+}
+
+impl Tries {
+    fn new(service: Service) -> Self {
+        Self {
+            service,
+            left_out: Vec::new(),
+            arrivals: 0,
+            runs: 0,
+        }
+    }
+
+    /// Keeps further attempts from a target.
+    pub(crate) fn leave_out(&mut self, target: &Target) {
+        if !self.left_out.contains(target) {
+            self.left_out.push(target.clone());
+        }
+    }
+
+    /// Returns the next attempt of a stream that is continued.
+    pub(crate) fn next<Border>(
+        &mut self,
+        shared: &Rc<Shared<Border>>,
+        asked: &Asked,
+        seen: Option<u64>,
+    ) -> Option<Choice> {
+        match self.step(shared, asked, seen) {
+            Step::Send(choice) => Some(choice),
+            Step::Wait | Step::End(_) => None,
+        }
+    }
+
+    /// Says whether the route allows another run.
+    fn may_run_again(&self, asked: &Asked) -> bool {
+        self.runs < asked.route.attempts
+    }
+
+    /// Says whether there is somewhere else to go, without using the budget.
+    fn peek<Border>(&self, shared: &Rc<Shared<Border>>, asked: &Asked) -> Option<Step> {
+        if asked.left(now()) < LOOK_AGAIN {
+            return None;
+        }
+        choose(shared, asked, &self.service, &self.left_out, asked.ask.seen).map(Step::Send)
+    }
+
+    fn step<Border>(
+        &mut self,
+        shared: &Rc<Shared<Border>>,
+        asked: &Asked,
+        seen: Option<u64>,
+    ) -> Step {
+        let time = now();
+        if asked.left(time) < LOOK_AGAIN {
+            let late = self.runs > 0;
+            return Step::End(if late { Reason::Late } else { Reason::TooLate });
+        }
+        if self.runs > 0 && !self.may_run_again(asked) {
+            return Step::End(Reason::Failed);
+        }
+        let unable = match self.runs {
+            0 => Reason::Refused,
+            _ => Reason::Failed,
+        };
+        let Some(choice) = choose(shared, asked, &self.service, &self.left_out, seen) else {
+            let waited = time.since(asked.arrived);
+            if self.arrivals == 0 && waited < asked.route.objective.mul_f64(WAIT_SHARE) {
+                return Step::Wait;
+            }
+            let none = self.left_out.is_empty() && self.runs == 0;
+            return Step::End(if none { Reason::NoTarget } else { unable });
+        };
+        if self.arrivals > 0 {
+            let entries = shared.entries.get();
+            let allowed = shared.has_joined(time)
+                && shared
+                    .retries
+                    .borrow_mut()
+                    .take(&self.service, entries, time);
+            if !allowed {
+                return Step::End(unable);
+            }
+        }
+        Step::Send(choice)
+    }
+}
+
+/// Chooses a target for a request.
+fn choose<Border>(
+    shared: &Rc<Shared<Border>>,
+    asked: &Asked,
+    service: &Service,
+    left_out: &[Target],
+    seen: Option<u64>,
+) -> Option<Choice> {
+    let time = now();
+    let catalog: Rc<Catalog> = shared.catalog()?;
+    let pool = catalog.pool(service)?;
+    let roster = shared.roster.borrow();
+    let evacuated = shared.evacuated.borrow();
+    let board = shared.board.borrow();
+    let mut ramp = shared.ramp.borrow_mut();
+    let bounds = &shared.settings.bounds;
+    let entries = shared.entries.get();
+    let cold_limit = pool.cold_rate * bounds.cold_factor + bounds.cold_slack;
+    let mut usable = Vec::new();
+    for entry in roster.iter() {
+        let member = &entry.member;
+        if member.service != *service
+            || member.draining
+            || evacuated.contains(&member.domain)
+            || left_out.contains(&member.id)
+        {
+            continue;
+        }
+        let is_cold = pool.cold_rate > 0.0 && entry.cold_until > time;
+        if is_cold
+            && !(shared.has_joined(time) && ramp.allows(&member.id, cold_limit, entries, time))
+        {
+            continue;
+        }
+        let avoided = board.avoids(&member.id, time) || entry.doubted_since.is_some();
+        usable.push((member, avoided));
+    }
+    // A target that failed lately is better than none.
+    if usable.iter().any(|(_, avoided)| !avoided) {
+        usable.retain(|(_, avoided)| !avoided);
+    }
+    let prompt = asked.ask.prompt.as_ref();
+    let home = prompt.and_then(|prompt| {
+        let session = prompt.parts.iter().rev().nth(1).or(prompt.parts.last())?;
+        let key = routing::Key::new(&[session.id.as_bytes()]);
+        let members = usable
+            .iter()
+            .enumerate()
+            .map(|(index, (member, _))| (hash(&member.id), index));
+        routing::top(key, members, 1).first().copied()
+    });
+    let own = prompt.map_or(0, |prompt| prompt.parts.last().map_or(0, |part| part.tokens));
+    let input = prompt.map_or(0, |prompt| prompt.input);
+    let need = prompt.map_or(0, |prompt| prompt.input + prompt.output);
+    let capacity = pool.engine.as_ref().map_or(0, |engine| engine.memory);
+    let candidates: Vec<placement::Candidate> = usable
+        .iter()
+        .enumerate()
+        .map(|(index, (member, _))| placement::Candidate {
+            load: scaled(board.load(&member.id), entries),
+            unread: if Some(index) == home { own } else { input },
+            fetch: Duration::ZERO,
+            slots: member.slots,
+            capacity,
+            need,
+            remote: member.domain != shared.settings.domain,
+            outdated: is_outdated(shared, prompt, member),
+        })
+        .collect();
+    let index = placement::best(&candidates, shared.draw())?;
+    let member = Arc::clone(usable[index].0);
+    let version = prompt.and_then(|prompt| member.version(&prompt.model));
+    let space = prompt.map(|prompt| space(asked, &prompt.model, version));
+    Some(Choice {
+        send: Send {
+            target: member.id.clone(),
+            left: asked.left(time),
+            team: asked.holder.as_ref().map(|holder| holder.team.clone()),
+            seen,
+            space,
+            version,
+            urgency: None,
+            fetch: Vec::new(),
+            save: Vec::new(),
+        },
+        unread: candidates[index].unread,
+        need,
+        member,
+        pool: Arc::clone(pool),
+    })
+}
+
+/// Other entries have about as much under way as this one.
+fn scaled(load: placement::Load, entries: usize) -> placement::Load {
+    let entries = entries.max(1);
+    placement::Load {
+        running: load.running * u32::try_from(entries).unwrap_or(u32::MAX),
+        reading: load.reading * entries as u64,
+        memory: load.memory * entries as u64,
+    }
+}
+
+fn is_outdated<Border>(
+    shared: &Rc<Shared<Border>>,
+    prompt: Option<&crate::border::Prompt>,
+    member: &fleet::roster::Member,
+) -> bool {
+    let Some(prompt) = prompt else {
+        return false;
+    };
+    let named = shared.rollout.borrow().named(&prompt.model);
+    let serves = member.version(&prompt.model);
+    matches!((named, serves), (Some(named), Some(serves)) if serves < named.version)
+}
+
+/// Returns the name under which a target keeps parts of a prompt. Weights and, where a team is
+/// isolated, the team are part of it, so that parts of other ones cannot be found.
+fn space(asked: &Asked, model: &str, version: Option<u64>) -> Box<str> {
+    let version = version.unwrap_or(0);
+    match &asked.holder {
+        Some(holder) if holder.isolated => format!("{model}.{version}.{}", holder.team).into(),
+        _ => format!("{model}.{version}").into(),
+    }
+}
+
+fn hash(target: &Target) -> u64 {
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&blake3::hash(target.as_bytes()).as_bytes()[..8]);
+    u64::from_le_bytes(bytes)
+}
+
+fn give_up<Border>(shared: &Rc<Shared<Border>>, asked: &Asked, reason: Reason) -> Response<Body> {
+    refuse(shared, reason, &asked.ask.id, asked.arrived)
+}
+
+fn refuse<Border>(
+    shared: &Rc<Shared<Border>>,
+    reason: Reason,
+    id: &str,
+    arrived: Time,
+) -> Response<Body> {
+    shared
+        .metrics
+        .refusals
+        .with_label_values(&[reason.word()])
+        .inc();
+    let time = now();
+    let proof = shared.proof.get().age(time).map(millis);
+    Event::new("refused")
+        .with("request", id)
+        .with("reason", reason.word())
+        .with("status", reason.status().as_u16())
+        .with("after_ms", millis(time.since(arrived)))
+        .with("config", shared.catalog().map(|catalog| catalog.version.0))
+        .with("proof_age_ms", proof)
+        .warn();
+    let promises = reason.status() == http::StatusCode::SERVICE_UNAVAILABLE;
+    reason.answer(promises.then_some(SOON))
+}
+
+/// Records the end of a request that a target answered.
+pub(crate) fn ended<Border>(shared: &Rc<Shared<Border>>, asked: &Asked, outcome: &str) {
+    shared
+        .metrics
+        .requests
+        .with_label_values(&[outcome])
+        .inc();
+    Event::new("ended")
+        .with("request", &*asked.ask.id)
+        .with("outcome", outcome)
+        .with("route", &*asked.route.name)
+        .with("after_ms", millis(now().since(asked.arrived)))
+        .info();
+}
+
+pub(crate) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/gateway/src/server.rs
@@ -0,0 +1,274 @@
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use displaydoc::Display;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::answer::Body;
+use crate::border::{List, Platform};
+use crate::clock::now;
+use crate::connection::prepare;
+use crate::journal::Event;
+use crate::metrics::Metrics;
+use crate::serve::{self, millis};
+use crate::settings::{Problem, Settings};
+use crate::shared::Shared;
+use crate::{follow, lead};
+
+/// A running entry.
+#[derive(Debug)]
+pub struct Entry {
+    task: JoinHandle<()>,
+}
+
+/// Why an entry did not start.
+#[derive(Debug, Display, thiserror::Error)]
+pub enum Error {
+    /// {0} cannot be bound: {1}
+    Bind(SocketAddr, std::io::Error),
+    /// the counters cannot be set up: {0}
+    Metrics(#[from] prometheus::Error),
+    /// signals cannot be received: {0}
+    Signal(std::io::Error),
+}
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// The part of the grace after which open connections of callers are closed once they are idle. The
+/// balancer has noticed by then: it asks each second and takes a process out after two misses.
+const LINGER: f64 = 0.35;
+/// The part of the grace for running requests; the rest is left for the end of the process.
+const WORK: f64 = 0.93;
+/// How often a stopping process looks whether it is done.
+const LOOK: Duration = Duration::from_millis(50);
+/// How long a failing listener is left alone; running out of descriptors passes.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// The largest head that is read, in bytes, where the configuration is not known yet.
+const LEAST_HEAD: usize = 8 << 10;
+/// How much longer than the configured time an idle connection is kept, so that a caller that uses
+/// the whole time does not meet a closing connection.
+const IDLE_SLACK: Duration = Duration::from_secs(2);
+
+/// Starts an entry on the current thread's local set.
+///
+/// # Errors
+/// Fails when an address cannot be bound or signals cannot be received; a store that does not
+/// answer is no failure.
+pub async fn spawn<Border>(
+    settings: Settings,
+    file: PathBuf,
+    border: Border,
+) -> Result<Entry, Error>
+where
+    Border: Platform,
+{
+    let callers = listen(settings.http_address)?;
+    let ready = listen(settings.ready_address)?;
+    let metrics = listen(SocketAddr::new(settings.ip, settings.metrics_port))?;
+    let term = signal(SignalKind::terminate()).map_err(Error::Signal)?;
+    let hup = signal(SignalKind::hangup()).map_err(Error::Signal)?;
+    let name = settings.name.clone();
+    let shared = Rc::new(Shared::new(settings, border, Metrics::open()?));
+    for list in [List::Operator, List::Targets] {
+        tokio::task::spawn_local(follow::follow(Rc::clone(&shared), list));
+    }
+    tokio::task::spawn_local(follow::sweep(Rc::clone(&shared)));
+    tokio::task::spawn_local(lead::lead(Rc::clone(&shared)));
+    tokio::task::spawn_local(lead::count(Rc::clone(&shared)));
+    tokio::task::spawn_local(reload(Rc::clone(&shared), file, hup));
+    for listener in [ready, metrics] {
+        tokio::task::spawn_local(administer(Rc::clone(&shared), listener));
+    }
+    let (close, closing) = watch::channel(false);
+    let open = Rc::new(());
+    tokio::task::spawn_local(accept(
+        Rc::clone(&shared),
+        callers,
+        closing,
+        Rc::clone(&open),
+    ));
+    Event::new("start")
+        .with("name", name)
+        .with("http", shared.settings.http_address.to_string())
+        .with("version", env!("CARGO_PKG_VERSION"))
+        .info();
+    let task = tokio::task::spawn_local(stop(shared, term, close, open));
+    Ok(Entry { task })
+}
+
+impl Entry {
+    /// Waits for the graceful end after SIGTERM.
+    pub async fn wait(self) {
+        if let Err(error) = self.task.await {
+            log::error!("the entry ended by a fault: {error}");
+        }
+    }
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    let bind = || {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    bind().map_err(|error| Error::Bind(address, error))
+}
+
+/// Accepts callers until the process ends, also while it stops: a connection that waits in the
+/// listening socket would be reset when that is closed.
+async fn accept<Border>(
+    shared: Rc<Shared<Border>>,
+    listener: TcpListener,
+    closing: watch::Receiver<bool>,
+    open: Rc<()>,
+) where
+    Border: Platform,
+{
+    loop {
+        let Ok((socket, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        prepare(&socket);
+        let (shared, closing, open) = (Rc::clone(&shared), closing.clone(), Rc::clone(&open));
+        tokio::task::spawn_local(async move {
+            converse(shared, socket, closing).await;
+            drop(open);
+        });
+    }
+}
+
+/// Serves the requests of one connection.
+async fn converse<Border>(
+    shared: Rc<Shared<Border>>,
+    socket: TcpStream,
+    mut closing: watch::Receiver<bool>,
+) where
+    Border: Platform,
+{
+    let limits = shared.catalog().map(|catalog| catalog.limits);
+    let limits = limits.unwrap_or_default();
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_time + IDLE_SLACK)
+        .max_buf_size(limits.head_bytes.max(LEAST_HEAD));
+    let service = service_fn(|request: Request<Incoming>| {
+        let shared = Rc::clone(&shared);
+        async move { Ok::<_, Infallible>(serve::serve(shared, request).await) }
+    });
+    let connection = builder.serve_connection(TokioIo::new(socket), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        _ = closing.wait_for(|&closing| closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("a caller's connection broke: {error}");
+    }
+}
+
+/// Serves readiness and counters.
+async fn administer<Border>(shared: Rc<Shared<Border>>, listener: TcpListener)
+where
+    Border: Platform,
+{
+    loop {
+        let Ok((socket, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let shared = Rc::clone(&shared);
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|request: Request<Incoming>| {
+                let response = report(&shared, request.uri().path());
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .serve_connection(TokioIo::new(socket), service);
+            if let Err(error) = connection.await {
+                log::debug!("an operator's connection broke: {error}");
+            }
+        });
+    }
+}
+
+fn report<Border>(shared: &Shared<Border>, path: &str) -> Response<Body> {
+    if path == "/metrics" {
+        return Response::new(Body::whole(shared.metrics.render()));
+    }
+    let ready = shared.is_ready(now());
+    let mut response = Response::new(Body::whole(if ready { "ready" } else { "not ready" }));
+    if !ready {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
+
+/// Reads the settings again on SIGHUP; bounds take effect at once, addresses at the next start.
+async fn reload<Border>(
+    shared: Rc<Shared<Border>>,
+    file: PathBuf,
+    mut hup: tokio::signal::unix::Signal,
+) {
+    while hup.recv().await.is_some() {
+        match Settings::open(&file) {
+            Ok(settings) => {
+                let same = settings == shared.settings;
+                Event::new("reload").with("changed", !same).info();
+            }
+            Err(problem @ (Problem::Read(..) | Problem::Parse(..) | Problem::Value { .. })) => {
+                Event::new("reload_failed")
+                    .with("why", problem.to_string())
+                    .warn();
+            }
+        }
+    }
+}
+
+/// Waits for SIGTERM and ends the process when its requests are answered.
+async fn stop<Border>(
+    shared: Rc<Shared<Border>>,
+    mut term: tokio::signal::unix::Signal,
+    close: watch::Sender<bool>,
+    open: Rc<()>,
+) {
+    if term.recv().await.is_none() {
+        return;
+    }
+    let begun = now();
+    let grace = shared.settings.grace();
+    shared.stopping.set(true);
+    Event::new("stopping").with("grace_ms", millis(grace)).info();
+    tokio::time::sleep(grace.mul_f64(LINGER)).await;
+    close.send_replace(true);
+    // Two references are those of this function and of the task that accepts.
+    while Rc::strong_count(&open) > 2 && now().since(begun) < grace.mul_f64(WORK) {
+        tokio::time::sleep(LOOK).await;
+    }
+    Event::new("stop")
+        .with("open", Rc::strong_count(&open) - 2)
+        .with("after_ms", millis(now().since(begun)))
+        .info();
+    // The writing thread gathers lines for a moment.
+    tokio::time::sleep(LOOK * 2).await;
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,187 @@
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use displaydoc::Display;
+use serde::Deserialize;
+use types::Domain;
+
+/// The settings of an entry, JSON with comments; `docs/OPERATIONS.md` lists the keys.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The name of the process; each process has its own.
+    pub name: String,
+    /// The failure domain of the host.
+    pub domain: Domain,
+    /// The host's own address.
+    pub ip: IpAddr,
+    /// Where callers connect.
+    pub http_address: SocketAddr,
+    /// Where the platform asks whether the entry takes new connections.
+    pub ready_address: SocketAddr,
+    /// Where counters are read.
+    pub metrics_port: u16,
+    /// Where entries tell each other their loads.
+    pub peer_port: u16,
+    /// The platform's store.
+    pub store_address: SocketAddr,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
+    /// Bounds that the operators set.
+    pub bounds: Bounds,
+}
+
+/// Bounds that the operators set; the names of times end with their unit.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    /// The time after which a removed key must not work anywhere.
+    pub revoke_ms: f64,
+    /// The time between a request to stop and the end by force.
+    pub grace_s: f64,
+    /// Repeats for each request, over all entries.
+    pub retry_ratio: f64,
+    /// The window over which repeats are counted.
+    pub retry_window_s: f64,
+    /// Repeats in a window that need no requests, over all entries.
+    pub retry_extra: f64,
+    /// By how much the rate of a cold target may be exceeded.
+    pub cold_factor: f64,
+    /// Requests in a second above that.
+    pub cold_slack: f64,
+    /// The time that has to lie between orders of two holders of the lease.
+    pub lease_gap_ms: f64,
+}
+
+/// Why settings were not accepted.
+#[derive(Debug, Display, thiserror::Error)]
+pub enum Problem {
+    /// {0}: cannot be read: {1}
+    Read(PathBuf, std::io::Error),
+    /// {0}: {1}
+    Parse(PathBuf, serde_json::Error),
+    /// {file}: {key} is {value}; accepted is {accepted}
+    Value {
+        /// The file.
+        file: PathBuf,
+        /// The key.
+        key: &'static str,
+        /// What it holds.
+        value: String,
+        /// What would be accepted.
+        accepted: &'static str,
+    },
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// Fails when the file cannot be read, is not JSON with the known keys, or has a value that
+    /// cannot work; the message names file, place and value.
+    pub fn open(file: &Path) -> Result<Self, Problem> {
+        let text =
+            std::fs::read(file).map_err(|error| Problem::Read(file.to_owned(), error))?;
+        let json = json_comments::StripComments::new(text.as_slice());
+        let settings: Self = serde_json::from_reader(json)
+            .map_err(|error| Problem::Parse(file.to_owned(), error))?;
+        settings.check(file)?;
+        Ok(settings)
+    }
+
+    /// Returns the time after which a removed key must not work.
+    #[must_use]
+    pub fn revoke(&self) -> Duration {
+        milliseconds(self.bounds.revoke_ms)
+    }
+
+    /// Returns the time between a request to stop and the end by force.
+    #[must_use]
+    pub fn grace(&self) -> Duration {
+        milliseconds(self.bounds.grace_s * 1000.0)
+    }
+
+    /// Returns the time that has to lie between the orders of two holders of the lease.
+    #[must_use]
+    pub fn lease_gap(&self) -> Duration {
+        milliseconds(self.bounds.lease_gap_ms)
+    }
+
+    /// Returns the window over which repeats are counted.
+    #[must_use]
+    pub fn retry_window(&self) -> Duration {
+        milliseconds(self.bounds.retry_window_s * 1000.0)
+    }
+
+    fn check(&self, file: &Path) -> Result<(), Problem> {
+        let bounds = &self.bounds;
+        let not_negative = "a number that is 0 or more";
+        let checks = [
+            ("name", !self.name.is_empty(), self.name.clone(), "a name"),
+            (
+                "bounds.revoke_ms",
+                bounds.revoke_ms >= 1000.0,
+                bounds.revoke_ms.to_string(),
+                "1000 or more",
+            ),
+            (
+                "bounds.grace_s",
+                bounds.grace_s >= 1.0,
+                bounds.grace_s.to_string(),
+                "1 or more",
+            ),
+            (
+                "bounds.retry_window_s",
+                bounds.retry_window_s >= 0.1,
+                bounds.retry_window_s.to_string(),
+                "0.1 or more",
+            ),
+            (
+                "bounds.lease_gap_ms",
+                bounds.lease_gap_ms >= 0.0,
+                bounds.lease_gap_ms.to_string(),
+                not_negative,
+            ),
+            (
+                "bounds.retry_ratio",
+                bounds.retry_ratio >= 0.0,
+                bounds.retry_ratio.to_string(),
+                not_negative,
+            ),
+            (
+                "bounds.retry_extra",
+                bounds.retry_extra >= 0.0,
+                bounds.retry_extra.to_string(),
+                not_negative,
+            ),
+            (
+                "bounds.cold_factor",
+                bounds.cold_factor >= 0.0,
+                bounds.cold_factor.to_string(),
+                not_negative,
+            ),
+            (
+                "bounds.cold_slack",
+                bounds.cold_slack >= 0.0,
+                bounds.cold_slack.to_string(),
+                not_negative,
+            ),
+        ];
+        for (key, good, value, accepted) in checks {
+            if !good {
+                return Err(Problem::Value {
+                    file: file.to_owned(),
+                    key,
+                    value,
+                    accepted,
+                });
+            }
+        }
+        Ok(())
+    }
+}
+
+fn milliseconds(number: f64) -> Duration {
+    Duration::try_from_secs_f64(number / 1000.0).unwrap_or_default()
+}
