gateway: refuse late streams while stopping, and take over the lease on orders sooner

Ruled out: the listener's queue (no connection was reset). VERSION: the frozen holder's lease took 2.75 s to lapse and the orders ran two at a time. Change: fleet::stop, a lease of 1.5 s, more targets at a time as the wait grows.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod proof;
 pub mod rollout;
 pub mod roster;
+pub mod stop;
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -72,6 +72,9 @@
 const SHARE: usize = 5;
 /// This many change at a time in a small pool.
 const LEAST: usize = 2;
+/// Each time that this passes, as many targets more change at a time: a takeover of the lease takes
+/// seconds, and after the operators' bound nothing may begin on older weights.
+const HURRY: Duration = Duration::from_millis(4000);
 
 impl Rollout {
     /// Records that a version was named; says whether it is newer than what was known.
@@ -112,7 +115,14 @@
             .iter()
             .filter(|entry| !entry.member.weights.is_empty())
             .count();
-        let limit = (pool / SHARE).max(LEAST);
+        let waited = behind
+            .iter()
+            .filter_map(|(_, order)| self.named.get(&order.model))
+            .map(|named| now.since(named.since))
+            .max();
+        let hurry = waited.unwrap_or_default().as_millis() / HURRY.as_millis();
+        let hurry = usize::try_from(hurry).unwrap_or(0);
+        let limit = (pool / SHARE).max(LEAST) * (2 + hurry) / 2;
         behind.sort_by(|(_, one), (_, other)| one.target.cmp(&other.target));
         let under_way = self.ordered.values().filter(|order| order.runs()).count();
         let free = limit.saturating_sub(under_way);
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -16,9 +16,9 @@
 /// The rows of the entries.
 const ENTRIES: &str = "entry/";
 /// How long the lease holds. A successor waits this long and then the gap between two holders.
-const DURATION: Duration = Duration::from_millis(2500);
+const DURATION: Duration = Duration::from_millis(1500);
 /// How often a waiting entry reads the lease of another one.
-const LOOK: Duration = Duration::from_millis(1500);
+const LOOK: Duration = Duration::from_millis(1000);
 /// How long entries wait before they try to take the lease, at most; the last holder does not wait,
 /// since it can give orders at once.
 const SPREAD_MS: u64 = 300;
@@ -73,7 +73,7 @@
 
 fn is_behind<Border>(shared: &Shared<Border>) -> bool {
     let rollout = shared.rollout.borrow();
-    !shared.stopping.get() && rollout.is_behind(&shared.roster.borrow())
+    shared.stopping.get().is_none() && rollout.is_behind(&shared.roster.borrow())
 }
 
 /// Runs the lease until no target is behind; returns the fencing number that was held last.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -208,7 +208,7 @@
 where
     Border: Platform,
 {
-    if !asked.route.resumable || shared.stopping.get() && asked.left(now()) < LEAST_SILENCE {
+    if !asked.route.resumable {
         return None;
     }
     tries.leave_out(former);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use fleet::catalog::{Caller, Catalog, Limits};
 use fleet::placement;
+use fleet::stop::Stop;
 use http::header::HOST;
 use http::{Request, Response, request};
 use http_body_util::{BodyExt, Limited};
@@ -60,7 +61,7 @@
         Ok(asked) => answer(&shared, Rc::new(asked)).await,
         Err((reason, id)) => refuse(&shared, reason, &id, arrived),
     };
-    if shared.stopping.get() {
+    if shared.stopping.get().is_some() {
         close(response.headers_mut());
     }
     response
@@ -99,6 +100,14 @@
         Caller::Known(_) if !fresh => return Err(refused(Reason::Stale)),
         Caller::Known(holder) => Some(holder),
     };
+    if let Some(begun) = shared.stopping.get() {
+        let stop = Stop {
+            grace: shared.settings.grace(),
+        };
+        if !stop.accepts(route, arrived.since(begun)) {
+            return Err(refused(Reason::Stopping));
+        }
+    }
     let patience = ask.patience.unwrap_or(DEFAULT_PATIENCE).min(route.timeout);
     let deadline = arrived + patience;
     let body = match read(body, &catalog.limits, patience).await {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -257,7 +257,7 @@
     }
     let begun = now();
     let grace = shared.settings.grace();
-    shared.stopping.set(true);
+    shared.stopping.set(Some(begun));
     Event::new("stopping").with("grace_ms", millis(grace)).info();
     tokio::time::sleep(grace.mul_f64(LINGER)).await;
     close.send_replace(true);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -37,7 +37,8 @@
     /// The time before which an entry that joined uses no allowances, as others still count
     /// without it.
     pub(crate) joined: Cell<Option<Time>>,
-    pub(crate) stopping: Cell<bool>,
+    /// When the process was told to stop.
+    pub(crate) stopping: Cell<Option<Time>>,
     /// Woken when weights fall behind.
     pub(crate) lag: Notify,
 }
@@ -65,7 +66,7 @@
             lines: RefCell::default(),
             entries: Cell::new(1),
             joined: Cell::new(None),
-            stopping: Cell::new(false),
+            stopping: Cell::new(None),
             lag: Notify::new(),
         }
     }
@@ -87,7 +88,7 @@
 
     /// Says whether new connections are welcome.
     pub(crate) fn is_ready(&self, now: Time) -> bool {
-        !self.stopping.get() && self.catalog.borrow().is_some() && self.is_fresh(now)
+        self.stopping.get().is_none() && self.catalog.borrow().is_some() && self.is_fresh(now)
     }
 
     /// Returns a uniformly distributed number.
