rollout: targets that are out of date for longest go first

Ruled out: lost orders (all were accepted or busy). Change: namings are remembered, the order follows the first one that a target misses; finished targets are looked at instead of waiting for their next report; a target on older weights that refuses is left alone while it changes.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -74,6 +74,9 @@
 /// How long a target that refused a request for lack of room gets no other.
 const REFUSED: Duration = Duration::from_millis(150);
 
+/// How long a target that seems to take new weights gets no other request.
+const CHANGE: Duration = Duration::from_millis(1200);
+
 impl Default for Board {
     fn default() -> Self {
         Self {
@@ -149,6 +152,11 @@
         self.health.entry(target.clone()).or_default().refused_until = now + REFUSED;
     }
 
+    /// Records that a target on older weights refused; it is most likely taking new ones.
+    pub fn on_change(&mut self, target: &Target, now: Time) {
+        self.health.entry(target.clone()).or_default().refused_until = now + CHANGE;
+    }
+
     /// Returns what this entry has under way at a target.
     #[must_use]
     pub fn load(&self, target: &Target) -> Load {
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -13,7 +13,8 @@
 /// the others carry the load; see `docs/platform.md`.
 #[derive(Debug, Default)]
 pub struct Rollout {
-    named: HashMap<Model, Named>,
+    /// The versions of each model, the newest last.
+    named: HashMap<Model, Vec<Named>>,
     ordered: HashMap<Target, Ordered>,
 }
 
@@ -33,6 +34,9 @@
     answer: Answer,
 }
 
+/// Versions of a model that are remembered; older ones are replaced long before.
+const REMEMBERED: usize = 16;
+
 /// What a target answered to an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Answer {
@@ -62,6 +66,8 @@
 /// How long an accepted order may take before it is given again; runs end first, and new weights
 /// take some seconds.
 const ACCEPTED: Duration = Duration::from_secs(8);
+/// The least time that an order takes; the operators' sheets name 1.9 s for new weights.
+const QUICKEST: Duration = Duration::from_millis(1800);
 /// How long a lost order is waited for.
 const LOST: Duration = Duration::from_millis(2500);
 /// How long after a refusal an order is given again.
@@ -79,15 +85,17 @@
 impl Rollout {
     /// Records that a version was named; says whether it is newer than what was known.
     pub fn name(&mut self, model: &Model, version: u64, now: Time) -> bool {
-        let known = self.named.get(model).map_or(0, |named| named.version);
-        if version <= known {
+        let known = self.named.entry(model.clone()).or_default();
+        if known.last().is_some_and(|named| version <= named.version) {
             return false;
         }
-        let named = Named {
+        if known.len() == REMEMBERED {
+            known.remove(0);
+        }
+        known.push(Named {
             version,
             since: now,
-        };
-        self.named.insert(model.clone(), named);
+        });
         true
     }
 
@@ -95,7 +103,7 @@
     #[must_use]
     pub fn named(&self, model: &str) -> Option<Named> {
         let found = self.named.iter().find(|(name, _)| &***name == model);
-        found.map(|(_, named)| *named)
+        found.and_then(|(_, named)| named.last().copied())
     }
 
     /// Says whether a target that stays serves older weights than were named.
@@ -117,13 +125,18 @@
             .count();
         let waited = behind
             .iter()
-            .filter_map(|(_, order)| self.named.get(&order.model))
-            .map(|named| now.since(named.since))
+            .filter_map(|(entry, order)| self.outdated_since(entry, &order.model))
+            .map(|since| now.since(since))
             .max();
         let hurry = waited.unwrap_or_default().as_millis() / HURRY.as_millis();
         let hurry = usize::try_from(hurry).unwrap_or(0);
         let limit = (pool / SHARE).max(LEAST) * (2 + hurry) / 2;
-        behind.sort_by(|(_, one), (_, other)| one.target.cmp(&other.target));
+        // Those that have been out of date for longest come first: nothing may begin on their
+        // weights once the operators' bound has passed.
+        behind.sort_by_cached_key(|(entry, order)| {
+            let since = self.outdated_since(entry, &order.model);
+            (since, order.target.clone())
+        });
         let under_way = self.ordered.values().filter(|order| order.runs()).count();
         let free = limit.saturating_sub(under_way);
         let due = behind
@@ -152,6 +165,15 @@
         }
     }
 
+    /// Returns the targets that may have finished an order by now, for a look at their state.
+    #[must_use]
+    pub fn unfinished(&self, now: Time) -> Vec<Target> {
+        let ordered = self.ordered.iter().filter(|(_, ordered)| {
+            ordered.answer == Answer::Accepted && now.since(ordered.at) >= QUICKEST
+        });
+        ordered.map(|(target, _)| target.clone()).collect()
+    }
+
     /// Forgets the orders, as the lease is lost.
     pub fn forget(&mut self) {
         self.ordered.clear();
@@ -172,13 +194,21 @@
         });
     }
 
+    /// Returns when the first version was named that is newer than that of the target.
+    fn outdated_since(&self, entry: &Entry, model: &Model) -> Option<Time> {
+        let serves = entry.member.version(model)?;
+        let newer = self.named.get(model)?;
+        let first = newer.iter().find(|named| named.version > serves);
+        first.map(|named| named.since)
+    }
+
     fn lag(&self, entry: &Entry) -> Option<Order> {
         let member = &entry.member;
         if member.draining {
             return None;
         }
         let lagging = member.weights.iter().find_map(|(model, version)| {
-            let named = self.named.get(model)?;
+            let named = self.named.get(model)?.last()?;
             (*version < named.version).then(|| (model.clone(), named.version))
         });
         lagging.map(|(model, version)| Order {
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -67,9 +67,17 @@
         self.shaken = Some(now);
     }
 
-    /// Records a report.
-    pub fn list(&mut self, member: Member, now: Time) {
+    /// Records a report. Versions only grow, so an older one than is known is a late report.
+    pub fn list(&mut self, mut member: Member, now: Time) {
         let cold_until = now + member.cold;
+        if let Some(known) = self.entries.get(&member.id)
+            && known.member.born == member.born
+        {
+            for (model, version) in &mut member.weights {
+                let seen = known.member.version(model).unwrap_or(0);
+                *version = seen.max(*version);
+            }
+        }
         let entry = Entry {
             cold_until,
             doubted_since: None,
@@ -78,6 +86,22 @@
         self.entries.insert(entry.member.id.clone(), entry);
     }
 
+    /// Records the weight versions that a target itself reports; its entry in the list is older.
+    pub fn on_weights(&mut self, id: &Target, weights: &[(Model, u64)]) {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return;
+        };
+        let newer = |(model, version): &(Model, u64)| {
+            let known = entry.member.version(model);
+            known.is_some_and(|known| known < *version)
+        };
+        if weights.iter().any(newer) {
+            let mut member = Member::clone(&entry.member);
+            member.weights = weights.to_vec();
+            entry.member = Arc::new(member);
+        }
+    }
+
     /// Records that a target is on the list no more.
     pub fn unlist(&mut self, id: &Target, now: Time) {
         let shaken = self
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -16,7 +16,7 @@
 /// The rows of the entries.
 const ENTRIES: &str = "entry/";
 /// How long the lease holds. A successor waits this long and then the gap between two holders.
-const DURATION: Duration = Duration::from_millis(1500);
+const DURATION: Duration = Duration::from_millis(1200);
 /// How often a waiting entry reads the lease of another one.
 const LOOK: Duration = Duration::from_millis(1000);
 /// How long entries wait before they try to take the lease, at most; the last holder does not wait,
@@ -24,6 +24,8 @@
 const SPREAD_MS: u64 = 300;
 /// How often the state of the rollout is looked at while the lease is held.
 const TICK: Duration = Duration::from_millis(100);
+/// How often targets under way are asked whether they have finished; each call has a price.
+const ASK: Duration = Duration::from_millis(400);
 /// How long an entry waits after a failed call to the store.
 const BACK_OFF: Duration = Duration::from_millis(150);
 /// How often entries are counted.
@@ -87,6 +89,7 @@
 {
     let gap = shared.settings.lease_gap();
     let mut held: Option<(Fence, Time)> = None;
+    let mut looked = now();
     while is_behind(shared) {
         match lease.poll(now()) {
             Step::Read => {
@@ -139,11 +142,42 @@
         });
         if now() >= from {
             give(shared, lease, fence);
+            look(shared, &mut looked);
         }
     }
     lease.fence(now()).or(held.map(|(fence, _)| fence)).or(last)
 }
 
+/// Asks targets that may have finished whether they have; the list tells up to a heartbeat later.
+fn look<Border>(shared: &Rc<Shared<Border>>, looked: &mut Time)
+where
+    Border: Platform,
+{
+    if now().since(*looked) < ASK {
+        return;
+    }
+    *looked = now();
+    let unfinished = shared.rollout.borrow().unfinished(now());
+    for target in unfinished {
+        let shared = Rc::clone(shared);
+        tokio::task::spawn_local(async move {
+            let address = {
+                let roster = shared.roster.borrow();
+                roster.get(&target).map(|entry| entry.member.address)
+            };
+            let Some(address) = address else {
+                return;
+            };
+            if let Some(state) = shared.border.state(address).await
+                && !state.busy
+            {
+                let mut roster = shared.roster.borrow_mut();
+                roster.on_weights(&target, &state.weights);
+            }
+        });
+    }
+}
+
 /// Sends the orders that are due.
 fn give<Border>(shared: &Rc<Shared<Border>>, lease: &Lease, fence: Fence)
 where
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -225,7 +225,12 @@
         }
         Outcome::NotRun { sent: true, why } => {
             tries.arrivals += 1;
-            shared.board.borrow_mut().on_refusal(target, time);
+            let outdated = is_outdated(shared, asked.ask.prompt.as_ref(), &choice.member);
+            let mut board = shared.board.borrow_mut();
+            match outdated {
+                true => board.on_change(target, time),
+                false => board.on_refusal(target, time),
+            }
             ("refused", why.clone())
         }
         Outcome::NotRun { sent: false, why } => {
