kept: shared parts of prompts go to the managed store hosts and come from there

Change: fleet::kept plans fetch, save or read for each part, from the hosts' own reports; names carry weights and isolated team.

--- /dev/null
+++ b/crates/fleet/src/kept.rs
@@ -0,0 +1,464 @@
+//! What store hosts keep of prompts, and when to fetch it, save it or free it.
+//!
+//! Names of parts carry the weights and, for an isolated team, the team, so that a part of other
+//! weights or of another team is never found. See `docs/platform.md`.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use types::{Domain, Store, Time};
+
+use crate::catalog::StoreHost;
+use crate::placement::READ_PER_MS;
+
+/// The name of a part within a space.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Key {
+    /// The weights and, where isolated, the team.
+    pub space: Arc<str>,
+    /// The part.
+    pub id: Arc<str>,
+}
+
+/// A part of a prompt that others may share.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Shared {
+    /// Its name.
+    pub key: Key,
+    /// Its length in tokens.
+    pub tokens: u64,
+}
+
+/// All store hosts.
+#[derive(Debug, Default)]
+pub struct Kept {
+    shelves: HashMap<Store, Shelf>,
+    token_bytes: u64,
+}
+
+/// One store host.
+#[derive(Debug)]
+struct Shelf {
+    host: StoreHost,
+    boot: Option<u64>,
+    up: bool,
+    held: HashMap<Key, Held>,
+    saving: HashMap<Key, Saving>,
+    retired: HashMap<Key, Time>,
+    tokens: u64,
+    busy_until: Time,
+    willing: f64,
+    excess_ms: f64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    tokens: u64,
+    used: Time,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Saving {
+    tokens: u64,
+    since: Time,
+}
+
+/// What to do with one part of a prompt.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Act {
+    /// The target reads it and nothing is kept.
+    Read,
+    /// The target reads it and saves it there.
+    Save(Store),
+    /// The target fetches it there.
+    Fetch(Store),
+}
+
+/// What to do with the shared parts of a prompt at one target.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Plan {
+    /// One entry for each shared part.
+    pub acts: Vec<Act>,
+    /// Tokens that the target has to read of the shared parts.
+    pub unread: u64,
+    /// How long fetching takes.
+    pub fetch: Duration,
+}
+
+/// A part in a store host, as the host reports it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// Whether it is complete there now; otherwise it is gone.
+    pub held: bool,
+    /// Its name.
+    pub key: Key,
+    /// Its length in tokens.
+    pub tokens: u64,
+}
+
+/// How much slower links between failure domains are.
+const REMOTE_FACTOR: f64 = 2.0;
+/// How much longer than reading a fetch may take. Reading again takes an engine's time from all
+/// requests, so a fetch is preferred until it endangers the objective of its own request.
+const TOLERANCE: Duration = Duration::from_millis(120);
+/// Memory is kept in blocks of this many tokens, and the rest of a part is not.
+const BLOCK: u64 = 16;
+/// A fast host takes parts up to this share of its room; long parts would fill it with few prompts.
+const FAST_SHARE: u64 = 90;
+/// The part of a host's room that is filled.
+const FULL: f64 = 0.94;
+/// How long a save may take before the part is saved again; it begins once the part is read.
+const SAVE_TIME: Duration = Duration::from_millis(4000);
+/// How long an unused part is safe from being freed.
+const LEAST_IDLE: Duration = Duration::from_secs(10);
+/// How long others have to stop using a part before it is freed.
+const RETIRE: Duration = Duration::from_millis(2000);
+/// How long a freed part is not fetched, so that a late report does not bring it back.
+const RETIRED: Duration = Duration::from_secs(6);
+/// A fetch that makes the first event later than those from other hosts by more than this counts as
+/// slow, in ms.
+const SLOW_MS: f64 = 120.0;
+/// The weight of the newest observation.
+const SMOOTHING: f64 = 0.2;
+/// The least share of fetches that are tried at a slow host, so that its recovery is noticed.
+const LEAST_WILLING: f64 = 0.05;
+
+impl Kept {
+    /// Takes over the hosts of a configuration; what is known of hosts that stay is kept.
+    pub fn configure(&mut self, hosts: &[StoreHost], token_bytes: u64) {
+        self.token_bytes = token_bytes;
+        self.shelves
+            .retain(|name, _| hosts.iter().any(|host| host.name == *name));
+        for host in hosts.iter().filter(|host| host.managed) {
+            let known = self.shelves.get(&host.name);
+            if known.is_some_and(|shelf| shelf.host == *host) {
+                continue;
+            }
+            self.shelves
+                .insert(host.name.clone(), Shelf::new(host.clone()));
+        }
+    }
+
+    /// Records what a host reports; another boot means that everything before is gone.
+    pub fn on_reports(&mut self, store: &Store, boot: u64, reports: Vec<Report>, now: Time) {
+        let Some(shelf) = self.shelves.get_mut(store) else {
+            return;
+        };
+        if shelf.boot != Some(boot) {
+            shelf.clear();
+            shelf.boot = Some(boot);
+        }
+        shelf.up = true;
+        for report in reports {
+            shelf.saving.remove(&report.key);
+            if !report.held {
+                shelf.drop_part(&report.key);
+                continue;
+            }
+            let retired = shelf.retired.get(&report.key);
+            if retired.is_some_and(|&at| now.since(at) < RETIRED) {
+                continue;
+            }
+            let held = Held {
+                tokens: report.tokens,
+                used: now,
+            };
+            if let Some(former) = shelf.held.insert(report.key, held) {
+                shelf.tokens -= former.tokens;
+            }
+            shelf.tokens += report.tokens;
+        }
+    }
+
+    /// Records that a host does not answer; nothing is fetched from it or saved there.
+    pub fn on_down(&mut self, store: &Store) {
+        if let Some(shelf) = self.shelves.get_mut(store) {
+            shelf.up = false;
+            shelf.saving.clear();
+        }
+    }
+
+    /// Plans the shared parts of a prompt for a target in a failure domain; `draw` is uniform
+    /// between 0 and 1. Nothing is recorded.
+    #[must_use]
+    pub fn plan(&self, parts: &[Shared], domain: &Domain, draw: f64, now: Time) -> Plan {
+        let mut plan = Plan::default();
+        // A part is of use only if all parts before it are there too.
+        let mut unbroken = true;
+        for part in parts {
+            if unbroken && let Some((store, time)) = self.source(part, domain, draw, now) {
+                plan.acts.push(Act::Fetch(store));
+                plan.fetch += time;
+                continue;
+            }
+            unbroken = false;
+            plan.unread += part.tokens;
+            let home = match self.is_known(part) {
+                true => None,
+                false => self.home(part),
+            };
+            plan.acts.push(home.map_or(Act::Read, Act::Save));
+        }
+        plan
+    }
+
+    /// Records that a plan is carried out; `entries` share each host about evenly.
+    pub fn on_sent(
+        &mut self,
+        parts: &[Shared],
+        plan: &Plan,
+        domain: &Domain,
+        entries: usize,
+        now: Time,
+    ) {
+        let bytes = self.token_bytes;
+        for (part, act) in parts.iter().zip(&plan.acts) {
+            match act {
+                Act::Read => {}
+                Act::Save(store) => {
+                    if let Some(shelf) = self.shelves.get_mut(store) {
+                        let saving = Saving {
+                            tokens: part.tokens,
+                            since: now,
+                        };
+                        shelf.saving.insert(part.key.clone(), saving);
+                    }
+                }
+                Act::Fetch(store) => {
+                    if let Some(shelf) = self.shelves.get_mut(store) {
+                        let time = shelf.transfer(part.tokens, bytes, domain);
+                        let time = time.mul_f64(entries.max(1) as f64 * LOCAL_HITS);
+                        shelf.busy_until = shelf.busy_until.max(now) + time;
+                        if let Some(held) = shelf.held.get_mut(&part.key) {
+                            held.used = now;
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// Records when the first event of a request came: `excess` is the time beyond that of reading
+    /// what was to be read.
+    pub fn on_first(&mut self, plan: &Plan, excess: Duration) {
+        let excess = excess.as_secs_f64() * 1000.0;
+        let used: Vec<&Store> = plan
+            .acts
+            .iter()
+            .filter_map(|act| match act {
+                Act::Fetch(store) => Some(store),
+                Act::Read | Act::Save(_) => None,
+            })
+            .collect();
+        let others = self
+            .shelves
+            .iter()
+            .filter(|(name, shelf)| !used.contains(name) && shelf.up && shelf.excess_ms > 0.0);
+        let usual = others
+            .map(|(_, shelf)| shelf.excess_ms)
+            .fold(f64::INFINITY, f64::min);
+        // The last part is the longest one, and its host has most to do with the delay.
+        let Some(shelf) = used.last().and_then(|store| self.shelves.get_mut(*store)) else {
+            return;
+        };
+        shelf.excess_ms += SMOOTHING * (excess - shelf.excess_ms);
+        if usual.is_finite() && excess > usual + SLOW_MS {
+            shelf.willing = (shelf.willing * 0.8).max(LEAST_WILLING);
+        } else {
+            shelf.willing = (shelf.willing + 0.05).min(1.0);
+        }
+    }
+
+    /// Chooses parts of a host to free, when it is nearly full or keeps spaces that are out of use.
+    ///
+    /// The parts are retired here; they may be freed after [`Kept::retire_time`], when the other
+    /// entries have stopped using them.
+    pub fn retire<InUse>(&mut self, store: &Store, in_use: InUse, now: Time) -> Vec<Key>
+    where
+        InUse: Fn(&str) -> bool,
+    {
+        let Some(shelf) = self.shelves.get_mut(store) else {
+            return Vec::new();
+        };
+        shelf.retired.retain(|_, at| now.since(*at) < RETIRED);
+        let old = shelf.held.keys().filter(|key| !in_use(&key.space));
+        let mut chosen: Vec<Key> = old.cloned().collect();
+        let freed: u64 = chosen.iter().map(|key| shelf.held[key].tokens).sum();
+        let room = shelf.host.capacity as f64;
+        let mut left = (shelf.tokens - freed) as f64;
+        if left > room * FULL {
+            let mut idle: Vec<(&Key, &Held)> = shelf
+                .held
+                .iter()
+                .filter(|(key, held)| in_use(&key.space) && now.since(held.used) >= LEAST_IDLE)
+                .collect();
+            idle.sort_by_key(|(_, held)| held.used);
+            for (key, held) in idle {
+                if left <= room * (FULL - 0.04) {
+                    break;
+                }
+                left -= held.tokens as f64;
+                chosen.push(key.clone());
+            }
+        }
+        self.on_retired(store, &chosen, now);
+        chosen
+    }
+
+    /// Records that parts are about to be freed; they are not fetched any more.
+    pub fn on_retired(&mut self, store: &Store, keys: &[Key], now: Time) {
+        let Some(shelf) = self.shelves.get_mut(store) else {
+            return;
+        };
+        for key in keys {
+            shelf.drop_part(key);
+            shelf.retired.insert(key.clone(), now);
+        }
+    }
+
+    /// Records that parts were used by another entry.
+    pub fn on_used(&mut self, store: &Store, key: &Key, now: Time) {
+        let shelf = self.shelves.get_mut(store);
+        if let Some(held) = shelf.and_then(|shelf| shelf.held.get_mut(key)) {
+            held.used = now;
+        }
+    }
+
+    /// Returns how long a retired part has to be left alone before it is freed.
+    #[must_use]
+    pub fn retire_time() -> Duration {
+        RETIRE
+    }
+
+    /// Returns the hosts with the boot that is known of each.
+    pub fn hosts(&self) -> impl Iterator<Item = (&StoreHost, Option<u64>)> {
+        self.shelves
+            .values()
+            .map(|shelf| (&shelf.host, shelf.boot))
+    }
+
+    /// Returns a host.
+    #[must_use]
+    pub fn host(&self, store: &Store) -> Option<&StoreHost> {
+        self.shelves.get(store).map(|shelf| &shelf.host)
+    }
+
+    /// Says whether a part is kept or being saved somewhere.
+    fn is_known(&self, part: &Shared) -> bool {
+        self.shelves.values().any(|shelf| {
+            shelf.up
+                && (shelf.held.contains_key(&part.key) || shelf.saving.contains_key(&part.key))
+        })
+    }
+
+    /// Returns the host from which a part comes soonest, if fetching pays.
+    fn source(
+        &self,
+        part: &Shared,
+        domain: &Domain,
+        draw: f64,
+        now: Time,
+    ) -> Option<(Store, Duration)> {
+        let read = Duration::from_secs_f64(part.tokens as f64 / READ_PER_MS / 1000.0);
+        let holders = self.shelves.iter().filter(|(_, shelf)| {
+            shelf.up
+                && draw <= shelf.willing
+                && shelf
+                    .held
+                    .get(&part.key)
+                    .is_some_and(|held| held.tokens + BLOCK > part.tokens)
+        });
+        let times = holders.map(|(name, shelf)| {
+            let waits = shelf.busy_until.since(now);
+            let time = waits + shelf.transfer(part.tokens, self.token_bytes, domain);
+            (name, time)
+        });
+        let (name, time) = times.min_by_key(|(_, time)| *time)?;
+        (time < read + TOLERANCE).then(|| (name.clone(), time))
+    }
+
+    /// Returns the host on which a part is saved; all entries choose the same one.
+    fn home(&self, part: &Shared) -> Option<Store> {
+        let key = routing::Key::new(&[part.key.space.as_bytes(), part.key.id.as_bytes()]);
+        let room = |shelf: &&Shelf| {
+            let filled = shelf.tokens + shelf.saving.values().map(|one| one.tokens).sum::<u64>();
+            shelf.up && (filled + part.tokens) as f64 <= shelf.host.capacity as f64
+        };
+        let fast = |shelf: &&Shelf| part.tokens * FAST_SHARE <= shelf.host.capacity;
+        let pick = |shelves: Vec<&Shelf>| {
+            let named = shelves.into_iter().map(|shelf| {
+                let mut bytes = [0; 8];
+                let hash = blake3::hash(shelf.host.name.as_bytes());
+                bytes.copy_from_slice(&hash.as_bytes()[..8]);
+                (u64::from_le_bytes(bytes), shelf.host.name.clone())
+            });
+            routing::top(key, named, 1).into_iter().next()
+        };
+        let delay = self
+            .shelves
+            .values()
+            .filter(room)
+            .filter(fast)
+            .map(|shelf| shelf.host.delay)
+            .min()?;
+        let tier = |shelf: &&Shelf| shelf.host.delay == delay;
+        let shelves = self.shelves.values();
+        pick(shelves.filter(room).filter(fast).filter(tier).collect())
+    }
+
+    /// Forgets saves that were not reported; an event may be lost.
+    pub fn sweep(&mut self, now: Time) {
+        for shelf in self.shelves.values_mut() {
+            shelf
+                .saving
+                .retain(|_, saving| now.since(saving.since) < SAVE_TIME);
+        }
+    }
+}
+
+/// The share of fetches that need the host's link; the others find the part at their target.
+const LOCAL_HITS: f64 = 0.8;
+
+impl Shelf {
+    fn new(host: StoreHost) -> Self {
+        Self {
+            host,
+            boot: None,
+            up: false,
+            held: HashMap::new(),
+            saving: HashMap::new(),
+            retired: HashMap::new(),
+            tokens: 0,
+            busy_until: Time::default(),
+            willing: 1.0,
+            excess_ms: 0.0,
+        }
+    }
+
+    fn clear(&mut self) {
+        self.held.clear();
+        self.saving.clear();
+        self.retired.clear();
+        self.tokens = 0;
+        self.busy_until = Time::default();
+        self.willing = 1.0;
+    }
+
+    fn drop_part(&mut self, key: &Key) {
+        if let Some(held) = self.held.remove(key) {
+            self.tokens -= held.tokens;
+        }
+    }
+
+    /// Returns the time of a transfer without waiting; `link` is in Mbit/s, that is bits in a µs.
+    fn transfer(&self, tokens: u64, token_bytes: u64, domain: &Domain) -> Duration {
+        let bits = (tokens * token_bytes * 8) as f64;
+        let micros = bits / self.host.link.max(1.0);
+        let factor = match *domain == self.host.domain {
+            true => 1.0,
+            false => REMOTE_FACTOR,
+        };
+        self.host.delay + Duration::from_secs_f64(micros * factor / 1e6)
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod allowance;
 pub mod catalog;
+pub mod kept;
 pub mod placement;
 pub mod proof;
 pub mod rollout;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -53,7 +53,7 @@
 }
 
 /// Tokens of a prompt that an engine reads in a millisecond; the operators' sheets name 74.8.
-const READ_PER_MS: f64 = 74.8;
+pub const READ_PER_MS: f64 = 74.8;
 /// The time of one step of an engine in ms, which each chunk of a prompt waits for.
 const STEP_MS: f64 = 5.0;
 /// What a running request adds to the time of a step, in ms.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 use fleet::catalog::{Kind, Pool, Route};
+use fleet::kept;
+use fleet::placement;
 use fleet::roster::Member;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Request, Response, StatusCode, request};
@@ -40,6 +42,10 @@
     pub(crate) unread: u64,
     /// Tokens of memory that the request takes there.
     pub(crate) need: u64,
+    /// The parts of the prompt that others may share.
+    pub(crate) parts: Vec<kept::Shared>,
+    /// What becomes of them.
+    pub(crate) plan: kept::Plan,
 }
 
 /// How an attempt ended.
@@ -115,7 +121,15 @@
             .board
             .borrow_mut()
             .on_sent(&target, choice.unread, choice.need);
-        shared.ramp.borrow_mut().on_sent(&target, now());
+        let time = now();
+        shared.ramp.borrow_mut().on_sent(&target, time);
+        shared.kept.borrow_mut().on_sent(
+            &choice.parts,
+            &choice.plan,
+            &choice.member.domain,
+            shared.entries.get(),
+            time,
+        );
         Self {
             shared: Rc::clone(shared),
             target,
@@ -147,6 +161,22 @@
     }
 }
 
+impl Choice {
+    /// Says for logs what becomes of each shared part.
+    pub(crate) fn describe(&self) -> String {
+        let parts = self.parts.iter().zip(&self.plan.acts);
+        let words = parts.map(|(part, act)| {
+            let (id, tokens) = (&part.key.id, part.tokens);
+            match act {
+                kept::Act::Read => format!("{id}:{tokens} read"),
+                kept::Act::Save(store) => format!("{id}:{tokens} save {store}"),
+                kept::Act::Fetch(store) => format!("{id}:{tokens} fetch {store}"),
+            }
+        });
+        words.collect::<Vec<_>>().join(", ")
+    }
+}
+
 impl Asked {
     /// Returns the time that is left.
     pub(crate) fn left(&self, now: Time) -> Duration {
@@ -235,6 +265,7 @@
         Ok(request) => request,
         Err(why) => return Outcome::NotRun { sent: false, why },
     };
+    let sent = now();
     let mut flight = Flight::start(shared, choice);
     let sending = connection.sender.try_send_request(request);
     let response = match tokio::time::timeout(patience, sending).await {
@@ -252,6 +283,7 @@
             return Outcome::Failed { why };
         }
     };
+    let answered = now();
     let (head, body) = response.into_parts();
     let answer = shared.border.answer(head.status, &head.headers);
     if answer.id.as_deref() != Some(&*asked.ask.id) && !answer.not_run && !answer.misdirected {
@@ -272,6 +304,10 @@
     }
     let left = asked.left(now());
     if asked.route.kind == Kind::Stream && head.status.is_success() {
+        let waited = answered.since(sent);
+        let read = Duration::from_secs_f64(choice.unread as f64 / placement::READ_PER_MS / 1000.0);
+        let excess = waited.saturating_sub(read);
+        shared.kept.borrow_mut().on_first(&choice.plan, excess);
         return begin(shared, asked, head, body, connection, flight, &answer).await;
     }
     let whole = tokio::time::timeout(left, body.collect()).await;
--- a/crates/gateway/src/border.rs
+++ b/crates/gateway/src/border.rs
@@ -4,16 +4,20 @@
 use std::time::Duration;
 
 use fleet::catalog::Catalog;
+use fleet::kept::{Key, Report};
 use fleet::rollout;
 use fleet::roster::Member;
 use http::{HeaderMap, StatusCode, request};
 use types::{Domain, Fence, Model, Target, Team};
 
 /// What a platform has to offer to an entry.
-pub trait Platform: Dialect + Source + Orders + platform::Table + Debug + 'static {}
+pub trait Platform:
+    Dialect + Source + Orders + Shelves + platform::Table + Debug + 'static
+{
+}
 
 impl<Whole> Platform for Whole where
-    Whole: Dialect + Source + Orders + platform::Table + Debug + 'static
+    Whole: Dialect + Source + Orders + Shelves + platform::Table + Debug + 'static
 {
 }
 
@@ -108,6 +112,8 @@
     pub fetch: Vec<Option<Fetch>>,
     /// Where to save each part.
     pub save: Vec<Option<SocketAddr>>,
+    /// Until when fetching may take, on the targets' clock, in milliseconds.
+    pub until: Option<u64>,
 }
 
 /// Where a part is fetched.
@@ -217,3 +223,43 @@
         after: u64,
     ) -> impl Future<Output = rollout::Answer>;
 }
+
+/// What changed at a store host.
+#[derive(Debug)]
+pub struct News {
+    /// The boot; another one means that the host has lost what it had.
+    pub boot: u64,
+    /// Where to go on.
+    pub next: u64,
+    /// Whether older reports are missing.
+    pub gap: bool,
+    /// The targets' clock in milliseconds.
+    pub clock: Option<u64>,
+    /// The reports in order.
+    pub reports: Vec<Report>,
+}
+
+/// Speaks with store hosts.
+pub trait Shelves {
+    /// Waits for reports after a number.
+    ///
+    /// # Errors
+    /// Fails with a text for logs when the host does not answer.
+    fn news(
+        &self,
+        address: SocketAddr,
+        since: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<News, String>>;
+
+    /// Frees parts, if the host still has the boot.
+    ///
+    /// # Errors
+    /// Fails with a text for logs when the host does not answer, or has another boot.
+    fn free(
+        &self,
+        address: SocketAddr,
+        boot: u64,
+        keys: &[Key],
+    ) -> impl Future<Output = Result<(), String>>;
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -162,6 +162,12 @@
     Event::new("config").with("version", catalog.version.0).info();
     let version = i64::try_from(catalog.version.0).unwrap_or(i64::MAX);
     shared.metrics.version.set(version);
+    let engines = catalog.pools().filter_map(|pool| pool.engine.as_ref());
+    let token_bytes = engines.map(|engine| engine.token_bytes).max();
+    shared
+        .kept
+        .borrow_mut()
+        .configure(catalog.stores(), token_bytes.unwrap_or(0));
     *shared.catalog.borrow_mut() = Some(Rc::new(catalog));
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,12 +19,13 @@
 mod server;
 mod settings;
 mod shared;
+mod shelf;
 
 pub use clock::now;
 pub use journal::{Event, open as open_journal};
 pub use border::{
-    Answer, Ask, Batch, Change, Dialect, Fault, Fetch, List, Orders, Part, Platform, Prompt, Send,
-    Source, State,
+    Answer, Ask, Batch, Change, Dialect, Fault, Fetch, List, News, Orders, Part, Platform, Prompt, Send,
+    Shelves, Source, State,
 };
 pub use server::{Entry, Error, spawn};
 pub use settings::{Bounds, Problem, Settings};
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,17 +4,19 @@
 
 use bytes::Bytes;
 use fleet::catalog::{Caller, Catalog, Limits};
+use fleet::kept::{self, Act};
 use fleet::placement;
+use fleet::roster::Member;
 use fleet::stop::Stop;
 use http::header::HOST;
 use http::{Request, Response, request};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use types::{Service, Target, Time};
+use types::{Service, Store, Target, Time};
 
 use crate::answer::{Body, Reason, close};
 use crate::attempt::{self, Asked, Choice, Outcome};
-use crate::border::{Platform, Send};
+use crate::border::{Fetch, Platform, Prompt, Send};
 use crate::clock::now;
 use crate::journal::Event;
 use crate::relay;
@@ -254,6 +256,7 @@
         .with("waited_ms", millis(sent.since(asked.arrived)))
         .with("took_ms", millis(time.since(sent)))
         .with("unread", choice.unread)
+        .with("parts", choice.describe())
         .with("running", shared.board.borrow().load(target).running)
         .info();
     outcome
@@ -385,37 +388,53 @@
         usable.retain(|(_, avoided)| !avoided);
     }
     let prompt = asked.ask.prompt.as_ref();
-    let home = prompt.and_then(|prompt| {
-        let session = prompt.parts.iter().rev().nth(1).or(prompt.parts.last())?;
-        let key = routing::Key::new(&[session.id.as_bytes()]);
-        let members = usable
-            .iter()
-            .enumerate()
-            .map(|(index, (member, _))| (hash(&member.id), index));
-        routing::top(key, members, 1).first().copied()
-    });
-    let own = prompt.map_or(0, |prompt| prompt.parts.last().map_or(0, |part| part.tokens));
-    let input = prompt.map_or(0, |prompt| prompt.input);
+    let home = prompt.and_then(|prompt| home(prompt, &usable));
+    let draw = f64::from(shared.draw()) / f64::from(u32::MAX);
+    let kept = shared.kept.borrow();
+    let own = prompt.map_or(0, own_tokens);
     let need = prompt.map_or(0, |prompt| prompt.input + prompt.output);
     let capacity = pool.engine.as_ref().map_or(0, |engine| engine.memory);
-    let candidates: Vec<placement::Candidate> = usable
-        .iter()
-        .enumerate()
-        .map(|(index, (member, _))| placement::Candidate {
+    let mut plans = Vec::with_capacity(usable.len());
+    let mut candidates = Vec::with_capacity(usable.len());
+    for (index, (member, _)) in usable.iter().enumerate() {
+        let parts = prompt.map(|prompt| shared_parts(asked, prompt, member));
+        let parts = parts.unwrap_or_default();
+        let plan = kept.plan(&parts, &member.domain, draw, time);
+        // Requests of a session meet at the same target, which has likely kept their parts.
+        let fetch = match Some(index) == home {
+            true => plan.fetch.mul_f64(HOME_FETCH),
+            false => plan.fetch,
+        };
+        candidates.push(placement::Candidate {
             load: scaled(board.load(&member.id), entries),
-            unread: if Some(index) == home { own } else { input },
-            fetch: Duration::ZERO,
+            unread: own + plan.unread,
+            fetch,
             slots: member.slots,
             capacity,
             need,
             remote: member.domain != shared.settings.domain,
             outdated: is_outdated(shared, prompt, member),
-        })
-        .collect();
+        });
+        plans.push((parts, plan));
+    }
     let index = placement::best(&candidates, shared.draw())?;
     let member = Arc::clone(usable[index].0);
     let version = prompt.and_then(|prompt| member.version(&prompt.model));
     let space = prompt.map(|prompt| space(asked, &prompt.model, version));
+    let (parts, plan) = plans.swap_remove(index);
+    let address = |store: &Store| kept.host(store).map(|host| host.address);
+    let fetch = plan.acts.iter().map(|act| match act {
+        Act::Fetch(store) => address(store).map(|from| Fetch { from, tokens: None }),
+        Act::Read | Act::Save(_) => None,
+    });
+    let save = plan.acts.iter().map(|act| match act {
+        Act::Save(store) => address(store),
+        Act::Read | Act::Fetch(_) => None,
+    });
+    // The last part of a prompt is its own and neither fetched nor saved.
+    let fetch = fetch.chain(prompt.map(|_| None)).collect();
+    let save = save.chain(prompt.map(|_| None)).collect();
+    let limit = plan.fetch + FETCH_SLACK;
     Some(Choice {
         send: Send {
             target: member.id.clone(),
@@ -425,16 +444,55 @@
             space,
             version,
             urgency: None,
-            fetch: Vec::new(),
-            save: Vec::new(),
+            fetch,
+            save,
+            until: shared.target_clock(time + limit),
         },
         unread: candidates[index].unread,
         need,
+        parts,
+        plan,
         member,
         pool: Arc::clone(pool),
     })
 }
 
+/// The part of the fetch time that is expected at the target where requests of a session meet.
+const HOME_FETCH: f64 = 0.5;
+/// How much longer than expected a fetch may take; the target reads the part then.
+const FETCH_SLACK: Duration = Duration::from_millis(150);
+
+/// Returns the target at which requests of a session meet.
+fn home(prompt: &Prompt, usable: &[(&Arc<Member>, bool)]) -> Option<usize> {
+    let session = prompt.parts.iter().rev().nth(1).or(prompt.parts.last())?;
+    let key = routing::Key::new(&[session.id.as_bytes()]);
+    let members = usable
+        .iter()
+        .enumerate()
+        .map(|(index, (member, _))| (hash(&member.id), index));
+    routing::top(key, members, 1).first().copied()
+}
+
+fn own_tokens(prompt: &Prompt) -> u64 {
+    prompt.parts.last().map_or(prompt.input, |part| part.tokens)
+}
+
+/// Returns the parts that other requests may share: all but the last.
+fn shared_parts(asked: &Asked, prompt: &Prompt, member: &Member) -> Vec<kept::Shared> {
+    let space: Arc<str> = space(asked, &prompt.model, member.version(&prompt.model)).into();
+    let count = prompt.parts.len().saturating_sub(1);
+    let parts = prompt.parts.iter().take(count);
+    parts
+        .map(|part| kept::Shared {
+            key: kept::Key {
+                space: Arc::clone(&space),
+                id: part.id.as_ref().into(),
+            },
+            tokens: part.tokens,
+        })
+        .collect()
+}
+
 /// Other entries have about as much under way as this one.
 fn scaled(load: placement::Load, entries: usize) -> placement::Load {
     let entries = entries.max(1);
@@ -447,8 +505,8 @@
 
 fn is_outdated<Border>(
     shared: &Rc<Shared<Border>>,
-    prompt: Option<&crate::border::Prompt>,
-    member: &fleet::roster::Member,
+    prompt: Option<&Prompt>,
+    member: &Member,
 ) -> bool {
     let Some(prompt) = prompt else {
         return false;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -24,7 +24,7 @@
 use crate::serve::{self, millis};
 use crate::settings::{Problem, Settings};
 use crate::shared::Shared;
-use crate::{follow, lead};
+use crate::{follow, lead, shelf};
 
 /// A running entry.
 #[derive(Debug)]
@@ -84,6 +84,8 @@
         tokio::task::spawn_local(follow::follow(Rc::clone(&shared), list));
     }
     tokio::task::spawn_local(follow::sweep(Rc::clone(&shared)));
+    tokio::task::spawn_local(shelf::follow_all(Rc::clone(&shared)));
+    tokio::task::spawn_local(shelf::free(Rc::clone(&shared)));
     tokio::task::spawn_local(lead::lead(Rc::clone(&shared)));
     tokio::task::spawn_local(lead::count(Rc::clone(&shared)));
     tokio::task::spawn_local(reload(Rc::clone(&shared), file, hup));
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,13 +4,14 @@
 
 use fleet::allowance::{Ramp, Retries, Terms};
 use fleet::catalog::Catalog;
+use fleet::kept::Kept;
 use fleet::placement::Board;
 use fleet::proof::Proof;
 use fleet::rollout::Rollout;
 use fleet::roster::Roster;
 use rand::Rng;
 use tokio::sync::Notify;
-use types::{Domain, Service, Target, Time};
+use types::{Domain, Service, Store, Target, Time};
 
 use crate::connection;
 use crate::metrics::Metrics;
@@ -31,9 +32,14 @@
     pub(crate) retries: RefCell<Retries<Service>>,
     pub(crate) ramp: RefCell<Ramp<Target>>,
     pub(crate) rollout: RefCell<Rollout>,
+    pub(crate) kept: RefCell<Kept>,
+    /// The least difference of the own clock to that of the targets, in µs.
+    pub(crate) clock_offset: Cell<Option<i64>>,
     pub(crate) lines: RefCell<connection::Lines>,
     /// Entries that share the allowances, this one among them.
     pub(crate) entries: Cell<usize>,
+    /// Their names.
+    pub(crate) names: RefCell<Vec<String>>,
     /// The time before which an entry that joined uses no allowances, as others still count
     /// without it.
     pub(crate) joined: Cell<Option<Time>>,
@@ -63,8 +69,11 @@
             retries: RefCell::new(Retries::new(terms)),
             ramp: RefCell::default(),
             rollout: RefCell::default(),
+            kept: RefCell::default(),
+            clock_offset: Cell::new(None),
             lines: RefCell::default(),
             entries: Cell::new(1),
+            names: RefCell::default(),
             joined: Cell::new(None),
             stopping: Cell::new(None),
             lag: Notify::new(),
@@ -91,6 +100,59 @@
         self.stopping.get().is_none() && self.catalog.borrow().is_some() && self.is_fresh(now)
     }
 
+    /// Records the targets' clock; an answer never arrives before it is given, so the least
+    /// difference is the closest one.
+    pub(crate) fn on_clock(&self, clock: u64, time: Time) {
+        let own = i64::try_from(time.0).unwrap_or(i64::MAX);
+        let given = i64::try_from(clock.saturating_mul(1000)).unwrap_or(i64::MAX);
+        let offset = own.saturating_sub(given);
+        let least = self.clock_offset.get().map_or(offset, |known| known.min(offset));
+        self.clock_offset.set(Some(least));
+    }
+
+    /// Converts a time to the targets' clock in milliseconds.
+    pub(crate) fn target_clock(&self, time: Time) -> Option<u64> {
+        let own = i64::try_from(time.0).unwrap_or(i64::MAX);
+        let micros = own.saturating_sub(self.clock_offset.get()?);
+        u64::try_from(micros / 1000).ok()
+    }
+
+    /// Says whether this entry frees the parts of a store host that are out of use.
+    pub(crate) fn tends(&self, store: &Store) -> bool {
+        let key = routing::Key::new(&[store.as_bytes()]);
+        let names = self.names.borrow();
+        let named = names.iter().map(|name| {
+            let mut bytes = [0; 8];
+            bytes.copy_from_slice(&blake3::hash(name.as_bytes()).as_bytes()[..8]);
+            (u64::from_le_bytes(bytes), &**name)
+        });
+        let first = routing::top(key, named, 1).first().copied();
+        first == Some(self.settings.name.as_str())
+    }
+
+    /// Returns whether a space may still be used: some target serves its weights, or they are the
+    /// newest.
+    pub(crate) fn spaces_in_use(&self) -> impl Fn(&str) -> bool + use<Border> {
+        let mut used = HashSet::new();
+        for entry in self.roster.borrow().iter() {
+            for (model, version) in &entry.member.weights {
+                used.insert(format!("{model}.{version}"));
+                if let Some(named) = self.rollout.borrow().named(model) {
+                    used.insert(format!("{model}.{}", named.version));
+                }
+            }
+        }
+        move |space| {
+            // The team of an isolated space follows the weights.
+            let mut fields = space.splitn(3, '.');
+            let weights = match (fields.next(), fields.next()) {
+                (Some(model), Some(version)) => format!("{model}.{version}"),
+                _ => return false,
+            };
+            used.contains(&weights)
+        }
+    }
+
     /// Returns a uniformly distributed number.
     pub(crate) fn draw(&self) -> u32 {
         rand::rng().random()
--- /dev/null
+++ b/crates/gateway/src/shelf.rs
@@ -0,0 +1,149 @@
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use fleet::kept::Kept;
+use tokio::task::JoinHandle;
+use types::Store;
+
+use crate::border::Platform;
+use crate::clock::now;
+use crate::journal::Event;
+use crate::shared::Shared;
+
+/// How long a store host may hold a call while nothing changes; calls shorter than 200 ms have a
+/// price.
+const WAIT: Duration = Duration::from_millis(800);
+/// How long a store host that does not answer is left alone.
+const BACK_OFF: Duration = Duration::from_millis(250);
+/// How often hosts of a new configuration are followed.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// Follows the reports of all store hosts.
+pub(crate) async fn follow_all<Border>(shared: Rc<Shared<Border>>)
+where
+    Border: Platform,
+{
+    let mut followed: HashMap<Store, JoinHandle<()>> = HashMap::new();
+    loop {
+        let hosts: Vec<Store> = {
+            let kept = shared.kept.borrow();
+            kept.hosts().map(|(host, _)| host.name.clone()).collect()
+        };
+        followed.retain(|store, task| {
+            let known = hosts.contains(store);
+            if !known {
+                task.abort();
+            }
+            known
+        });
+        for store in hosts {
+            let follower = Rc::clone(&shared);
+            followed
+                .entry(store.clone())
+                .or_insert_with(|| tokio::task::spawn_local(follow(follower, store)));
+        }
+        shared.kept.borrow_mut().sweep(now());
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// Follows the reports of one store host.
+async fn follow<Border>(shared: Rc<Shared<Border>>, store: Store)
+where
+    Border: Platform,
+{
+    let mut since = 0;
+    let mut boot = None;
+    loop {
+        let host = shared.kept.borrow().host(&store).cloned();
+        let Some(host) = host else {
+            tokio::time::sleep(LOOK).await;
+            continue;
+        };
+        let news = shared.border.news(host.address, since, WAIT).await;
+        let time = now();
+        let mut kept = shared.kept.borrow_mut();
+        match news {
+            Ok(news) => {
+                if boot != Some(news.boot) {
+                    Event::new("store_host")
+                        .with("store", &*store)
+                        .with("boot", news.boot)
+                        .with("gap", news.gap)
+                        .info();
+                    // Reports of the former boot were asked for; those of this one follow.
+                    if boot.is_some() && since > 0 {
+                        boot = Some(news.boot);
+                        since = 0;
+                        kept.on_reports(&store, news.boot, Vec::new(), time);
+                        continue;
+                    }
+                    boot = Some(news.boot);
+                }
+                if let Some(clock) = news.clock {
+                    shared.on_clock(clock, time);
+                }
+                since = news.next;
+                kept.on_reports(&store, news.boot, news.reports, time);
+            }
+            Err(why) => {
+                kept.on_down(&store);
+                drop(kept);
+                Event::new("store_host_lost")
+                    .with("store", &*store)
+                    .with("why", why)
+                    .warn();
+                tokio::time::sleep(BACK_OFF).await;
+            }
+        }
+    }
+}
+
+/// Frees parts that are out of use, for the hosts that this entry looks after.
+pub(crate) async fn free<Border>(shared: Rc<Shared<Border>>)
+where
+    Border: Platform,
+{
+    loop {
+        tokio::time::sleep(LOOK).await;
+        let stores: Vec<Store> = {
+            let kept = shared.kept.borrow();
+            kept.hosts().map(|(host, _)| host.name.clone()).collect()
+        };
+        for store in stores {
+            if !shared.tends(&store) {
+                continue;
+            }
+            let in_use = shared.spaces_in_use();
+            let retired = {
+                let mut kept = shared.kept.borrow_mut();
+                kept.retire(&store, |space| in_use(space), now())
+            };
+            if retired.is_empty() {
+                continue;
+            }
+            let shared = Rc::clone(&shared);
+            tokio::task::spawn_local(async move {
+                // The others have stopped using the parts by then.
+                tokio::time::sleep(Kept::retire_time()).await;
+                let host = {
+                    let kept = shared.kept.borrow();
+                    let mut hosts = kept.hosts();
+                    hosts
+                        .find(|(host, _)| host.name == store)
+                        .map(|(host, boot)| (host.address, boot))
+                };
+                let Some((address, Some(boot))) = host else {
+                    return;
+                };
+                let freed = shared.border.free(address, boot, &retired).await;
+                Event::new("parts_freed")
+                    .with("store", &*store)
+                    .with("parts", retired.len())
+                    .with("failure", freed.err())
+                    .info();
+            });
+        }
+    }
+}
