kept: parts that a target has itself cost no fetch; hosts count as slow by their mean

Cause: roots were counted as fetched by every request, so hosts seemed busy and their parts were read; single late events also made a host count as slow. Ruled out: room (no part found no room) and lost reports (a handful of saves again).

--- a/crates/fleet/src/kept.rs
+++ b/crates/fleet/src/kept.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use types::{Domain, Store, Time};
+use types::{Domain, Store, Target, Time};
 
 use crate::catalog::StoreHost;
 use crate::placement::READ_PER_MS;
@@ -35,6 +35,8 @@
 pub struct Kept {
     shelves: HashMap<Store, Shelf>,
     token_bytes: u64,
+    /// When a part was last used at a target.
+    local: HashMap<Target, HashMap<Key, Time>>,
 }
 
 /// One store host.
@@ -64,6 +66,15 @@
     since: Time,
 }
 
+/// A target as the place where a prompt is read.
+#[derive(Debug, Clone, Copy)]
+pub struct Place<'name> {
+    /// The target.
+    pub target: &'name Target,
+    /// Its failure domain.
+    pub domain: &'name Domain,
+}
+
 /// What to do with one part of a prompt.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Act {
@@ -101,7 +112,7 @@
 const REMOTE_FACTOR: f64 = 2.0;
 /// How much longer than reading a fetch may take. Reading again takes an engine's time from all
 /// requests, so a fetch is preferred until it endangers the objective of its own request.
-const TOLERANCE: Duration = Duration::from_millis(120);
+const TOLERANCE: Duration = Duration::from_millis(200);
 /// Memory is kept in blocks of this many tokens, and the rest of a part is not.
 const BLOCK: u64 = 16;
 /// A fast host takes parts up to this share of its room; long parts would fill it with few prompts.
@@ -110,15 +121,25 @@
 const FULL: f64 = 0.94;
 /// How long a save may take before the part is saved again; it begins once the part is read.
 const SAVE_TIME: Duration = Duration::from_millis(4000);
+/// How long a target keeps a part in its own memory after its last use; a prompt of nine thousand
+/// tokens needs a seventh of it, and a few come each second.
+const LOCAL: Duration = Duration::from_millis(2500);
 /// How long an unused part is safe from being freed.
 const LEAST_IDLE: Duration = Duration::from_secs(10);
 /// How long others have to stop using a part before it is freed.
 const RETIRE: Duration = Duration::from_millis(2000);
 /// How long a freed part is not fetched, so that a late report does not bring it back.
 const RETIRED: Duration = Duration::from_secs(6);
-/// A fetch that makes the first event later than those from other hosts by more than this counts as
-/// slow, in ms.
-const SLOW_MS: f64 = 120.0;
+/// A host is slow if the first events after fetches from it come later than those after fetches
+/// from other hosts by more than this factor and this many ms; hosts of different speed and the
+/// queues at the targets explain less.
+const SLOW_FACTOR: f64 = 2.0;
+/// See [`SLOW_FACTOR`].
+const SLOW_MS: f64 = 150.0;
+/// What each slow fetch leaves of the share of fetches.
+const LESS_WILLING: f64 = 0.85;
+/// What each other fetch adds to it.
+const MORE_WILLING: f64 = 0.05;
 /// The weight of the newest observation.
 const SMOOTHING: f64 = 0.2;
 /// The least share of fetches that are tried at a slow host, so that its recovery is noticed.
@@ -179,17 +200,31 @@
         }
     }
 
-    /// Plans the shared parts of a prompt for a target in a failure domain; `draw` is uniform
-    /// between 0 and 1. Nothing is recorded.
+    /// Plans the shared parts of a prompt for a target; `draw` is uniform between 0 and 1. Nothing
+    /// is recorded.
     #[must_use]
-    pub fn plan(&self, parts: &[Shared], domain: &Domain, draw: f64, now: Time) -> Plan {
+    pub fn plan(&self, parts: &[Shared], at: &Place<'_>, draw: f64, now: Time) -> Plan {
         let mut plan = Plan::default();
         // A part is of use only if all parts before it are there too.
         let mut unbroken = true;
         for part in parts {
-            if unbroken && let Some((store, time)) = self.source(part, domain, draw, now) {
+            let local = unbroken && self.is_local(part, at.target, now);
+            let source = self.source(part, at.domain, draw, now);
+            if unbroken && let Some((store, time)) = source {
                 plan.acts.push(Act::Fetch(store));
-                plan.fetch += time;
+                if !local {
+                    plan.fetch += time;
+                }
+                continue;
+            }
+            if local {
+                let holder = self.holder(part);
+                plan.acts.push(match (holder, self.is_known(part)) {
+                    // Named in case the target has dropped it.
+                    (Some(store), _) => Act::Fetch(store),
+                    (None, true) => Act::Read,
+                    (None, false) => self.home(part).map_or(Act::Read, Act::Save),
+                });
                 continue;
             }
             unbroken = false;
@@ -208,12 +243,15 @@
         &mut self,
         parts: &[Shared],
         plan: &Plan,
-        domain: &Domain,
+        at: &Place<'_>,
         entries: usize,
         now: Time,
     ) {
         let bytes = self.token_bytes;
         for (part, act) in parts.iter().zip(&plan.acts) {
+            let local = self.is_local(part, at.target, now);
+            let used = self.local.entry(at.target.clone()).or_default();
+            used.insert(part.key.clone(), now);
             match act {
                 Act::Read => {}
                 Act::Save(store) => {
@@ -227,9 +265,11 @@
                 }
                 Act::Fetch(store) => {
                     if let Some(shelf) = self.shelves.get_mut(store) {
-                        let time = shelf.transfer(part.tokens, bytes, domain);
-                        let time = time.mul_f64(entries.max(1) as f64 * LOCAL_HITS);
-                        shelf.busy_until = shelf.busy_until.max(now) + time;
+                        let time = shelf.transfer(part.tokens, bytes, at.domain);
+                        let time = time.mul_f64(entries.max(1) as f64);
+                        if !local {
+                            shelf.busy_until = shelf.busy_until.max(now) + time;
+                        }
                         if let Some(held) = shelf.held.get_mut(&part.key) {
                             held.used = now;
                         }
@@ -263,10 +303,10 @@
             return;
         };
         shelf.excess_ms += SMOOTHING * (excess - shelf.excess_ms);
-        if usual.is_finite() && excess > usual + SLOW_MS {
-            shelf.willing = (shelf.willing * 0.8).max(LEAST_WILLING);
+        if usual.is_finite() && shelf.excess_ms > usual * SLOW_FACTOR + SLOW_MS {
+            shelf.willing = (shelf.willing * LESS_WILLING).max(LEAST_WILLING);
         } else {
-            shelf.willing = (shelf.willing + 0.05).min(1.0);
+            shelf.willing = (shelf.willing + MORE_WILLING).min(1.0);
         }
     }
 
@@ -344,6 +384,12 @@
         self.shelves.get(store).map(|shelf| &shelf.host)
     }
 
+    /// Says whether a target has most likely kept a part in its own memory.
+    fn is_local(&self, part: &Shared, target: &Target, now: Time) -> bool {
+        let used = self.local.get(target).and_then(|used| used.get(&part.key));
+        used.is_some_and(|&used| now.since(used) < LOCAL)
+    }
+
     /// Says whether a part is kept or being saved somewhere.
     fn is_known(&self, part: &Shared) -> bool {
         self.shelves.values().any(|shelf| {
@@ -352,6 +398,15 @@
         })
     }
 
+    /// Returns any host that keeps a part.
+    fn holder(&self, part: &Shared) -> Option<Store> {
+        let holder = self.shelves.iter().find(|(_, shelf)| {
+            let held = shelf.held.get(&part.key);
+            shelf.up && held.is_some_and(|held| held.tokens + BLOCK > part.tokens)
+        });
+        holder.map(|(name, _)| name.clone())
+    }
+
     /// Returns the host from which a part comes soonest, if fetching pays.
     fn source(
         &self,
@@ -414,12 +469,13 @@
                 .saving
                 .retain(|_, saving| now.since(saving.since) < SAVE_TIME);
         }
+        self.local.retain(|_, used| {
+            used.retain(|_, at| now.since(*at) < LOCAL);
+            !used.is_empty()
+        });
     }
 }
 
-/// The share of fetches that need the host's link; the others find the part at their target.
-const LOCAL_HITS: f64 = 0.8;
-
 impl Shelf {
     fn new(host: StoreHost) -> Self {
         Self {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -126,7 +126,7 @@
         shared.kept.borrow_mut().on_sent(
             &choice.parts,
             &choice.plan,
-            &choice.member.domain,
+            &crate::serve::place(&choice.member),
             shared.entries.get(),
             time,
         );
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -399,7 +399,7 @@
     for (index, (member, _)) in usable.iter().enumerate() {
         let parts = prompt.map(|prompt| shared_parts(asked, prompt, member));
         let parts = parts.unwrap_or_default();
-        let plan = kept.plan(&parts, &member.domain, draw, time);
+        let plan = kept.plan(&parts, &place(member), draw, time);
         // Requests of a session meet at the same target, which has likely kept their parts.
         let fetch = match Some(index) == home {
             true => plan.fetch.mul_f64(HOME_FETCH),
@@ -473,6 +473,13 @@
     routing::top(key, members, 1).first().copied()
 }
 
+pub(crate) fn place(member: &Member) -> kept::Place<'_> {
+    kept::Place {
+        target: &member.id,
+        domain: &member.domain,
+    }
+}
+
 fn own_tokens(prompt: &Prompt) -> u64 {
     prompt.parts.last().map_or(prompt.input, |part| part.tokens)
 }
