--- a/crates/fleet/src/kept.rs
+++ b/crates/fleet/src/kept.rs
@@ -117,8 +117,13 @@
 const BLOCK: u64 = 16;
 /// A fast host takes parts up to this share of its room; long parts would fill it with few prompts.
 const FAST_SHARE: u64 = 90;
-/// The part of a host's room that is filled.
-const FULL: f64 = 0.94;
+/// The part of a host's room up to which parts are saved; saves of other entries are not known
+/// until the host reports them.
+const ROOM: f64 = 0.96;
+/// The part of a host's room above which unused parts are freed, on hosts that are the last resort.
+const FULL: f64 = 0.92;
+/// The part of a host's room to which it is freed.
+const FREED: f64 = 0.88;
 /// How long a save may take before the part is saved again; it begins once the part is read.
 const SAVE_TIME: Duration = Duration::from_millis(4000);
 /// How long a target keeps a part in its own memory after its last use; a prompt of nine thousand
@@ -126,6 +131,8 @@
 const LOCAL: Duration = Duration::from_millis(2500);
 /// How long an unused part is safe from being freed.
 const LEAST_IDLE: Duration = Duration::from_secs(10);
+/// Parts that are freed together; the others hear of each of them first.
+const MOST_FREED: usize = 20;
 /// How long others have to stop using a part before it is freed.
 const RETIRE: Duration = Duration::from_millis(2000);
 /// How long a freed part is not fetched, so that a late report does not bring it back.
@@ -318,16 +325,19 @@
     where
         InUse: Fn(&str) -> bool,
     {
+        let slowest = self.shelves.values().map(|shelf| shelf.host.delay).max();
         let Some(shelf) = self.shelves.get_mut(store) else {
             return Vec::new();
         };
+        // What finds no room on a fast host goes to a slower one, so only those are freed.
+        let last_resort = slowest == Some(shelf.host.delay);
         shelf.retired.retain(|_, at| now.since(*at) < RETIRED);
         let old = shelf.held.keys().filter(|key| !in_use(&key.space));
         let mut chosen: Vec<Key> = old.cloned().collect();
         let freed: u64 = chosen.iter().map(|key| shelf.held[key].tokens).sum();
         let room = shelf.host.capacity as f64;
         let mut left = (shelf.tokens - freed) as f64;
-        if left > room * FULL {
+        if last_resort && left > room * FULL {
             let mut idle: Vec<(&Key, &Held)> = shelf
                 .held
                 .iter()
@@ -335,7 +345,7 @@
                 .collect();
             idle.sort_by_key(|(_, held)| held.used);
             for (key, held) in idle {
-                if left <= room * (FULL - 0.04) {
+                if left <= room * FREED || chosen.len() >= MOST_FREED {
                     break;
                 }
                 left -= held.tokens as f64;
@@ -438,7 +448,7 @@
         let key = routing::Key::new(&[part.key.space.as_bytes(), part.key.id.as_bytes()]);
         let room = |shelf: &&Shelf| {
             let filled = shelf.tokens + shelf.saving.values().map(|one| one.tokens).sum::<u64>();
-            shelf.up && (filled + part.tokens) as f64 <= shelf.host.capacity as f64
+            shelf.up && (filled + part.tokens) as f64 <= shelf.host.capacity as f64 * ROOM
         };
         let fast = |shelf: &&Shelf| part.tokens * FAST_SHARE <= shelf.host.capacity;
         let pick = |shelves: Vec<&Shelf>| {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod allowance;
 pub mod catalog;
 pub mod kept;
+pub mod peers;
 pub mod placement;
 pub mod proof;
 pub mod rollout;
--- /dev/null
+++ b/crates/fleet/src/peers.rs
@@ -0,0 +1,180 @@
+//! What entries tell each other: their loads and the kept parts that they use.
+//!
+//! Words are small, sent to a few peers at a time, and may be lost; without any, an entry assumes
+//! that the others do what it does itself.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use types::{Store, Target, Time};
+
+use crate::kept::Key;
+use crate::placement::Load;
+
+/// What one entry tells another.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Word {
+    /// The sender.
+    pub from: String,
+    /// Drawn at each start of the sender.
+    pub start: u64,
+    /// Grows with each word of a start.
+    pub number: u64,
+    /// What the sender has under way, by target.
+    pub loads: Vec<(Target, Load)>,
+    /// Parts that it fetched lately.
+    pub used: Vec<(Store, Key)>,
+    /// Parts that it is about to free.
+    pub retired: Vec<(Store, Key)>,
+}
+
+/// What an entry knows of the others.
+#[derive(Debug, Default)]
+pub struct Peers {
+    heard: HashMap<String, Heard>,
+    sums: HashMap<Target, Load>,
+    used: VecDeque<(Time, Store, Key)>,
+    retired: VecDeque<(Time, Store, Key)>,
+    next: usize,
+}
+
+#[derive(Debug)]
+struct Heard {
+    start: u64,
+    number: u64,
+    at: Time,
+    loads: HashMap<Target, Load>,
+}
+
+/// How often an entry sends words.
+pub const TICK: Duration = Duration::from_millis(100);
+/// How many peers get a word at each tick. It bounds the cost at any number of entries.
+pub const FAN_OUT: usize = 4;
+/// Parts in one word; more do not fit into a datagram.
+const MOST_PARTS: usize = 20;
+/// How long a part that is about to be freed is named.
+const RETIRED: Duration = Duration::from_millis(1800);
+/// How long a word counts beyond the time after which the next one is due.
+const SLACK: Duration = Duration::from_millis(400);
+
+impl Peers {
+    /// Returns the time in which each of `count` peers gets a word.
+    #[must_use]
+    pub fn cycle(count: usize) -> Duration {
+        let ticks = count.div_ceil(FAN_OUT).max(1);
+        TICK * u32::try_from(ticks).unwrap_or(u32::MAX)
+    }
+
+    /// Takes a word; says whether it is newer than what was heard of its sender.
+    pub fn on_word(&mut self, word: &Word, now: Time) -> bool {
+        let known = self.heard.get(&word.from);
+        let old = known
+            .is_some_and(|known| known.start == word.start && known.number >= word.number);
+        if old {
+            return false;
+        }
+        self.forget(&word.from);
+        let loads: HashMap<Target, Load> = word.loads.iter().cloned().collect();
+        for (target, load) in &loads {
+            self.sums.entry(target.clone()).or_default().add(load);
+        }
+        let heard = Heard {
+            start: word.start,
+            number: word.number,
+            at: now,
+            loads,
+        };
+        self.heard.insert(word.from.clone(), heard);
+        true
+    }
+
+    /// Drops what is too old to count; `count` is the number of peers.
+    pub fn expire(&mut self, count: usize, now: Time) {
+        let limit = Self::cycle(count) * 2 + SLACK;
+        let old: Vec<String> = self
+            .heard
+            .iter()
+            .filter(|(_, heard)| now.since(heard.at) > limit)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in old {
+            self.forget(&name);
+        }
+        let recent = Self::cycle(count) + TICK * 2;
+        while self
+            .used
+            .front()
+            .is_some_and(|(at, ..)| now.since(*at) > recent)
+        {
+            self.used.pop_front();
+        }
+        while self
+            .retired
+            .front()
+            .is_some_and(|(at, ..)| now.since(*at) > RETIRED)
+        {
+            self.retired.pop_front();
+        }
+    }
+
+    /// Returns the load that all entries together have at a target, of which `own` is this entry's;
+    /// `count` is the number of peers.
+    #[must_use]
+    pub fn total(&self, target: &Target, own: Load, count: usize) -> Load {
+        if count == 0 {
+            return own;
+        }
+        if self.heard.is_empty() {
+            return own.scaled(count as f64 + 1.0);
+        }
+        let sum = self.sums.get(target).copied().unwrap_or_default();
+        let mut total = sum.scaled(count as f64 / self.heard.len() as f64);
+        total.add(&own);
+        total
+    }
+
+    /// Records that this entry fetches a part.
+    pub fn on_used(&mut self, store: Store, key: Key, now: Time) {
+        self.used.push_back((now, store, key));
+    }
+
+    /// Records that this entry is about to free a part.
+    pub fn on_retired(&mut self, store: Store, key: Key, now: Time) {
+        self.retired.push_back((now, store, key));
+    }
+
+    /// Returns the peers that are to get a word now, in turn.
+    pub fn turn<'names>(&mut self, peers: &'names [String]) -> Vec<&'names str> {
+        let count = peers.len().min(FAN_OUT);
+        let chosen = (0..count).map(|step| peers[(self.next + step) % peers.len()].as_str());
+        let chosen = chosen.collect();
+        self.next = self.next.wrapping_add(count);
+        chosen
+    }
+
+    /// Returns the parts for a word: those used lately and those about to be freed.
+    #[must_use]
+    pub fn parts(&self) -> (Vec<(Store, Key)>, Vec<(Store, Key)>) {
+        let strip = |list: &VecDeque<(Time, Store, Key)>| {
+            let newest = list.iter().rev().take(MOST_PARTS);
+            newest
+                .map(|(_, store, key)| (store.clone(), key.clone()))
+                .collect()
+        };
+        (strip(&self.used), strip(&self.retired))
+    }
+
+    fn forget(&mut self, name: &str) {
+        let Some(heard) = self.heard.remove(name) else {
+            return;
+        };
+        for (target, load) in &heard.loads {
+            if let Some(sum) = self.sums.get_mut(target) {
+                sum.subtract(load);
+                if sum.running == 0 && sum.memory == 0 {
+                    self.sums.remove(target);
+                }
+            }
+        }
+    }
+}
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -86,6 +86,32 @@
     }
 }
 
+impl Load {
+    /// Adds another load.
+    pub fn add(&mut self, other: &Self) {
+        self.running += other.running;
+        self.reading += other.reading;
+        self.memory += other.memory;
+    }
+
+    /// Takes another load away.
+    pub fn subtract(&mut self, other: &Self) {
+        self.running = self.running.saturating_sub(other.running);
+        self.reading = self.reading.saturating_sub(other.reading);
+        self.memory = self.memory.saturating_sub(other.memory);
+    }
+
+    /// Returns a multiple of the load.
+    #[must_use]
+    pub fn scaled(self, factor: f64) -> Self {
+        Self {
+            running: (f64::from(self.running) * factor).round() as u32,
+            reading: (self.reading as f64 * factor).round() as u64,
+            memory: (self.memory as f64 * factor).round() as u64,
+        }
+    }
+}
+
 impl Candidate {
     /// Returns the expected time to the first event in ms, with what else speaks against it.
     #[must_use]
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -130,6 +130,17 @@
             shared.entries.get(),
             time,
         );
+        let mut peers = shared.peers.borrow_mut();
+        for (part, act) in choice.parts.iter().zip(&choice.plan.acts) {
+            if let kept::Act::Fetch(store) = act {
+                peers.on_used(store.clone(), part.key.clone(), time);
+            }
+        }
+        drop(peers);
+        let tokens = &shared.metrics.tokens;
+        tokens.with_label_values(&["read"]).inc_by(choice.unread);
+        let input = choice.need.saturating_sub(choice.unread);
+        tokens.with_label_values(&["kept"]).inc_by(input);
         Self {
             shared: Rc::clone(shared),
             target,
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -120,6 +120,11 @@
     Ok(())
 }
 
+/// Waits until the lines so far are written, in most cases.
+pub(crate) async fn flush() {
+    tokio::time::sleep(GATHER + Duration::from_millis(10)).await;
+}
+
 fn write(waiting: &Receiver<Vec<u8>>) {
     let mut out = std::io::stdout();
     while let Ok(mut batch) = waiting.recv() {
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -281,8 +281,12 @@
             Ok(rows) => {
                 let known = rows.iter().any(|row| row.key == own);
                 let entries = rows.len().max(1);
-                let names = rows.iter().filter_map(|row| row.key.strip_prefix(ENTRIES));
-                *shared.names.borrow_mut() = names.map(str::to_owned).collect();
+                let names = rows.iter().filter_map(|row| {
+                    let name = row.key.strip_prefix(ENTRIES)?;
+                    let ip = row.value.get("ip")?.as_str()?.parse().ok()?;
+                    Some((name.to_owned(), ip))
+                });
+                *shared.names.borrow_mut() = names.collect();
                 if shared.entries.replace(entries) != entries {
                     Event::new("entries").with("count", entries).info();
                 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod settings;
 mod shared;
 mod shelf;
+mod talk;
 
 pub use clock::now;
 pub use journal::{Event, open as open_journal};
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use fleet::catalog::{Caller, Catalog, Limits};
 use fleet::kept::{self, Act};
+use fleet::peers::FAN_OUT;
 use fleet::placement;
 use fleet::roster::Member;
 use fleet::stop::Stop;
@@ -388,7 +389,8 @@
         usable.retain(|(_, avoided)| !avoided);
     }
     let prompt = asked.ask.prompt.as_ref();
-    let home = prompt.and_then(|prompt| home(prompt, &usable));
+    let mut home = prompt.and_then(|prompt| home(prompt, &usable));
+    sample(shared, &mut usable, &mut home);
     let draw = f64::from(shared.draw()) / f64::from(u32::MAX);
     let kept = shared.kept.borrow();
     let own = prompt.map_or(0, own_tokens);
@@ -406,7 +408,7 @@
             false => plan.fetch,
         };
         candidates.push(placement::Candidate {
-            load: scaled(board.load(&member.id), entries),
+            load: shared.load(&member.id),
             unread: own + plan.unread,
             fetch,
             slots: member.slots,
@@ -462,6 +464,36 @@
 /// How much longer than expected a fetch may take; the target reads the part then.
 const FETCH_SLACK: Duration = Duration::from_millis(150);
 
+/// Leaves a few targets to choose from, the home among them, where many entries choose.
+///
+/// Loads of others are some hundred ms old then, and the target that seems least loaded would get
+/// the requests of all entries.
+fn sample<Border>(
+    shared: &Shared<Border>,
+    usable: &mut Vec<(&Arc<Member>, bool)>,
+    home: &mut Option<usize>,
+) {
+    if shared.entries.get() <= MOST_CURRENT || usable.len() <= SAMPLE {
+        return;
+    }
+    if let Some(index) = *home {
+        usable.swap(0, index);
+        *home = Some(0);
+    }
+    let kept = usize::from(home.is_some());
+    for index in kept..SAMPLE {
+        let rest = usable.len() - index;
+        let chosen = index + shared.draw() as usize % rest;
+        usable.swap(index, chosen);
+    }
+    usable.truncate(SAMPLE);
+}
+
+/// The number of entries up to which all loads are current at each.
+const MOST_CURRENT: usize = 2 * FAN_OUT;
+/// Targets to choose from beyond that.
+const SAMPLE: usize = 6;
+
 /// Returns the target at which requests of a session meet.
 fn home(prompt: &Prompt, usable: &[(&Arc<Member>, bool)]) -> Option<usize> {
     let session = prompt.parts.iter().rev().nth(1).or(prompt.parts.last())?;
@@ -500,16 +532,6 @@
         .collect()
 }
 
-/// Other entries have about as much under way as this one.
-fn scaled(load: placement::Load, entries: usize) -> placement::Load {
-    let entries = entries.max(1);
-    placement::Load {
-        running: load.running * u32::try_from(entries).unwrap_or(u32::MAX),
-        reading: load.reading * entries as u64,
-        memory: load.memory * entries as u64,
-    }
-}
-
 fn is_outdated<Border>(
     shared: &Rc<Shared<Border>>,
     prompt: Option<&Prompt>,
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -10,7 +10,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -19,12 +19,12 @@
 use crate::border::{List, Platform};
 use crate::clock::now;
 use crate::connection::prepare;
-use crate::journal::Event;
+use crate::journal::{self, Event};
 use crate::metrics::Metrics;
 use crate::serve::{self, millis};
 use crate::settings::{Problem, Settings};
 use crate::shared::Shared;
-use crate::{follow, lead, shelf};
+use crate::{follow, lead, shelf, talk};
 
 /// A running entry.
 #[derive(Debug)]
@@ -52,6 +52,8 @@
 const WORK: f64 = 0.93;
 /// How often a stopping process looks whether it is done.
 const LOOK: Duration = Duration::from_millis(50);
+/// Looks without an open connection before the end.
+const QUIET: u32 = 6;
 /// How long a failing listener is left alone; running out of descriptors passes.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// The largest head that is read, in bytes, where the configuration is not known yet.
@@ -84,6 +86,11 @@
         tokio::task::spawn_local(follow::follow(Rc::clone(&shared), list));
     }
     tokio::task::spawn_local(follow::sweep(Rc::clone(&shared)));
+    let socket = SocketAddr::new(shared.settings.ip, shared.settings.peer_port);
+    let socket = UdpSocket::bind(socket)
+        .await
+        .map_err(|error| Error::Bind(socket, error))?;
+    tokio::task::spawn_local(talk::talk(Rc::clone(&shared), socket));
     tokio::task::spawn_local(shelf::follow_all(Rc::clone(&shared)));
     tokio::task::spawn_local(shelf::free(Rc::clone(&shared)));
     tokio::task::spawn_local(lead::lead(Rc::clone(&shared)));
@@ -264,13 +271,19 @@
     tokio::time::sleep(grace.mul_f64(LINGER)).await;
     close.send_replace(true);
     // Two references are those of this function and of the task that accepts.
-    while Rc::strong_count(&open) > 2 && now().since(begun) < grace.mul_f64(WORK) {
+    // Callers may still come while their failure domain has no other entry, so the end waits for a
+    // quiet moment.
+    let mut quiet = 0;
+    while quiet < QUIET && now().since(begun) < grace.mul_f64(WORK) {
         tokio::time::sleep(LOOK).await;
+        quiet = match Rc::strong_count(&open) {
+            0..=2 => quiet + 1,
+            _ => 0,
+        };
     }
     Event::new("stop")
         .with("open", Rc::strong_count(&open) - 2)
         .with("after_ms", millis(now().since(begun)))
         .info();
-    // The writing thread gathers lines for a moment.
-    tokio::time::sleep(LOOK * 2).await;
+    journal::flush().await;
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,11 +1,13 @@
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
+use std::net::IpAddr;
 use std::rc::Rc;
 
 use fleet::allowance::{Ramp, Retries, Terms};
 use fleet::catalog::Catalog;
 use fleet::kept::Kept;
-use fleet::placement::Board;
+use fleet::peers::Peers;
+use fleet::placement::{Board, Load};
 use fleet::proof::Proof;
 use fleet::rollout::Rollout;
 use fleet::roster::Roster;
@@ -38,8 +40,9 @@
     pub(crate) lines: RefCell<connection::Lines>,
     /// Entries that share the allowances, this one among them.
     pub(crate) entries: Cell<usize>,
-    /// Their names.
-    pub(crate) names: RefCell<Vec<String>>,
+    /// Their names and addresses.
+    pub(crate) names: RefCell<BTreeMap<String, IpAddr>>,
+    pub(crate) peers: RefCell<Peers>,
     /// The time before which an entry that joined uses no allowances, as others still count
     /// without it.
     pub(crate) joined: Cell<Option<Time>>,
@@ -74,6 +77,7 @@
             lines: RefCell::default(),
             entries: Cell::new(1),
             names: RefCell::default(),
+            peers: RefCell::default(),
             joined: Cell::new(None),
             stopping: Cell::new(None),
             lag: Notify::new(),
@@ -121,7 +125,7 @@
     pub(crate) fn tends(&self, store: &Store) -> bool {
         let key = routing::Key::new(&[store.as_bytes()]);
         let names = self.names.borrow();
-        let named = names.iter().map(|name| {
+        let named = names.keys().map(|name| {
             let mut bytes = [0; 8];
             bytes.copy_from_slice(&blake3::hash(name.as_bytes()).as_bytes()[..8]);
             (u64::from_le_bytes(bytes), &**name)
@@ -153,6 +157,13 @@
         }
     }
 
+    /// Returns what all entries together have under way at a target.
+    pub(crate) fn load(&self, target: &Target) -> Load {
+        let own = self.board.borrow().load(target);
+        let peers = self.entries.get().saturating_sub(1);
+        self.peers.borrow().total(target, own, peers)
+    }
+
     /// Returns a uniformly distributed number.
     pub(crate) fn draw(&self) -> u32 {
         rand::rng().random()
--- a/crates/gateway/src/shelf.rs
+++ b/crates/gateway/src/shelf.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use fleet::kept::Kept;
+use fleet::peers::Peers;
 use tokio::task::JoinHandle;
 use types::Store;
 
@@ -123,10 +124,15 @@
             if retired.is_empty() {
                 continue;
             }
+            for key in &retired {
+                let mut peers = shared.peers.borrow_mut();
+                peers.on_retired(store.clone(), key.clone(), now());
+            }
             let shared = Rc::clone(&shared);
+            let entries = shared.entries.get();
             tokio::task::spawn_local(async move {
                 // The others have stopped using the parts by then.
-                tokio::time::sleep(Kept::retire_time()).await;
+                tokio::time::sleep(Kept::retire_time().max(Peers::cycle(entries) * 3)).await;
                 let host = {
                     let kept = shared.kept.borrow();
                     let mut hosts = kept.hosts();
