kept: a few entries follow each store host and pass its reports on; targets near the store

Cause: on the grown sites 24 entries exceeded the calls that a store host holds, so hosts seemed down by turns; transfers between domains used more than the links have. Ruled out: room. Change: the first entries of a rendezvous hash follow a host, two of them pass reports on; sessions meet at a target in the domain of their store host; link use is the mean of hosts of one speed, and fetches are thinned out above 85%.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -123,6 +123,8 @@
     pub link: f64,
     /// The delay before each transfer.
     pub delay: Duration,
+    /// Calls for its reports that it holds at the same time, from all entries.
+    pub calls: u32,
     /// Whether it keeps what it has until it is told to drop it.
     pub managed: bool,
 }
--- a/crates/fleet/src/kept.rs
+++ b/crates/fleet/src/kept.rs
@@ -39,6 +39,8 @@
     entries: usize,
     /// When a part was last used at a target.
     local: HashMap<Target, HashMap<Key, Time>>,
+    /// How often parts were used by this entry, of which older uses count less.
+    uses: HashMap<Key, (f64, Time)>,
 }
 
 /// One store host.
@@ -77,6 +79,8 @@
     pub target: &'name Target,
     /// Its failure domain.
     pub domain: &'name Domain,
+    /// The number of targets among which requests are spread.
+    pub targets: usize,
 }
 
 /// What to do with one part of a prompt.
@@ -133,6 +137,8 @@
 /// How long a target keeps a part in its own memory after its last use; a prompt of nine thousand
 /// tokens needs a seventh of it, and a few come each second.
 const LOCAL: Duration = Duration::from_millis(2500);
+/// A part that was used at least this often at an average target in that time is most likely there.
+const POPULAR: f64 = 1.5;
 /// How long an unused part is safe from being freed.
 const LEAST_IDLE: Duration = Duration::from_secs(10);
 /// Parts that are freed together; the others hear of each of them first.
@@ -153,8 +159,8 @@
 const MORE_WILLING: f64 = 0.05;
 /// The time over which transfers are averaged, in seconds.
 const MEMORY_S: f64 = 2.0;
-/// The use of a link above which the wait is not estimated any more.
-const MOST_USED: f64 = 0.97;
+/// The use of a link up to which parts are fetched; beyond it a part of the fetches is left out.
+const MOST_USED: f64 = 0.85;
 /// The time of a common transfer: five thousand tokens over 74 Gbit/s, half of them between failure
 /// domains.
 const MEAN_TRANSFER: Duration = Duration::from_millis(30);
@@ -218,6 +224,21 @@
         }
     }
 
+    /// Returns the failure domain of the host that keeps a part.
+    #[must_use]
+    pub fn domain(&self, part: &Shared) -> Option<&Domain> {
+        let holders = self.shelves.values();
+        let mut holders = holders.filter(|shelf| shelf.up && shelf.held.contains_key(&part.key));
+        holders.next().map(|shelf| &shelf.host.domain)
+    }
+
+    /// Returns the boot of a host that answers.
+    #[must_use]
+    pub fn boot(&self, store: &Store) -> Option<u64> {
+        let shelf = self.shelves.get(store)?;
+        shelf.boot.filter(|_| shelf.up)
+    }
+
     /// Plans the shared parts of a prompt for a target; `draw` is uniform between 0 and 1. Nothing
     /// is recorded.
     #[must_use]
@@ -226,7 +247,7 @@
         // A part is of use only if all parts before it are there too.
         let mut unbroken = true;
         for part in parts {
-            let local = unbroken && self.is_local(part, at.target, now);
+            let local = unbroken && self.is_local(part, at, now);
             let source = self.source(part, at.domain, draw, now);
             if unbroken && let Some((store, time)) = source {
                 plan.acts.push(Act::Fetch(store));
@@ -268,9 +289,12 @@
         self.entries = entries;
         let bytes = self.token_bytes;
         for (part, act) in parts.iter().zip(&plan.acts) {
-            let local = self.is_local(part, at.target, now);
+            let local = self.is_local(part, at, now);
             let used = self.local.entry(at.target.clone()).or_default();
             used.insert(part.key.clone(), now);
+            let (uses, last) = self.uses.get(&part.key).copied().unwrap_or((0.0, now));
+            let uses = decayed(uses, last, LOCAL.as_secs_f64(), now) + 1.0;
+            self.uses.insert(part.key.clone(), (uses, now));
             match act {
                 Act::Read => {}
                 Act::Save(store) => {
@@ -407,9 +431,20 @@
     }
 
     /// Says whether a target has most likely kept a part in its own memory.
-    fn is_local(&self, part: &Shared, target: &Target, now: Time) -> bool {
-        let used = self.local.get(target).and_then(|used| used.get(&part.key));
-        used.is_some_and(|&used| now.since(used) < LOCAL)
+    fn is_local(&self, part: &Shared, at: &Place<'_>, now: Time) -> bool {
+        let used = self
+            .local
+            .get(at.target)
+            .and_then(|used| used.get(&part.key));
+        if used.is_some_and(|&used| now.since(used) < LOCAL) {
+            return true;
+        }
+        // Other entries use it about as often, and their requests are spread over all targets.
+        let Some(&(uses, last)) = self.uses.get(&part.key) else {
+            return false;
+        };
+        let recent = decayed(uses, last, LOCAL.as_secs_f64(), now);
+        recent * self.entries as f64 / at.targets.max(1) as f64 >= POPULAR
     }
 
     /// Says whether a part is kept or being saved somewhere.
@@ -438,8 +473,10 @@
         now: Time,
     ) -> Option<(Store, Duration)> {
         let read = Duration::from_secs_f64(part.tokens as f64 / READ_PER_MS / 1000.0);
+        // Without a limit the queues of overloaded links would delay all fetches.
         let holders = self.shelves.iter().filter(|(_, shelf)| {
             shelf.up
+                && draw * self.used(shelf, now) <= MOST_USED
                 && draw <= shelf.willing
                 && shelf
                     .held
@@ -448,7 +485,7 @@
         });
         let times = holders.map(|(name, shelf)| {
             let time = shelf.transfer(part.tokens, self.token_bytes, domain);
-            (name, time + shelf.wait(self.entries, now))
+            (name, time + self.wait(shelf, now))
         });
         let (name, time) = times.min_by_key(|(_, time)| *time)?;
         (time < read + TOLERANCE).then(|| (name.clone(), time))
@@ -483,6 +520,25 @@
         pick(shelves.filter(room).filter(fast).filter(tier).collect())
     }
 
+    /// Returns the use of a host's link by all entries; hosts of one speed have equal shares of the
+    /// parts, so their mean is closer than the few transfers of this entry from one of them.
+    fn used(&self, shelf: &Shelf, now: Time) -> f64 {
+        let tier = self.shelves.values();
+        let tier = tier.filter(|other| other.up && other.host.delay == shelf.host.delay);
+        let (count, work) = tier.fold((0u32, 0.0), |(count, work), other| {
+            (count + 1, work + other.worked(now))
+        });
+        work / MEMORY_S / f64::from(count.max(1)) * self.entries.max(1) as f64
+    }
+
+    /// Returns how long a transfer waits for others.
+    fn wait(&self, shelf: &Shelf, now: Time) -> Duration {
+        let used = self.used(shelf, now).min(MOST_USED);
+        // A queue of transfers of equal length at random times.
+        let wait = MEAN_TRANSFER.as_secs_f64() * used / (2.0 * (1.0 - used));
+        Duration::from_secs_f64(wait)
+    }
+
     /// Forgets saves that were not reported; an event may be lost.
     pub fn sweep(&mut self, now: Time) {
         for shelf in self.shelves.values_mut() {
@@ -490,6 +546,8 @@
                 .saving
                 .retain(|_, saving| now.since(saving.since) < SAVE_TIME);
         }
+        self.uses
+            .retain(|_, (uses, last)| decayed(*uses, *last, LOCAL.as_secs_f64(), now) > 0.05);
         self.local.retain(|_, used| {
             used.retain(|_, at| now.since(*at) < LOCAL);
             !used.is_empty()
@@ -497,6 +555,11 @@
     }
 }
 
+/// Returns what is left of a sum after some time, which fades with a time constant in seconds.
+fn decayed(sum: f64, last: Time, constant: f64, now: Time) -> f64 {
+    sum * (-now.since(last).as_secs_f64() / constant).exp()
+}
+
 impl Shelf {
     fn new(host: StoreHost) -> Self {
         Self {
@@ -525,17 +588,7 @@
 
     /// Returns the seconds of transfers that count at a time.
     fn worked(&self, now: Time) -> f64 {
-        let age = now.since(self.worked).as_secs_f64();
-        self.work * (-age / MEMORY_S).exp()
-    }
-
-    /// Returns how long a transfer waits for others, by the rate of the last seconds.
-    fn wait(&self, entries: usize, now: Time) -> Duration {
-        let used = self.worked(now) / MEMORY_S * entries.max(1) as f64;
-        let used = used.min(MOST_USED);
-        // A queue of transfers of equal length at random times.
-        let wait = MEAN_TRANSFER.as_secs_f64() * used / (2.0 * (1.0 - used));
-        Duration::from_secs_f64(wait)
+        decayed(self.work, self.worked, MEMORY_S, now)
     }
 
     fn drop_part(&mut self, key: &Key) {
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -8,7 +8,7 @@
 
 use types::{Store, Target, Time};
 
-use crate::kept::Key;
+use crate::kept::{Key, Report};
 use crate::placement::Load;
 
 /// What one entry tells another.
@@ -26,6 +26,10 @@
     pub used: Vec<(Store, Key)>,
     /// Parts that it is about to free.
     pub retired: Vec<(Store, Key)>,
+    /// The store hosts whose reports it passes on: their boot, or none for one that is down.
+    pub hosts: Vec<(Store, Option<u64>)>,
+    /// What these reported lately.
+    pub news: Vec<(Store, Report)>,
 }
 
 /// What an entry knows of the others.
@@ -35,6 +39,7 @@
     sums: HashMap<Target, Load>,
     used: VecDeque<(Time, Store, Key)>,
     retired: VecDeque<(Time, Store, Key)>,
+    news: VecDeque<(Time, Store, Report)>,
     next: usize,
 }
 
@@ -49,9 +54,11 @@
 /// How often an entry sends words.
 pub const TICK: Duration = Duration::from_millis(100);
 /// How many peers get a word at each tick. It bounds the cost at any number of entries.
-pub const FAN_OUT: usize = 4;
+pub const FAN_OUT: usize = 5;
 /// Parts in one word; more do not fit into a datagram.
 const MOST_PARTS: usize = 20;
+/// Reports in one word.
+const MOST_NEWS: usize = 80;
 /// How long a part that is about to be freed is named.
 const RETIRED: Duration = Duration::from_millis(1800);
 /// How long a word counts beyond the time after which the next one is due.
@@ -108,6 +115,13 @@
         {
             self.used.pop_front();
         }
+        while self
+            .news
+            .front()
+            .is_some_and(|(at, ..)| now.since(*at) > recent)
+        {
+            self.news.pop_front();
+        }
         while self
             .retired
             .front()
@@ -143,6 +157,22 @@
         self.retired.push_back((now, store, key));
     }
 
+    /// Records what a store host reported, to pass it on.
+    pub fn on_news(&mut self, store: &Store, reports: &[Report], now: Time) {
+        let news = reports.iter().cloned();
+        self.news
+            .extend(news.map(|report| (now, store.clone(), report)));
+    }
+
+    /// Returns the reports for a word.
+    #[must_use]
+    pub fn news(&self) -> Vec<(Store, Report)> {
+        let newest = self.news.iter().rev().take(MOST_NEWS).rev();
+        newest
+            .map(|(_, store, report)| (store.clone(), report.clone()))
+            .collect()
+    }
+
     /// Returns the peers that are to get a word now, in turn.
     pub fn turn<'names>(&mut self, peers: &'names [String]) -> Vec<&'names str> {
         let count = peers.len().min(FAN_OUT);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -42,6 +42,8 @@
     pub(crate) unread: u64,
     /// Tokens of memory that the request takes there.
     pub(crate) need: u64,
+    /// The number of targets from which it was chosen.
+    pub(crate) targets: usize,
     /// The parts of the prompt that others may share.
     pub(crate) parts: Vec<kept::Shared>,
     /// What becomes of them.
@@ -126,7 +128,7 @@
         shared.kept.borrow_mut().on_sent(
             &choice.parts,
             &choice.plan,
-            &crate::serve::place(&choice.member),
+            &crate::serve::place(&choice.member, choice.targets),
             shared.entries.get(),
             time,
         );
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use fleet::catalog::{Caller, Catalog, Limits};
-use fleet::kept::{self, Act};
+use fleet::kept::{self, Act, Kept};
 use fleet::peers::FAN_OUT;
 use fleet::placement;
 use fleet::roster::Member;
@@ -13,7 +13,7 @@
 use http::{Request, Response, request};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use types::{Service, Store, Target, Time};
+use types::{Domain, Service, Store, Target, Time};
 
 use crate::answer::{Body, Reason, close};
 use crate::attempt::{self, Asked, Choice, Outcome};
@@ -389,10 +389,12 @@
         usable.retain(|(_, avoided)| !avoided);
     }
     let prompt = asked.ask.prompt.as_ref();
-    let mut home = prompt.and_then(|prompt| home(prompt, &usable));
-    sample(shared, &mut usable, &mut home);
-    let draw = f64::from(shared.draw()) / f64::from(u32::MAX);
+    let usable_count = usable.len();
     let kept = shared.kept.borrow();
+    let near = prompt.and_then(|prompt| near(asked, prompt, &usable, &kept));
+    let mut home = prompt.and_then(|prompt| home(prompt, &usable, near.as_ref()));
+    sample(shared, &mut usable, &mut home, near.as_ref());
+    let draw = f64::from(shared.draw()) / f64::from(u32::MAX);
     let own = prompt.map_or(0, own_tokens);
     let need = prompt.map_or(0, |prompt| prompt.input + prompt.output);
     let capacity = pool.engine.as_ref().map_or(0, |engine| engine.memory);
@@ -401,7 +403,7 @@
     for (index, (member, _)) in usable.iter().enumerate() {
         let parts = prompt.map(|prompt| shared_parts(asked, prompt, member));
         let parts = parts.unwrap_or_default();
-        let plan = kept.plan(&parts, &place(member), draw, time);
+        let plan = kept.plan(&parts, &place(member, usable_count), draw, time);
         // Requests of a session meet at the same target, which has likely kept their parts.
         let fetch = match Some(index) == home {
             true => plan.fetch.mul_f64(HOME_FETCH),
@@ -452,6 +454,7 @@
         },
         unread: candidates[index].unread,
         need,
+        targets: usable_count,
         parts,
         plan,
         member,
@@ -472,6 +475,7 @@
     shared: &Shared<Border>,
     usable: &mut Vec<(&Arc<Member>, bool)>,
     home: &mut Option<usize>,
+    near: Option<&Domain>,
 ) {
     if shared.entries.get() <= MOST_CURRENT || usable.len() <= SAMPLE {
         return;
@@ -482,8 +486,14 @@
     }
     let kept = usize::from(home.is_some());
     for index in kept..SAMPLE {
-        let rest = usable.len() - index;
-        let chosen = index + shared.draw() as usize % rest;
+        let close: Vec<usize> = (index..usable.len())
+            .filter(|&other| index < SAMPLE_NEAR && Some(&usable[other].0.domain) == near)
+            .collect();
+        let draw = shared.draw() as usize;
+        let chosen = match close.len() {
+            0 => index + draw % (usable.len() - index),
+            count => close[draw % count],
+        };
         usable.swap(index, chosen);
     }
     usable.truncate(SAMPLE);
@@ -492,21 +502,45 @@
 /// The number of entries up to which all loads are current at each.
 const MOST_CURRENT: usize = 2 * FAN_OUT;
 /// Targets to choose from beyond that.
-const SAMPLE: usize = 6;
+const SAMPLE: usize = 7;
+/// How many of them are close to the store host that keeps the session, if there is one.
+const SAMPLE_NEAR: usize = 4;
+
+/// Returns the failure domain of the store host that keeps the session's part, where there are
+/// many targets; a transfer to another domain takes its link twice as long.
+fn near(
+    asked: &Asked,
+    prompt: &Prompt,
+    usable: &[(&Arc<Member>, bool)],
+    kept: &Kept,
+) -> Option<Domain> {
+    let (member, _) = usable.first()?;
+    let parts = shared_parts(asked, prompt, member);
+    let domain = kept.domain(parts.last()?)?;
+    let there = usable.iter().filter(|(member, _)| member.domain == *domain);
+    (there.count() >= SAMPLE_NEAR).then(|| domain.clone())
+}
 
 /// Returns the target at which requests of a session meet.
-fn home(prompt: &Prompt, usable: &[(&Arc<Member>, bool)]) -> Option<usize> {
+fn home(
+    prompt: &Prompt,
+    usable: &[(&Arc<Member>, bool)],
+    near: Option<&Domain>,
+) -> Option<usize> {
     let session = prompt.parts.iter().rev().nth(1).or(prompt.parts.last())?;
     let key = routing::Key::new(&[session.id.as_bytes()]);
+    let is_near = |member: &Member| near.is_none_or(|near| member.domain == *near);
     let members = usable
         .iter()
         .enumerate()
+        .filter(|(_, (member, _))| is_near(member))
         .map(|(index, (member, _))| (hash(&member.id), index));
     routing::top(key, members, 1).first().copied()
 }
 
-pub(crate) fn place(member: &Member) -> kept::Place<'_> {
+pub(crate) fn place(member: &Member, targets: usize) -> kept::Place<'_> {
     kept::Place {
+        targets,
         target: &member.id,
         domain: &member.domain,
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -121,8 +121,9 @@
         u64::try_from(micros / 1000).ok()
     }
 
-    /// Says whether this entry frees the parts of a store host that are out of use.
-    pub(crate) fn tends(&self, store: &Store) -> bool {
+    /// Returns the position of this entry among those that look after a store host: the first one
+    /// frees parts, the first few follow its reports, and the first two of these pass them on.
+    pub(crate) fn rank(&self, store: &Store) -> Option<usize> {
         let key = routing::Key::new(&[store.as_bytes()]);
         let names = self.names.borrow();
         let named = names.keys().map(|name| {
@@ -130,8 +131,9 @@
             bytes.copy_from_slice(&blake3::hash(name.as_bytes()).as_bytes()[..8]);
             (u64::from_le_bytes(bytes), &**name)
         });
-        let first = routing::top(key, named, 1).first().copied();
-        first == Some(self.settings.name.as_str())
+        let ranked = routing::top(key, named, names.len());
+        let own = self.settings.name.as_str();
+        ranked.into_iter().position(|name| name == own)
     }
 
     /// Returns whether a space may still be used: some target serves its weights, or they are the
--- a/crates/gateway/src/shelf.rs
+++ b/crates/gateway/src/shelf.rs
@@ -5,7 +5,7 @@
 use fleet::kept::Kept;
 use fleet::peers::Peers;
 use tokio::task::JoinHandle;
-use types::Store;
+use types::{Store, Time};
 
 use crate::border::Platform;
 use crate::clock::now;
@@ -15,6 +15,12 @@
 /// How long a store host may hold a call while nothing changes; calls shorter than 200 ms have a
 /// price.
 const WAIT: Duration = Duration::from_millis(800);
+/// The same for entries that only fill gaps in what others pass on.
+const SHORT_WAIT: Duration = Duration::from_millis(250);
+/// How often such an entry asks; words of others may be lost.
+const HEAL: Duration = Duration::from_secs(5);
+/// Entries that pass the reports of a host on.
+pub(crate) const RELAYS: usize = 2;
 /// How long a store host that does not answer is left alone.
 const BACK_OFF: Duration = Duration::from_millis(250);
 /// How often hosts of a new configuration are followed.
@@ -56,14 +62,24 @@
 {
     let mut since = 0;
     let mut boot = None;
+    let mut asked: Option<Time> = None;
     loop {
         let host = shared.kept.borrow().host(&store).cloned();
         let Some(host) = host else {
             tokio::time::sleep(LOOK).await;
             continue;
         };
-        let news = shared.border.news(host.address, since, WAIT).await;
+        let readers = (host.calls / 2).max(1) as usize;
+        let rank = shared.rank(&store);
+        let reads = rank.is_some_and(|rank| rank < readers);
+        if !reads && asked.is_some_and(|asked| now().since(asked) < HEAL) {
+            tokio::time::sleep(LOOK).await;
+            continue;
+        }
+        let wait = if reads { WAIT } else { SHORT_WAIT };
+        let news = shared.border.news(host.address, since, wait).await;
         let time = now();
+        asked = Some(time);
         let mut kept = shared.kept.borrow_mut();
         match news {
             Ok(news) => {
@@ -86,8 +102,20 @@
                     shared.on_clock(clock, time);
                 }
                 since = news.next;
+                if rank.is_some_and(|rank| rank < RELAYS) {
+                    let mut peers = shared.peers.borrow_mut();
+                    peers.on_news(&store, &news.reports, time);
+                }
                 kept.on_reports(&store, news.boot, news.reports, time);
             }
+            Err(why) if !reads => {
+                drop(kept);
+                // The entries that follow the host know better whether it is down.
+                Event::new("store_host_unheard")
+                    .with("store", &*store)
+                    .with("why", why)
+                    .info();
+            }
             Err(why) => {
                 kept.on_down(&store);
                 drop(kept);
@@ -113,7 +141,7 @@
             kept.hosts().map(|(host, _)| host.name.clone()).collect()
         };
         for store in stores {
-            if !shared.tends(&store) {
+            if shared.rank(&store) != Some(0) {
                 continue;
             }
             let in_use = shared.spaces_in_use();
--- a/crates/gateway/src/talk.rs
+++ b/crates/gateway/src/talk.rs
@@ -2,7 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fleet::kept::Key;
+use fleet::kept::{Key, Report};
 use fleet::peers::{TICK, Word};
 use fleet::placement::Load;
 use platform::{Commit, Write};
@@ -14,6 +14,7 @@
 use crate::border::Platform;
 use crate::clock::now;
 use crate::shared::Shared;
+use crate::shelf::RELAYS;
 
 /// The row of the secret with which entries authenticate their words.
 const SECRET: &str = "secret/peers";
@@ -33,6 +34,9 @@
     loads: Vec<(Target, u32, u64, u64)>,
     used: Vec<Named>,
     retired: Vec<Named>,
+    hosts: Vec<(Store, Option<u64>)>,
+    /// Each with whether it is held, and its tokens.
+    news: Vec<(Named, bool, u64)>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -99,6 +103,17 @@
         (target.clone(), load.running, load.reading, load.memory)
     });
     let (used, retired) = shared.peers.borrow().parts();
+    let news = shared.peers.borrow().news().into_iter();
+    let kept = shared.kept.borrow();
+    let hosts = kept.hosts().map(|(host, _)| host.name.clone());
+    let relayed = hosts.filter(|store| {
+        let rank = shared.rank(store);
+        rank.is_some_and(|rank| rank < RELAYS)
+    });
+    let hosts = relayed.map(|store| {
+        let boot = kept.boot(&store);
+        (store, boot)
+    });
     let name = |(store, key): (Store, Key)| Named {
         store,
         space: key.space.to_string(),
@@ -111,6 +126,10 @@
         loads: loads.collect(),
         used: used.into_iter().map(name).collect(),
         retired: retired.into_iter().map(name).collect(),
+        hosts: hosts.collect(),
+        news: news
+            .map(|(store, report)| (name((store, report.key)), report.held, report.tokens))
+            .collect(),
     }
 }
 
@@ -161,6 +180,10 @@
         };
         (target, load)
     });
+    let news = packet.news.into_iter().map(|(named, held, tokens)| {
+        let (store, key) = key(named);
+        (store, Report { held, key, tokens })
+    });
     let word = Word {
         from: packet.from,
         start: packet.start,
@@ -168,6 +191,8 @@
         loads: loads.collect(),
         used: packet.used.into_iter().map(key).collect(),
         retired: packet.retired.into_iter().map(key).collect(),
+        hosts: packet.hosts,
+        news: news.collect(),
     };
     if !shared.peers.borrow_mut().on_word(&word, time) {
         return;
@@ -176,6 +201,22 @@
     for (store, key) in &word.used {
         kept.on_used(store, key, time);
     }
+    for (store, boot) in &word.hosts {
+        let calls = kept.host(store).map_or(0, |host| host.calls);
+        let reads = shared.rank(store);
+        // An entry that follows the host itself knows better.
+        if reads.is_some_and(|rank| rank < (calls / 2).max(1) as usize) {
+            continue;
+        }
+        match boot {
+            None => kept.on_down(store),
+            Some(boot) => {
+                let news = word.news.iter().filter(|(named, _)| named == store);
+                let reports = news.map(|(_, report)| report.clone()).collect();
+                kept.on_reports(store, *boot, reports, time);
+            }
+        }
+    }
     for (store, key) in word.retired {
         kept.on_retired(&store, &[key], time);
     }
