--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -22,6 +22,8 @@
     avoid_until: Time,
     failures: u32,
     refused_until: Time,
+    /// When the target last sent anything, or got a request while it had none.
+    heard: Time,
 }
 
 /// The loads and the health of all targets, as one entry sees them.
@@ -71,6 +73,9 @@
 const AVOID: Duration = Duration::from_millis(400);
 /// The longest time that a target is avoided.
 const MOST_AVOID: Duration = Duration::from_millis(6400);
+/// A target with requests under way that sends nothing for this long is left out. Engines send
+/// events each few milliseconds, plain services answer in some tens of them.
+const SILENCE: Duration = Duration::from_millis(600);
 /// How long a target that refused a request for lack of room gets no other.
 const REFUSED: Duration = Duration::from_millis(150);
 
@@ -138,7 +143,10 @@
 
 impl Board {
     /// Records a request that is sent.
-    pub fn on_sent(&mut self, target: &Target, reading: u64, memory: u64) {
+    pub fn on_sent(&mut self, target: &Target, reading: u64, memory: u64, now: Time) {
+        if self.load(target).running == 0 {
+            self.on_heard(target, now);
+        }
         let load = self.own.entry(target.clone()).or_default();
         load.running += 1;
         load.reading += reading;
@@ -160,9 +168,27 @@
         }
     }
 
+    /// Records that a target sent something.
+    pub fn on_heard(&mut self, target: &Target, now: Time) {
+        self.health.entry(target.clone()).or_default().heard = now;
+    }
+
+    /// Says whether a target that has requests under way has sent nothing for long. A busy engine
+    /// still sends events of other requests; one without power or behind a cut sends nothing.
+    #[must_use]
+    pub fn is_silent(&self, target: &Target, now: Time) -> bool {
+        let Some(health) = self.health.get(target) else {
+            return false;
+        };
+        self.load(target).running > 0 && now.since(health.heard) >= SILENCE
+    }
+
     /// Records an answer that shows a target to be sound.
     pub fn on_success(&mut self, target: &Target) {
-        self.health.remove(target);
+        if let Some(health) = self.health.get_mut(target) {
+            health.failures = 0;
+            health.avoid_until = Time::default();
+        }
     }
 
     /// Records a failure; the target is avoided for a while.
@@ -197,9 +223,9 @@
     /// Says whether a target is to be left out for now.
     #[must_use]
     pub fn avoids(&self, target: &Target, now: Time) -> bool {
-        self.health
-            .get(target)
-            .is_some_and(|health| health.avoid_until > now || health.refused_until > now)
+        let known = self.health.get(target);
+        known.is_some_and(|health| health.avoid_until > now || health.refused_until > now)
+            || self.is_silent(target, now)
     }
 
     /// Forgets targets that are gone and have nothing under way.
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -5,7 +5,7 @@
 
 use types::{Model, Target, Time};
 
-use crate::roster::{Entry, Roster};
+use crate::roster::{Entry, Member, Roster};
 
 /// The weight versions that the operator named, and the orders that are under way.
 ///
@@ -125,7 +125,7 @@
             .count();
         let waited = behind
             .iter()
-            .filter_map(|(entry, order)| self.outdated_since(entry, &order.model))
+            .filter_map(|(entry, order)| self.outdated_since(&entry.member, &order.model))
             .map(|since| now.since(since))
             .max();
         let hurry = waited.unwrap_or_default().as_millis() / HURRY.as_millis();
@@ -134,7 +134,7 @@
         // Those that have been out of date for longest come first: nothing may begin on their
         // weights once the operators' bound has passed.
         behind.sort_by_cached_key(|(entry, order)| {
-            let since = self.outdated_since(entry, &order.model);
+            let since = self.outdated_since(&entry.member, &order.model);
             (since, order.target.clone())
         });
         let under_way = self.ordered.values().filter(|order| order.runs()).count();
@@ -195,8 +195,9 @@
     }
 
     /// Returns when the first version was named that is newer than that of the target.
-    fn outdated_since(&self, entry: &Entry, model: &Model) -> Option<Time> {
-        let serves = entry.member.version(model)?;
+    #[must_use]
+    pub fn outdated_since(&self, member: &Member, model: &Model) -> Option<Time> {
+        let serves = member.version(model)?;
         let newer = self.named.get(model)?;
         let first = newer.iter().find(|named| named.version > serves);
         first.map(|named| named.since)
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -67,6 +67,12 @@
         self.shaken = Some(now);
     }
 
+    /// Says whether the store could not be used within some time.
+    #[must_use]
+    pub fn is_shaken(&self, now: Time, within: Duration) -> bool {
+        self.shaken.is_some_and(|shaken| now.since(shaken) < within)
+    }
+
     /// Records a report. Versions only grow, so an older one than is known is a late report.
     pub fn list(&mut self, mut member: Member, now: Time) {
         let cold_until = now + member.cold;
@@ -104,10 +110,7 @@
 
     /// Records that a target is on the list no more.
     pub fn unlist(&mut self, id: &Target, now: Time) {
-        let shaken = self
-            .shaken
-            .is_some_and(|shaken| now.since(shaken) < LAPSE_GRACE);
-        if !shaken {
+        if !self.is_shaken(now, LAPSE_GRACE) {
             self.entries.remove(id);
             return;
         }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,3 +1,4 @@
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -104,14 +105,15 @@
     reading: bool,
 }
 
-/// The longest part of the remaining time that a repeatable request waits for the head of an
-/// answer, so that there is time for another target.
-const HEAD_SHARE: f64 = 0.5;
-/// Requests that may be repeated wait for the first byte this many times their objective before
-/// another target is tried.
-const OBJECTIVES: f64 = 2.0;
-/// The least time that a repeatable request waits for a target.
-const LEAST_WAIT: Duration = Duration::from_millis(300);
+/// How often a request that waits for the first byte looks whether its target still sends anything.
+const LOOK: Duration = Duration::from_millis(200);
+/// Callers give up a stream after a gap of this many objectives, this many pauses, or the least gap,
+/// whichever is the longest.
+const GAP_OBJECTIVES: u32 = 4;
+/// See [`GAP_OBJECTIVES`].
+const GAP_PAUSES: u32 = 8;
+/// See [`GAP_OBJECTIVES`].
+const LEAST_GAP: Duration = Duration::from_secs(2);
 /// The part of a target's connections that all entries use together; health checks and closing
 /// connections take the rest.
 const CONNECTIONS: f64 = 0.8;
@@ -122,7 +124,7 @@
         shared
             .board
             .borrow_mut()
-            .on_sent(&target, choice.unread, choice.need);
+            .on_sent(&target, choice.unread, choice.need, now());
         let time = now();
         shared.ramp.borrow_mut().on_sent(&target, time);
         shared.kept.borrow_mut().on_sent(
@@ -196,17 +198,45 @@
         self.deadline.since(now)
     }
 
-    /// Returns how long the first byte of an answer is waited for.
-    fn patience(&self, now: Time) -> Duration {
-        let left = self.left(now);
-        if !self.route.repeatable() {
-            return left;
+    /// Returns how long nothing may come before the caller has given up.
+    pub(crate) fn gap(&self) -> Duration {
+        if self.route.kind != Kind::Stream {
+            return Duration::MAX;
+        }
+        let objectives = self.route.objective * GAP_OBJECTIVES;
+        let pauses = self.route.pause * GAP_PAUSES;
+        objectives.max(pauses).max(LEAST_GAP)
+    }
+}
+
+/// Waits for a target for as long as the caller does, or, where the request can be sent again, until
+/// the target has fallen silent. A busy target is waited for: what it has read would be lost.
+pub(crate) async fn patiently<Border, Coming>(
+    shared: &Shared<Border>,
+    asked: &Asked,
+    target: &Target,
+    coming: Coming,
+) -> Result<Coming::Output, String>
+where
+    Coming: Future,
+{
+    let begun = now();
+    let most = asked.gap().min(asked.left(begun));
+    let mut coming = pin!(coming);
+    loop {
+        let waited = now().since(begun);
+        let left = most.saturating_sub(waited);
+        if let Ok(output) = tokio::time::timeout(left.min(LOOK), coming.as_mut()).await {
+            shared.board.borrow_mut().on_heard(target, now());
+            return Ok(output);
+        }
+        if left <= LOOK {
+            return Err(format!("nothing came within {most:?}"));
+        }
+        let silent = shared.board.borrow().is_silent(target, now());
+        if silent && asked.route.repeatable() {
+            return Err("the target has fallen silent".to_owned());
         }
-        let objectives = self.route.objective.mul_f64(OBJECTIVES);
-        objectives
-            .min(left.mul_f64(HEAD_SHARE))
-            .max(LEAST_WAIT)
-            .min(left)
     }
 }
 
@@ -222,16 +252,13 @@
     Border: Platform,
 {
     let once = !asked.route.repeatable();
-    let started = now();
-    let patience = asked.patience(started);
     loop {
         let connection = match connect(shared, choice, once).await {
             Ok(connection) => connection,
             Err(why) => return Outcome::NotRun { sent: false, why },
         };
         let used = connection.used;
-        let left = patience.saturating_sub(now().since(started));
-        match exchange(shared, asked, choice, connection, left).await {
+        match exchange(shared, asked, choice, connection).await {
             // The target closed an idle connection; nothing of the request was sent.
             Outcome::NotRun { sent: false, .. } if used => {}
             outcome => return outcome,
@@ -269,7 +296,6 @@
     asked: &Asked,
     choice: &Choice,
     mut connection: Connection,
-    patience: Duration,
 ) -> Outcome<Border>
 where
     Border: Platform,
@@ -281,7 +307,7 @@
     let sent = now();
     let mut flight = Flight::start(shared, choice);
     let sending = connection.sender.try_send_request(request);
-    let response = match tokio::time::timeout(patience, sending).await {
+    let response = match patiently(shared, asked, flight.target(), sending).await {
         Ok(Ok(response)) => response,
         Ok(Err(mut error)) => {
             if error.take_message().is_some() {
@@ -291,10 +317,7 @@
             let why = error.into_error().to_string();
             return Outcome::Failed { why };
         }
-        Err(_) => {
-            let why = format!("no answer within {patience:?}");
-            return Outcome::Failed { why };
-        }
+        Err(why) => return Outcome::Failed { why },
     };
     let answered = now();
     let (head, body) = response.into_parts();
@@ -363,17 +386,12 @@
     Border: Platform,
 {
     let mut events = Events::default();
-    let patience = asked.patience(now());
-    let (first, ended) = loop {
-        match tokio::time::timeout(patience, events.next(&mut body)).await {
-            Ok(Ok(Some(first))) => break (first, false),
-            Ok(Ok(None)) => break (Bytes::new(), true),
-            Ok(Err(why)) => return Outcome::Failed { why },
-            Err(_) => {
-                let why = format!("no event within {patience:?}");
-                return Outcome::Failed { why };
-            }
-        }
+    let target = flight.target().clone();
+    let first = patiently(shared, asked, &target, events.next(&mut body)).await;
+    let (first, ended) = match first.and_then(|first| first) {
+        Ok(Some(first)) => (first, false),
+        Ok(None) => (Bytes::new(), true),
+        Err(why) => return Outcome::Failed { why },
     };
     flight.on_first();
     Outcome::Started(Box::new(Running {
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -68,8 +68,8 @@
 /// How long a connection may have been idle for a request that cannot be repeated: a target that
 /// closes it meanwhile leaves open whether the request ran.
 const KEEP_ONCE: Duration = Duration::from_millis(1500);
-/// How long it may take to open a connection; the first packet is sent again after a second.
-const CONNECT: Duration = Duration::from_millis(700);
+/// How long it may take to open a connection; the way to a target takes a few milliseconds.
+const CONNECT: Duration = Duration::from_millis(350);
 /// How long sent bytes may stay unconfirmed; a target that is cut off does not answer.
 const UNCONFIRMED: Duration = Duration::from_millis(2500);
 /// How long a connection may take to become free after an answer.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,5 +1,4 @@
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::Response;
@@ -9,7 +8,7 @@
 use types::Target;
 
 use crate::answer::{Body, Cut};
-use crate::attempt::{Asked, Outcome, Running};
+use crate::attempt::{self, Asked, Outcome, Running};
 use crate::border::Platform;
 use crate::clock::now;
 use crate::connection;
@@ -31,11 +30,6 @@
 const AHEAD: usize = 16;
 /// Bytes of one event; a larger one is passed on in pieces.
 const MOST_BYTES: usize = 1 << 20;
-/// A silent stream that can be continued is given up after this many pauses of the objective.
-const PAUSES: u32 = 4;
-/// The least silence after which a stream is given up.
-const LEAST_SILENCE: Duration = Duration::from_millis(900);
-
 impl Events {
     /// Waits for the next whole events; `None` is the regular end.
     pub(crate) async fn next(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, String> {
@@ -127,7 +121,7 @@
 {
     let mut last = asked.ask.seen;
     loop {
-        let cut = pump(asked, &mut running, &events, &mut last).await;
+        let cut = pump(shared, asked, &mut running, &events, &mut last).await;
         let target = running.flight.target().clone();
         let Some(why) = cut else {
             shared.board.borrow_mut().on_success(&target);
@@ -165,6 +159,7 @@
 
 /// Passes events on until the stream ends; returns why it did not end well.
 async fn pump<Border>(
+    shared: &Shared<Border>,
     asked: &Asked,
     running: &mut Running<Border>,
     events: &mpsc::Sender<Result<Bytes, Cut>>,
@@ -175,10 +170,6 @@
     if running.ended {
         return None;
     }
-    let silence = match asked.route.resumable {
-        true => (asked.route.pause * PAUSES).max(LEAST_SILENCE),
-        false => Duration::MAX,
-    };
     loop {
         if let Some(event) = next.take() {
             if events.send(Ok(event)).await.is_err() {
@@ -186,13 +177,12 @@
             }
             *last = running.events.last().or(*last);
         }
-        let wait = silence.min(asked.left(now()));
-        let event = tokio::time::timeout(wait, running.events.next(&mut running.body));
-        next = match event.await {
+        let target = running.flight.target().clone();
+        let coming = running.events.next(&mut running.body);
+        next = match attempt::patiently(shared, asked, &target, coming).await {
             Ok(Ok(Some(event))) => Some(event),
             Ok(Ok(None)) => return None,
-            Ok(Err(why)) => return Some(why),
-            Err(_) => return Some(format!("no event within {wait:?}")),
+            Ok(Err(why)) | Err(why) => return Some(why),
         };
     }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -29,6 +29,8 @@
 const SOON: Duration = Duration::from_millis(300);
 /// How long a request waits before it looks again for a target.
 const LOOK_AGAIN: Duration = Duration::from_millis(15);
+/// A failure that comes later than this is one of a slow target.
+const SLOW: Duration = Duration::from_millis(1500);
 /// The part of a request's objective for which it waits for a target with room.
 const WAIT_SHARE: f64 = 0.4;
 
@@ -243,7 +245,11 @@
         Outcome::Failed { why } => {
             tries.arrivals += 1;
             tries.runs += 1;
-            shared.board.borrow_mut().on_failure(target, time);
+            // A target that was slow only is not left out: the others would get its load.
+            let mut board = shared.board.borrow_mut();
+            if board.is_silent(target, time) || time.since(sent) < SLOW {
+                board.on_failure(target, time);
+            }
             ("failed", why.clone())
         }
     };
@@ -375,6 +381,9 @@
         {
             continue;
         }
+        if is_expired(shared, asked.ask.prompt.as_ref(), member, time) {
+            continue;
+        }
         let is_cold = pool.cold_rate > 0.0 && entry.cold_until > time;
         if is_cold
             && !(shared.has_joined(time) && ramp.allows(&member.id, cold_limit, entries, time))
@@ -589,6 +598,23 @@
     }
 }
 
+/// Says whether nothing may begin on a target's weights any more, as newer ones were named too long
+/// ago. What begins there is worth nothing then.
+fn is_expired<Border>(
+    shared: &Shared<Border>,
+    prompt: Option<&Prompt>,
+    member: &Member,
+    time: Time,
+) -> bool {
+    let bound = shared.settings.weights().saturating_sub(WEIGHTS_MARGIN);
+    let rollout = shared.rollout.borrow();
+    let since = prompt.and_then(|prompt| rollout.outdated_since(member, &prompt.model));
+    since.is_some_and(|since| time.since(since) >= bound)
+}
+
+/// The time before the bound on old weights in which a request may still wait at its target.
+const WEIGHTS_MARGIN: Duration = Duration::from_millis(1500);
+
 fn hash(target: &Target) -> u64 {
     let mut bytes = [0; 8];
     bytes.copy_from_slice(&blake3::hash(target.as_bytes()).as_bytes()[..8]);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -50,6 +50,9 @@
     pub cold_factor: f64,
     /// Requests in a second above that.
     pub cold_slack: f64,
+    /// The time after which nothing may begin on older weights than were named; none where the
+    /// operators set no bound.
+    pub weights_ms: Option<f64>,
     /// The time that has to lie between orders of two holders of the lease.
     pub lease_gap_ms: f64,
 }
@@ -108,6 +111,12 @@
         milliseconds(self.bounds.lease_gap_ms)
     }
 
+    /// Returns the time after which nothing may begin on older weights.
+    #[must_use]
+    pub fn weights(&self) -> Duration {
+        self.bounds.weights_ms.map_or(Duration::MAX, milliseconds)
+    }
+
     /// Returns the window over which repeats are counted.
     #[must_use]
     pub fn retry_window(&self) -> Duration {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,5 +1,5 @@
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::IpAddr;
 use std::rc::Rc;
 
@@ -13,7 +13,7 @@
 use fleet::roster::Roster;
 use rand::Rng;
 use tokio::sync::Notify;
-use types::{Domain, Service, Store, Target, Time};
+use types::{Domain, Model, Service, Store, Target, Time};
 
 use crate::connection;
 use crate::metrics::Metrics;
@@ -136,26 +136,26 @@
         ranked.into_iter().position(|name| name == own)
     }
 
-    /// Returns whether a space may still be used: some target serves its weights, or they are the
-    /// newest.
+    /// Returns whether a space may still be used: all targets of its model serve newer weights if
+    /// not. Nothing is known of other models, so their spaces count as used.
     pub(crate) fn spaces_in_use(&self) -> impl Fn(&str) -> bool + use<Border> {
-        let mut used = HashSet::new();
+        let mut oldest: HashMap<Model, u64> = HashMap::new();
         for entry in self.roster.borrow().iter() {
             for (model, version) in &entry.member.weights {
-                used.insert(format!("{model}.{version}"));
-                if let Some(named) = self.rollout.borrow().named(model) {
-                    used.insert(format!("{model}.{}", named.version));
-                }
+                let least = oldest.entry(model.clone()).or_insert(*version);
+                *least = (*least).min(*version);
             }
         }
         move |space| {
             // The team of an isolated space follows the weights.
             let mut fields = space.splitn(3, '.');
-            let weights = match (fields.next(), fields.next()) {
-                (Some(model), Some(version)) => format!("{model}.{version}"),
-                _ => return false,
+            let (Some(model), Some(version)) = (fields.next(), fields.next()) else {
+                return true;
             };
-            used.contains(&weights)
+            match (oldest.get(model), version.parse::<u64>()) {
+                (Some(oldest), Ok(version)) => version >= *oldest,
+                _ => true,
+            }
         }
     }
 
--- a/crates/gateway/src/shelf.rs
+++ b/crates/gateway/src/shelf.rs
@@ -23,6 +23,8 @@
 pub(crate) const RELAYS: usize = 2;
 /// How long a store host that does not answer is left alone.
 const BACK_OFF: Duration = Duration::from_millis(250);
+/// How long the list of targets must have been followed before parts are freed by it.
+const SETTLE: Duration = Duration::from_secs(8);
 /// How often hosts of a new configuration are followed.
 const LOOK: Duration = Duration::from_millis(500);
 
@@ -134,8 +136,13 @@
 where
     Border: Platform,
 {
+    // The list of targets has to be whole, or spaces in use would seem out of use.
+    tokio::time::sleep(SETTLE).await;
     loop {
         tokio::time::sleep(LOOK).await;
+        if shared.roster.borrow().is_shaken(now(), SETTLE) {
+            continue;
+        }
         let stores: Vec<Store> = {
             let kept = shared.kept.borrow();
             kept.hosts().map(|(host, _)| host.name.clone()).collect()
