waiting: requests wait at the entry until a target has room, or are refused at once

Cause: with two of nine engines dark the others' memory filled up; requests queued there, the parts that had been fetched on arrival were pushed out before they ran and were read again, which kept memory full long after the engines were back.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod rollout;
 pub mod roster;
 pub mod stop;
+pub mod waiting;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -69,6 +69,12 @@
 /// The work of a request to a plain service in ms, for its queue.
 const PLAIN_MS: f64 = 30.0;
 
+/// The part of an engine's memory that requests under way may take; the rest keeps the parts that
+/// nearly all prompts share.
+const FILL: f64 = 0.72;
+/// Requests for each slot of a plain service; the second one waits there for a few milliseconds.
+const PLAIN_DEPTH: u32 = 2;
+
 /// How long a target is avoided after its first failure; each further one doubles it.
 const AVOID: Duration = Duration::from_millis(400);
 /// The longest time that a target is avoided.
@@ -118,6 +124,19 @@
 }
 
 impl Candidate {
+    /// Says whether a request fits without pushing out what the target keeps or making it wait.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        if self.load.running == 0 {
+            return true;
+        }
+        if self.capacity == 0 {
+            return self.load.running < self.slots * PLAIN_DEPTH;
+        }
+        let filled = (self.load.memory + self.need) as f64;
+        self.load.running < self.slots && filled <= self.capacity as f64 * FILL
+    }
+
     /// Returns the expected time to the first event in ms, with what else speaks against it.
     #[must_use]
     pub fn cost(&self) -> f64 {
--- /dev/null
+++ b/crates/fleet/src/waiting.rs
@@ -0,0 +1,146 @@
+//! Requests that wait at an entry for a target with room.
+//!
+//! An engine whose memory is full drops what it has kept, reads it again and slows down all that it
+//! runs, so requests wait at the entry, where their order can be chosen, and not at the engine.
+
+use std::collections::{BTreeSet, HashMap};
+use std::hash::Hash;
+use std::time::Duration;
+
+use types::Time;
+
+/// A place among the waiting requests: the rank of the request, then the order of arrival.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket {
+    rank: u8,
+    number: u64,
+}
+
+/// The waiting requests of all services.
+#[derive(Debug)]
+pub struct Lobby<Name> {
+    queues: HashMap<Name, Queue>,
+    next: u64,
+}
+
+/// The waiting requests of one service.
+#[derive(Debug, Default)]
+struct Queue {
+    waiting: BTreeSet<Ticket>,
+    /// The mean time between two requests that found a target while others waited, in seconds.
+    interval: f64,
+    last: Option<Time>,
+}
+
+/// What a waiting request does now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turn {
+    /// Look for a target.
+    Look,
+    /// Wait for its turn.
+    Wait,
+    /// Give up; it will not be served in time. The caller may come back after this time.
+    Refuse(Duration),
+}
+
+/// Requests that may look for a target at the same time; more than one, since a small request may
+/// fit where the first one does not.
+const WIDTH: usize = 3;
+/// The part of its objective that a request waits at most. What is refused later than an eighth of
+/// it has cost the caller time; what is sent later than half of it is late in most cases.
+const SHARE: f64 = 0.45;
+/// The least and the most time after which a refused caller may come back.
+const AGAIN: (Duration, Duration) = (Duration::from_millis(400), Duration::from_millis(2500));
+/// The weight of the newest interval.
+const SMOOTHING: f64 = 0.1;
+/// Longer intervals are pauses and say nothing of the rate, in seconds.
+const MOST_INTERVAL: f64 = 0.5;
+
+impl<Name> Default for Lobby<Name> {
+    fn default() -> Self {
+        Self {
+            queues: HashMap::new(),
+            next: 0,
+        }
+    }
+}
+
+impl<Name> Lobby<Name>
+where
+    Name: Eq + Hash + Clone,
+{
+    /// Adds a request of a rank; 0 is the first.
+    pub fn join(&mut self, service: &Name, rank: u8) -> Ticket {
+        self.next += 1;
+        let ticket = Ticket {
+            rank,
+            number: self.next,
+        };
+        let queue = self.queues.entry(service.clone()).or_default();
+        queue.waiting.insert(ticket);
+        ticket
+    }
+
+    /// Returns what a request does that has waited for some time; `draw` is uniform between 0 and 1
+    /// and spreads the return of refused callers.
+    #[must_use]
+    pub fn turn(
+        &self,
+        service: &Name,
+        ticket: Ticket,
+        waited: Duration,
+        objective: Duration,
+        draw: f64,
+    ) -> Turn {
+        let Some(queue) = self.queues.get(service) else {
+            return Turn::Look;
+        };
+        let ahead = queue.waiting.range(..ticket).count();
+        let limit = objective.mul_f64(SHARE);
+        let expected = Duration::from_secs_f64(queue.interval * ahead as f64);
+        if waited >= limit || (ahead >= WIDTH && waited + expected > limit) {
+            let drained = Duration::from_secs_f64(queue.interval * queue.waiting.len() as f64);
+            let again = drained.clamp(AGAIN.0, AGAIN.1);
+            return Turn::Refuse(again.mul_f64(0.75 + 0.75 * draw));
+        }
+        match ahead < WIDTH {
+            true => Turn::Look,
+            false => Turn::Wait,
+        }
+    }
+
+    /// Removes a request; `served` says whether it found a target.
+    pub fn leave(&mut self, service: &Name, ticket: Ticket, served: bool, now: Time) {
+        let Some(queue) = self.queues.get_mut(service) else {
+            return;
+        };
+        queue.waiting.remove(&ticket);
+        if !served {
+            return;
+        }
+        if let Some(last) = queue.last
+            && !queue.waiting.is_empty()
+        {
+            let interval = now.since(last).as_secs_f64().min(MOST_INTERVAL);
+            queue.interval += SMOOTHING * (interval - queue.interval);
+        }
+        queue.last = Some(now);
+        if queue.waiting.is_empty() {
+            queue.interval *= 1.0 - SMOOTHING;
+        }
+    }
+
+    /// Returns how many requests wait for a service.
+    #[must_use]
+    pub fn len(&self, service: &Name) -> usize {
+        self.queues
+            .get(service)
+            .map_or(0, |queue| queue.waiting.len())
+    }
+
+    /// Says whether nothing waits for a service.
+    #[must_use]
+    pub fn is_empty(&self, service: &Name) -> bool {
+        self.len(service) == 0
+    }
+}
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -42,6 +42,8 @@
     TooLarge,
     /// no target is available
     NoTarget,
+    /// no target has room for the request in time
+    Busy,
     /// all targets refused the request
     Refused,
     /// the entry is stopping
@@ -99,6 +101,7 @@
             Self::NoCatalog
             | Self::Stale
             | Self::NoTarget
+            | Self::Busy
             | Self::Refused
             | Self::Stopping
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
@@ -121,6 +124,7 @@
             Self::Malformed => "malformed",
             Self::TooLarge => "too_large",
             Self::NoTarget => "no_target",
+            Self::Busy => "busy",
             Self::Refused => "refused",
             Self::Stopping => "stopping",
             Self::Failed => "failed",
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -173,6 +173,7 @@
         self.on_first();
         let mut board = self.shared.board.borrow_mut();
         board.on_end(&self.target, self.need);
+        self.shared.room.notify_waiters();
     }
 }
 
@@ -198,6 +199,12 @@
         self.deadline.since(now)
     }
 
+    /// Returns the rank: that of the team goes before that of the route.
+    pub(crate) fn rank(&self) -> u8 {
+        let team = self.holder.as_ref().and_then(|holder| holder.rank);
+        team.unwrap_or(self.route.rank)
+    }
+
     /// Returns how long nothing may come before the caller has given up.
     pub(crate) fn gap(&self) -> Duration {
         if self.route.kind != Kind::Stream {
--- a/crates/gateway/src/border.rs
+++ b/crates/gateway/src/border.rs
@@ -78,6 +78,8 @@
     pub input: u64,
     /// The largest number of tokens of the answer.
     pub output: u64,
+    /// The caller's estimate of that number.
+    pub expected: Option<u64>,
     /// The parts of the prompt in order; the last one belongs to this request.
     pub parts: Vec<Part>,
 }
@@ -112,8 +114,6 @@
     pub fetch: Vec<Option<Fetch>>,
     /// Where to save each part.
     pub save: Vec<Option<SocketAddr>>,
-    /// Until when fetching may take, on the targets' clock, in milliseconds.
-    pub until: Option<u64>,
 }
 
 /// Where a part is fetched.
@@ -233,8 +233,6 @@
     pub next: u64,
     /// Whether older reports are missing.
     pub gap: bool,
-    /// The targets' clock in milliseconds.
-    pub clock: Option<u64>,
     /// The reports in order.
     pub reports: Vec<Report>,
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -87,7 +87,7 @@
 pub(crate) fn respond<Border>(
     shared: Rc<Shared<Border>>,
     asked: Rc<Asked>,
-    tries: Tries,
+    tries: Tries<Border>,
     running: Running<Border>,
 ) -> Response<Body>
 where
@@ -113,7 +113,7 @@
 async fn relay<Border>(
     shared: &Rc<Shared<Border>>,
     asked: &Rc<Asked>,
-    mut tries: Tries,
+    mut tries: Tries<Border>,
     mut running: Running<Border>,
     events: mpsc::Sender<Result<Bytes, Cut>>,
 ) where
@@ -191,7 +191,7 @@
 async fn resume<Border>(
     shared: &Rc<Shared<Border>>,
     asked: &Rc<Asked>,
-    tries: &mut Tries,
+    tries: &mut Tries<Border>,
     last: Option<u64>,
     former: &Target,
 ) -> Option<Running<Border>>
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -9,6 +9,7 @@
 use fleet::placement;
 use fleet::roster::Member;
 use fleet::stop::Stop;
+use fleet::waiting::{Ticket, Turn};
 use http::header::HOST;
 use http::{Request, Response, request};
 use http_body_util::{BodyExt, Limited};
@@ -28,28 +29,48 @@
 /// When a caller may come back after a refusal that has nothing to do with load.
 const SOON: Duration = Duration::from_millis(300);
 /// How long a request waits before it looks again for a target.
-const LOOK_AGAIN: Duration = Duration::from_millis(15);
+const LOOK_AGAIN: Duration = Duration::from_millis(30);
+/// A request with less time than this is not sent.
+const LEAST_LEFT: Duration = Duration::from_millis(15);
 /// A failure that comes later than this is one of a slow target.
 const SLOW: Duration = Duration::from_millis(1500);
-/// The part of a request's objective for which it waits for a target with room.
-const WAIT_SHARE: f64 = 0.4;
 
 /// What was tried for a request.
 #[derive(Debug)]
-pub(crate) struct Tries {
+pub(crate) struct Tries<Border> {
     service: Service,
     left_out: Vec<Target>,
     /// Targets that got the request.
     arrivals: u32,
     /// Targets at which it may have run.
     runs: u32,
+    /// Its place among the waiting requests.
+    ticket: Option<Waiting<Border>>,
+}
+
+/// The place of a request among the waiting ones; it is given up when the caller leaves.
+#[derive(Debug)]
+struct Waiting<Border> {
+    shared: Rc<Shared<Border>>,
+    service: Service,
+    ticket: Ticket,
+    served: bool,
+}
+
+impl<Border> Drop for Waiting<Border> {
+    fn drop(&mut self) {
+        let mut lobby = self.shared.lobby.borrow_mut();
+        lobby.leave(&self.service, self.ticket, self.served, now());
+        // The next one may look now.
+        self.shared.room.notify_waiters();
+    }
 }
 
 /// What a request needs next.
 enum Step {
     Send(Choice),
     Wait,
-    End(Reason),
+    End(Reason, Duration),
 }
 
 /// Answers a request of a caller.
@@ -64,7 +85,7 @@
     let (head, body) = request.into_parts();
     let mut response = match admit(&shared, head, body, arrived).await {
         Ok(asked) => answer(&shared, Rc::new(asked)).await,
-        Err((reason, id)) => refuse(&shared, reason, &id, arrived),
+        Err((reason, id)) => refuse(&shared, reason, SOON, &id, arrived),
     };
     if shared.stopping.get().is_some() {
         close(response.headers_mut());
@@ -152,7 +173,7 @@
     Border: Platform,
 {
     let Some(service) = asked.route.service(shared.draw()).cloned() else {
-        return give_up(shared, &asked, Reason::NoTarget);
+        return give_up(shared, &asked, Reason::NoTarget, SOON);
     };
     shared
         .retries
@@ -163,10 +184,12 @@
         let choice = match tries.step(shared, &asked, asked.ask.seen) {
             Step::Send(choice) => choice,
             Step::Wait => {
-                tokio::time::sleep(LOOK_AGAIN).await;
+                let room = shared.room.notified();
+                // The time limits the wait if nothing ends meanwhile.
+                let _ = tokio::time::timeout(LOOK_AGAIN, room).await;
                 continue;
             }
-            Step::End(reason) => return give_up(shared, &asked, reason),
+            Step::End(reason, again) => return give_up(shared, &asked, reason, again),
         };
         match attempt(shared, &asked, &mut tries, &choice).await {
             Outcome::Answered(whole) => {
@@ -189,7 +212,7 @@
                 if !asked.route.repeatable() || !tries.may_run_again(&asked) {
                     let late = asked.left(now()).is_zero();
                     let reason = if late { Reason::Late } else { Reason::Failed };
-                    return give_up(shared, &asked, reason);
+                    return give_up(shared, &asked, reason, SOON);
                 }
             }
         }
@@ -200,7 +223,7 @@
 pub(crate) async fn attempt<Border>(
     shared: &Rc<Shared<Border>>,
     asked: &Asked,
-    tries: &mut Tries,
+    tries: &mut Tries<Border>,
     choice: &Choice,
 ) -> Outcome<Border>
 where
@@ -269,13 +292,14 @@
     outcome
 }
 
-impl Tries {
+impl<Border> Tries<Border> {
     fn new(service: Service) -> Self {
         Self {
             service,
             left_out: Vec::new(),
             arrivals: 0,
             runs: 0,
+            ticket: None,
         }
     }
 
@@ -287,7 +311,7 @@
     }
 
     /// Returns the next attempt of a stream that is continued.
-    pub(crate) fn next<Border>(
+    pub(crate) fn next(
         &mut self,
         shared: &Rc<Shared<Border>>,
         asked: &Asked,
@@ -295,7 +319,7 @@
     ) -> Option<Choice> {
         match self.step(shared, asked, seen) {
             Step::Send(choice) => Some(choice),
-            Step::Wait | Step::End(_) => None,
+            Step::Wait | Step::End(..) => None,
         }
     }
 
@@ -305,40 +329,60 @@
     }
 
     /// Says whether there is somewhere else to go, without using the budget.
-    fn peek<Border>(&self, shared: &Rc<Shared<Border>>, asked: &Asked) -> Option<Step> {
-        if asked.left(now()) < LOOK_AGAIN {
+    fn peek(&self, shared: &Rc<Shared<Border>>, asked: &Asked) -> Option<Step> {
+        if asked.left(now()) < LEAST_LEFT {
             return None;
         }
         choose(shared, asked, &self.service, &self.left_out, asked.ask.seen).map(Step::Send)
     }
 
-    fn step<Border>(
+    fn step(
+        &mut self,
+        shared: &Rc<Shared<Border>>,
+        asked: &Asked,
+        seen: Option<u64>,
+    ) -> Step {
+        let step = self.consider(shared, asked, seen);
+        if !matches!(step, Step::Wait)
+            && let Some(mut waiting) = self.ticket.take()
+        {
+            waiting.served = matches!(step, Step::Send(_));
+        }
+        step
+    }
+
+    fn consider(
         &mut self,
         shared: &Rc<Shared<Border>>,
         asked: &Asked,
         seen: Option<u64>,
     ) -> Step {
         let time = now();
-        if asked.left(time) < LOOK_AGAIN {
+        if asked.left(time) < LEAST_LEFT {
             let late = self.runs > 0;
-            return Step::End(if late { Reason::Late } else { Reason::TooLate });
+            let reason = if late { Reason::Late } else { Reason::TooLate };
+            return Step::End(reason, SOON);
         }
         if self.runs > 0 && !self.may_run_again(asked) {
-            return Step::End(Reason::Failed);
+            return Step::End(Reason::Failed, SOON);
         }
         let unable = match self.runs {
             0 => Reason::Refused,
             _ => Reason::Failed,
         };
+        // A request that was sent before goes first: its caller has waited for longest.
+        let first = self.arrivals == 0;
+        if first && let Some(step) = self.queue(shared, asked, time) {
+            return step;
+        }
         let Some(choice) = choose(shared, asked, &self.service, &self.left_out, seen) else {
-            let waited = time.since(asked.arrived);
-            if self.arrivals == 0 && waited < asked.route.objective.mul_f64(WAIT_SHARE) {
+            if first {
+                self.join(shared, asked);
                 return Step::Wait;
             }
-            let none = self.left_out.is_empty() && self.runs == 0;
-            return Step::End(if none { Reason::NoTarget } else { unable });
+            return Step::End(unable, SOON);
         };
-        if self.arrivals > 0 {
+        if !first {
             let entries = shared.entries.get();
             let allowed = shared.has_joined(time)
                 && shared
@@ -346,11 +390,58 @@
                     .borrow_mut()
                     .take(&self.service, entries, time);
             if !allowed {
-                return Step::End(unable);
+                return Step::End(unable, SOON);
             }
         }
         Step::Send(choice)
     }
+
+    /// Takes a place among the waiting requests.
+    fn join(&mut self, shared: &Rc<Shared<Border>>, asked: &Asked) -> Ticket {
+        let waiting = self.ticket.get_or_insert_with(|| {
+            let ticket = shared.lobby.borrow_mut().join(&self.service, asked.rank());
+            Waiting {
+                shared: Rc::clone(shared),
+                service: self.service.clone(),
+                ticket,
+                served: false,
+            }
+        });
+        waiting.ticket
+    }
+
+    /// Returns the step of a request that waits, unless it may look for a target.
+    fn queue(
+        &mut self,
+        shared: &Rc<Shared<Border>>,
+        asked: &Asked,
+        time: Time,
+    ) -> Option<Step> {
+        let nobody = shared.lobby.borrow().is_empty(&self.service);
+        if nobody && self.ticket.is_none() {
+            return None;
+        }
+        let ticket = self.join(shared, asked);
+        let service = &self.service;
+        let draw = f64::from(shared.draw()) / f64::from(u32::MAX);
+        let waited = time.since(asked.arrived);
+        let lobby = shared.lobby.borrow();
+        match lobby.turn(service, ticket, waited, asked.route.objective, draw) {
+            Turn::Look => None,
+            Turn::Wait => Some(Step::Wait),
+            Turn::Refuse(again) => {
+                let none = self.left_out.is_empty() && !has_targets(shared, service);
+                let reason = if none { Reason::NoTarget } else { Reason::Busy };
+                Some(Step::End(reason, again))
+            }
+        }
+    }
+}
+
+/// Says whether the list has any target of a service.
+fn has_targets<Border>(shared: &Rc<Shared<Border>>, service: &Service) -> bool {
+    let roster = shared.roster.borrow();
+    roster.iter().any(|entry| entry.member.service == *service)
 }
 
 /// Chooses a target for a request.
@@ -405,7 +496,7 @@
     sample(shared, &mut usable, &mut home, near.as_ref());
     let draw = f64::from(shared.draw()) / f64::from(u32::MAX);
     let own = prompt.map_or(0, own_tokens);
-    let need = prompt.map_or(0, |prompt| prompt.input + prompt.output);
+    let need = prompt.map_or(0, memory);
     let capacity = pool.engine.as_ref().map_or(0, |engine| engine.memory);
     let mut plans = Vec::with_capacity(usable.len());
     let mut candidates = Vec::with_capacity(usable.len());
@@ -430,7 +521,12 @@
         });
         plans.push((parts, plan));
     }
-    let index = placement::best(&candidates, shared.draw())?;
+    let open: Vec<usize> = (0..candidates.len())
+        .filter(|&index| candidates[index].is_open())
+        .collect();
+    let choices: Vec<placement::Candidate> =
+        open.iter().map(|&index| candidates[index]).collect();
+    let index = open[placement::best(&choices, shared.draw())?];
     let member = Arc::clone(usable[index].0);
     let version = prompt.and_then(|prompt| member.version(&prompt.model));
     let space = prompt.map(|prompt| space(asked, &prompt.model, version));
@@ -447,7 +543,6 @@
     // The last part of a prompt is its own and neither fetched nor saved.
     let fetch = fetch.chain(prompt.map(|_| None)).collect();
     let save = save.chain(prompt.map(|_| None)).collect();
-    let limit = plan.fetch + FETCH_SLACK;
     Some(Choice {
         send: Send {
             target: member.id.clone(),
@@ -459,7 +554,6 @@
             urgency: None,
             fetch,
             save,
-            until: shared.target_clock(time + limit),
         },
         unread: candidates[index].unread,
         need,
@@ -473,9 +567,6 @@
 
 /// The part of the fetch time that is expected at the target where requests of a session meet.
 const HOME_FETCH: f64 = 0.5;
-/// How much longer than expected a fetch may take; the target reads the part then.
-const FETCH_SLACK: Duration = Duration::from_millis(150);
-
 /// Leaves a few targets to choose from, the home among them, where many entries choose.
 ///
 /// Loads of others are some hundred ms old then, and the target that seems least loaded would get
@@ -555,6 +646,20 @@
     }
 }
 
+/// Returns the tokens of memory that a prompt takes beyond the first part, which nearly all prompts
+/// share.
+fn memory(prompt: &Prompt) -> u64 {
+    let first = match prompt.parts.len() {
+        0 | 1 => 0,
+        _ => prompt.parts[0].tokens,
+    };
+    let expected = prompt.expected.unwrap_or(EXPECTED_OUTPUT);
+    prompt.input.saturating_sub(first) + expected.min(prompt.output)
+}
+
+/// Tokens of an answer whose length nobody estimated.
+const EXPECTED_OUTPUT: u64 = 80;
+
 fn own_tokens(prompt: &Prompt) -> u64 {
     prompt.parts.last().map_or(prompt.input, |part| part.tokens)
 }
@@ -621,13 +726,19 @@
     u64::from_le_bytes(bytes)
 }
 
-fn give_up<Border>(shared: &Rc<Shared<Border>>, asked: &Asked, reason: Reason) -> Response<Body> {
-    refuse(shared, reason, &asked.ask.id, asked.arrived)
+fn give_up<Border>(
+    shared: &Rc<Shared<Border>>,
+    asked: &Asked,
+    reason: Reason,
+    again: Duration,
+) -> Response<Body> {
+    refuse(shared, reason, again, &asked.ask.id, asked.arrived)
 }
 
 fn refuse<Border>(
     shared: &Rc<Shared<Border>>,
     reason: Reason,
+    again: Duration,
     id: &str,
     arrived: Time,
 ) -> Response<Body> {
@@ -643,11 +754,12 @@
         .with("reason", reason.word())
         .with("status", reason.status().as_u16())
         .with("after_ms", millis(time.since(arrived)))
+        .with("again_ms", millis(again))
         .with("config", shared.catalog().map(|catalog| catalog.version.0))
         .with("proof_age_ms", proof)
         .warn();
     let promises = reason.status() == http::StatusCode::SERVICE_UNAVAILABLE;
-    reason.answer(promises.then_some(SOON))
+    reason.answer(promises.then_some(again))
 }
 
 /// Records the end of a request that a target answered.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -11,6 +11,7 @@
 use fleet::proof::Proof;
 use fleet::rollout::Rollout;
 use fleet::roster::Roster;
+use fleet::waiting::Lobby;
 use rand::Rng;
 use tokio::sync::Notify;
 use types::{Domain, Model, Service, Store, Target, Time};
@@ -35,8 +36,6 @@
     pub(crate) ramp: RefCell<Ramp<Target>>,
     pub(crate) rollout: RefCell<Rollout>,
     pub(crate) kept: RefCell<Kept>,
-    /// The least difference of the own clock to that of the targets, in µs.
-    pub(crate) clock_offset: Cell<Option<i64>>,
     pub(crate) lines: RefCell<connection::Lines>,
     /// Entries that share the allowances, this one among them.
     pub(crate) entries: Cell<usize>,
@@ -48,6 +47,9 @@
     pub(crate) joined: Cell<Option<Time>>,
     /// When the process was told to stop.
     pub(crate) stopping: Cell<Option<Time>>,
+    pub(crate) lobby: RefCell<Lobby<Service>>,
+    /// Woken when a target may have room.
+    pub(crate) room: Notify,
     /// Woken when weights fall behind.
     pub(crate) lag: Notify,
 }
@@ -73,13 +75,14 @@
             ramp: RefCell::default(),
             rollout: RefCell::default(),
             kept: RefCell::default(),
-            clock_offset: Cell::new(None),
             lines: RefCell::default(),
             entries: Cell::new(1),
             names: RefCell::default(),
             peers: RefCell::default(),
             joined: Cell::new(None),
             stopping: Cell::new(None),
+            lobby: RefCell::default(),
+            room: Notify::new(),
             lag: Notify::new(),
         }
     }
@@ -104,23 +107,6 @@
         self.stopping.get().is_none() && self.catalog.borrow().is_some() && self.is_fresh(now)
     }
 
-    /// Records the targets' clock; an answer never arrives before it is given, so the least
-    /// difference is the closest one.
-    pub(crate) fn on_clock(&self, clock: u64, time: Time) {
-        let own = i64::try_from(time.0).unwrap_or(i64::MAX);
-        let given = i64::try_from(clock.saturating_mul(1000)).unwrap_or(i64::MAX);
-        let offset = own.saturating_sub(given);
-        let least = self.clock_offset.get().map_or(offset, |known| known.min(offset));
-        self.clock_offset.set(Some(least));
-    }
-
-    /// Converts a time to the targets' clock in milliseconds.
-    pub(crate) fn target_clock(&self, time: Time) -> Option<u64> {
-        let own = i64::try_from(time.0).unwrap_or(i64::MAX);
-        let micros = own.saturating_sub(self.clock_offset.get()?);
-        u64::try_from(micros / 1000).ok()
-    }
-
     /// Returns the position of this entry among those that look after a store host: the first one
     /// frees parts, the first few follow its reports, and the first two of these pass them on.
     pub(crate) fn rank(&self, store: &Store) -> Option<usize> {
--- a/crates/gateway/src/shelf.rs
+++ b/crates/gateway/src/shelf.rs
@@ -100,9 +100,6 @@
                     }
                     boot = Some(news.boot);
                 }
-                if let Some(clock) = news.clock {
-                    shared.on_clock(clock, time);
-                }
                 since = news.next;
                 if rank.is_some_and(|rank| rank < RELAYS) {
                     let mut peers = shared.peers.borrow_mut();
