rollout: the time at which a version was named outlives a restart

Ruled out: waiting at the target (the margin covers it). Change: two entries record the naming in the store, a starting one reads it.

--- a/crates/fleet/src/proof.rs
+++ b/crates/fleet/src/proof.rs
@@ -39,6 +39,13 @@
         self.at = self.at.max(Some(moment));
     }
 
+    /// Converts a time to the store's steady clock, in milliseconds.
+    #[must_use]
+    pub fn store_time(&self, now: Time) -> Option<u64> {
+        let own = i64::try_from(now.0).unwrap_or(i64::MAX);
+        u64::try_from(own.saturating_sub(self.offset?) / 1000).ok()
+    }
+
     /// Returns how old the evidence is; `None` if there is none yet.
     #[must_use]
     pub fn age(&self, now: Time) -> Option<Duration> {
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -99,6 +99,16 @@
         true
     }
 
+    /// Corrects when a version was named, for a process that started later and learned of it from a
+    /// record; only an earlier time counts.
+    pub fn named_at(&mut self, model: &str, version: u64, since: Time) {
+        let found = self.named.iter_mut().find(|(name, _)| &***name == model);
+        let versions = found.into_iter().flat_map(|(_, versions)| versions);
+        for named in versions.filter(|named| named.version == version) {
+            named.since = named.since.min(since);
+        }
+    }
+
     /// Returns the newest version of a model.
     #[must_use]
     pub fn named(&self, model: &str) -> Option<Named> {
--- a/crates/fleet/tests/rollout.rs
+++ b/crates/fleet/tests/rollout.rs
@@ -105,3 +105,17 @@
     assert!(!rollout.name(&model(), 1, at(2)));
     assert!(!rollout.is_behind(&fleet(3, 2)));
 }
+
+/// Guards against an entry that starts during a rollout and gives old weights their whole time again.
+/// Found in candlewalk trouble-2, where all entries were killed four seconds after a version was
+/// named: a request began on the older one 51 ms too late.
+#[test]
+fn a_record_of_the_naming_outlives_a_restart() {
+    let mut rollout = Rollout::default();
+    rollout.name(&model(), 2, at(10_000));
+    rollout.named_at("m", 2, at(5_500));
+    rollout.named_at("m", 2, at(9_000));
+    let roster = fleet(1, 1);
+    let member = &roster.iter().next().expect("a target").member;
+    assert_eq!(rollout.outdated_since(member, &model()), Some(at(5_500)));
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -7,6 +7,7 @@
 use crate::border::{Batch, Change, List, Platform};
 use crate::clock::now;
 use crate::journal::{self, Event};
+use crate::lead;
 use crate::serve::millis;
 use crate::shared::Shared;
 
@@ -85,7 +86,10 @@
     shared.metrics.store.with_label_values(&[outcome]).inc();
 }
 
-fn apply<Border>(shared: &Shared<Border>, list: List, batch: Batch, whole: bool, time: Time) {
+fn apply<Border>(shared: &Rc<Shared<Border>>, list: List, batch: Batch, whole: bool, time: Time)
+where
+    Border: Platform,
+{
     let mut members = Vec::new();
     let mut evacuated = Vec::new();
     for change in batch.changes {
@@ -100,6 +104,8 @@
                         .with("model", &*model)
                         .with("version", version)
                         .info();
+                    let shared = Rc::clone(shared);
+                    tokio::task::spawn_local(lead::record(shared, model, version, whole, time));
                 }
             }
             Change::Evacuate(domain, true) if whole => evacuated.push(domain),
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -4,7 +4,7 @@
 use control::{Lease, Step, Terms, Written};
 use fleet::rollout::{Answer, Order};
 use platform::{Commit, Write};
-use types::{Fence, Incarnation, Time};
+use types::{Fence, Incarnation, Model, Time};
 
 use crate::border::Platform;
 use crate::clock::now;
@@ -13,6 +13,10 @@
 
 /// The row of the lease on orders.
 const LEASE: &str = "lease/orders";
+/// The rows that say when versions were named.
+const NAMED: &str = "named/";
+/// Entries that record when a version was named; the second one in case the first is away.
+const RECORDERS: usize = 2;
 /// The rows of the entries.
 const ENTRIES: &str = "entry/";
 /// How long the lease holds. A successor waits this long and then the gap between two holders.
@@ -270,6 +274,62 @@
     }
 }
 
+/// Reads when a version was named, or records it where nobody has.
+///
+/// The row of the version does not say it, and an entry that starts in the middle of a rollout would
+/// give old weights their whole time again.
+pub(crate) async fn record<Border>(
+    shared: Rc<Shared<Border>>,
+    model: Model,
+    version: u64,
+    started: bool,
+    since: Time,
+) where
+    Border: Platform,
+{
+    let key = format!("{NAMED}{model}.{version}");
+    let recorder = shared.rank(&key).is_some_and(|rank| rank < RECORDERS);
+    if !started && !recorder {
+        return;
+    }
+    loop {
+        let row = match shared.border.get(&key).await {
+            Ok(row) => row,
+            Err(error) => {
+                log::warn!("the row {key} cannot be read: {error}");
+                tokio::time::sleep(BACK_OFF * 2).await;
+                continue;
+            }
+        };
+        let time = now();
+        let Some(store) = shared.proof.get().store_time(time) else {
+            tokio::time::sleep(BACK_OFF).await;
+            continue;
+        };
+        if let Some(row) = row {
+            let age =
+                Duration::from_millis(store.saturating_sub(row.value.as_u64().unwrap_or(store)));
+            let micros = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+            let named = Time(time.0.saturating_sub(micros));
+            shared.rollout.borrow_mut().named_at(&model, version, named);
+            return;
+        }
+        let age = u64::try_from(time.since(since).as_millis()).unwrap_or(0);
+        let row = Write {
+            key: key.clone(),
+            expect: 0,
+            value: Some(serde_json::json!(store.saturating_sub(age))),
+        };
+        match shared.border.commit(&[row]).await {
+            Ok(_) => return,
+            Err(error) => {
+                log::warn!("the row {key} cannot be written: {error}");
+                tokio::time::sleep(BACK_OFF * 2).await;
+            }
+        }
+    }
+}
+
 /// Registers this entry and counts those that share the allowances.
 pub(crate) async fn count<Border>(shared: Rc<Shared<Border>>)
 where
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -17,7 +17,7 @@
 use types::{Domain, Service, Store, Target, Time};
 
 use crate::answer::{Body, Reason, close};
-use crate::attempt::{self, Asked, Choice, Outcome};
+use crate::attempt::{self, Asked, Choice, Outcome, Whole};
 use crate::border::{Fetch, Platform, Prompt, Send};
 use crate::clock::now;
 use crate::journal::Event;
@@ -68,7 +68,7 @@
 
 /// What a request needs next.
 enum Step {
-    Send(Choice),
+    Send(Box<Choice>),
     Wait,
     End(Reason, Duration),
 }
@@ -180,6 +180,7 @@
         .borrow_mut()
         .on_request(&service, asked.arrived);
     let mut tries = Tries::new(service);
+    let mut fallback: Option<Box<Whole>> = None;
     loop {
         let choice = match tries.step(shared, &asked, asked.ask.seen) {
             Step::Send(choice) => choice,
@@ -189,14 +190,24 @@
                 let _ = tokio::time::timeout(LOOK_AGAIN, room).await;
                 continue;
             }
-            Step::End(reason, again) => return give_up(shared, &asked, reason, again),
+            Step::End(reason, again) => {
+                // The failure that a target answered says more than one of this entry.
+                return match fallback {
+                    Some(whole) => {
+                        ended(shared, &asked, "error");
+                        whole.response()
+                    }
+                    None => give_up(shared, &asked, reason, again),
+                };
+            }
         };
         match attempt(shared, &asked, &mut tries, &choice).await {
             Outcome::Answered(whole) => {
                 let retry = whole.status.is_server_error()
                     && asked.route.repeatable()
                     && tries.may_run_again(&asked);
-                if retry && let Some(Step::Send(_)) = tries.peek(shared, &asked) {
+                if retry {
+                    fallback = Some(whole);
                     continue;
                 }
                 shared.metrics.on_first(now().since(asked.arrived));
@@ -318,7 +329,7 @@
         seen: Option<u64>,
     ) -> Option<Choice> {
         match self.step(shared, asked, seen) {
-            Step::Send(choice) => Some(choice),
+            Step::Send(choice) => Some(*choice),
             Step::Wait | Step::End(..) => None,
         }
     }
@@ -328,14 +339,6 @@
         self.runs < asked.route.attempts
     }
 
-    /// Says whether there is somewhere else to go, without using the budget.
-    fn peek(&self, shared: &Rc<Shared<Border>>, asked: &Asked) -> Option<Step> {
-        if asked.left(now()) < LEAST_LEFT {
-            return None;
-        }
-        choose(shared, asked, &self.service, &self.left_out, asked.ask.seen).map(Step::Send)
-    }
-
     fn step(&mut self, shared: &Rc<Shared<Border>>, asked: &Asked, seen: Option<u64>) -> Step {
         let step = self.consider(shared, asked, seen);
         if !matches!(step, Step::Wait)
@@ -383,7 +386,7 @@
                 return Step::End(unable, SOON);
             }
         }
-        Step::Send(choice)
+        Step::Send(Box::new(choice))
     }
 
     /// Takes a place among the waiting requests.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -29,6 +29,8 @@
 /// A running entry.
 #[derive(Debug)]
 pub struct Entry {
+    http: SocketAddr,
+    ready: SocketAddr,
     task: JoinHandle<()>,
 }
 
@@ -80,6 +82,13 @@
     let metrics = listen(SocketAddr::new(settings.ip, settings.metrics_port))?;
     let term = signal(SignalKind::terminate()).map_err(Error::Signal)?;
     let hup = signal(SignalKind::hangup()).map_err(Error::Signal)?;
+    let bound = |listener: &TcpListener, address| {
+        listener
+            .local_addr()
+            .map_err(|error| Error::Bind(address, error))
+    };
+    let http_address = bound(&callers, settings.http_address)?;
+    let ready_address = bound(&ready, settings.ready_address)?;
     let name = settings.name.clone();
     let shared = Rc::new(Shared::new(settings, border, Metrics::open()?));
     for list in [List::Operator, List::Targets] {
@@ -109,14 +118,30 @@
     ));
     Event::new("start")
         .with("name", name)
-        .with("http", shared.settings.http_address.to_string())
+        .with("http", http_address.to_string())
         .with("version", env!("CARGO_PKG_VERSION"))
         .info();
     let task = tokio::task::spawn_local(stop(shared, term, close, open));
-    Ok(Entry { task })
+    Ok(Entry {
+        http: http_address,
+        ready: ready_address,
+        task,
+    })
 }
 
 impl Entry {
+    /// Returns the address for callers.
+    #[must_use]
+    pub fn http(&self) -> SocketAddr {
+        self.http
+    }
+
+    /// Returns the address at which the platform asks whether the entry takes new connections.
+    #[must_use]
+    pub fn ready(&self) -> SocketAddr {
+        self.ready
+    }
+
     /// Waits for the graceful end after SIGTERM.
     pub async fn wait(self) {
         if let Err(error) = self.task.await {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -14,7 +14,7 @@
 use fleet::waiting::Lobby;
 use rand::Rng;
 use tokio::sync::Notify;
-use types::{Domain, Model, Service, Store, Target, Time};
+use types::{Domain, Model, Service, Target, Time};
 
 use crate::connection;
 use crate::metrics::Metrics;
@@ -107,9 +107,10 @@
         self.stopping.get().is_none() && self.catalog.borrow().is_some() && self.is_fresh(now)
     }
 
-    /// Returns the position of this entry among those that look after a store host: the first one
-    /// frees parts, the first few follow its reports, and the first two of these pass them on.
-    pub(crate) fn rank(&self, store: &Store) -> Option<usize> {
+    /// Returns the position of this entry among those that look after something with a name. Of a
+    /// store host, the first one frees parts, the first few follow its reports, and the first two of
+    /// these pass them on.
+    pub(crate) fn rank(&self, store: &str) -> Option<usize> {
         let key = routing::Key::new(&[store.as_bytes()]);
         let names = self.names.borrow();
         let named = names.keys().map(|name| {
--- a/crates/gateway/src/shelf.rs
+++ b/crates/gateway/src/shelf.rs
@@ -82,49 +82,44 @@
         let news = shared.border.news(host.address, since, wait).await;
         let time = now();
         asked = Some(time);
-        let mut kept = shared.kept.borrow_mut();
-        match news {
-            Ok(news) => {
-                if boot != Some(news.boot) {
-                    Event::new("store_host")
-                        .with("store", &*store)
-                        .with("boot", news.boot)
-                        .with("gap", news.gap)
-                        .info();
-                    // Reports of the former boot were asked for; those of this one follow.
-                    if boot.is_some() && since > 0 {
-                        boot = Some(news.boot);
-                        since = 0;
-                        kept.on_reports(&store, news.boot, Vec::new(), time);
-                        continue;
-                    }
-                    boot = Some(news.boot);
-                }
-                since = news.next;
-                if rank.is_some_and(|rank| rank < RELAYS) {
-                    let mut peers = shared.peers.borrow_mut();
-                    peers.on_news(&store, &news.reports, time);
-                }
-                kept.on_reports(&store, news.boot, news.reports, time);
-            }
-            Err(why) if !reads => {
-                drop(kept);
-                // The entries that follow the host know better whether it is down.
-                Event::new("store_host_unheard")
-                    .with("store", &*store)
-                    .with("why", why)
-                    .info();
-            }
+        let news = match news {
+            Ok(news) => news,
             Err(why) => {
-                kept.on_down(&store);
-                drop(kept);
+                if reads {
+                    shared.kept.borrow_mut().on_down(&store);
+                }
+                // An entry that does not follow the host leaves it to others to say that it is down.
                 Event::new("store_host_lost")
                     .with("store", &*store)
+                    .with("follows", reads)
                     .with("why", why)
                     .warn();
                 tokio::time::sleep(BACK_OFF).await;
+                continue;
             }
+        };
+        let restarted = boot.is_some_and(|boot| boot != news.boot);
+        if boot != Some(news.boot) {
+            Event::new("store_host")
+                .with("store", &*store)
+                .with("boot", news.boot)
+                .with("gap", news.gap)
+                .info();
+            boot = Some(news.boot);
+        }
+        let mut kept = shared.kept.borrow_mut();
+        if restarted && since > 0 {
+            // The reports came after a number of the former boot; all of this one follow.
+            since = 0;
+            kept.on_reports(&store, news.boot, Vec::new(), time);
+            continue;
+        }
+        since = news.next;
+        if rank.is_some_and(|rank| rank < RELAYS) {
+            let mut peers = shared.peers.borrow_mut();
+            peers.on_news(&store, &news.reports, time);
         }
+        kept.on_reports(&store, news.boot, news.reports, time);
     }
 }
 
