--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -9,7 +9,7 @@
 
 const HELP: &str = "boragereeld --settings FILE [--check] [--log LEVEL]
 
-  --settings FILE  the settings, JSON with comments; see docs/operations.md
+  --settings FILE  the settings, JSON with comments; see docs/OPERATIONS.md
   --check          check the settings and exit
   --log LEVEL      error, warn, info (default), debug or trace
   --version        print the version and exit
--- a/crates/daemon/tests/docs.rs
+++ b/crates/daemon/tests/docs.rs
@@ -23,16 +23,23 @@
 /// explains.
 #[test]
 fn the_pages_name_the_metrics_that_exist() {
-    let pages = metrics(&read(&root().join("docs/operations.md")));
-    let program = metrics(&read(&root().join("crates/daemon/src/metrics.rs")));
+    let pages = metrics(&read(&root().join("docs/OPERATIONS.md")));
+    let mut program = metrics(&read(&root().join("crates/daemon/src/metrics.rs")));
+    program.extend(metrics(&read(
+        &root().join("crates/gateway/src/metrics.rs"),
+    )));
     assert_eq!(pages, program);
 }
 
 /// Guards against a settings key or a rule option that no page explains.
 #[test]
 fn the_pages_name_settings_and_rules() {
-    let page = read(&root().join("docs/operations.md"));
-    let source = read(&root().join("crates/daemon/src/settings.rs"));
+    let page = read(&root().join("docs/OPERATIONS.md"));
+    let daemon = read(&root().join("crates/daemon/src/settings.rs"));
+    let gateway = read(&root().join("crates/gateway/src/settings.rs"));
+    // The keys stand before the error type in both files.
+    let gateway = gateway.split("/// Why settings").next().unwrap_or_default();
+    let source = [gateway, &daemon].join("\n");
     let keys: Vec<&str> = source
         .lines()
         .filter_map(|line| line.trim().strip_suffix(','))
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -14,6 +14,11 @@
 /// How long the store may hold a call while nothing changes. Evidence ages meanwhile, so it is well
 /// under the bound on removed keys.
 const WAIT: Duration = Duration::from_millis(1500);
+/// The same for the list of targets, which proves nothing.
+const WAIT_TARGETS: Duration = Duration::from_secs(4);
+/// How long changes of targets are gathered before the next call; each call has a price, and the
+/// bound on targets that leave is two seconds.
+const GATHER: Duration = Duration::from_millis(350);
 /// How long an entry waits after a failed call; each further one doubles it.
 const BACK_OFF: Duration = Duration::from_millis(60);
 /// The longest wait after a failed call.
@@ -28,10 +33,14 @@
 {
     let mut cursor = None;
     let mut failures: u32 = 0;
+    let wait = match list {
+        List::Operator => WAIT,
+        List::Targets => WAIT_TARGETS,
+    };
     loop {
         let asked = now();
         let heard = match cursor {
-            Some(cursor) => shared.border.follow(list, cursor, WAIT).await,
+            Some(cursor) => shared.border.follow(list, cursor, wait).await,
             None => shared.border.load(list).await.map(Some),
         };
         let time = now();
@@ -54,6 +63,9 @@
                 let whole = cursor.is_none();
                 cursor = Some(batch.cursor);
                 apply(&shared, list, batch, whole, time);
+                if list == List::Targets && !whole {
+                    tokio::time::sleep(GATHER).await;
+                }
             }
             Ok(None) => {
                 count(&shared, "forgotten");
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -2,7 +2,7 @@
 //! who asked for it.
 //!
 //! The crate turns the text into a checked [`Snapshot`] and knows nothing of how snapshots are
-//! stored or distributed. The format is described in `docs/operations.md`.
+//! stored or distributed. The format is described in `docs/OPERATIONS.md`.
 
 mod diff;
 mod edit;
--- a/crates/wire/src/auth.rs
+++ b/crates/wire/src/auth.rs
@@ -15,7 +15,7 @@
 /// The cluster keys that a process accepts; it uses the first one for its own connections.
 ///
 /// To rotate a key without a stop, add the new one behind the old one everywhere, then swap them
-/// everywhere, then remove the old one; see `docs/operations.md`.
+/// everywhere, then remove the old one; see `docs/OPERATIONS.md`.
 #[derive(Debug, Clone)]
 pub struct Keys(Arc<[Key]>);
 
