--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use types::{Domain, Model, Service, Store, Team, Version};
+use types::{Domain, Service, Store, Team, Version};
 
 /// One whole configuration, indexed for the request path.
 #[derive(Debug, Default)]
@@ -72,8 +72,6 @@
     pub public: bool,
     /// Whether a stream may be continued at another target.
     pub resumable: bool,
-    /// Whether requests carry a prompt in parts that targets keep.
-    pub prompts: bool,
 }
 
 /// A service: a pool of targets that serve the same requests.
@@ -81,12 +79,8 @@
 pub struct Pool {
     /// Its name.
     pub name: Service,
-    /// The path of its health check.
-    pub health: Box<str>,
     /// The connections that one target accepts from all callers together.
     pub connections: u32,
-    /// How long a target is cold after a start.
-    pub cold_time: Duration,
     /// Requests a second that a cold target tolerates from all entries together.
     pub cold_rate: f64,
     /// Set for model engines.
@@ -96,16 +90,10 @@
 /// What a pool of model engines has.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Engine {
-    /// Requests that an engine runs at the same time.
-    pub slots: u32,
     /// Tokens that fit into an engine's memory.
     pub memory: u64,
     /// Size of a kept token in bytes.
     pub token_bytes: u64,
-    /// Speed of an engine's link in Mbit/s.
-    pub link: f64,
-    /// The models that it serves.
-    pub models: Vec<Model>,
 }
 
 /// A store host for kept context.
@@ -242,7 +230,7 @@
         self.services.get(service)
     }
 
-    /// Returns the pool that serves a model.
+    /// Returns all pools.
     pub fn pools(&self) -> impl Iterator<Item = &Arc<Pool>> {
         self.services.values()
     }
--- a/crates/fleet/src/kept.rs
+++ b/crates/fleet/src/kept/mod.rs
@@ -3,6 +3,8 @@
 //! Names of parts carry the weights and, for an isolated team, the team, so that a part of other
 //! weights or of another team is never found. See `docs/platform.md`.
 
+mod shelf;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,6 +13,7 @@
 
 use crate::catalog::StoreHost;
 use crate::placement::READ_PER_MS;
+use shelf::{Held, MEMORY_S, Saving, Shelf, decayed};
 
 /// The name of a part within a space.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -43,35 +46,6 @@
     uses: HashMap<Key, (f64, Time)>,
 }
 
-/// One store host.
-#[derive(Debug)]
-struct Shelf {
-    host: StoreHost,
-    boot: Option<u64>,
-    up: bool,
-    held: HashMap<Key, Held>,
-    saving: HashMap<Key, Saving>,
-    retired: HashMap<Key, Time>,
-    tokens: u64,
-    /// Seconds of transfers by this entry, of which older ones count less.
-    work: f64,
-    worked: Time,
-    willing: f64,
-    excess_ms: f64,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Held {
-    tokens: u64,
-    used: Time,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Saving {
-    tokens: u64,
-    since: Time,
-}
-
 /// A target as the place where a prompt is read.
 #[derive(Debug, Clone, Copy)]
 pub struct Place<'name> {
@@ -116,8 +90,6 @@
     pub tokens: u64,
 }
 
-/// How much slower links between failure domains are.
-const REMOTE_FACTOR: f64 = 2.0;
 /// How much longer than reading a fetch may take. Reading again takes an engine's time from all
 /// requests, so a fetch is preferred until it endangers the objective of its own request.
 const TOLERANCE: Duration = Duration::from_millis(200);
@@ -157,8 +129,6 @@
 const LESS_WILLING: f64 = 0.85;
 /// What each other fetch adds to it.
 const MORE_WILLING: f64 = 0.05;
-/// The time over which transfers are averaged, in seconds.
-const MEMORY_S: f64 = 2.0;
 /// The use of a link up to which parts are fetched; beyond it a part of the fetches is left out.
 const MOST_USED: f64 = 0.85;
 /// The time of a common transfer: five thousand tokens over 74 Gbit/s, half of them between failure
@@ -558,57 +528,3 @@
         });
     }
 }
-
-/// Returns what is left of a sum after some time, which fades with a time constant in seconds.
-fn decayed(sum: f64, last: Time, constant: f64, now: Time) -> f64 {
-    sum * (-now.since(last).as_secs_f64() / constant).exp()
-}
-
-impl Shelf {
-    fn new(host: StoreHost) -> Self {
-        Self {
-            host,
-            boot: None,
-            up: false,
-            held: HashMap::new(),
-            saving: HashMap::new(),
-            retired: HashMap::new(),
-            tokens: 0,
-            work: 0.0,
-            worked: Time::default(),
-            willing: 1.0,
-            excess_ms: 0.0,
-        }
-    }
-
-    fn clear(&mut self) {
-        self.held.clear();
-        self.saving.clear();
-        self.retired.clear();
-        self.tokens = 0;
-        self.work = 0.0;
-        self.willing = 1.0;
-    }
-
-    /// Returns the seconds of transfers that count at a time.
-    fn worked(&self, now: Time) -> f64 {
-        decayed(self.work, self.worked, MEMORY_S, now)
-    }
-
-    fn drop_part(&mut self, key: &Key) {
-        if let Some(held) = self.held.remove(key) {
-            self.tokens -= held.tokens;
-        }
-    }
-
-    /// Returns the time of a transfer without waiting; `link` is in Mbit/s, that is bits in a µs.
-    fn transfer(&self, tokens: u64, token_bytes: u64, domain: &Domain) -> Duration {
-        let bits = (tokens * token_bytes * 8) as f64;
-        let micros = bits / self.host.link.max(1.0);
-        let factor = match *domain == self.host.domain {
-            true => 1.0,
-            false => REMOTE_FACTOR,
-        };
-        self.host.delay + Duration::from_secs_f64(micros * factor / 1e6)
-    }
-}
--- a/crates/fleet/tests/catalog.rs
+++ b/crates/fleet/tests/catalog.rs
@@ -22,7 +22,6 @@
         attempts: 1,
         public: false,
         resumable: false,
-        prompts: false,
     }
 }
 
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -108,7 +108,6 @@
         attempts: 1,
         public: false,
         resumable: false,
-        prompts: true,
     };
     let stop = Stop {
         grace: Duration::from_secs(8),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -130,7 +130,7 @@
         shared.kept.borrow_mut().on_sent(
             &choice.parts,
             &choice.plan,
-            &crate::serve::place(&choice.member, choice.targets),
+            &crate::choose::place(&choice.member, choice.targets),
             shared.entries.get(),
             time,
         );
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod attempt;
 mod border;
+mod choose;
 mod clock;
 mod connection;
 mod follow;
@@ -21,6 +22,7 @@
 mod shared;
 mod shelf;
 mod talk;
+mod tries;
 
 pub use border::{
     Answer, Ask, Batch, Change, Dialect, Fault, Fetch, List, News, Orders, Part, Platform, Prompt,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,8 +13,9 @@
 use crate::clock::now;
 use crate::connection;
 use crate::journal::Event;
-use crate::serve::{self, Tries};
+use crate::serve;
 use crate::shared::Shared;
+use crate::tries::Tries;
 
 /// Splits a stream into whole events.
 ///
--- /dev/null
+++ b/crates/gateway/src/tries.rs
@@ -0,0 +1,189 @@
+//! The attempts of one request: where it may still go, and when it gives up.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use fleet::waiting::{Ticket, Turn};
+use types::{Service, Target, Time};
+
+use crate::answer::Reason;
+use crate::attempt::{Asked, Choice};
+use crate::choose::choose;
+use crate::clock::now;
+use crate::serve::SOON;
+use crate::shared::Shared;
+
+/// A request with less time than this is not sent.
+const LEAST_LEFT: Duration = Duration::from_millis(15);
+
+/// What was tried for a request.
+#[derive(Debug)]
+pub(crate) struct Tries<Border> {
+    service: Service,
+    left_out: Vec<Target>,
+    /// Targets that got the request.
+    pub(crate) arrivals: u32,
+    /// Targets at which it may have run.
+    pub(crate) runs: u32,
+    /// Its place among the waiting requests.
+    ticket: Option<Waiting<Border>>,
+}
+
+/// The place of a request among the waiting ones; it is given up when the caller leaves.
+#[derive(Debug)]
+struct Waiting<Border> {
+    shared: Rc<Shared<Border>>,
+    service: Service,
+    ticket: Ticket,
+    served: bool,
+}
+
+impl<Border> Drop for Waiting<Border> {
+    fn drop(&mut self) {
+        let mut lobby = self.shared.lobby.borrow_mut();
+        lobby.leave(&self.service, self.ticket, self.served, now());
+        // The next one may look now.
+        self.shared.room.notify_waiters();
+    }
+}
+
+/// What a request needs next.
+pub(crate) enum Step {
+    Send(Box<Choice>),
+    Wait,
+    End(Reason, Duration),
+}
+
+impl<Border> Tries<Border> {
+    pub(crate) fn new(service: Service) -> Self {
+        Self {
+            service,
+            left_out: Vec::new(),
+            arrivals: 0,
+            runs: 0,
+            ticket: None,
+        }
+    }
+
+    /// Keeps further attempts from a target.
+    pub(crate) fn leave_out(&mut self, target: &Target) {
+        if !self.left_out.contains(target) {
+            self.left_out.push(target.clone());
+        }
+    }
+
+    /// Returns the next attempt of a stream that is continued.
+    pub(crate) fn next(
+        &mut self,
+        shared: &Rc<Shared<Border>>,
+        asked: &Asked,
+        seen: Option<u64>,
+    ) -> Option<Choice> {
+        match self.step(shared, asked, seen) {
+            Step::Send(choice) => Some(*choice),
+            Step::Wait | Step::End(..) => None,
+        }
+    }
+
+    /// Says whether the route allows another run.
+    pub(crate) fn may_run_again(&self, asked: &Asked) -> bool {
+        self.runs < asked.route.attempts
+    }
+
+    pub(crate) fn step(
+        &mut self,
+        shared: &Rc<Shared<Border>>,
+        asked: &Asked,
+        seen: Option<u64>,
+    ) -> Step {
+        let step = self.consider(shared, asked, seen);
+        if !matches!(step, Step::Wait)
+            && let Some(mut waiting) = self.ticket.take()
+        {
+            waiting.served = matches!(step, Step::Send(_));
+        }
+        step
+    }
+
+    fn consider(&mut self, shared: &Rc<Shared<Border>>, asked: &Asked, seen: Option<u64>) -> Step {
+        let time = now();
+        if asked.left(time) < LEAST_LEFT {
+            let late = self.runs > 0;
+            let reason = if late { Reason::Late } else { Reason::TooLate };
+            return Step::End(reason, SOON);
+        }
+        if self.runs > 0 && !self.may_run_again(asked) {
+            return Step::End(Reason::Failed, SOON);
+        }
+        let unable = match self.runs {
+            0 => Reason::Refused,
+            _ => Reason::Failed,
+        };
+        // A request that was sent before goes first: its caller has waited for longest.
+        let first = self.arrivals == 0;
+        if first && let Some(step) = self.queue(shared, asked, time) {
+            return step;
+        }
+        let Some(choice) = choose(shared, asked, &self.service, &self.left_out, seen) else {
+            if first {
+                self.join(shared, asked);
+                return Step::Wait;
+            }
+            return Step::End(unable, SOON);
+        };
+        if !first {
+            let entries = shared.entries.get();
+            let allowed = shared.has_joined(time)
+                && shared
+                    .retries
+                    .borrow_mut()
+                    .take(&self.service, entries, time);
+            if !allowed {
+                return Step::End(unable, SOON);
+            }
+        }
+        Step::Send(Box::new(choice))
+    }
+
+    /// Takes a place among the waiting requests.
+    fn join(&mut self, shared: &Rc<Shared<Border>>, asked: &Asked) -> Ticket {
+        let waiting = self.ticket.get_or_insert_with(|| {
+            let ticket = shared.lobby.borrow_mut().join(&self.service, asked.rank());
+            Waiting {
+                shared: Rc::clone(shared),
+                service: self.service.clone(),
+                ticket,
+                served: false,
+            }
+        });
+        waiting.ticket
+    }
+
+    /// Returns the step of a request that waits, unless it may look for a target.
+    fn queue(&mut self, shared: &Rc<Shared<Border>>, asked: &Asked, time: Time) -> Option<Step> {
+        let nobody = shared.lobby.borrow().is_empty(&self.service);
+        if nobody && self.ticket.is_none() {
+            return None;
+        }
+        let ticket = self.join(shared, asked);
+        let service = &self.service;
+        let draw = f64::from(shared.draw()) / f64::from(u32::MAX);
+        let waited = time.since(asked.arrived);
+        let lobby = shared.lobby.borrow();
+        match lobby.turn(service, ticket, waited, asked.route.objective, draw) {
+            Turn::Look => None,
+            Turn::Wait => Some(Step::Wait),
+            Turn::Refuse(again) => {
+                let none = self.left_out.is_empty() && !has_targets(shared, service);
+                let reason = if none { Reason::NoTarget } else { Reason::Busy };
+                Some(Step::End(reason, again))
+            }
+        }
+    }
+}
+
+/// Says whether the list has any target of a service.
+fn has_targets<Border>(shared: &Rc<Shared<Border>>, service: &Service) -> bool {
+    let roster = shared.roster.borrow();
+    roster.iter().any(|entry| entry.member.service == *service)
+}
