gateway: cold targets are counted when they are chosen; an unreadable lease is logged

Cause: found while reading: requests that were opening connections at the same moment were not yet counted against a cold target, and a lease row that cannot be read was taken for none without a word. The tests of allowances and of the entry pass.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -126,7 +126,6 @@
             .borrow_mut()
             .on_sent(&target, choice.unread, choice.need, now());
         let time = now();
-        shared.ramp.borrow_mut().on_sent(&target, time);
         shared.kept.borrow_mut().on_sent(
             &choice.parts,
             &choice.plan,
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -1,9 +1,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use control::{Lease, Step, Terms, Written};
+use control::{Grant, Lease, Step, Terms, Written};
 use fleet::rollout::{Answer, Order};
-use platform::{Commit, Write};
+use platform::{Commit, Row, Write};
 use types::{Fence, Incarnation, Model, Time};
 
 use crate::border::Platform;
@@ -58,8 +58,8 @@
     loop {
         let lagging = shared.lag.notified();
         if !is_behind(&shared) {
-            // A release that fails is waited out by the others.
-            let _ = tokio::time::timeout(Duration::from_secs(1), lagging).await;
+            // Weights may also fall behind without a change of a list, as a target restarts.
+            let _ = tokio::time::timeout(LOOK, lagging).await;
             continue;
         }
         if held.is_none() {
@@ -69,6 +69,7 @@
         lease.take();
         held = hold(&shared, &mut lease, held).await;
         lease.release();
+        // A release that fails is waited out by the others.
         if let Step::Write(write) = lease.poll(now()) {
             let outcome = store(&shared, write).await;
             lease.on_write(outcome);
@@ -100,11 +101,7 @@
                 let read = shared.border.get(LEASE).await;
                 match read {
                     Ok(row) => {
-                        let row = row.and_then(|row| {
-                            let grant = serde_json::from_value(row.value).ok()?;
-                            Some((row.version, grant))
-                        });
-                        lease.on_read(now(), row);
+                        lease.on_read(now(), row.and_then(grant));
                     }
                     Err(error) => {
                         log::warn!("the lease cannot be read: {error}");
@@ -152,6 +149,17 @@
     lease.fence(now()).or(held.map(|(fence, _)| fence)).or(last)
 }
 
+/// Reads the lease's row; one that cannot be read counts as missing, and an operator has to drop it.
+fn grant(row: Row) -> Option<(u64, Grant)> {
+    match serde_json::from_value(row.value) {
+        Ok(grant) => Some((row.version, grant)),
+        Err(error) => {
+            log::error!("the row {LEASE} holds no lease: {error}");
+            None
+        }
+    }
+}
+
 /// Asks targets that may have finished whether they have; the list tells up to a heartbeat later.
 fn look<Border>(shared: &Rc<Shared<Border>>, looked: &mut Time)
 where
--- a/crates/gateway/src/tries.rs
+++ b/crates/gateway/src/tries.rs
@@ -49,12 +49,16 @@
 
 /// What a request needs next.
 pub(crate) enum Step {
+    /// Send it there.
     Send(Box<Choice>),
+    /// Wait until a target has room, and ask again.
     Wait,
+    /// Answer the caller, who may come back after the time.
     End(Reason, Duration),
 }
 
 impl<Border> Tries<Border> {
+    /// Starts with nothing tried.
     pub(crate) fn new(service: Service) -> Self {
         Self {
             service,
@@ -90,6 +94,7 @@
         self.runs < asked.route.attempts
     }
 
+    /// Returns what the request needs next, and gives its place up once it stops waiting.
     pub(crate) fn step(
         &mut self,
         shared: &Rc<Shared<Border>>,
@@ -142,6 +147,9 @@
                 return Step::End(unable, SOON);
             }
         }
+        // Counted here and not when it is sent: several may open connections at the same time.
+        let mut ramp = shared.ramp.borrow_mut();
+        ramp.on_sent(&choice.member.id, time);
         Step::Send(Box::new(choice))
     }
 
