relay: a stream that ends within an event is cut, and what came before it is written

Cause: found while reading: without a length, a target that stops early may close its connection in good order, and the rest of an event was passed on as the end. The test for it failed first, and showed that hyper drops events that wait to be written when the body fails. Change: such a stream counts as broken off; the cut follows 10 ms after the last event.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -16,6 +16,19 @@
 use crate::clock::now;
 use crate::shared::Shared;
 
+/// The part of the fetch time that is expected at the target where requests of a session meet.
+const HOME_FETCH: f64 = 0.5;
+/// The number of entries up to which all loads are current at each.
+const MOST_CURRENT: usize = 2 * FAN_OUT;
+/// Targets to choose from beyond that.
+const SAMPLE: usize = 7;
+/// How many of them are close to the store host that keeps the session, if there is one.
+const SAMPLE_NEAR: usize = 4;
+/// Tokens of an answer whose length nobody estimated.
+const EXPECTED_OUTPUT: u64 = 80;
+/// The time before the bound on old weights in which a request may still wait at its target.
+const WEIGHTS_MARGIN: Duration = Duration::from_millis(1500);
+
 /// Chooses a target for a request.
 pub(crate) fn choose<Border>(
     shared: &Rc<Shared<Border>>,
@@ -136,8 +149,6 @@
     })
 }
 
-/// The part of the fetch time that is expected at the target where requests of a session meet.
-const HOME_FETCH: f64 = 0.5;
 /// Leaves a few targets to choose from, the home among them, where many entries choose.
 ///
 /// Loads of others are some hundred ms old then, and the target that seems least loaded would get
@@ -170,13 +181,6 @@
     usable.truncate(SAMPLE);
 }
 
-/// The number of entries up to which all loads are current at each.
-const MOST_CURRENT: usize = 2 * FAN_OUT;
-/// Targets to choose from beyond that.
-const SAMPLE: usize = 7;
-/// How many of them are close to the store host that keeps the session, if there is one.
-const SAMPLE_NEAR: usize = 4;
-
 /// Returns the failure domain of the store host that keeps the session's part, where there are
 /// many targets; a transfer to another domain takes its link twice as long.
 fn near(
@@ -224,9 +228,6 @@
     prompt.input.saturating_sub(first) + expected.min(prompt.output)
 }
 
-/// Tokens of an answer whose length nobody estimated.
-const EXPECTED_OUTPUT: u64 = 80;
-
 fn own_tokens(prompt: &Prompt) -> u64 {
     prompt.parts.last().map_or(prompt.input, |part| part.tokens)
 }
@@ -284,9 +285,6 @@
     since.is_some_and(|since| time.since(since) >= bound)
 }
 
-/// The time before the bound on old weights in which a request may still wait at its target.
-const WEIGHTS_MARGIN: Duration = Duration::from_millis(1500);
-
 fn hash(target: &Target) -> u64 {
     let mut bytes = [0; 8];
     bytes.copy_from_slice(&blake3::hash(target.as_bytes()).as_bytes()[..8]);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,4 +1,5 @@
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::Response;
@@ -29,6 +30,8 @@
 
 /// Events that may wait for a slow caller; the target's connection then blocks as well.
 const AHEAD: usize = 16;
+/// How long the events before a cut have to be written to the caller.
+const FLUSH: Duration = Duration::from_millis(10);
 /// Bytes of one event; a larger one is passed on in pieces.
 const MOST_BYTES: usize = 1 << 20;
 impl Events {
@@ -46,7 +49,8 @@
                 }
                 Some(Err(error)) => return Err(format!("the stream broke off: {error}")),
                 None if self.buffer.is_empty() => return Ok(None),
-                None => return Ok(Some(self.buffer.split().freeze())),
+                // Without a length, a target that stops early may still close in good order.
+                None => return Err("the stream ended within an event".to_owned()),
             }
         }
     }
@@ -148,6 +152,8 @@
             Some(next) => next,
             None => {
                 serve::ended(shared, asked, "cut");
+                // hyper drops what it has not written when the body fails.
+                tokio::time::sleep(FLUSH).await;
                 // The receiver may be gone; there is nobody to tell then.
                 let _ = events.send(Err(Cut::Early)).await;
                 return;
