server: nothing is read after the last look of a stopping process

Ruled out: the first look (no connection was open for 300 ms). Change: the last lines are written with the thread blocked, so a connection that comes then is not read.

--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -120,9 +120,9 @@
     Ok(())
 }
 
-/// Waits until the lines so far are written, in most cases.
-pub(crate) async fn flush() {
-    tokio::time::sleep(GATHER + Duration::from_millis(10)).await;
+/// Gives the last lines the time to be written, while nothing else of the process runs.
+pub(crate) fn write_now() {
+    std::thread::sleep(GATHER + Duration::from_millis(10));
 }
 
 fn write(waiting: &Receiver<Vec<u8>>) {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -54,6 +54,9 @@
 const WORK: f64 = 0.93;
 /// How often a stopping process looks whether it is done.
 const LOOK: Duration = Duration::from_millis(50);
+/// References to the count of connections that are none: those of the task that accepts and of the
+/// one that stops.
+const BASE: usize = 2;
 /// Looks without an open connection before the end.
 const QUIET: u32 = 6;
 /// How long a failing listener is left alone; running out of descriptors passes.
@@ -301,16 +304,15 @@
     // Callers may still come while their failure domain has no other entry, so the end waits for a
     // quiet moment.
     let mut quiet = 0;
+    let waiting = || Rc::strong_count(&open).saturating_sub(BASE);
     while quiet < QUIET && now().since(begun) < grace.mul_f64(WORK) {
         tokio::time::sleep(LOOK).await;
-        quiet = match Rc::strong_count(&open) {
-            0..=2 => quiet + 1,
-            _ => 0,
-        };
+        quiet = if waiting() == 0 { quiet + 1 } else { 0 };
     }
+    // From here on nothing else runs: a request that were read now would be cut off.
     Event::new("stop")
-        .with("open", Rc::strong_count(&open) - 2)
+        .with("open", waiting())
         .with("after_ms", millis(now().since(begun)))
         .info();
-    journal::flush().await;
+    journal::write_now();
 }
