--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -261,7 +261,7 @@
     response
 }
 
-/// Reads the settings again on SIGHUP; bounds take effect at once, addresses at the next start.
+/// Checks the settings again on SIGHUP and logs the outcome; changes take effect at the next start.
 async fn reload<Border>(
     shared: Rc<Shared<Border>>,
     file: PathBuf,
@@ -309,7 +309,7 @@
         tokio::time::sleep(LOOK).await;
         quiet = if waiting() == 0 { quiet + 1 } else { 0 };
     }
-    // From here on nothing else runs: a request that were read now would be cut off.
+    // From here on nothing else runs: a request that is read now would be cut off.
     Event::new("stop")
         .with("open", waiting())
         .with("after_ms", millis(now().since(begun)))
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -124,66 +124,35 @@
 
     fn check(&self, file: &Path) -> Result<(), Problem> {
         let bounds = &self.bounds;
-        let not_negative = "a number that is 0 or more";
-        let checks = [
-            ("name", !self.name.is_empty(), self.name.clone(), "a name"),
-            (
-                "bounds.revoke_ms",
-                bounds.revoke_ms >= 1000.0,
-                bounds.revoke_ms.to_string(),
-                "1000 or more",
-            ),
-            (
-                "bounds.grace_s",
-                bounds.grace_s >= 1.0,
-                bounds.grace_s.to_string(),
-                "1 or more",
-            ),
+        let refuse = |key, value, accepted| {
+            Err(Problem::Value {
+                file: file.to_owned(),
+                key,
+                value,
+                accepted,
+            })
+        };
+        if self.name.is_empty() {
+            return refuse("name", self.name.clone(), "a name");
+        }
+        let least = [
+            ("bounds.revoke_ms", bounds.revoke_ms, 1000.0, "1000 or more"),
+            ("bounds.grace_s", bounds.grace_s, 1.0, "1 or more"),
             (
                 "bounds.retry_window_s",
-                bounds.retry_window_s >= 0.1,
-                bounds.retry_window_s.to_string(),
+                bounds.retry_window_s,
+                0.1,
                 "0.1 or more",
             ),
-            (
-                "bounds.lease_gap_ms",
-                bounds.lease_gap_ms >= 0.0,
-                bounds.lease_gap_ms.to_string(),
-                not_negative,
-            ),
-            (
-                "bounds.retry_ratio",
-                bounds.retry_ratio >= 0.0,
-                bounds.retry_ratio.to_string(),
-                not_negative,
-            ),
-            (
-                "bounds.retry_extra",
-                bounds.retry_extra >= 0.0,
-                bounds.retry_extra.to_string(),
-                not_negative,
-            ),
-            (
-                "bounds.cold_factor",
-                bounds.cold_factor >= 0.0,
-                bounds.cold_factor.to_string(),
-                not_negative,
-            ),
-            (
-                "bounds.cold_slack",
-                bounds.cold_slack >= 0.0,
-                bounds.cold_slack.to_string(),
-                not_negative,
-            ),
+            ("bounds.lease_gap_ms", bounds.lease_gap_ms, 0.0, "0 or more"),
+            ("bounds.retry_ratio", bounds.retry_ratio, 0.0, "0 or more"),
+            ("bounds.retry_extra", bounds.retry_extra, 0.0, "0 or more"),
+            ("bounds.cold_factor", bounds.cold_factor, 0.0, "0 or more"),
+            ("bounds.cold_slack", bounds.cold_slack, 0.0, "0 or more"),
         ];
-        for (key, good, value, accepted) in checks {
-            if !good {
-                return Err(Problem::Value {
-                    file: file.to_owned(),
-                    key,
-                    value,
-                    accepted,
-                });
+        for (key, value, least, accepted) in least {
+            if value < least {
+                return refuse(key, value.to_string(), accepted);
             }
         }
         Ok(())
