fleet, gateway: what entries know of silent targets and slow store hosts is shared

Entries now tell each other when they heard each target. Also: a host whose reports have a gap is listed whole.

--- a/crates/fleet/src/kept/mod.rs
+++ b/crates/fleet/src/kept/mod.rs
@@ -44,6 +44,9 @@
     local: HashMap<Target, HashMap<Key, Time>>,
     /// How often parts were used by this entry, of which older uses count less.
     uses: HashMap<Key, (f64, Time)>,
+    /// How late the first events of requests without fetches come at the targets of a failure
+    /// domain, in ms.
+    usual_ms: HashMap<Domain, f64>,
 }
 
 /// A target as the place where a prompt is read.
@@ -57,11 +60,22 @@
     pub targets: usize,
 }
 
+/// How much later than expected first events came after fetches from a host.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Late {
+    /// The sum over all fetches, in ms; negative if they were faster.
+    pub sum_ms: f64,
+    /// The number of fetches.
+    pub count: u32,
+}
+
 /// What to do with one part of a prompt.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Act {
     /// The target reads it and nothing is kept.
     Read,
+    /// The target reads it, though it is kept there: the host's link is too busy.
+    Skip(Store),
     /// The target reads it and saves it there.
     Save(Store),
     /// The target fetches it there.
@@ -77,6 +91,8 @@
     pub unread: u64,
     /// How long fetching takes.
     pub fetch: Duration,
+    /// How much longer the fetches of other requests take because of it, all together.
+    pub strain: Duration,
 }
 
 /// A part in a store host, as the host reports it.
@@ -119,16 +135,8 @@
 const RETIRE: Duration = Duration::from_millis(2000);
 /// How long a freed part is not fetched, so that a late report does not bring it back.
 const RETIRED: Duration = Duration::from_secs(6);
-/// A host is slow if the first events after fetches from it come later than those after fetches
-/// from other hosts by more than this factor and this many ms; hosts of different speed and the
-/// queues at the targets explain less.
-const SLOW_FACTOR: f64 = 2.0;
-/// See [`SLOW_FACTOR`].
-const SLOW_MS: f64 = 150.0;
-/// What each slow fetch leaves of the share of fetches.
-const LESS_WILLING: f64 = 0.85;
-/// What each other fetch adds to it.
-const MORE_WILLING: f64 = 0.05;
+/// How long observations are remembered to tell others; longer than it takes to tell each of them.
+const OBSERVED: Duration = Duration::from_secs(3);
 /// The use of a link up to which parts are fetched; beyond it a part of the fetches is left out.
 const MOST_USED: f64 = 0.85;
 /// The time of a common transfer: five thousand tokens over 74 Gbit/s, half of them between failure
@@ -136,8 +144,6 @@
 const MEAN_TRANSFER: Duration = Duration::from_millis(30);
 /// The weight of the newest observation.
 const SMOOTHING: f64 = 0.2;
-/// The least share of fetches that are tried at a slow host, so that its recovery is noticed.
-const LEAST_WILLING: f64 = 0.05;
 
 impl Kept {
     /// Takes over the hosts of a configuration; what is known of hosts that stay is kept.
@@ -186,6 +192,16 @@
         }
     }
 
+    /// Takes over all that a host keeps, in place of what was known: reports may be lost, and a host
+    /// remembers only the newest ones.
+    pub fn on_whole(&mut self, store: &Store, boot: u64, reports: Vec<Report>, now: Time) {
+        if let Some(shelf) = self.shelves.get_mut(store) {
+            shelf.held.clear();
+            shelf.tokens = 0;
+        }
+        self.on_reports(store, boot, reports, now);
+    }
+
     /// Records that a host does not answer; nothing is fetched from it or saved there.
     pub fn on_down(&mut self, store: &Store) {
         if let Some(shelf) = self.shelves.get_mut(store) {
@@ -220,10 +236,11 @@
             let local = unbroken && self.is_local(part, at, now);
             let source = self.source(part, at.domain, draw, now);
             if unbroken && let Some((store, time)) = source {
-                plan.acts.push(Act::Fetch(store));
                 if !local {
                     plan.fetch += time;
+                    plan.strain += self.strain(&store, part, at.domain, now);
                 }
+                plan.acts.push(Act::Fetch(store));
                 continue;
             }
             if local {
@@ -236,13 +253,15 @@
                 });
                 continue;
             }
-            unbroken = false;
+            let reached = std::mem::replace(&mut unbroken, false);
             plan.unread += part.tokens;
-            let home = match self.is_known(part) {
-                true => None,
-                false => self.home(part),
-            };
-            plan.acts.push(home.map_or(Act::Read, Act::Save));
+            plan.acts
+                .push(match (self.holder(part), self.is_known(part)) {
+                    (Some(store), _) if reached => Act::Skip(store),
+                    (Some(_), _) => Act::Read,
+                    (None, true) => Act::Read,
+                    (None, false) => self.home(part).map_or(Act::Read, Act::Save),
+                });
         }
         plan
     }
@@ -266,7 +285,7 @@
             let uses = decayed(uses, last, LOCAL.as_secs_f64(), now) + 1.0;
             self.uses.insert(part.key.clone(), (uses, now));
             match act {
-                Act::Read => {}
+                Act::Read | Act::Skip(_) => {}
                 Act::Save(store) => {
                     if let Some(shelf) = self.shelves.get_mut(store) {
                         let saving = Saving {
@@ -288,10 +307,10 @@
             }
             // A fetch that is left out counts as well, or leaving some out would let more through.
             let wanted = match act {
-                Act::Fetch(store) => Some(store.clone()),
-                Act::Read | Act::Save(_) => self.holder(part),
+                Act::Fetch(store) | Act::Skip(store) => Some(store),
+                Act::Read | Act::Save(_) => None,
             };
-            if let Some(shelf) = wanted.and_then(|store| self.shelves.get_mut(&store)) {
+            if let Some(shelf) = wanted.and_then(|store| self.shelves.get_mut(store)) {
                 let time = shelf.transfer(part.tokens, bytes, at.domain);
                 shelf.work = shelf.worked(now) + time.as_secs_f64();
                 shelf.worked = now;
@@ -301,35 +320,59 @@
 
     /// Records when the first event of a request came: `excess` is the time beyond that of reading
     /// what was to be read.
-    pub fn on_first(&mut self, plan: &Plan, excess: Duration) {
+    ///
+    /// Load pattern: the engines of a failure domain are busy, so that all that they get comes late.
+    /// Only what comes later than requests there that fetch nothing says something of a host.
+    pub fn on_first(&mut self, plan: &Plan, domain: &Domain, excess: Duration, now: Time) {
         let excess = excess.as_secs_f64() * 1000.0;
-        let used: Vec<&Store> = plan
-            .acts
-            .iter()
-            .filter_map(|act| match act {
-                Act::Fetch(store) => Some(store),
-                Act::Read | Act::Save(_) => None,
-            })
-            .collect();
-        let others = self
-            .shelves
-            .iter()
-            .filter(|(name, shelf)| !used.contains(name) && shelf.up && shelf.excess_ms > 0.0);
-        let usual = others
-            .map(|(_, shelf)| shelf.excess_ms)
-            .fold(f64::INFINITY, f64::min);
+        if plan.fetch.is_zero() {
+            let usual = self.usual_ms.entry(domain.clone()).or_insert(excess);
+            *usual += SMOOTHING * (excess - *usual);
+            return;
+        }
+        let Some(usual) = self.usual_ms.get(domain) else {
+            return;
+        };
+        let fetches = plan.acts.iter().rev().find_map(|act| match act {
+            Act::Fetch(store) => Some(store),
+            Act::Read | Act::Skip(_) | Act::Save(_) => None,
+        });
         // The last part is the longest one, and its host has most to do with the delay.
-        let Some(shelf) = used.last().and_then(|store| self.shelves.get_mut(*store)) else {
+        let Some(shelf) = fetches.and_then(|store| self.shelves.get_mut(store)) else {
             return;
         };
-        shelf.excess_ms += SMOOTHING * (excess - shelf.excess_ms);
-        if usual.is_finite() && shelf.excess_ms > usual * SLOW_FACTOR + SLOW_MS {
-            shelf.willing = (shelf.willing * LESS_WILLING).max(LEAST_WILLING);
-        } else {
-            shelf.willing = (shelf.willing + MORE_WILLING).min(1.0);
+        let expected = plan.fetch.as_secs_f64() * 1000.0;
+        let late = Late {
+            sum_ms: excess - usual - expected,
+            count: 1,
+        };
+        shelf.on_late(late, now);
+        shelf.own.push_back((now, late.sum_ms));
+    }
+
+    /// Records how late fetches from a host were at another entry. Each one alone sees too few of
+    /// them to notice within a second that a host has become slow, or fast again.
+    pub fn on_late(&mut self, store: &Store, late: Late, now: Time) {
+        if let Some(shelf) = self.shelves.get_mut(store) {
+            shelf.on_late(late, now);
         }
     }
 
+    /// Returns how late this entry's fetches from each host were within some time, to tell others.
+    #[must_use]
+    pub fn lateness(&self, within: Duration, now: Time) -> Vec<(Store, Late)> {
+        let shelves = self.shelves.iter();
+        let observed = shelves.map(|(name, shelf)| {
+            let recent = shelf.own.iter().filter(|(at, _)| now.since(*at) < within);
+            let late = recent.fold(Late::default(), |late, (_, ms)| Late {
+                sum_ms: late.sum_ms + ms,
+                count: late.count + 1,
+            });
+            (name.clone(), late)
+        });
+        observed.filter(|(_, late)| late.count > 0).collect()
+    }
+
     /// Chooses parts of a host to free, when it is nearly full or keeps spaces that are out of use.
     ///
     /// The parts are retired here; they may be freed after [`Kept::retire_time`], when the other
@@ -513,12 +556,27 @@
         Duration::from_secs_f64(wait)
     }
 
+    /// Returns how much longer all other transfers of a host take because of one.
+    ///
+    /// Load pattern: many sessions, whose parts together use most of the hosts' links. A transfer to
+    /// another failure domain holds its link twice as long, which is little for the request itself
+    /// and takes the link from those that come after.
+    fn strain(&self, store: &Store, part: &Shared, domain: &Domain, now: Time) -> Duration {
+        let Some(shelf) = self.shelves.get(store) else {
+            return Duration::ZERO;
+        };
+        let used = self.used(shelf, now).min(MOST_USED);
+        let held = shelf.occupied(part.tokens, self.token_bytes, domain);
+        held.mul_f64(used / (1.0 - used))
+    }
+
     /// Forgets saves that were not reported; an event may be lost.
     pub fn sweep(&mut self, now: Time) {
         for shelf in self.shelves.values_mut() {
             shelf
                 .saving
                 .retain(|_, saving| now.since(saving.since) < SAVE_TIME);
+            shelf.own.retain(|(at, _)| now.since(*at) < OBSERVED);
         }
         self.uses
             .retain(|_, (uses, last)| decayed(*uses, *last, LOCAL.as_secs_f64(), now) > 0.05);
--- a/crates/fleet/src/kept/shelf.rs
+++ b/crates/fleet/src/kept/shelf.rs
@@ -1,9 +1,9 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use types::{Domain, Time};
 
-use super::Key;
+use super::{Key, Late};
 use crate::catalog::StoreHost;
 
 /// One store host.
@@ -20,7 +20,12 @@
     pub(super) work: f64,
     pub(super) worked: Time,
     pub(super) willing: f64,
-    pub(super) excess_ms: f64,
+    /// How late fetches of all entries were, of which older ones count less: the sum in ms, the
+    /// number, and when both were brought up to date.
+    late: (f64, f64),
+    judged: Time,
+    /// How late each of this entry's fetches was, in ms.
+    pub(super) own: VecDeque<(Time, f64)>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -40,6 +45,18 @@
 /// The time over which transfers are averaged, in seconds.
 pub(super) const MEMORY_S: f64 = 2.0;
 
+/// The time over which lateness is averaged, in seconds: a few dozen fetches of all entries.
+const JUDGED_S: f64 = 1.0;
+/// A host is slow if the first events after fetches from it come this much later than expected, in
+/// ms; the queues at the targets vary by less.
+const SLOW_MS: f64 = 150.0;
+/// What each slow fetch of any entry leaves of the share of fetches.
+const LESS_WILLING: f64 = 0.97;
+/// What each other fetch adds to it.
+const MORE_WILLING: f64 = 0.015;
+/// The least share of fetches that are tried at a slow host, so that its recovery is noticed.
+const LEAST_WILLING: f64 = 0.05;
+
 impl Shelf {
     pub(super) fn new(host: StoreHost) -> Self {
         Self {
@@ -53,7 +70,9 @@
             work: 0.0,
             worked: Time::default(),
             willing: 1.0,
-            excess_ms: 0.0,
+            late: (0.0, 0.0),
+            judged: Time::default(),
+            own: VecDeque::new(),
         }
     }
 
@@ -64,6 +83,22 @@
         self.tokens = 0;
         self.work = 0.0;
         self.willing = 1.0;
+        self.late = (0.0, 0.0);
+    }
+
+    /// Fetches less from a host while its fetches come late, and more when they do not.
+    pub(super) fn on_late(&mut self, late: Late, now: Time) {
+        let (sum, count) = self.late;
+        let left = |value| decayed(value, self.judged, JUDGED_S, now);
+        self.late = (left(sum) + late.sum_ms, left(count) + f64::from(late.count));
+        self.judged = now;
+        let slow = self.late.0 / self.late.1 > SLOW_MS;
+        for _ in 0..late.count {
+            self.willing = match slow {
+                true => (self.willing * LESS_WILLING).max(LEAST_WILLING),
+                false => (self.willing + MORE_WILLING).min(1.0),
+            };
+        }
     }
 
     /// Returns the seconds of transfers that count at a time.
@@ -77,15 +112,21 @@
         }
     }
 
-    /// Returns the time of a transfer without waiting; `link` is in Mbit/s, that is bits in a µs.
+    /// Returns the time of a transfer without waiting for others.
     pub(super) fn transfer(&self, tokens: u64, token_bytes: u64, domain: &Domain) -> Duration {
+        self.host.delay + self.occupied(tokens, token_bytes, domain)
+    }
+
+    /// Returns how long a transfer keeps others from the link; `link` is in Mbit/s, that is bits in
+    /// a µs.
+    pub(super) fn occupied(&self, tokens: u64, token_bytes: u64, domain: &Domain) -> Duration {
         let bits = (tokens * token_bytes * 8) as f64;
         let micros = bits / self.host.link.max(1.0);
         let factor = match *domain == self.host.domain {
             true => 1.0,
             false => REMOTE_FACTOR,
         };
-        self.host.delay + Duration::from_secs_f64(micros * factor / 1e6)
+        Duration::from_secs_f64(micros * factor / 1e6)
     }
 }
 
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -8,7 +8,7 @@
 
 use types::{Store, Target, Time};
 
-use crate::kept::{Key, Report};
+use crate::kept::{Key, Late, Report};
 use crate::placement::Load;
 
 /// What one entry tells another.
@@ -22,6 +22,10 @@
     pub number: u64,
     /// What the sender has under way, by target.
     pub loads: Vec<(Target, Load)>,
+    /// How long ago it heard each of these targets.
+    pub heard: Vec<(Target, Duration)>,
+    /// How late its fetches from each host were since the last word.
+    pub late: Vec<(Store, Late)>,
     /// Parts that it fetched lately.
     pub used: Vec<(Store, Key)>,
     /// Parts that it is about to free.
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -22,8 +22,12 @@
     avoid_until: Time,
     failures: u32,
     refused_until: Time,
-    /// When the target last sent anything, or got a request while it had none.
-    heard: Time,
+    /// When the target last sent anything to this entry.
+    heard: Option<Time>,
+    /// When the target last sent anything to another entry, as far as this one was told.
+    others: Option<Time>,
+    /// When the target got a request of this entry while it had none.
+    begun: Time,
 }
 
 /// The loads and the health of all targets, as one entry sees them.
@@ -79,9 +83,12 @@
 const AVOID: Duration = Duration::from_millis(400);
 /// The longest time that a target is avoided.
 const MOST_AVOID: Duration = Duration::from_millis(6400);
-/// A target with requests under way that sends nothing for this long is left out. Engines send
-/// events each few milliseconds, plain services answer in some tens of them.
+/// A target with requests under way that sends nothing to any entry for this long is left out.
+/// Engines send events each few milliseconds, plain services answer in some tens of them.
 const SILENCE: Duration = Duration::from_millis(600);
+/// A target that others hear may still be out of this entry's reach; it is left out after this long.
+/// Callers give up a stream after two seconds at the earliest.
+const UNREACHED: Duration = Duration::from_millis(1700);
 /// How long a target that refused a request for lack of room gets no other.
 const REFUSED: Duration = Duration::from_millis(150);
 
@@ -157,7 +164,7 @@
     /// Records a request that is sent.
     pub fn on_sent(&mut self, target: &Target, reading: u64, memory: u64, now: Time) {
         if self.load(target).running == 0 {
-            self.on_heard(target, now);
+            self.health.entry(target.clone()).or_default().begun = now;
         }
         let load = self.own.entry(target.clone()).or_default();
         load.running += 1;
@@ -182,17 +189,38 @@
 
     /// Records that a target sent something.
     pub fn on_heard(&mut self, target: &Target, now: Time) {
-        self.health.entry(target.clone()).or_default().heard = now;
+        self.health.entry(target.clone()).or_default().heard = Some(now);
+    }
+
+    /// Records when another entry heard a target.
+    pub fn on_heard_by_other(&mut self, target: &Target, heard: Time) {
+        let health = self.health.entry(target.clone()).or_default();
+        health.others = health.others.max(Some(heard));
     }
 
     /// Says whether a target that has requests under way has sent nothing for long. A busy engine
     /// still sends events of other requests; one without power or behind a cut sends nothing.
+    ///
+    /// Load pattern: many entries, each with one request at a busy engine. None of them hears
+    /// anything while the engine reads the prompts before its own, but some other entry does.
     #[must_use]
     pub fn is_silent(&self, target: &Target, now: Time) -> bool {
         let Some(health) = self.health.get(target) else {
             return false;
         };
-        self.load(target).running > 0 && now.since(health.heard) >= SILENCE
+        let own = health.heard.unwrap_or_default().max(health.begun);
+        let quiet = now.since(own);
+        let any = now.since(health.others.unwrap_or_default().max(own));
+        self.load(target).running > 0 && (any >= SILENCE || quiet >= UNREACHED)
+    }
+
+    /// Returns the targets with requests under way, and how long ago each was heard.
+    pub fn heard(&self, now: Time) -> impl Iterator<Item = (&Target, Duration)> {
+        let heard = self
+            .health
+            .iter()
+            .filter(|(target, _)| self.load(target).running > 0);
+        heard.filter_map(move |(target, health)| Some((target, now.since(health.heard?))))
     }
 
     /// Records an answer that shows a target to be sound.
--- a/crates/fleet/tests/kept.rs
+++ b/crates/fleet/tests/kept.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use fleet::catalog::StoreHost;
-use fleet::kept::{Act, Kept, Key, Place, Report, Shared};
+use fleet::kept::{Act, Kept, Key, Late, Place, Plan, Report, Shared};
 use types::{Domain, Store, Target, Time};
 
 fn at(millis: u64) -> Time {
@@ -240,3 +240,89 @@
     assert!(fetched > 1.0, "{fetched} s of transfers in 2 s");
     assert!(fetched < 2.0, "{fetched} s of transfers in 2 s");
 }
+
+/// The first events of one fetch and of one request that reads all, which come this many ms late.
+fn observe(world: &mut World, fetched: u64, read: u64, now: Time) {
+    let domain = world.domain.clone();
+    let plan = |fetch| Plan {
+        acts: vec![Act::Fetch(big())],
+        unread: 0,
+        fetch,
+        strain: Duration::ZERO,
+    };
+    let late = Duration::from_millis;
+    let plain = plan(Duration::ZERO);
+    world.kept.on_first(&plain, &domain, late(read), now);
+    let fetch = plan(late(25));
+    world
+        .kept
+        .on_first(&fetch, &domain, late(25 + fetched), now);
+}
+
+fn fetches(world: &World) -> bool {
+    let part = [part("m.1", "root", 2600)];
+    matches!(world.acts(&part, at(1))[0], Act::Fetch(_))
+}
+
+/// Guards against fetches from a host whose links have turned slow, and against a host that is left
+/// out for good.
+#[test]
+fn a_slow_host_is_left_out_until_it_has_recovered() {
+    let mut world = World::open(&[host("big", "pier", 1_000_000, 74_000.0, 6.0)]);
+    let root = vec![held("m.1", "root", 2600)];
+    world.kept.on_reports(&big(), 1, root, at(0));
+    // Thirty fetches a second by all entries together.
+    (0..60).for_each(|step| observe(&mut world, 800, 20, at(step * 33)));
+    assert!(!fetches(&world));
+    (0..90).for_each(|step| observe(&mut world, 20, 20, at(2000 + step * 33)));
+    assert!(fetches(&world));
+}
+
+/// Guards against a host that seems slow because the engines near it are busy: on candlewalk-grown
+/// trouble-1, half of the prompts were read again for minutes after engines had returned, which kept
+/// the engines busy.
+#[test]
+fn a_host_near_busy_targets_is_not_slow() {
+    let mut world = World::open(&[
+        host("big", "pier", 1_000_000, 74_000.0, 6.0),
+        host("other", "bluff", 1_000_000, 74_000.0, 6.0),
+    ]);
+    let root = vec![held("m.1", "root", 2600)];
+    world.kept.on_reports(&big(), 1, root, at(0));
+    (0..60).for_each(|step| observe(&mut world, 900, 900, at(step * 33)));
+    assert!(fetches(&world));
+}
+
+/// Guards against an entry that keeps to a slow host because it alone fetches from it too rarely,
+/// and one that leaves it out long after it has recovered. On candlewalk-grown, each of 24 entries
+/// fetches from a host about once a second.
+#[test]
+fn what_other_entries_observe_of_a_host_counts() {
+    let mut world = World::open(&[host("big", "pier", 1_000_000, 74_000.0, 6.0)]);
+    let root = vec![held("m.1", "root", 2600)];
+    world.kept.on_reports(&big(), 1, root, at(0));
+    let late = |ms: f64| Late {
+        sum_ms: 15.0 * ms,
+        count: 15,
+    };
+    for step in 0..4 {
+        world.kept.on_late(&big(), late(700.0), at(step * 500));
+    }
+    assert!(!fetches(&world));
+    for step in 0..6 {
+        let now = at(2500 + step * 500);
+        world.kept.on_late(&big(), late(10.0), now);
+    }
+    assert!(fetches(&world));
+}
+
+/// Guards against observations that are told twice, or never.
+#[test]
+fn the_observations_of_one_cycle_are_told() {
+    let mut world = World::open(&[host("big", "pier", 1_000_000, 74_000.0, 6.0)]);
+    (0..10).for_each(|step| observe(&mut world, 300, 0, at(step * 100)));
+    let told = world.kept.lateness(Duration::from_millis(500), at(1000));
+    assert_eq!(told.len(), 1);
+    assert_eq!((&told[0].0, told[0].1.count), (&big(), 4));
+    assert!(told[0].1.sum_ms > 1000.0, "{told:?}");
+}
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -41,6 +41,44 @@
     assert!(!board.avoids(&target(), at(900)));
 }
 
+/// Guards against prompts that are read twice because a busy engine counts as dark: each of many
+/// entries has one request there and hears nothing while the engine reads what came before, but some
+/// other entry gets events all the time.
+#[test]
+fn a_target_that_another_entry_hears_is_busy_and_not_silent() {
+    let mut board = Board::default();
+    board.on_sent(&target(), 1, 1, at(0));
+    for millis in (0..1600).step_by(100) {
+        board.on_heard_by_other(&target(), at(millis));
+        assert!(!board.avoids(&target(), at(millis + 50)), "at {millis} ms");
+    }
+    // A late word about an earlier time changes nothing.
+    board.on_heard_by_other(&target(), at(100));
+    assert!(!board.avoids(&target(), at(1600)));
+    assert!(board.avoids(&target(), at(2200)));
+}
+
+/// Guards against requests that wait for a target which this entry alone cannot reach.
+#[test]
+fn a_target_that_only_others_hear_is_left_out_in_the_end() {
+    let mut board = Board::default();
+    board.on_sent(&target(), 1, 1, at(0));
+    board.on_heard_by_other(&target(), at(1900));
+    assert!(board.avoids(&target(), at(1950)));
+}
+
+/// Guards against entries that keep a dark target alive for each other: only what was received
+/// counts as heard, not that a request was sent.
+#[test]
+fn a_request_that_is_sent_is_no_sign_of_life() {
+    let mut board = Board::default();
+    board.on_sent(&target(), 1, 1, at(0));
+    assert_eq!(board.heard(at(100)).count(), 0);
+    board.on_heard(&target(), at(200));
+    let heard: Vec<_> = board.heard(at(300)).collect();
+    assert_eq!(heard, [(&target(), Duration::from_millis(100))]);
+}
+
 /// Guards against an idle target that counts as silent, and is silent at once when it gets work.
 #[test]
 fn an_idle_target_is_not_silent() {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -184,6 +184,7 @@
             let (id, tokens) = (&part.key.id, part.tokens);
             match act {
                 kept::Act::Read => format!("{id}:{tokens} read"),
+                kept::Act::Skip(store) => format!("{id}:{tokens} skip {store}"),
                 kept::Act::Save(store) => format!("{id}:{tokens} save {store}"),
                 kept::Act::Fetch(store) => format!("{id}:{tokens} fetch {store}"),
             }
@@ -349,7 +350,11 @@
         let waited = answered.since(sent);
         let read = Duration::from_secs_f64(choice.unread as f64 / placement::READ_PER_MS / 1000.0);
         let excess = waited.saturating_sub(read);
-        shared.kept.borrow_mut().on_first(&choice.plan, excess);
+        let domain = &choice.member.domain;
+        shared
+            .kept
+            .borrow_mut()
+            .on_first(&choice.plan, domain, excess, now());
         return begin(shared, asked, head, body, connection, flight, &answer).await;
     }
     let whole = tokio::time::timeout(left, body.collect()).await;
--- a/crates/gateway/src/border.rs
+++ b/crates/gateway/src/border.rs
@@ -250,6 +250,13 @@
         wait: Duration,
     ) -> impl Future<Output = Result<News, String>>;
 
+    /// Reads all that the host keeps, as reports; the answer has no gap. The call holds up the host's
+    /// other work, so it is for what the numbered reports no longer tell.
+    ///
+    /// # Errors
+    /// Fails with a text for logs when the host does not answer.
+    fn whole(&self, address: SocketAddr) -> impl Future<Output = Result<News, String>>;
+
     /// Frees parts, if the host still has the boot.
     ///
     /// # Errors
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -90,9 +90,10 @@
         let parts = parts.unwrap_or_default();
         let plan = kept.plan(&parts, &place(member, usable_count), draw, time);
         // Requests of a session meet at the same target, which has likely kept their parts.
+        let fetch = plan.fetch + plan.strain;
         let fetch = match Some(index) == home {
-            true => plan.fetch.mul_f64(HOME_FETCH),
-            false => plan.fetch,
+            true => fetch.mul_f64(HOME_FETCH),
+            false => fetch,
         };
         candidates.push(placement::Candidate {
             load: shared.load(&member.id),
@@ -118,11 +119,11 @@
     let address = |store: &Store| kept.host(store).map(|host| host.address);
     let fetch = plan.acts.iter().map(|act| match act {
         Act::Fetch(store) => address(store).map(|from| Fetch { from, tokens: None }),
-        Act::Read | Act::Save(_) => None,
+        Act::Read | Act::Skip(_) | Act::Save(_) => None,
     });
     let save = plan.acts.iter().map(|act| match act {
         Act::Save(store) => address(store),
-        Act::Read | Act::Fetch(_) => None,
+        Act::Read | Act::Skip(_) | Act::Fetch(_) => None,
     });
     // The last part of a prompt is its own and neither fetched nor saved.
     let fetch = fetch.chain(prompt.map(|_| None)).collect();
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -159,6 +159,7 @@
             .with("target", &*member.id)
             .with("service", &*member.service)
             .with("address", member.address.to_string())
+            .with("domain", &*member.domain)
             .with("draining", member.draining)
             .with("cold_ms", millis(member.cold))
             .with(
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -317,9 +317,10 @@
         if let Some(row) = row {
             let age =
                 Duration::from_millis(store.saturating_sub(row.value.as_u64().unwrap_or(store)));
-            let micros = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
-            let named = Time(time.0.saturating_sub(micros));
-            shared.rollout.borrow_mut().named_at(&model, version, named);
+            shared
+                .rollout
+                .borrow_mut()
+                .named_at(&model, version, time - age);
             return;
         }
         let age = u64::try_from(time.since(since).as_millis()).unwrap_or(0);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,7 +14,7 @@
 mod journal;
 mod lead;
 mod metrics;
-
+pub mod packet;
 mod relay;
 mod serve;
 mod server;
--- a/crates/gateway/src/shelf.rs
+++ b/crates/gateway/src/shelf.rs
@@ -2,6 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use fleet::catalog::StoreHost;
 use fleet::kept::Kept;
 use fleet::peers::Peers;
 use tokio::task::JoinHandle;
@@ -25,6 +26,8 @@
 const BACK_OFF: Duration = Duration::from_millis(250);
 /// How long the list of targets must have been followed before parts are freed by it.
 const SETTLE: Duration = Duration::from_secs(8);
+/// The time between the lists that two entries ask of a host which they lost track of.
+const LIST_TURN: Duration = Duration::from_millis(30);
 /// How often hosts of a new configuration are followed.
 const LOOK: Duration = Duration::from_millis(500);
 
@@ -102,6 +105,7 @@
         if boot != Some(news.boot) {
             Event::new("store_host")
                 .with("store", &*store)
+                .with("domain", &*host.domain)
                 .with("boot", news.boot)
                 .with("gap", news.gap)
                 .info();
@@ -120,6 +124,43 @@
             peers.on_news(&store, &news.reports, time);
         }
         kept.on_reports(&store, news.boot, news.reports, time);
+        drop(kept);
+        if news.gap {
+            list(&shared, &host, rank, &mut since).await;
+        }
+    }
+}
+
+/// Reads all that a store host keeps, after reports that it no longer has; `since` becomes the
+/// number after which reports go on.
+async fn list<Border>(
+    shared: &Rc<Shared<Border>>,
+    host: &StoreHost,
+    rank: Option<usize>,
+    since: &mut u64,
+) where
+    Border: Platform,
+{
+    // The call holds up the host, so entries that start together take turns.
+    let turn = u32::try_from(rank.unwrap_or(0)).unwrap_or(u32::MAX);
+    tokio::time::sleep(LIST_TURN * turn).await;
+    let store = &host.name;
+    match shared.border.whole(host.address).await {
+        Ok(whole) => {
+            Event::new("store_host_listed")
+                .with("store", &**store)
+                .with("boot", whole.boot)
+                .with("parts", whole.reports.len())
+                .info();
+            *since = whole.next;
+            let mut kept = shared.kept.borrow_mut();
+            kept.on_whole(store, whole.boot, whole.reports, now());
+        }
+        // What was reported since is known; the rest is read again and saved again.
+        Err(why) => Event::new("store_host_not_listed")
+            .with("store", &**store)
+            .with("why", why)
+            .warn(),
     }
 }
 
--- a/crates/gateway/src/talk.rs
+++ b/crates/gateway/src/talk.rs
@@ -2,17 +2,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fleet::kept::{Key, Report};
-use fleet::peers::{Parts, TICK, Word};
-use fleet::placement::Load;
+use fleet::peers::{Parts, Peers, TICK, Word};
 use platform::{Commit, Write};
 use rand::Rng;
-use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
-use types::{Store, Target};
 
 use crate::border::Platform;
 use crate::clock::now;
+use crate::packet;
 use crate::shared::Shared;
 use crate::shelf::RELAYS;
 
@@ -20,32 +17,6 @@
 const SECRET: &str = "secret/peers";
 /// How long an entry waits after a failed call to the store.
 const BACK_OFF: Duration = Duration::from_millis(300);
-/// The largest datagram that is sent or read, in bytes.
-const MOST_BYTES: usize = 8 << 10;
-/// Bytes of the authentication code before each word.
-const CODE_BYTES: usize = 32;
-
-/// A word as it is sent; the pure crate has no formats.
-#[derive(Serialize, Deserialize)]
-struct Packet {
-    from: String,
-    start: u64,
-    number: u64,
-    loads: Vec<(Target, u32, u64, u64)>,
-    used: Vec<Named>,
-    retired: Vec<Named>,
-    hosts: Vec<(Store, Option<u64>)>,
-    /// Each with whether it is held, and its tokens.
-    news: Vec<(Named, bool, u64)>,
-}
-
-#[derive(Serialize, Deserialize)]
-struct Named {
-    store: Store,
-    space: String,
-    id: String,
-}
-
 /// Tells other entries the own loads, and hears theirs.
 pub(crate) async fn talk<Border>(shared: Rc<Shared<Border>>, socket: UdpSocket)
 where
@@ -68,17 +39,14 @@
         if names.is_empty() {
             continue;
         }
-        let packet = compose(&shared, start, number);
-        let encoded = bincode::serde::encode_to_vec(&packet, bincode::config::standard());
-        let bytes = match encoded {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                log::error!("a word cannot be encoded: {error}");
+        let word = compose(&shared, start, number, names.len());
+        let datagram = match packet::seal(&secret, &word) {
+            Ok(datagram) => datagram,
+            Err(problem) => {
+                log::error!("a word cannot be sent: {problem}");
                 continue;
             }
         };
-        let mut datagram = blake3::keyed_hash(&secret, &bytes).as_bytes().to_vec();
-        datagram.extend_from_slice(&bytes);
         let turn: Vec<SocketAddr> = {
             let addresses = shared.names.borrow();
             let mut peers = shared.peers.borrow_mut();
@@ -96,13 +64,11 @@
     }
 }
 
-fn compose<Border>(shared: &Shared<Border>, start: u64, number: u64) -> Packet {
+fn compose<Border>(shared: &Shared<Border>, start: u64, number: u64, peers: usize) -> Word {
     let board = shared.board.borrow();
     let loads = board.loads().filter(|(_, load)| load.running > 0);
-    let loads =
-        loads.map(|(target, load)| (target.clone(), load.running, load.reading, load.memory));
+    let heard = board.heard(now());
     let Parts { used, retired } = shared.peers.borrow().parts();
-    let news = shared.peers.borrow().news().into_iter();
     let kept = shared.kept.borrow();
     let hosts = kept.hosts().map(|(host, _)| host.name.clone());
     let relayed = hosts.filter(|store| {
@@ -113,22 +79,19 @@
         let boot = kept.boot(&store);
         (store, boot)
     });
-    let name = |(store, key): (Store, Key)| Named {
-        store,
-        space: key.space.to_string(),
-        id: key.id.to_string(),
-    };
-    Packet {
+    Word {
         from: shared.settings.name.clone(),
         start,
         number,
-        loads: loads.collect(),
-        used: used.into_iter().map(name).collect(),
-        retired: retired.into_iter().map(name).collect(),
-        hosts: hosts.collect(),
-        news: news
-            .map(|(store, report)| (name((store, report.key)), report.held, report.tokens))
+        loads: loads
+            .map(|(target, load)| (target.clone(), *load))
             .collect(),
+        heard: heard.map(|(target, ago)| (target.clone(), ago)).collect(),
+        late: kept.lateness(Peers::cycle(peers), now()),
+        used,
+        retired,
+        hosts: hosts.collect(),
+        news: shared.peers.borrow().news(),
     }
 }
 
@@ -136,67 +99,33 @@
 where
     Border: Platform,
 {
-    let mut buffer = vec![0; MOST_BYTES];
+    let mut buffer = vec![0; packet::MOST_BYTES];
     loop {
         let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
             // An earlier datagram met a closed port; the error says nothing of this socket.
             continue;
         };
-        let Some((code, bytes)) = buffer[..length].split_at_checked(CODE_BYTES) else {
-            continue;
-        };
-        // blake3 compares its hashes in constant time.
-        let authentic = <[u8; CODE_BYTES]>::try_from(code)
-            .is_ok_and(|code| blake3::Hash::from(code) == blake3::keyed_hash(&secret, bytes));
-        if !authentic {
-            log::warn!("a word from {from} is not authentic");
-            continue;
-        }
-        let decoded: Result<(Packet, usize), _> =
-            bincode::serde::decode_from_slice(bytes, bincode::config::standard());
-        match decoded {
-            Ok((packet, _)) => take(&shared, packet),
-            Err(error) => log::warn!("a word from {from} cannot be read: {error}"),
+        match packet::open(&secret, &buffer[..length]) {
+            Ok(word) => take(&shared, &word),
+            Err(problem) => log::warn!("a word from {from} is not used: {problem}"),
         }
     }
 }
 
-fn take<Border>(shared: &Shared<Border>, packet: Packet) {
+fn take<Border>(shared: &Shared<Border>, word: &Word) {
     let time = now();
-    let key = |named: Named| {
-        let key = Key {
-            space: named.space.into(),
-            id: named.id.into(),
-        };
-        (named.store, key)
-    };
-    let loads = packet.loads.into_iter();
-    let loads = loads.map(|(target, running, reading, memory)| {
-        let load = Load {
-            running,
-            reading,
-            memory,
-        };
-        (target, load)
-    });
-    let news = packet.news.into_iter().map(|(named, held, tokens)| {
-        let (store, key) = key(named);
-        (store, Report { held, key, tokens })
-    });
-    let word = Word {
-        from: packet.from,
-        start: packet.start,
-        number: packet.number,
-        loads: loads.collect(),
-        used: packet.used.into_iter().map(key).collect(),
-        retired: packet.retired.into_iter().map(key).collect(),
-        hosts: packet.hosts,
-        news: news.collect(),
-    };
-    if !shared.peers.borrow_mut().on_word(&word, time) {
+    if !shared.peers.borrow_mut().on_word(word, time) {
         return;
     }
+    let mut board = shared.board.borrow_mut();
+    for (target, ago) in &word.heard {
+        board.on_heard_by_other(target, time - *ago);
+    }
+    drop(board);
     let mut kept = shared.kept.borrow_mut();
+    for (store, late) in &word.late {
+        kept.on_late(store, *late, time);
+    }
     for (store, key) in &word.used {
         kept.on_used(store, key, time);
     }
@@ -216,8 +145,8 @@
             }
         }
     }
-    for (store, key) in word.retired {
-        kept.on_retired(&store, &[key], time);
+    for (store, key) in &word.retired {
+        kept.on_retired(store, std::slice::from_ref(key), time);
     }
 }
 
--- a/crates/types/src/time.rs
+++ b/crates/types/src/time.rs
@@ -1,4 +1,4 @@
-use std::ops::Add;
+use std::ops::{Add, Sub};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -33,3 +33,15 @@
         )
     }
 }
+
+impl Sub<Duration> for Time {
+    type Output = Self;
+
+    /// Returns an earlier time; the clock's start where there is none.
+    fn sub(self, duration: Duration) -> Self {
+        Self(
+            self.0
+                .saturating_sub(u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)),
+        )
+    }
+}
