--- a/crates/gateway/src/shelf.rs
+++ b/crates/gateway/src/shelf.rs
@@ -111,10 +111,10 @@
                 .info();
             boot = Some(news.boot);
         }
-        let mut kept = shared.kept.borrow_mut();
         if restarted && since > 0 {
             // The reports came after a number of the former boot; all of this one follow.
             since = 0;
+            let mut kept = shared.kept.borrow_mut();
             kept.on_reports(&store, news.boot, Vec::new(), time);
             continue;
         }
@@ -123,8 +123,10 @@
             let mut peers = shared.peers.borrow_mut();
             peers.on_news(&store, &news.reports, time);
         }
-        kept.on_reports(&store, news.boot, news.reports, time);
-        drop(kept);
+        shared
+            .kept
+            .borrow_mut()
+            .on_reports(&store, news.boot, news.reports, time);
         if news.gap {
             list(&shared, &host, rank, &mut since).await;
         }
