--- a/crates/fleet/src/kept/mod.rs
+++ b/crates/fleet/src/kept/mod.rs
@@ -135,6 +135,9 @@
 const RETIRE: Duration = Duration::from_millis(2000);
 /// How long a freed part is not fetched, so that a late report does not bring it back.
 const RETIRED: Duration = Duration::from_secs(6);
+/// How much longer requests that fetch wait at busy targets than those that do not: they are longer,
+/// and their prompts are read in turns with those of others.
+const QUEUED: f64 = 2.0;
 /// How long observations are remembered to tell others; longer than it takes to tell each of them.
 const OBSERVED: Duration = Duration::from_secs(3);
 /// The use of a link up to which parts are fetched; beyond it a part of the fetches is left out.
@@ -343,7 +346,7 @@
         };
         let expected = plan.fetch.as_secs_f64() * 1000.0;
         let late = Late {
-            sum_ms: excess - usual - expected,
+            sum_ms: excess - usual * QUEUED - expected,
             count: 1,
         };
         shelf.on_late(late, now);
