cli: boragereel trace follows one request through the logs of all processes

Cause: an engineer on call had to collect the lines of a request by hand, and what other entries learned of its targets was in other files.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod follow;
 mod show;
 mod status;
+mod trace;
 
 use std::process::ExitCode;
 
@@ -34,6 +35,10 @@
   explain --team TEAM --model MODEL [--prompt TEXT] [--entry ADDRESS]
                              where a prompt may go and why not elsewhere; with an entry's admin
                              address, what that entry would choose
+  trace REQUEST [FILE..] [--around SECONDS]
+                             what all processes decided on one request (marked *), in order, from
+                             their logs or from standard input, with what they learned of their
+                             targets and dependencies around it (2 s)
 Keys:
   key                        make a team's key; print it and its digest for the rules
 
@@ -156,10 +161,11 @@
         "audit" => show::audit(arguments).await,
         "status" => status::status(arguments).await,
         "explain" => explain::explain(arguments).await,
+        "trace" => trace::trace(arguments),
         "key" => change::key(arguments),
         other => Err(Failure::Wrong(format!(
             "unknown command {other:?}; accepted are: check, diff, apply, drain, undrain, rollout, \
-             show, history, audit, status, explain, key"
+             show, history, audit, status, explain, trace, key"
         ))),
     }
 }
--- /dev/null
+++ b/crates/cli/tests/trace.rs
@@ -0,0 +1,93 @@
+//! The way from a request's id to its cause, through the logs of several processes.
+
+use std::io::Write;
+use std::process::{Command, Stdio};
+
+use serde_json::Value;
+
+/// Lines of two entries, as a collector hands them on; the times are those of a failed stream.
+const LOG: &str = r#"
+entry-1 | {"time":"2026-01-08T03:52:48.000Z","level":"INFO","process":"entry-1","event":"target","target":"t9","draining":true}
+entry-2 | {"time":"2026-01-08T03:52:48.900Z","level":"WARN","process":"entry-2","event":"store_lost","list":"Targets","why":"no answer"}
+entry-1 | {"time":"2026-01-08T03:52:49.100Z","level":"WARN","process":"entry-1","event":"store_lost","list":"Targets","why":"no answer"}
+entry-1 | {"time":"2026-01-08T03:52:50.200Z","level":"INFO","process":"entry-1","event":"ended","request":"abc","outcome":"cut","after_ms":700}
+entry-1 | {"time":"2026-01-08T03:52:49.500Z","level":"INFO","process":"entry-1","event":"attempt","request":"abc","target":"t1","outcome":"failed","why":"the target has fallen silent"}
+entry-2 | {"time":"2026-01-08T03:52:49.600Z","level":"INFO","process":"entry-2","event":"target_gone","target":"t1"}
+entry-2 | {"time":"2026-01-08T03:52:49.700Z","level":"INFO","process":"entry-2","event":"attempt","request":"other","target":"t1","outcome":"failed"}
+not a log line
+entry-1 | {"time":"2026-01-08T03:52:59.000Z","level":"INFO","process":"entry-1","event":"store_heard","list":"Targets"}
+"#;
+
+fn run(arguments: &[&str], input: &str) -> (i32, String, String) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_boragereel"))
+        .args(arguments)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the tool starts");
+    let mut stdin = child.stdin.take().expect("an input");
+    // A tool that refuses its arguments does not read its input.
+    let _ = stdin.write_all(input.as_bytes());
+    drop(stdin);
+    let output = child.wait_with_output().expect("the tool ends");
+    let text = |bytes| String::from_utf8(bytes).expect("text");
+    let code = output.status.code().expect("a code");
+    (code, text(output.stdout), text(output.stderr))
+}
+
+/// Guards against a cause that the log holds and the tool leaves out: the target's end was seen by
+/// another entry.
+#[test]
+fn a_request_is_followed_over_all_processes_with_what_they_learned() {
+    let (code, out, _) = run(&["trace", "abc"], LOG);
+    assert_eq!(code, 0);
+    let lines: Vec<&str> = out.lines().collect();
+    assert_eq!(lines.len(), 4, "{out}");
+    assert!(lines[0].contains("-0.400 s   entry-1 store_lost"), "{out}");
+    assert!(lines[1].contains("+0.000 s * entry-1 attempt"), "{out}");
+    assert!(lines[1].contains("why=\"the target has fallen silent\""));
+    assert!(lines[2].contains("+0.100 s   entry-2 target_gone target=t1"));
+    assert!(lines[3].contains("+0.700 s * entry-1 ended"), "{out}");
+}
+
+#[test]
+fn the_time_around_a_request_can_be_chosen() {
+    let (_, out, _) = run(&["trace", "abc", "--around", "0"], LOG);
+    assert_eq!(out.lines().count(), 3, "{out}");
+    let (_, out, _) = run(&["trace", "abc", "--around", "60"], LOG);
+    assert_eq!(out.lines().count(), 5, "{out}");
+}
+
+#[test]
+fn programs_get_the_lines_as_they_are() {
+    let (code, out, _) = run(&["trace", "abc", "--json"], LOG);
+    assert_eq!(code, 0);
+    let json: Value = serde_json::from_str(&out).expect("JSON");
+    assert_eq!(json["request"], "abc");
+    assert_eq!(json["unread"], 2);
+    assert_eq!(json["lines"][1]["event"], "attempt");
+}
+
+/// Guards against an empty answer where the id is wrong or the log is the wrong one.
+#[test]
+fn what_cannot_be_found_or_read_is_said() {
+    let (code, _, err) = run(&["trace", "nobody"], LOG);
+    assert_eq!(code, 1);
+    assert!(err.contains("names request \"nobody\""), "{err}");
+    let (code, _, err) = run(&["trace", "abc", "/nonexistent/log"], "");
+    assert_eq!(code, 2);
+    assert!(err.contains("/nonexistent/log"), "{err}");
+    let (code, _, err) = run(&["trace", "abc", "--around", "-1"], "");
+    assert_eq!(
+        (code, err.contains("accepted are 0 to")),
+        (2, true),
+        "{err}"
+    );
+    let (code, _, err) = run(&["trace", "abc", "--arround", "1"], "");
+    assert_eq!(
+        (code, err.contains("unknown arguments")),
+        (2, true),
+        "{err}"
+    );
+}
