orders: holders of the lease write down their targets; changing targets are told; fuller engines

The holder now writes them into the row orders/given first, under a condition that also fences a former holder; only these targets are left alone. - Others sent requests to targets that take new weights, were refused with 503, and used up their retries.

--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -6,7 +6,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use types::{Store, Target, Time};
+use types::{Model, Store, Target, Time};
 
 use crate::kept::{Key, Late, Report};
 use crate::placement::Load;
@@ -26,6 +26,10 @@
     pub heard: Vec<(Target, Duration)>,
     /// How late its fetches from each host were since the last word.
     pub late: Vec<(Store, Late)>,
+    /// Targets that take new weights now, by its order.
+    pub changing: Vec<Target>,
+    /// Targets that it has lately seen with new weights.
+    pub changed: Vec<(Target, Model, u64)>,
     /// Parts that it fetched lately.
     pub used: Vec<(Store, Key)>,
     /// Parts that it is about to free.
@@ -53,6 +57,7 @@
     used: VecDeque<(Time, Store, Key)>,
     retired: VecDeque<(Time, Store, Key)>,
     news: VecDeque<(Time, Store, Report)>,
+    changed: VecDeque<(Time, Target, Model, u64)>,
     next: usize,
 }
 
@@ -135,6 +140,13 @@
         {
             self.news.pop_front();
         }
+        while self
+            .changed
+            .front()
+            .is_some_and(|(at, ..)| now.since(*at) > recent)
+        {
+            self.changed.pop_front();
+        }
         while self
             .retired
             .front()
@@ -170,6 +182,21 @@
         self.retired.push_back((now, store, key));
     }
 
+    /// Records that this entry has seen a target with new weights; the list of targets tells so up to
+    /// two seconds later.
+    pub fn on_changed(&mut self, target: Target, model: Model, version: u64, now: Time) {
+        self.changed.push_back((now, target, model, version));
+    }
+
+    /// Returns the targets with new weights for a word.
+    #[must_use]
+    pub fn changed(&self) -> Vec<(Target, Model, u64)> {
+        let changed = self.changed.iter().cloned();
+        changed
+            .map(|(_, target, model, version)| (target, model, version))
+            .collect()
+    }
+
     /// Records what a store host reported, to pass it on.
     pub fn on_news(&mut self, store: &Store, reports: &[Report], now: Time) {
         let news = reports.iter().cloned();
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -75,7 +75,7 @@
 
 /// The part of an engine's memory that requests under way may take; the rest keeps the parts that
 /// nearly all prompts share.
-const FILL: f64 = 0.72;
+const FILL: f64 = 0.79;
 /// Requests for each slot of a plain service; the second one waits there for a few milliseconds.
 const PLAIN_DEPTH: u32 = 2;
 
@@ -244,11 +244,18 @@
         self.health.entry(target.clone()).or_default().refused_until = now + REFUSED;
     }
 
-    /// Records that a target on older weights refused; it is most likely taking new ones.
+    /// Records that a target is taking new weights, or refused while it serves older ones.
     pub fn on_change(&mut self, target: &Target, now: Time) {
         self.health.entry(target.clone()).or_default().refused_until = now + CHANGE;
     }
 
+    /// Records that a target has its new weights; it may get requests at once.
+    pub fn on_changed(&mut self, target: &Target) {
+        if let Some(health) = self.health.get_mut(target) {
+            health.refused_until = Time::default();
+        }
+    }
+
     /// Returns what this entry has under way at a target.
     #[must_use]
     pub fn load(&self, target: &Target) -> Load {
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -16,6 +16,9 @@
     /// The versions of each model, the newest last.
     named: HashMap<Model, Vec<Named>>,
     ordered: HashMap<Target, Ordered>,
+    /// Targets that a former holder of the lease may have given orders, and until when they get none
+    /// of this one.
+    barred: HashMap<Target, Time>,
 }
 
 /// A version with the time at which this process learned of it.
@@ -147,14 +150,31 @@
             let since = self.outdated_since(&entry.member, &order.model);
             (since, order.target.clone())
         });
-        let under_way = self.ordered.values().filter(|order| order.runs()).count();
-        let free = limit.saturating_sub(under_way);
-        let due = behind
+        let running = self.ordered.values().filter(|order| order.runs()).count();
+        let (barred, free): (Vec<Order>, Vec<Order>) = behind
             .into_iter()
             .map(|(_, order)| order)
             .filter(|order| !self.ordered.contains_key(&order.target))
-            .take(free);
-        due.collect()
+            .partition(|order| self.is_barred(&order.target, now));
+        // What the former holder ordered is most likely under way.
+        let free_places = limit.saturating_sub(running + barred.len());
+        free.into_iter().take(free_places).collect()
+    }
+
+    /// Keeps orders from targets that a former holder of the lease may have given some: orders of two
+    /// holders to one target have to be some time apart.
+    pub fn bar<Targets>(&mut self, targets: Targets, until: Time)
+    where
+        Targets: IntoIterator<Item = Target>,
+    {
+        let targets = targets.into_iter();
+        self.barred.extend(targets.map(|target| (target, until)));
+    }
+
+    /// Returns the targets that take new weights now; others should not send them requests.
+    pub fn changing(&self) -> impl Iterator<Item = &Target> {
+        let running = self.ordered.iter().filter(|(_, order)| order.runs());
+        running.map(|(target, _)| target)
     }
 
     /// Records that an order is sent.
@@ -175,18 +195,30 @@
         }
     }
 
-    /// Returns the targets that may have finished an order by now, for a look at their state.
+    /// Returns the targets that may have finished an order by now, for a look at their state; when a
+    /// former holder gave its orders is not known.
     #[must_use]
     pub fn unfinished(&self, now: Time) -> Vec<Target> {
         let ordered = self.ordered.iter().filter(|(_, ordered)| {
             ordered.answer == Answer::Accepted && now.since(ordered.at) >= QUICKEST
         });
-        ordered.map(|(target, _)| target.clone()).collect()
+        let barred = self.barred.keys();
+        let barred = barred.filter(|target| self.is_barred(target, now));
+        ordered
+            .map(|(target, _)| target)
+            .chain(barred)
+            .cloned()
+            .collect()
     }
 
     /// Forgets the orders, as the lease is lost.
     pub fn forget(&mut self) {
         self.ordered.clear();
+        self.barred.clear();
+    }
+
+    fn is_barred(&self, target: &Target, now: Time) -> bool {
+        self.barred.get(target).is_some_and(|&until| now < until)
     }
 
     /// Drops orders that are done or have to be given again.
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -92,20 +92,27 @@
         self.entries.insert(entry.member.id.clone(), entry);
     }
 
-    /// Records the weight versions that a target itself reports; its entry in the list is older.
-    pub fn on_weights(&mut self, id: &Target, weights: &[(Model, u64)]) {
+    /// Records the weight versions that a target itself reports; its entry in the list is older. Says
+    /// whether one of them is newer than what was known.
+    pub fn on_weights(&mut self, id: &Target, weights: &[(Model, u64)]) -> bool {
         let Some(entry) = self.entries.get_mut(id) else {
-            return;
-        };
-        let newer = |(model, version): &(Model, u64)| {
-            let known = entry.member.version(model);
-            known.is_some_and(|known| known < *version)
+            return false;
         };
-        if weights.iter().any(newer) {
-            let mut member = Member::clone(&entry.member);
-            member.weights = weights.to_vec();
+        let mut member = Member::clone(&entry.member);
+        let mut newer = false;
+        for (model, known) in &mut member.weights {
+            let reported = weights.iter().find(|(name, _)| name == model);
+            if let Some((_, version)) = reported
+                && version > known
+            {
+                *known = *version;
+                newer = true;
+            }
+        }
+        if newer {
             entry.member = Arc::new(member);
         }
+        newer
     }
 
     /// Records that a target is on the list no more.
--- a/crates/fleet/tests/rollout.rs
+++ b/crates/fleet/tests/rollout.rs
@@ -119,3 +119,41 @@
     let member = &roster.iter().next().expect("a target").member;
     assert_eq!(rollout.outdated_since(member, &model()), Some(at(5_500)));
 }
+
+/// Guards against orders of two holders to one target within a short time, and against a successor
+/// that leaves all targets on old weights for that time: it took 4.2 s until the next order after
+/// the holder was cut off on candlewalk quiet-1.
+#[test]
+fn a_successor_orders_the_targets_that_the_former_holder_did_not() {
+    let mut rollout = Rollout::default();
+    let roster = fleet(9, 1);
+    rollout.name(&model(), 2, at(0));
+    rollout.bar([Target::from("t1")], at(4000));
+    let given = give(&mut rollout, &roster, at(1000));
+    // The order of the former holder is under way and counts.
+    assert_eq!(given.len(), 1);
+    assert!(!given.contains(&"t1".into()));
+    assert!(give(&mut rollout, &roster, at(1200)).is_empty());
+    assert!(rollout.unfinished(at(1200)).contains(&"t1".into()));
+    assert!(!give(&mut rollout, &roster, at(3900)).contains(&"t1".into()));
+    assert!(!rollout.unfinished(at(4000)).contains(&"t1".into()));
+}
+
+/// Guards against requests that others send to a target while it takes new weights.
+#[test]
+fn targets_with_an_order_under_way_are_changing() {
+    let mut rollout = Rollout::default();
+    let mut roster = fleet(9, 1);
+    rollout.name(&model(), 2, at(0));
+    let given = give(&mut rollout, &roster, at(10));
+    let mut changing: Vec<Target> = rollout.changing().cloned().collect();
+    changing.sort();
+    assert_eq!(changing.len(), given.len());
+    assert!(changing.iter().all(|target| given.contains(target)));
+    for target in &given {
+        assert!(roster.on_weights(target, &[(model(), 2)]));
+        assert!(!roster.on_weights(target, &[(model(), 2)]));
+    }
+    rollout.due(&roster, at(3000));
+    assert!(rollout.changing().all(|target| !given.contains(target)));
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -19,6 +19,11 @@
 /// How long changes of targets are gathered before the next call; each call has a price, and the
 /// bound on targets that leave is two seconds.
 const GATHER: Duration = Duration::from_millis(350);
+/// How much longer they are gathered for each entry: all entries together pay for the calls, and
+/// what is urgent (silence, refusals, new weights) they learn sooner from targets and each other.
+const GATHER_EACH: Duration = Duration::from_millis(15);
+/// The longest time for which they are gathered.
+const MOST_GATHER: Duration = Duration::from_millis(800);
 /// How long an entry waits after a failed call; each further one doubles it.
 const BACK_OFF: Duration = Duration::from_millis(60);
 /// The longest wait after a failed call.
@@ -64,7 +69,9 @@
                 cursor = Some(batch.cursor);
                 apply(&shared, list, batch, whole, time);
                 if list == List::Targets && !whole {
-                    tokio::time::sleep(GATHER).await;
+                    let entries = u32::try_from(shared.entries.get()).unwrap_or(u32::MAX);
+                    let gather = GATHER + GATHER_EACH.saturating_mul(entries);
+                    tokio::time::sleep(gather.min(MOST_GATHER)).await;
                 }
             }
             Ok(None) => {
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -1,14 +1,15 @@
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use control::{Grant, Lease, Step, Terms, Written};
-use fleet::rollout::{Answer, Order};
 use platform::{Commit, Row, Write};
-use types::{Fence, Incarnation, Model, Time};
+use types::{Incarnation, Model, Time};
 
 use crate::border::Platform;
 use crate::clock::now;
 use crate::journal::Event;
+use crate::orders::Issuer;
 use crate::shared::Shared;
 
 /// The row of the lease on orders.
@@ -19,7 +20,7 @@
 const RECORDERS: usize = 2;
 /// The rows of the entries.
 const ENTRIES: &str = "entry/";
-/// How long the lease holds. A successor waits this long and then the gap between two holders.
+/// How long the lease holds; a successor waits this long.
 const DURATION: Duration = Duration::from_millis(1200);
 /// How often a waiting entry reads the lease of another one.
 const LOOK: Duration = Duration::from_millis(1000);
@@ -28,8 +29,6 @@
 const SPREAD_MS: u64 = 300;
 /// How often the state of the rollout is looked at while the lease is held.
 const TICK: Duration = Duration::from_millis(100);
-/// How often targets under way are asked whether they have finished; each call has a price.
-const ASK: Duration = Duration::from_millis(400);
 /// How long an entry waits after a failed call to the store.
 const BACK_OFF: Duration = Duration::from_millis(150);
 /// How often entries are counted.
@@ -53,8 +52,9 @@
     let incarnation = Incarnation(u64::from(shared.draw()) << 16 | u64::from(shared.draw() >> 16));
     let nonce = u64::from(shared.draw());
     let name = shared.settings.name.clone();
-    let mut lease = Lease::new(name, incarnation, terms, nonce);
-    let mut held: Option<Fence> = None;
+    let lease = Lease::new(name, incarnation, terms, nonce);
+    let lease = Rc::new(RefCell::new(lease));
+    let mut held = false;
     loop {
         let lagging = shared.lag.notified();
         if !is_behind(&shared) {
@@ -62,17 +62,18 @@
             let _ = tokio::time::timeout(LOOK, lagging).await;
             continue;
         }
-        if held.is_none() {
+        if !held {
             let wait = u64::from(shared.draw()) % SPREAD_MS;
             tokio::time::sleep(Duration::from_millis(wait)).await;
         }
-        lease.take();
-        held = hold(&shared, &mut lease, held).await;
-        lease.release();
+        lease.borrow_mut().take();
+        held |= hold(&shared, &lease).await;
+        lease.borrow_mut().release();
         // A release that fails is waited out by the others.
-        if let Step::Write(write) = lease.poll(now()) {
+        let step = lease.borrow_mut().poll(now());
+        if let Step::Write(write) = step {
             let outcome = store(&shared, write).await;
-            lease.on_write(outcome);
+            lease.borrow_mut().on_write(outcome);
         }
         shared.metrics.leads.set(0);
     }
@@ -83,25 +84,20 @@
     shared.stopping.get().is_none() && rollout.is_behind(&shared.roster.borrow())
 }
 
-/// Runs the lease until no target is behind; returns the fencing number that was held last.
-async fn hold<Border>(
-    shared: &Rc<Shared<Border>>,
-    lease: &mut Lease,
-    last: Option<Fence>,
-) -> Option<Fence>
+/// Runs the lease until no target is behind; says whether it is held then.
+async fn hold<Border>(shared: &Rc<Shared<Border>>, lease: &Rc<RefCell<Lease>>) -> bool
 where
     Border: Platform,
 {
-    let gap = shared.settings.lease_gap();
-    let mut held: Option<(Fence, Time)> = None;
-    let mut looked = now();
+    let mut issuer: Option<Rc<Issuer<Border>>> = None;
     while is_behind(shared) {
-        match lease.poll(now()) {
+        let step = lease.borrow_mut().poll(now());
+        match step {
             Step::Read => {
                 let read = shared.border.get(LEASE).await;
                 match read {
                     Ok(row) => {
-                        lease.on_read(now(), row.and_then(grant));
+                        lease.borrow_mut().on_read(now(), row.and_then(grant));
                     }
                     Err(error) => {
                         log::warn!("the lease cannot be read: {error}");
@@ -111,7 +107,7 @@
             }
             Step::Write(write) => {
                 let outcome = store(shared, write).await;
-                lease.on_write(outcome);
+                lease.borrow_mut().on_write(outcome);
                 if outcome == Written::Lost {
                     tokio::time::sleep(BACK_OFF).await;
                 }
@@ -122,31 +118,23 @@
             }
             Step::Idle => tokio::time::sleep(TICK).await,
         }
-        let Some(fence) = lease.fence(now()) else {
-            if held.take().is_some() {
+        let held = lease.borrow().fence(now());
+        let Some(fence) = held else {
+            if issuer.take().is_some() {
                 Event::new("lease_lost").warn();
                 shared.metrics.leads.set(0);
                 shared.rollout.borrow_mut().forget();
             }
             continue;
         };
-        let (_, from) = *held.get_or_insert_with(|| {
-            // The last holder may have given orders until just now, unless it was this entry.
-            let own = last.is_some_and(|last| last.0 + 1 == fence.0) || fence.0 == 1;
-            let from = if own { now() } else { now() + gap };
-            Event::new("lease_taken")
-                .with("fence", fence.0)
-                .with("waits_ms", crate::serve::millis(from.since(now())))
-                .info();
+        let issuer = issuer.get_or_insert_with(|| {
+            Event::new("lease_taken").with("fence", fence.0).info();
             shared.metrics.leads.set(1);
-            (fence, from)
+            Issuer::spawn(shared, lease, fence)
         });
-        if now() >= from {
-            give(shared, lease, fence);
-            look(shared, &mut looked);
-        }
+        issuer.give();
     }
-    lease.fence(now()).or(held.map(|(fence, _)| fence)).or(last)
+    issuer.is_some()
 }
 
 /// Reads the lease's row; one that cannot be read counts as missing, and an operator has to drop it.
@@ -160,100 +148,6 @@
     }
 }
 
-/// Asks targets that may have finished whether they have; the list tells up to a heartbeat later.
-fn look<Border>(shared: &Rc<Shared<Border>>, looked: &mut Time)
-where
-    Border: Platform,
-{
-    if now().since(*looked) < ASK {
-        return;
-    }
-    *looked = now();
-    let unfinished = shared.rollout.borrow().unfinished(now());
-    for target in unfinished {
-        let shared = Rc::clone(shared);
-        tokio::task::spawn_local(async move {
-            let address = {
-                let roster = shared.roster.borrow();
-                roster.get(&target).map(|entry| entry.member.address)
-            };
-            let Some(address) = address else {
-                return;
-            };
-            if let Some(state) = shared.border.state(address).await
-                && !state.busy
-            {
-                let mut roster = shared.roster.borrow_mut();
-                roster.on_weights(&target, &state.weights);
-            }
-        });
-    }
-}
-
-/// Sends the orders that are due.
-fn give<Border>(shared: &Rc<Shared<Border>>, lease: &Lease, fence: Fence)
-where
-    Border: Platform,
-{
-    let due = {
-        let roster = shared.roster.borrow();
-        shared.rollout.borrow_mut().due(&roster, now())
-    };
-    for order in due {
-        shared.rollout.borrow_mut().on_sent(&order, now());
-        let (shared, lease) = (Rc::clone(shared), lease.clone());
-        tokio::task::spawn_local(async move {
-            let answer = send(&shared, &lease, &order, fence).await;
-            let word = format!("{answer:?}").to_lowercase();
-            shared.metrics.orders.with_label_values(&[&word]).inc();
-            Event::new("order")
-                .with("target", &*order.target)
-                .with("model", &*order.model)
-                .with("version", order.version)
-                .with("fence", fence.0)
-                .with("answer", word)
-                .info();
-            shared
-                .rollout
-                .borrow_mut()
-                .on_answer(&order.target, answer, now());
-        });
-    }
-}
-
-async fn send<Border>(
-    shared: &Rc<Shared<Border>>,
-    lease: &Lease,
-    order: &Order,
-    fence: Fence,
-) -> Answer
-where
-    Border: Platform,
-{
-    let address = {
-        let roster = shared.roster.borrow();
-        roster.get(&order.target).map(|entry| entry.member.address)
-    };
-    let Some(address) = address else {
-        return Answer::Refused;
-    };
-    let Some(state) = shared.border.state(address).await else {
-        return Answer::Refused;
-    };
-    if state.busy {
-        return Answer::Busy;
-    }
-    // The copy of the lease ends no later than the lease itself.
-    if lease.fence(now()) != Some(fence) {
-        return Answer::Refused;
-    }
-    let holder = &shared.settings.name;
-    shared
-        .border
-        .order(address, order, holder, fence, state.orders)
-        .await
-}
-
 async fn store<Border>(shared: &Rc<Shared<Border>>, write: control::Write) -> Written
 where
     Border: Platform,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod journal;
 mod lead;
 mod metrics;
+mod orders;
 pub mod packet;
 mod relay;
 mod serve;
--- a/crates/gateway/src/packet.rs
+++ b/crates/gateway/src/packet.rs
@@ -7,7 +7,7 @@
 use fleet::peers::Word;
 use fleet::placement::Load;
 use serde::{Deserialize, Serialize};
-use types::{Store, Target};
+use types::{Model, Store, Target};
 
 /// The largest datagram that is sent or read, in bytes.
 pub const MOST_BYTES: usize = 8 << 10;
@@ -15,7 +15,7 @@
 const CODE_BYTES: usize = 32;
 /// Changes with the layout of [`Packet`]: during an upgrade, entries of two versions talk to each
 /// other, and bytes of another layout may decode to anything.
-const FORMAT: u8 = 2;
+const FORMAT: u8 = 3;
 
 /// Fetches of one host that count in one word; an entry starts fewer between two words.
 const MOST_LATE: u32 = 1000;
@@ -44,6 +44,8 @@
     heard: Vec<(Target, u32)>,
     /// Each with the sum in ms and the number of fetches.
     late: Vec<(Store, i32, u32)>,
+    changing: Vec<Target>,
+    changed: Vec<(Target, Model, u64)>,
     used: Vec<Named>,
     retired: Vec<Named>,
     hosts: Vec<(Store, Option<u64>)>,
@@ -132,6 +134,8 @@
                 .iter()
                 .map(|(store, late)| (store.clone(), late.sum_ms.round() as i32, late.count))
                 .collect(),
+            changing: word.changing.clone(),
+            changed: word.changed.clone(),
             used: word.used.iter().map(name).collect(),
             retired: word.retired.iter().map(name).collect(),
             hosts: word.hosts.clone(),
@@ -176,6 +180,8 @@
             loads: loads.collect(),
             heard: heard.collect(),
             late: late.collect(),
+            changing: packet.changing,
+            changed: packet.changed,
             used: packet.used.into_iter().map(Named::key).collect(),
             retired: packet.retired.into_iter().map(Named::key).collect(),
             hosts: packet.hosts,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -146,6 +146,14 @@
         }
     }
 
+    /// Takes over weights that a target was seen with; its entry in the list is older.
+    pub(crate) fn on_weights(&self, target: &Target, weights: &[(Model, u64)]) {
+        if self.roster.borrow_mut().on_weights(target, weights) {
+            self.board.borrow_mut().on_changed(target);
+            self.room.notify_waiters();
+        }
+    }
+
     /// Returns what all entries together have under way at a target.
     pub(crate) fn load(&self, target: &Target) -> Load {
         let own = self.board.borrow().load(target);
--- a/crates/gateway/src/shelf.rs
+++ b/crates/gateway/src/shelf.rs
@@ -68,6 +68,7 @@
     let mut since = 0;
     let mut boot = None;
     let mut asked: Option<Time> = None;
+    let mut failures: u32 = 0;
     loop {
         let host = shared.kept.borrow().host(&store).cloned();
         let Some(host) = host else {
@@ -92,24 +93,29 @@
                     shared.kept.borrow_mut().on_down(&store);
                 }
                 // An entry that does not follow the host leaves it to others to say that it is down.
-                Event::new("store_host_lost")
-                    .with("store", &*store)
-                    .with("follows", reads)
-                    .with("why", why)
-                    .warn();
+                if failures == 0 {
+                    Event::new("store_host_lost")
+                        .with("store", &*store)
+                        .with("follows", reads)
+                        .with("why", why)
+                        .warn();
+                }
+                failures += 1;
                 tokio::time::sleep(BACK_OFF).await;
                 continue;
             }
         };
         let restarted = boot.is_some_and(|boot| boot != news.boot);
-        if boot != Some(news.boot) {
+        if boot != Some(news.boot) || failures > 0 {
             Event::new("store_host")
                 .with("store", &*store)
                 .with("domain", &*host.domain)
                 .with("boot", news.boot)
                 .with("gap", news.gap)
+                .with("failures", failures)
                 .info();
             boot = Some(news.boot);
+            failures = 0;
         }
         if restarted && since > 0 {
             // The reports came after a number of the former boot; all of this one follow.
--- a/crates/gateway/src/talk.rs
+++ b/crates/gateway/src/talk.rs
@@ -88,6 +88,8 @@
             .collect(),
         heard: heard.map(|(target, ago)| (target.clone(), ago)).collect(),
         late: kept.lateness(Peers::cycle(peers), now()),
+        changing: shared.rollout.borrow().changing().cloned().collect(),
+        changed: shared.peers.borrow().changed(),
         used,
         retired,
         hosts: hosts.collect(),
@@ -121,7 +123,13 @@
     for (target, ago) in &word.heard {
         board.on_heard_by_other(target, time - *ago);
     }
+    for target in &word.changing {
+        board.on_change(target, time);
+    }
     drop(board);
+    for (target, model, version) in &word.changed {
+        shared.on_weights(target, &[(model.clone(), *version)]);
+    }
     let mut kept = shared.kept.borrow_mut();
     for (store, late) in &word.late {
         kept.on_late(store, *late, time);
--- a/crates/gateway/tests/packet.rs
+++ b/crates/gateway/tests/packet.rs
@@ -28,6 +28,8 @@
                 count: 3,
             },
         )],
+        changing: vec!["t".into()],
+        changed: vec![("u".into(), "m".into(), 2)],
         used: vec![("store".into(), key.clone())],
         retired: vec![("store".into(), key.clone())],
         hosts: vec![("store".into(), Some(77)), ("other".into(), None)],
@@ -81,7 +83,7 @@
     /// Guards against lengths that are allocated before they are checked.
     #[test]
     fn no_authentic_bytes_end_the_process(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
-        let mut with_format = vec![2];
+        let mut with_format = vec![3];
         with_format.extend_from_slice(&bytes);
         let _ = open(&SECRET, &authentic(&with_format));
     }
