kept: parts of older weights make room first

The hosts were full of parts of two replaced weights; these were freed only once no target served them, and not within 8 s of a start of an entry. Up to 80 parts that are about to be freed fit into a word, so that all entries hear of each.

--- a/crates/fleet/src/kept/mod.rs
+++ b/crates/fleet/src/kept/mod.rs
@@ -69,6 +69,17 @@
     pub count: u32,
 }
 
+/// Of what use the parts of a space are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// No target serves its weights any more.
+    Unused,
+    /// Targets serve its weights, and newer ones are named.
+    Outdated,
+    /// Its weights are the newest.
+    Current,
+}
+
 /// What to do with one part of a prompt.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Act {
@@ -129,6 +140,8 @@
 const POPULAR: f64 = 1.5;
 /// How long an unused part is safe from being freed.
 const LEAST_IDLE: Duration = Duration::from_secs(10);
+/// The same for parts of older weights.
+const OUTDATED_IDLE: Duration = Duration::from_secs(1);
 /// Parts that are freed together; the others hear of each of them first.
 const MOST_FREED: usize = 20;
 /// How long others have to stop using a part before it is freed.
@@ -378,33 +391,42 @@
 
     /// Chooses parts of a host to free, when it is nearly full or keeps spaces that are out of use.
     ///
+    /// Load pattern: new weights are named twice within seconds, and targets still serve older ones.
+    /// The hosts are full of parts of older weights then, which few requests will fetch; unless they
+    /// make room, nothing that is read on the new weights can be kept.
+    ///
     /// The parts are retired here; they may be freed after [`Kept::retire_time`], when the other
     /// entries have stopped using them.
-    pub fn retire<InUse>(&mut self, store: &Store, in_use: InUse, now: Time) -> Vec<Key>
+    pub fn retire<Of>(&mut self, store: &Store, standing: Of, now: Time) -> Vec<Key>
     where
-        InUse: Fn(&str) -> bool,
+        Of: Fn(&str) -> Standing,
     {
         let slowest = self.shelves.values().map(|shelf| shelf.host.delay).max();
         let Some(shelf) = self.shelves.get_mut(store) else {
             return Vec::new();
         };
-        // What finds no room on a fast host goes to a slower one, so only those are freed.
+        // What finds no room on a fast host goes to a slower one, so parts in use are freed there.
         let last_resort = slowest == Some(shelf.host.delay);
         shelf.retired.retain(|_, at| now.since(*at) < RETIRED);
-        let old = shelf.held.keys().filter(|key| !in_use(&key.space));
-        let mut chosen: Vec<Key> = old.cloned().collect();
+        let unused = shelf.held.keys();
+        let unused = unused.filter(|key| standing(&key.space) == Standing::Unused);
+        let mut chosen: Vec<Key> = unused.cloned().collect();
         let freed: u64 = chosen.iter().map(|key| shelf.held[key].tokens).sum();
         let room = shelf.host.capacity as f64;
         let mut left = (shelf.tokens - freed) as f64;
-        if last_resort && left > room * FULL {
-            let mut idle: Vec<(&Key, &Held)> = shelf
-                .held
-                .iter()
-                .filter(|(key, held)| in_use(&key.space) && now.since(held.used) >= LEAST_IDLE)
+        if left > room * FULL {
+            let held = shelf.held.iter();
+            let mut idle: Vec<(Standing, &Key, &Held)> = held
+                .map(|(key, held)| (standing(&key.space), key, held))
+                .filter(|(standing, _, held)| match standing {
+                    Standing::Unused => false,
+                    Standing::Outdated => now.since(held.used) >= OUTDATED_IDLE,
+                    Standing::Current => last_resort && now.since(held.used) >= LEAST_IDLE,
+                })
                 .collect();
-            idle.sort_by_key(|(_, held)| held.used);
-            for (key, held) in idle {
-                if left <= room * FREED || chosen.len() >= MOST_FREED {
+            idle.sort_by_key(|(standing, _, held)| (*standing, held.used));
+            for (_, key, held) in idle.into_iter().take(MOST_FREED) {
+                if left <= room * FREED {
                     break;
                 }
                 left -= held.tokens as f64;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -73,8 +73,11 @@
 pub const TICK: Duration = Duration::from_millis(100);
 /// How many peers get a word at each tick. It bounds the cost at any number of entries.
 pub const FAN_OUT: usize = 5;
-/// Parts in one word; more do not fit into a datagram.
-const MOST_PARTS: usize = 20;
+/// Parts in one word that were used.
+const MOST_USED: usize = 20;
+/// Parts in one word that are about to be freed: what an entry frees of a few hosts while all others
+/// get a word.
+const MOST_RETIRED: usize = 80;
 /// Reports in one word.
 const MOST_NEWS: usize = 80;
 /// How long a part that is about to be freed is named.
@@ -225,15 +228,15 @@
     /// Returns the parts for a word: those used lately and those about to be freed.
     #[must_use]
     pub fn parts(&self) -> Parts {
-        let strip = |list: &VecDeque<(Time, Store, Key)>| {
-            let newest = list.iter().rev().take(MOST_PARTS);
+        let strip = |list: &VecDeque<(Time, Store, Key)>, most| {
+            let newest = list.iter().rev().take(most);
             newest
                 .map(|(_, store, key)| (store.clone(), key.clone()))
                 .collect()
         };
         Parts {
-            used: strip(&self.used),
-            retired: strip(&self.retired),
+            used: strip(&self.used, MOST_USED),
+            retired: strip(&self.retired, MOST_RETIRED),
         }
     }
 
--- a/crates/fleet/tests/kept.rs
+++ b/crates/fleet/tests/kept.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use fleet::catalog::StoreHost;
-use fleet::kept::{Act, Kept, Key, Late, Place, Plan, Report, Shared};
+use fleet::kept::{Act, Kept, Key, Late, Place, Plan, Report, Shared, Standing};
 use types::{Domain, Store, Target, Time};
 
 fn at(millis: u64) -> Time {
@@ -177,10 +177,15 @@
     let mut world = World::open(&[host("big", "pier", 10_000, 74_000.0, 6.0)]);
     let reports = (0..20).map(|index| held("m.1", &index.to_string(), 500));
     world.kept.on_reports(&big(), 1, reports.collect(), at(0));
-    assert!(world.kept.retire(&big(), |_| true, at(1000)).is_empty());
+    assert!(
+        world
+            .kept
+            .retire(&big(), |_| Standing::Current, at(1000))
+            .is_empty()
+    );
     // Another entry uses one of them later on.
     world.kept.on_used(&big(), &key("m.1", "0"), at(19_000));
-    let freed = world.kept.retire(&big(), |_| true, at(20_000));
+    let freed = world.kept.retire(&big(), |_| Standing::Current, at(20_000));
     assert!(!freed.is_empty());
     assert!(!freed.contains(&key("m.1", "0")));
     // What is about to be freed is not fetched any more, and a late report does not bring it back.
@@ -206,7 +211,11 @@
     let mut world = World::open(&[host("big", "pier", 1_000_000, 74_000.0, 6.0)]);
     let reports = vec![held("m.1", "old", 500), held("m.2", "new", 500)];
     world.kept.on_reports(&big(), 1, reports, at(0));
-    let freed = world.kept.retire(&big(), |space| space == "m.2", at(1));
+    let standing = |space: &str| match space {
+        "m.2" => Standing::Current,
+        _ => Standing::Unused,
+    };
+    let freed = world.kept.retire(&big(), standing, at(1));
     assert_eq!(freed, [key("m.1", "old")]);
 }
 
@@ -326,3 +335,24 @@
     assert_eq!((&told[0].0, told[0].1.count), (&big(), 4));
     assert!(told[0].1.sum_ms > 1000.0, "{told:?}");
 }
+
+/// Guards against hosts full of parts of older weights, which keep nothing of the newest ones: on
+/// candlewalk trouble-2 no part was saved from 32 to 44 s, and all prompts were read again.
+#[test]
+fn parts_of_older_weights_make_room_first() {
+    let mut world = World::open(&[host("big", "pier", 10_000, 74_000.0, 6.0)]);
+    let reports =
+        (0..20).map(|index| held(&format!("m.{}", 1 + index % 2), &index.to_string(), 500));
+    world.kept.on_reports(&big(), 1, reports.collect(), at(0));
+    let standing = |space: &str| match space {
+        "m.2" => Standing::Current,
+        _ => Standing::Outdated,
+    };
+    // Targets still serve the older weights, and its parts were in use until a moment ago.
+    assert!(world.kept.retire(&big(), standing, at(500)).is_empty());
+    let freed = world.kept.retire(&big(), standing, at(1500));
+    assert_eq!(freed.len(), 3);
+    assert!(freed.iter().all(|key| &*key.space == "m.1"), "{freed:?}");
+    let new = [part("m.2", "new", 100)];
+    assert_eq!(world.acts(&new, at(1600)), [Act::Save(big())]);
+}
--- a/crates/gateway/src/packet.rs
+++ b/crates/gateway/src/packet.rs
@@ -10,7 +10,7 @@
 use types::{Model, Store, Target};
 
 /// The largest datagram that is sent or read, in bytes.
-pub const MOST_BYTES: usize = 8 << 10;
+pub const MOST_BYTES: usize = 16 << 10;
 /// Bytes of the authentication code before each word.
 const CODE_BYTES: usize = 32;
 /// Changes with the layout of [`Packet`]: during an upgrade, entries of two versions talk to each
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,7 +5,7 @@
 
 use fleet::allowance::{Ramp, Retries, Terms};
 use fleet::catalog::Catalog;
-use fleet::kept::Kept;
+use fleet::kept::{Kept, Standing};
 use fleet::peers::Peers;
 use fleet::placement::{Board, Load};
 use fleet::proof::Proof;
@@ -123,25 +123,29 @@
         ranked.into_iter().position(|name| name == own)
     }
 
-    /// Returns whether a space may still be used: all targets of its model serve newer weights if
-    /// not. Nothing is known of other models, so their spaces count as used.
-    pub(crate) fn spaces_in_use(&self) -> impl Fn(&str) -> bool + use<Border> {
-        let mut oldest: HashMap<Model, u64> = HashMap::new();
+    /// Returns of what use the parts of a space are. Nothing is known of other models, so their spaces
+    /// count as current.
+    pub(crate) fn standing(&self) -> impl Fn(&str) -> Standing + use<Border> {
+        let mut served: HashMap<Model, (u64, u64)> = HashMap::new();
+        let rollout = self.rollout.borrow();
         for entry in self.roster.borrow().iter() {
             for (model, version) in &entry.member.weights {
-                let least = oldest.entry(model.clone()).or_insert(*version);
-                *least = (*least).min(*version);
+                let named = rollout.named(model).map_or(0, |named| named.version);
+                let (oldest, newest) = served.entry(model.clone()).or_insert((*version, named));
+                *oldest = (*oldest).min(*version);
+                *newest = (*newest).max(*version);
             }
         }
         move |space| {
             // The team of an isolated space follows the weights.
             let mut fields = space.splitn(3, '.');
             let (Some(model), Some(version)) = (fields.next(), fields.next()) else {
-                return true;
+                return Standing::Current;
             };
-            match (oldest.get(model), version.parse::<u64>()) {
-                (Some(oldest), Ok(version)) => version >= *oldest,
-                _ => true,
+            match (served.get(model), version.parse::<u64>()) {
+                (Some((oldest, _)), Ok(version)) if version < *oldest => Standing::Unused,
+                (Some((_, newest)), Ok(version)) if version < *newest => Standing::Outdated,
+                _ => Standing::Current,
             }
         }
     }
--- a/crates/gateway/src/shelf.rs
+++ b/crates/gateway/src/shelf.rs
@@ -24,8 +24,9 @@
 pub(crate) const RELAYS: usize = 2;
 /// How long a store host that does not answer is left alone.
 const BACK_OFF: Duration = Duration::from_millis(250);
-/// How long the list of targets must have been followed before parts are freed by it.
-const SETTLE: Duration = Duration::from_secs(8);
+/// How long the list of targets must have been followed before parts are freed by it: targets that
+/// lapsed while the platform's store was away are listed again within about two seconds.
+const SETTLE: Duration = Duration::from_secs(3);
 /// The time between the lists that two entries ask of a host which they lost track of.
 const LIST_TURN: Duration = Duration::from_millis(30);
 /// How often hosts of a new configuration are followed.
@@ -192,10 +193,10 @@
             if shared.rank(&store) != Some(0) {
                 continue;
             }
-            let in_use = shared.spaces_in_use();
+            let standing = shared.standing();
             let retired = {
                 let mut kept = shared.kept.borrow_mut();
-                kept.retire(&store, |space| in_use(space), now())
+                kept.retire(&store, standing, now())
             };
             if retired.is_empty() {
                 continue;
