rollout: an entry recalls versions that were named before its start

All entries lose power at 34 s, between two versions; those that start again learn of the newest one only, and gave targets on the oldest weights its time. Change: the records of all versions are read at the start, not only that of the newest; they also hurry the rollout.

--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -102,13 +102,21 @@
         true
     }
 
-    /// Corrects when a version was named, for a process that started later and learned of it from a
-    /// record; only an earlier time counts.
-    pub fn named_at(&mut self, model: &str, version: u64, since: Time) {
+    /// Takes over from a record when a version was named, for a process that started later: it learns
+    /// the newest version only, and each earlier one bounds the time of the targets that missed it.
+    /// Of two times, the earlier one counts.
+    pub fn recall(&mut self, model: &str, version: u64, since: Time) {
         let found = self.named.iter_mut().find(|(name, _)| &***name == model);
-        let versions = found.into_iter().flat_map(|(_, versions)| versions);
-        for named in versions.filter(|named| named.version == version) {
-            named.since = named.since.min(since);
+        let Some((_, versions)) = found else {
+            return;
+        };
+        match versions.binary_search_by_key(&version, |named| named.version) {
+            Ok(index) => versions[index].since = versions[index].since.min(since),
+            Err(index) if index < versions.len() && versions.len() < REMEMBERED => {
+                versions.insert(index, Named { version, since });
+            }
+            // A version that is newer than all that were named comes by the operator's list.
+            Err(_) => {}
         }
     }
 
--- a/crates/fleet/tests/rollout.rs
+++ b/crates/fleet/tests/rollout.rs
@@ -113,8 +113,8 @@
 fn a_record_of_the_naming_outlives_a_restart() {
     let mut rollout = Rollout::default();
     rollout.name(&model(), 2, at(10_000));
-    rollout.named_at("m", 2, at(5_500));
-    rollout.named_at("m", 2, at(9_000));
+    rollout.recall("m", 2, at(5_500));
+    rollout.recall("m", 2, at(9_000));
     let roster = fleet(1, 1);
     let member = &roster.iter().next().expect("a target").member;
     assert_eq!(rollout.outdated_since(member, &model()), Some(at(5_500)));
@@ -157,3 +157,21 @@
     rollout.due(&roster, at(3000));
     assert!(rollout.changing().all(|target| !given.contains(target)));
 }
+
+/// Guards against requests that begin on weights which were replaced twice: an entry that starts
+/// after the second version was named learns only that one from the operator's list, and the bound
+/// of the first one has passed earlier. Found in candlewalk trouble-2, seed 11.
+#[test]
+fn versions_that_were_named_before_the_start_are_recalled() {
+    let mut rollout = Rollout::default();
+    let roster = fleet(1, 1);
+    let member = &roster.iter().next().expect("a target").member;
+    rollout.name(&model(), 3, at(20_000));
+    rollout.recall("m", 2, at(6000));
+    rollout.recall("m", 3, at(15_000));
+    assert_eq!(rollout.outdated_since(member, &model()), Some(at(6000)));
+    assert_eq!(rollout.named("m").map(|named| named.version), Some(3));
+    // A record of a version that the list does not name yet changes nothing.
+    rollout.recall("m", 4, at(100));
+    assert_eq!(rollout.named("m").map(|named| named.version), Some(3));
+}
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -189,16 +189,17 @@
 ) where
     Border: Platform,
 {
-    let key = format!("{NAMED}{model}.{version}");
+    let prefix = format!("{NAMED}{model}.");
+    let key = format!("{prefix}{version}");
     let recorder = shared.rank(&key).is_some_and(|rank| rank < RECORDERS);
     if !started && !recorder {
         return;
     }
     loop {
-        let row = match shared.border.get(&key).await {
-            Ok(row) => row,
+        let rows = match shared.border.scan(&prefix).await {
+            Ok(rows) => rows,
             Err(error) => {
-                log::warn!("the row {key} cannot be read: {error}");
+                log::warn!("the rows {prefix} cannot be read: {error}");
                 tokio::time::sleep(BACK_OFF * 2).await;
                 continue;
             }
@@ -208,13 +209,19 @@
             tokio::time::sleep(BACK_OFF).await;
             continue;
         };
-        if let Some(row) = row {
-            let age =
-                Duration::from_millis(store.saturating_sub(row.value.as_u64().unwrap_or(store)));
-            shared
-                .rollout
-                .borrow_mut()
-                .named_at(&model, version, time - age);
+        let known = rows.iter().any(|row| row.key == key);
+        for row in rows {
+            let version = row.key.strip_prefix(&prefix);
+            let version = version.and_then(|version| version.parse().ok());
+            let (Some(version), Some(at)) = (version, row.value.as_u64()) else {
+                log::warn!("the row {} does not say when a version was named", row.key);
+                continue;
+            };
+            let age = Duration::from_millis(store.saturating_sub(at));
+            let mut rollout = shared.rollout.borrow_mut();
+            rollout.recall(&model, version, time - age);
+        }
+        if known {
             return;
         }
         let age = u64::try_from(time.since(since).as_millis()).unwrap_or(0);
