xtask: soak plays torture with seed after seed

Torture was one cluster with one seed. soak starts a cluster for each seed, on both deployments in turn, for a number of seeds or of minutes, prints the command that plays a failed seed again, and goes on after one that does not start. It does not run boragereel-edge and changes no clocks.

--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -13,6 +13,7 @@
 mod relay;
 mod replay;
 mod slopes;
+mod soak;
 mod torture;
 
 use std::process::ExitCode;
@@ -30,6 +31,9 @@
                              rounds of random faults over a small cluster, and a check of what
                              callers were told against what was executed; the same seed gives the
                              same schedule
+  soak [--seed N] [--seeds K | --minutes M] [--rounds R] [--no-build]
+                             torture with seed after seed, on both deployments in turn: 50 seeds, K
+                             or as many as fit into M minutes, from a fresh seed unless one is given
   prove [NAME ...] [--deployment NAME] [--no-build]
                              one focused test for each invariant over real processes: at-most-once,
                              not-run, whole-answers, drained, in-force, in-force-cut,
@@ -61,6 +65,7 @@
             "measure" => runtime.block_on(measure::run(arguments)),
             "slopes" => runtime.block_on(slopes::run(arguments)),
             "prove" => runtime.block_on(prove::run(arguments)),
+            "soak" => runtime.block_on(soak::run(arguments)),
             "torture" => runtime.block_on(torture::run(arguments)),
             other => {
                 eprintln!("unknown command {other:?}; see --help");
--- a/xtask/src/torture/mod.rs
+++ b/xtask/src/torture/mod.rs
@@ -30,22 +30,53 @@
 /// Ended conversations from which returning prompts are drawn.
 const CONVERSATIONS: usize = 64;
 
+/// What to play.
+#[derive(Debug, Clone)]
+pub(crate) struct Plan {
+    /// Draws the schedule of all rounds.
+    pub(crate) seed: u64,
+    /// The numbers of the rounds.
+    pub(crate) rounds: std::ops::Range<u32>,
+    /// The deployment under `examples/`.
+    pub(crate) deployment: String,
+    /// Whether the logs stay after a clean run.
+    pub(crate) keeps_logs: bool,
+    /// Whether to stop at the first check that finds something.
+    pub(crate) fails_fast: bool,
+    /// Whether to print JSON.
+    pub(crate) is_json: bool,
+}
+
 /// Runs the rounds that the arguments ask for.
 pub(crate) async fn run(mut arguments: pico_args::Arguments) -> Result<()> {
     let seed: u64 = arguments.opt_value_from_str("--seed")?.unwrap_or(1);
     let rounds: u32 = arguments.opt_value_from_str("--rounds")?.unwrap_or(50);
     let name: Option<String> = arguments.opt_value_from_str("--deployment")?;
-    let is_json = arguments.contains("--json");
     let only: Option<u32> = arguments.opt_value_from_str("--only-round")?;
-    let is_kept = arguments.contains("--keep-logs");
-    let is_fail_fast = arguments.contains("--fail-fast");
+    let plan = Plan {
+        seed,
+        rounds: only.map_or(0..rounds, |only| only..only + 1),
+        deployment: name.unwrap_or_else(|| "lakeshore".to_owned()),
+        keeps_logs: arguments.contains("--keep-logs"),
+        fails_fast: arguments.contains("--fail-fast"),
+        is_json: arguments.contains("--json"),
+    };
     if !arguments.contains("--no-build") {
         process::build()?;
     }
-    let mut deployment = Deployment::open(name.as_deref().unwrap_or("lakeshore"))?;
+    match play(&plan).await? {
+        true => Ok(()),
+        false => Err("an invariant is violated".into()),
+    }
+}
+
+/// Plays the rounds over a small cluster; says whether all promises were kept.
+pub(crate) async fn play(plan: &Plan) -> Result<bool> {
+    let mut deployment = Deployment::open(&plan.deployment)?;
     (deployment.entries, deployment.engines) = (2, 3);
     (deployment.services, deployment.stores) = (2, 2);
-    let folder = std::env::temp_dir().join(format!("boragereel-torture-{}", std::process::id()));
+    let own = std::process::id();
+    let folder = std::env::temp_dir().join(format!("boragereel-torture-{own}-{}", plan.seed));
     let options = Options {
         with_links: true,
         // Long enough that faults meet calls that are under way.
@@ -53,10 +84,9 @@
         ..Options::default()
     };
     let cluster = Cluster::start_with(deployment, &folder, options).await?;
-    let mut run = Run::new(cluster, seed)?;
-    let numbers = only.map_or(0..rounds, |only| only..only + 1);
+    let mut run = Run::new(cluster, plan.seed)?;
     let mut done = 0;
-    for number in numbers {
+    for number in plan.rounds.clone() {
         run.round(number).await?;
         done += 1;
         if done % CHECK_EVERY == 0 {
@@ -70,22 +100,19 @@
                     "not clean"
                 }
             );
-            if is_fail_fast && !findings.is_clean() {
+            if plan.fails_fast && !findings.is_clean() {
                 break;
             }
         }
     }
     let findings = run.finish().await?;
-    run.print(&findings, seed, done, is_json);
-    if is_kept || !findings.is_clean() {
+    run.print(&findings, plan.seed, done, plan.is_json);
+    if plan.keeps_logs || !findings.is_clean() {
         eprintln!("the logs are in {}", folder.display());
     } else {
         std::fs::remove_dir_all(&folder)?;
     }
-    match findings.is_clean() {
-        true => Ok(()),
-        false => Err("an invariant is violated".into()),
-    }
+    Ok(findings.is_clean())
 }
 
 /// A cluster under faults with all that was asked so far.
--- a/xtask/tests/torture.rs
+++ b/xtask/tests/torture.rs
@@ -38,3 +38,16 @@
 fn herrera_seed_104() {
     torture("104", "herrera");
 }
+
+/// The soak with few seeds: a cluster of its own for each, on both deployments.
+#[test]
+fn soak_of_two_seeds() {
+    let output = Command::new(env!("CARGO_BIN_EXE_xtask"))
+        .args(["soak", "--seed", "200", "--seeds", "2", "--no-build"])
+        .output()
+        .expect("xtask starts");
+    let text = String::from_utf8_lossy(&output.stdout);
+    let errors = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "{text}{errors}");
+    assert!(text.contains("2 seeds from 200, 0 failed"), "{text}");
+}
