--- a/crates/fleet/src/kept/mod.rs
+++ b/crates/fleet/src/kept/mod.rs
@@ -467,6 +467,13 @@
         self.shelves.values().map(|shelf| (&shelf.host, shelf.boot))
     }
 
+    /// Returns the share of fetches from each host that are not left out because it is slow, and how
+    /// late its fetches are on average, in ms.
+    pub fn pace(&self) -> impl Iterator<Item = (&Store, f64, f64)> {
+        let shelves = self.shelves.iter();
+        shelves.map(|(name, shelf)| (name, shelf.willing, shelf.late_ms()))
+    }
+
     /// Returns a host.
     #[must_use]
     pub fn host(&self, store: &Store) -> Option<&StoreHost> {
--- a/crates/fleet/src/kept/shelf.rs
+++ b/crates/fleet/src/kept/shelf.rs
@@ -92,7 +92,7 @@
         let left = |value| decayed(value, self.judged, JUDGED_S, now);
         self.late = (left(sum) + late.sum_ms, left(count) + f64::from(late.count));
         self.judged = now;
-        let slow = self.late.0 / self.late.1 > SLOW_MS;
+        let slow = self.late_ms() > SLOW_MS;
         for _ in 0..late.count {
             self.willing = match slow {
                 true => (self.willing * LESS_WILLING).max(LEAST_WILLING),
@@ -101,6 +101,12 @@
         }
     }
 
+    /// Returns how late fetches were on average, in ms; 0 if there were none.
+    pub(super) fn late_ms(&self) -> f64 {
+        let (sum, count) = self.late;
+        if count > 0.0 { sum / count } else { 0.0 }
+    }
+
     /// Returns the seconds of transfers that count at a time.
     pub(super) fn worked(&self, now: Time) -> f64 {
         decayed(self.work, self.worked, MEMORY_S, now)
--- a/crates/fleet/src/waiting.rs
+++ b/crates/fleet/src/waiting.rs
@@ -138,6 +138,12 @@
             .map_or(0, |queue| queue.waiting.len())
     }
 
+    /// Returns how many requests wait for any service.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queues.values().map(|queue| queue.waiting.len()).sum()
+    }
+
     /// Says whether nothing waits for a service.
     #[must_use]
     pub fn is_empty(&self, service: &Name) -> bool {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -219,6 +219,9 @@
             .age(time)
             .map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
         shared.metrics.proof.set(age);
+        let waiting = shared.lobby.borrow().waiting();
+        let waiting = i64::try_from(waiting).unwrap_or(i64::MAX);
+        shared.metrics.waiting.set(waiting);
         let dropped = i64::try_from(journal::dropped()).unwrap_or(i64::MAX);
         shared.metrics.dropped.set(dropped);
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,8 +1,8 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 /// The counters of an entry.
@@ -27,6 +27,10 @@
     pub(crate) resumed: IntCounter,
     /// Tokens of prompts by where they came from.
     pub(crate) tokens: IntCounterVec,
+    /// The share of fetches from each store host that are not left out because it is slow.
+    pub(crate) fetch_share: GaugeVec,
+    /// Requests that wait for a target with room.
+    pub(crate) waiting: IntGauge,
     /// The version of the configuration in force.
     pub(crate) version: IntGauge,
     /// Age of the evidence for the configuration in milliseconds.
@@ -69,6 +73,14 @@
                 .buckets(BUCKETS.to_vec()),
         )?;
         registry.register(Box::new(first.clone()))?;
+        let fetch_share = GaugeVec::new(
+            Opts::new(
+                "boragereel_fetch_share",
+                "share of fetches that are not left out because the store host is slow",
+            ),
+            &["store"],
+        )?;
+        registry.register(Box::new(fetch_share.clone()))?;
         Ok(Self {
             requests: counters(
                 "boragereel_requests_total",
@@ -95,6 +107,8 @@
                 "prompt tokens by source",
                 "source",
             )?,
+            fetch_share,
+            waiting: gauge("boragereel_waiting", "requests that wait for a target")?,
             version: gauge("boragereel_config_version", "configuration in force")?,
             proof: gauge(
                 "boragereel_proof_age_ms",
--- a/crates/gateway/src/shelf.rs
+++ b/crates/gateway/src/shelf.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -29,6 +29,10 @@
 const SETTLE: Duration = Duration::from_secs(3);
 /// The time between the lists that two entries ask of a host which they lost track of.
 const LIST_TURN: Duration = Duration::from_millis(30);
+/// A host is logged as slow when less than this share of its fetches is made.
+const SLOW_SHARE: f64 = 0.5;
+/// It is logged as fast again beyond this share; the distance keeps the log from flapping.
+const FAST_SHARE: f64 = 0.9;
 /// How often hosts of a new configuration are followed.
 const LOOK: Duration = Duration::from_millis(500);
 
@@ -38,6 +42,7 @@
     Border: Platform,
 {
     let mut followed: HashMap<Store, JoinHandle<()>> = HashMap::new();
+    let mut slow = HashSet::new();
     loop {
         let hosts: Vec<Store> = {
             let kept = shared.kept.borrow();
@@ -57,10 +62,34 @@
                 .or_insert_with(|| tokio::task::spawn_local(follow(follower, store)));
         }
         shared.kept.borrow_mut().sweep(now());
+        tell(&shared, &mut slow);
         tokio::time::sleep(LOOK).await;
     }
 }
 
+/// Logs which store hosts have become slow, or fast again, and keeps the gauges up to date.
+fn tell<Border>(shared: &Shared<Border>, slow: &mut HashSet<Store>) {
+    let kept = shared.kept.borrow();
+    for (store, share, late_ms) in kept.pace() {
+        let gauge = shared.metrics.fetch_share.with_label_values(&[&**store]);
+        gauge.set(share);
+        let changed = match share {
+            share if share < SLOW_SHARE => slow.insert(store.clone()),
+            share if share > FAST_SHARE => slow.remove(store),
+            _ => false,
+        };
+        if changed {
+            Event::new("store_host_pace")
+                .with("store", &**store)
+                .with("slow", slow.contains(store))
+                .with("share", share)
+                .with("late_ms", late_ms.round())
+                .info();
+        }
+    }
+    slow.retain(|store| kept.host(store).is_some());
+}
+
 /// Follows the reports of one store host.
 async fn follow<Border>(shared: Rc<Shared<Border>>, store: Store)
 where
