--- a/crates/fleet/src/kept/mod.rs
+++ b/crates/fleet/src/kept/mod.rs
@@ -3,6 +3,7 @@
 //! Names of parts carry the weights and, for an isolated team, the team, so that a part of other
 //! weights or of another team is never found. See `docs/platform.md`.
 
+mod pace;
 mod shelf;
 
 use std::collections::HashMap;
@@ -13,6 +14,7 @@
 
 use crate::catalog::StoreHost;
 use crate::placement::READ_PER_MS;
+pub use pace::Late;
 use shelf::{Held, MEMORY_S, Saving, Shelf, decayed};
 
 /// The name of a part within a space.
@@ -60,15 +62,6 @@
     pub targets: usize,
 }
 
-/// How much later than expected first events came after fetches from a host.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct Late {
-    /// The sum over all fetches, in ms; negative if they were faster.
-    pub sum_ms: f64,
-    /// The number of fetches.
-    pub count: u32,
-}
-
 /// Of what use the parts of a space are.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Standing {
@@ -148,19 +141,11 @@
 const RETIRE: Duration = Duration::from_millis(2000);
 /// How long a freed part is not fetched, so that a late report does not bring it back.
 const RETIRED: Duration = Duration::from_secs(6);
-/// How much longer requests that fetch wait at busy targets than those that do not: they are longer,
-/// and their prompts are read in turns with those of others.
-const QUEUED: f64 = 2.0;
-/// How long observations are remembered to tell others; longer than it takes to tell each of them.
-const OBSERVED: Duration = Duration::from_secs(3);
 /// The use of a link up to which parts are fetched; beyond it a part of the fetches is left out.
 const MOST_USED: f64 = 0.85;
 /// The time of a common transfer: five thousand tokens over 74 Gbit/s, half of them between failure
 /// domains.
 const MEAN_TRANSFER: Duration = Duration::from_millis(30);
-/// The weight of the newest observation.
-const SMOOTHING: f64 = 0.2;
-
 impl Kept {
     /// Takes over the hosts of a configuration; what is known of hosts that stay is kept.
     pub fn configure(&mut self, hosts: &[StoreHost], token_bytes: u64) {
@@ -334,61 +319,6 @@
         }
     }
 
-    /// Records when the first event of a request came: `excess` is the time beyond that of reading
-    /// what was to be read.
-    ///
-    /// Load pattern: the engines of a failure domain are busy, so that all that they get comes late.
-    /// Only what comes later than requests there that fetch nothing says something of a host.
-    pub fn on_first(&mut self, plan: &Plan, domain: &Domain, excess: Duration, now: Time) {
-        let excess = excess.as_secs_f64() * 1000.0;
-        if plan.fetch.is_zero() {
-            let usual = self.usual_ms.entry(domain.clone()).or_insert(excess);
-            *usual += SMOOTHING * (excess - *usual);
-            return;
-        }
-        let Some(usual) = self.usual_ms.get(domain) else {
-            return;
-        };
-        let fetches = plan.acts.iter().rev().find_map(|act| match act {
-            Act::Fetch(store) => Some(store),
-            Act::Read | Act::Skip(_) | Act::Save(_) => None,
-        });
-        // The last part is the longest one, and its host has most to do with the delay.
-        let Some(shelf) = fetches.and_then(|store| self.shelves.get_mut(store)) else {
-            return;
-        };
-        let expected = plan.fetch.as_secs_f64() * 1000.0;
-        let late = Late {
-            sum_ms: excess - usual * QUEUED - expected,
-            count: 1,
-        };
-        shelf.on_late(late, now);
-        shelf.own.push_back((now, late.sum_ms));
-    }
-
-    /// Records how late fetches from a host were at another entry. Each one alone sees too few of
-    /// them to notice within a second that a host has become slow, or fast again.
-    pub fn on_late(&mut self, store: &Store, late: Late, now: Time) {
-        if let Some(shelf) = self.shelves.get_mut(store) {
-            shelf.on_late(late, now);
-        }
-    }
-
-    /// Returns how late this entry's fetches from each host were within some time, to tell others.
-    #[must_use]
-    pub fn lateness(&self, within: Duration, now: Time) -> Vec<(Store, Late)> {
-        let shelves = self.shelves.iter();
-        let observed = shelves.map(|(name, shelf)| {
-            let recent = shelf.own.iter().filter(|(at, _)| now.since(*at) < within);
-            let late = recent.fold(Late::default(), |late, (_, ms)| Late {
-                sum_ms: late.sum_ms + ms,
-                count: late.count + 1,
-            });
-            (name.clone(), late)
-        });
-        observed.filter(|(_, late)| late.count > 0).collect()
-    }
-
     /// Chooses parts of a host to free, when it is nearly full or keeps spaces that are out of use.
     ///
     /// Load pattern: new weights are named twice within seconds, and targets still serve older ones.
@@ -467,13 +397,6 @@
         self.shelves.values().map(|shelf| (&shelf.host, shelf.boot))
     }
 
-    /// Returns the share of fetches from each host that are not left out because it is slow, and how
-    /// late its fetches are on average, in ms.
-    pub fn pace(&self) -> impl Iterator<Item = (&Store, f64, f64)> {
-        let shelves = self.shelves.iter();
-        shelves.map(|(name, shelf)| (name, shelf.willing, shelf.late_ms()))
-    }
-
     /// Returns a host.
     #[must_use]
     pub fn host(&self, store: &Store) -> Option<&StoreHost> {
@@ -608,7 +531,7 @@
             shelf
                 .saving
                 .retain(|_, saving| now.since(saving.since) < SAVE_TIME);
-            shelf.own.retain(|(at, _)| now.since(*at) < OBSERVED);
+            shelf.own.retain(|(at, _)| now.since(*at) < pace::OBSERVED);
         }
         self.uses
             .retain(|_, (uses, last)| decayed(*uses, *last, LOCAL.as_secs_f64(), now) > 0.05);
