gateway: answers are told by their request's id, bounded in memory, and slow targets keep their work

Causes, each shown by a test that failed on the landed code: - A refusal (503 not run, 421) was believed whatever request it named, so a call that must not run twice was sent to a second target while the first might run it, and the connection was kept with its true answer still to come (platform/tests/foreign.rs). The id is looked at first now; what cannot be attributed leaves the outcome open and closes the connection. Each byte of a stream counts as heard now, a quiet engine is asked for its report, and after a standstill of the entry silence counts anew.

Ruled out: targets that vanish from the list keep their work already (test passes on both).

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,7 +6,9 @@
 //! `docs/platform.md`.
 
 pub mod allowance;
+pub mod buffers;
 pub mod catalog;
+pub mod extent;
 pub mod kept;
 pub mod peers;
 pub mod placement;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -28,6 +28,8 @@
     others: Option<Time>,
     /// When the target got a request of this entry while it had none.
     begun: Time,
+    /// When it was last asked whether it is there.
+    asked: Option<Time>,
 }
 
 /// The loads and the health of all targets, as one entry sees them.
@@ -35,6 +37,10 @@
 pub struct Board {
     own: HashMap<Target, Load>,
     health: HashMap<Target, Health>,
+    /// When the entry last looked at its targets.
+    looked: Time,
+    /// Since when it has looked at them without a break.
+    awake: Time,
 }
 
 /// A target that may get a request.
@@ -90,6 +96,12 @@
 /// A target that others hear may still be out of this entry's reach; it is left out after this long.
 /// Callers give up a stream after two seconds at the earliest.
 const UNREACHED: Duration = Duration::from_millis(1700);
+/// A target that has sent nothing to any entry for this long is asked whether it is there; what it
+/// answers counts as heard. The answer comes well before the target counts as silent.
+const QUIET: Duration = Duration::from_millis(350);
+/// An entry that has not looked at its targets for this long stood still itself, as the looks are
+/// at most a few times the tick of the words apart. What was sent meanwhile waits to be read.
+const STALL: Duration = Duration::from_millis(400);
 /// How long a target that refused a request for lack of room gets no other.
 const REFUSED: Duration = Duration::from_millis(150);
 
@@ -199,6 +211,41 @@
         health.others = health.others.max(Some(heard));
     }
 
+    /// Records that the entry looks at its targets. After a time in which it did not, silence counts
+    /// anew.
+    ///
+    /// Load pattern: the entry's own host is frozen for seconds, or so slow that its timers run late.
+    /// All its targets seem silent then, and everything would be started again elsewhere.
+    pub fn on_look(&mut self, now: Time) {
+        if now.since(self.looked) >= STALL {
+            self.awake = now;
+        }
+        self.looked = self.looked.max(now);
+    }
+
+    /// Returns since when the entry has looked at its targets without a break.
+    #[must_use]
+    pub fn awake(&self) -> Time {
+        self.awake
+    }
+
+    /// Says whether a target with requests under way is to be asked whether it is there.
+    ///
+    /// Load pattern: an engine that is slow, or whose only request pauses between two events, sends
+    /// nothing for longer than one without power would be given. Its work would be started again
+    /// elsewhere.
+    pub fn asks(&mut self, target: &Target, now: Time) -> bool {
+        if self.load(target).running == 0 || self.quiet(target, now).1 < QUIET {
+            return false;
+        }
+        let health = self.health.entry(target.clone()).or_default();
+        let due = health.asked.is_none_or(|asked| now.since(asked) >= QUIET);
+        if due {
+            health.asked = Some(now);
+        }
+        due
+    }
+
     /// Says whether a target that has requests under way has sent nothing for long. A busy engine
     /// still sends events of other requests; one without power or behind a cut sends nothing.
     ///
@@ -206,13 +253,19 @@
     /// anything while the engine reads the prompts before its own, but some other entry does.
     #[must_use]
     pub fn is_silent(&self, target: &Target, now: Time) -> bool {
+        let (own, any) = self.quiet(target, now);
+        self.load(target).running > 0 && (any >= SILENCE || own >= UNREACHED)
+    }
+
+    /// Returns for how long a target has sent nothing to this entry, and nothing to any entry.
+    fn quiet(&self, target: &Target, now: Time) -> (Duration, Duration) {
         let Some(health) = self.health.get(target) else {
-            return false;
+            return (Duration::ZERO, Duration::ZERO);
         };
         let own = health.heard.unwrap_or_default().max(health.begun);
-        let quiet = now.since(own);
-        let any = now.since(health.others.unwrap_or_default().max(own));
-        self.load(target).running > 0 && (any >= SILENCE || quiet >= UNREACHED)
+        let own = own.max(self.awake);
+        let any = health.others.unwrap_or_default().max(own);
+        (now.since(own), now.since(any))
     }
 
     /// Returns the targets with requests under way, and how long ago each was heard.
--- /dev/null
+++ b/crates/fleet/tests/buffers.rs
@@ -0,0 +1,64 @@
+//! Bounds on what an entry keeps of messages.
+
+use fleet::buffers::{Buffers, Room};
+use fleet::extent::{Extent, Verdict};
+use proptest::prelude::*;
+
+const KIB: usize = 1 << 10;
+
+/// Guards against sound requests that fail because of a few without end: replays eight answers
+/// that grow without end beside forty short ones, under a bound of 4 MiB.
+#[test]
+fn short_messages_go_on_beside_endless_ones() {
+    let mut buffers = Buffers::new(4096 * KIB);
+    let mut endless = [0; 8];
+    let mut failed = 0;
+    for round in 0..2000 {
+        let held = &mut endless[round % 8];
+        match buffers.grow(*held, 16 * KIB) {
+            Room::Granted => *held += 16 * KIB,
+            Room::Full => {
+                failed += 1;
+                buffers.shrink(std::mem::take(held));
+            }
+        }
+        for _ in 0..40 {
+            assert_eq!(buffers.grow(0, 30 * KIB), Room::Granted);
+        }
+        assert!(buffers.used() <= 4096 * KIB + 40 * 30 * KIB + 8 * 64 * KIB);
+        buffers.shrink(40 * 30 * KIB);
+    }
+    assert!(failed > 0);
+}
+
+proptest! {
+    /// Guards against bytes that are counted and never given back.
+    #[test]
+    fn what_is_granted_is_what_counts(sizes in prop::collection::vec((0..8usize, 0..300_000usize), 0..200)) {
+        let mut buffers = Buffers::new(1 << 20);
+        let mut held = [0usize; 8];
+        for (index, more) in sizes {
+            if buffers.grow(held[index], more) == Room::Granted {
+                held[index] += more;
+            }
+            prop_assert_eq!(buffers.used(), held.iter().sum::<usize>());
+        }
+    }
+
+    /// Guards against streams that are cut though they have what was asked for.
+    #[test]
+    fn a_stream_as_long_as_it_was_asked_for_is_within(output in 0..100_000u64, size in 1..4096u64) {
+        let mut extent = Extent::new(Some(output));
+        for _ in 0..output {
+            prop_assert_eq!(extent.take(1, size), Verdict::Within);
+        }
+    }
+}
+
+/// Guards against counters that overflow where a caller asks for any number of tokens.
+#[test]
+fn any_number_of_tokens_is_a_bound() {
+    let mut extent = Extent::new(Some(u64::MAX));
+    assert_eq!(extent.take(u64::MAX - 1, 1), Verdict::Within);
+    assert_eq!(extent.take(2, 1), Verdict::TooMany);
+}
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -9,13 +9,19 @@
 use http_body::{Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use crate::events::Chunk;
+use crate::intake::Hold;
+
 /// The body of an answer to a caller.
 #[derive(Debug)]
 pub(crate) enum Body {
-    /// A whole body.
-    Whole(Option<Bytes>),
+    /// A whole body, with the memory that it takes until it is written.
+    Whole {
+        bytes: Option<Bytes>,
+        _hold: Option<Hold>,
+    },
     /// A stream; an error cuts the connection, so that the answer does not look complete.
-    Stream(mpsc::Receiver<Result<Bytes, Cut>>),
+    Stream(mpsc::Receiver<Result<Chunk, Cut>>),
 }
 
 /// A stream ended before its last event.
@@ -59,7 +65,18 @@
 impl Body {
     /// Returns a body that is all there.
     pub(crate) fn whole(bytes: impl Into<Bytes>) -> Self {
-        Self::Whole(Some(bytes.into()))
+        Self::Whole {
+            bytes: Some(bytes.into()),
+            _hold: None,
+        }
+    }
+
+    /// Returns a body that is all there and counts in the memory of its request.
+    pub(crate) fn held(bytes: Bytes, hold: Hold) -> Self {
+        Self::Whole {
+            bytes: Some(bytes),
+            _hold: Some(hold),
+        }
     }
 }
 
@@ -72,20 +89,22 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         match &mut *self {
-            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Whole { bytes, .. } => {
+                Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
+            }
             Self::Stream(events) => events
                 .poll_recv(context)
-                .map(|event| event.map(|event| event.map(Frame::data))),
+                .map(|event| event.map(|event| event.map(|chunk| Frame::data(chunk.bytes)))),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Whole(None))
+        matches!(self, Self::Whole { bytes: None, .. })
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(bytes) => {
+            Self::Whole { bytes, .. } => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
             Self::Stream(_) => SizeHint::default(),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,19 +5,22 @@
 
 use bytes::Bytes;
 use fleet::catalog::{Kind, Pool, Route};
+use fleet::extent::Extent;
 use fleet::kept;
 use fleet::placement;
 use fleet::roster::Member;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Request, Response, StatusCode, request};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use types::{Target, Time};
 
 use crate::border::{Ask, Platform, Send};
 use crate::clock::now;
 use crate::connection::{self, Connection, Next};
-use crate::relay::Events;
+use crate::events::{Chunk, Events, Step};
+use crate::intake::{self, Hold};
+use crate::journal::Event;
 use crate::shared::Shared;
 
 /// A request of a caller, whole and checked.
@@ -25,6 +28,8 @@
 pub(crate) struct Asked {
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
+    /// Counts the body for as long as the request is under way.
+    pub(crate) _hold: Hold,
     pub(crate) ask: Ask,
     pub(crate) route: Arc<Route>,
     pub(crate) holder: Option<Arc<fleet::catalog::Holder>>,
@@ -78,6 +83,7 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    pub(crate) hold: Hold,
 }
 
 /// A stream whose first event is there.
@@ -85,14 +91,14 @@
 pub(crate) struct Running<Border> {
     pub(crate) headers: HeaderMap,
     pub(crate) status: StatusCode,
-    pub(crate) first: Bytes,
+    /// The first events; none if the stream has ended without any.
+    pub(crate) first: Option<Chunk>,
     pub(crate) events: Events,
     pub(crate) body: Incoming,
     pub(crate) connection: Connection,
     pub(crate) flight: Flight<Border>,
     pub(crate) keep: Option<Duration>,
     pub(crate) closes: bool,
-    pub(crate) ended: bool,
 }
 
 /// Counts a request at its target while it is under way.
@@ -219,12 +225,13 @@
 /// Waits for a target for as long as the caller does, or, where the request can be sent again, until
 /// the target has fallen silent. A busy target is waited for: what it has read would be lost.
 pub(crate) async fn patiently<Border, Coming>(
-    shared: &Shared<Border>,
+    shared: &Rc<Shared<Border>>,
     asked: &Asked,
     target: &Target,
     coming: Coming,
 ) -> Result<Coming::Output, String>
 where
+    Border: Platform,
     Coming: Future,
 {
     let begun = now();
@@ -237,16 +244,55 @@
             shared.board.borrow_mut().on_heard(target, now());
             return Ok(output);
         }
-        if left <= LOOK {
+        let time = now();
+        let (silent, asks, stalled) = {
+            let mut board = shared.board.borrow_mut();
+            board.on_look(time);
+            let stalled = time.since(board.awake()) < LOOK;
+            (
+                board.is_silent(target, time),
+                board.asks(target, time),
+                stalled,
+            )
+        };
+        // After a standstill of the entry, what came meanwhile has not been read yet.
+        if left <= LOOK && !stalled {
             return Err(format!("nothing came within {most:?}"));
         }
-        let silent = shared.board.borrow().is_silent(target, now());
         if silent && asked.route.repeatable() {
             return Err("the target has fallen silent".to_owned());
         }
+        if asks {
+            tokio::task::spawn_local(ask(Rc::clone(shared), target.clone()));
+        }
     }
 }
 
+/// Asks a quiet target whether it is there. One that answers is slow, and its work goes on.
+async fn ask<Border>(shared: Rc<Shared<Border>>, target: Target)
+where
+    Border: Platform,
+{
+    let engine = {
+        let (roster, catalog) = (shared.roster.borrow(), shared.catalog());
+        let member = roster.get(&target).map(|entry| Arc::clone(&entry.member));
+        let pool = |member: &Member| catalog?.pool(&member.service).cloned();
+        member.filter(|member| pool(member).is_some_and(|pool| pool.engine.is_some()))
+    };
+    // A plain service answers in some tens of milliseconds and has no such call.
+    let Some(member) = engine else {
+        return;
+    };
+    let there = shared.border.state(member.address).await.is_some();
+    if there {
+        shared.board.borrow_mut().on_heard(&target, now());
+    }
+    Event::new("target_asked")
+        .with("target", &*target)
+        .with("answers", there)
+        .info();
+}
+
 /// Sends a request to a target and waits for the whole answer, or for the first event of a stream.
 ///
 /// Dropping the future closes the connection, which stops the target's work.
@@ -321,21 +367,30 @@
                 let why = error.into_error().to_string();
                 return Outcome::NotRun { sent: false, why };
             }
-            let why = error.into_error().to_string();
+            let error = error.into_error();
+            if error.is_parse() {
+                shared.metrics.spoilt.with_label_values(&["head"]).inc();
+            }
+            let why = error.to_string();
             return Outcome::Failed { why };
         }
         Err(why) => return Outcome::Failed { why },
     };
     let answered = now();
-    let (head, body) = response.into_parts();
+    let (head, mut body) = response.into_parts();
     let answer = shared.border.answer(head.status, &head.headers);
-    if answer.id.as_deref() != Some(&*asked.ask.id) && !answer.not_run && !answer.misdirected {
-        let why = "the answer belongs to another request".to_owned();
+    // A refusal of another request says nothing of this one, which may be running; dropping the
+    // connection keeps the answer that is still missing from the next request.
+    if answer.id.as_deref() != Some(&*asked.ask.id) {
+        shared.metrics.spoilt.with_label_values(&["foreign"]).inc();
+        let why = format!("status {} of another request", head.status.as_u16());
         return Outcome::Failed { why };
     }
+    let mut hold = Hold::new(&shared.buffers);
     if answer.not_run || answer.misdirected {
         let why = format!("status {}", head.status.as_u16());
-        let collected = tokio::time::timeout(SHORT, body.collect()).await;
+        let rest = intake::collect(&mut body, REFUSAL_BYTES, &mut hold);
+        let collected = tokio::time::timeout(SHORT, rest).await;
         if !answer.closes && matches!(collected, Ok(Ok(_))) {
             connection::keep(shared, flight.target(), connection, answer.keep);
         }
@@ -357,12 +412,17 @@
             .on_first(&choice.plan, domain, excess, now());
         return begin(shared, asked, head, body, connection, flight, &answer).await;
     }
-    let whole = tokio::time::timeout(left, body.collect()).await;
+    let limit = shared.settings.limits.answer_bytes;
+    let whole = intake::collect(&mut body, limit, &mut hold);
+    let whole = tokio::time::timeout(left, whole).await;
     flight.on_first();
     let body = match whole {
-        Ok(Ok(whole)) => whole.to_bytes(),
-        Ok(Err(error)) => {
-            let why = format!("the answer broke off: {error}");
+        Ok(Ok(whole)) => whole,
+        Ok(Err(problem)) => {
+            if !matches!(problem, intake::Problem::Broken(_)) {
+                shared.metrics.spoilt.with_label_values(&["long"]).inc();
+            }
+            let why = format!("the answer cannot be used: {problem}");
             return Outcome::Failed { why };
         }
         Err(_) => {
@@ -377,11 +437,14 @@
         status: head.status,
         headers: shared.border.passed(&head.headers),
         body,
+        hold,
     }))
 }
 
 /// How long the rest of a refusal may take.
 const SHORT: Duration = Duration::from_millis(200);
+/// Bytes of a refusal; it has little to say.
+const REFUSAL_BYTES: usize = 64 << 10;
 
 /// Waits for the first event of a stream.
 async fn begin<Border>(
@@ -396,12 +459,14 @@
 where
     Border: Platform,
 {
-    let mut events = Events::default();
+    let prompt = asked.ask.prompt.as_ref();
+    let extent = Extent::new(prompt.map(|prompt| prompt.output));
+    let mut events = Events::new(extent, Hold::new(&shared.buffers));
     let target = flight.target().clone();
-    let first = patiently(shared, asked, &target, events.next(&mut body)).await;
-    let (first, ended) = match first.and_then(|first| first) {
-        Ok(Some(first)) => (first, false),
-        Ok(None) => (Bytes::new(), true),
+    let coming = next(shared, &target, &mut events, &mut body);
+    let first = patiently(shared, asked, &target, coming).await;
+    let first = match first.and_then(|first| first) {
+        Ok(first) => first,
         Err(why) => return Outcome::Failed { why },
     };
     flight.on_first();
@@ -415,10 +480,26 @@
         flight,
         keep: answer.keep,
         closes: answer.closes,
-        ended,
     }))
 }
 
+/// Waits for the next whole events of a stream; `None` is the regular end. A target is heard by each
+/// byte that it sends, also by those in which no event ends.
+pub(crate) async fn next<Border>(
+    shared: &Shared<Border>,
+    target: &Target,
+    events: &mut Events,
+    body: &mut Incoming,
+) -> Result<Option<Chunk>, String> {
+    loop {
+        match events.read(body).await? {
+            Step::Events(chunk) => return Ok(Some(chunk)),
+            Step::End => return Ok(None),
+            Step::Part => shared.board.borrow_mut().on_heard(target, now()),
+        }
+    }
+}
+
 fn compose<Border>(
     shared: &Rc<Shared<Border>>,
     asked: &Asked,
@@ -449,7 +530,7 @@
 impl Whole {
     /// Makes the answer to the caller.
     pub(crate) fn response(self) -> Response<crate::answer::Body> {
-        let mut response = Response::new(crate::answer::Body::whole(self.body));
+        let mut response = Response::new(crate::answer::Body::held(self.body, self.hold));
         *response.status_mut() = self.status;
         *response.headers_mut() = self.headers;
         response
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -72,6 +72,8 @@
 const CONNECT: Duration = Duration::from_millis(350);
 /// How long sent bytes may stay unconfirmed; a target that is cut off does not answer.
 const UNCONFIRMED: Duration = Duration::from_millis(2500);
+/// Bytes of the head of an answer; a longer one ends the connection.
+const HEAD_BYTES: usize = 64 << 10;
 /// How long a connection may take to become free after an answer.
 const SETTLE: Duration = Duration::from_millis(100);
 
@@ -138,6 +140,7 @@
     };
     prepare(&stream);
     let (sender, driver) = http1::Builder::new()
+        .max_buf_size(HEAD_BYTES)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| error.to_string())?;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -207,6 +207,7 @@
     loop {
         tokio::time::sleep(SWEEP).await;
         let time = now();
+        shared.board.borrow_mut().on_look(time);
         shared.roster.borrow_mut().expire(time);
         let roster = shared.roster.borrow();
         let known = |target: &Target| roster.get(target).is_some();
@@ -222,6 +223,9 @@
         let waiting = shared.lobby.borrow().waiting();
         let waiting = i64::try_from(waiting).unwrap_or(i64::MAX);
         shared.metrics.waiting.set(waiting);
+        let buffered = shared.buffers.borrow().used();
+        let buffered = i64::try_from(buffered).unwrap_or(i64::MAX);
+        shared.metrics.buffered.set(buffered);
         let dropped = i64::try_from(journal::dropped()).unwrap_or(i64::MAX);
         shared.metrics.dropped.set(dropped);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,9 @@
 mod choose;
 mod clock;
 mod connection;
+pub mod events;
 mod follow;
+pub mod intake;
 mod journal;
 mod lead;
 mod metrics;
@@ -32,4 +34,4 @@
 pub use clock::now;
 pub use journal::{Event, open as open_journal};
 pub use server::{Entry, Error, spawn};
-pub use settings::{Bounds, Problem, Settings};
+pub use settings::{Bounds, Limits, Problem, Settings};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,6 +17,10 @@
     pub(crate) attempts: IntCounterVec,
     /// Time from a request to the first event or the whole answer, in seconds.
     pub(crate) first: Histogram,
+    /// Answers of targets that were not used, by what was wrong with them.
+    pub(crate) spoilt: IntCounterVec,
+    /// Bytes of unfinished messages that are held.
+    pub(crate) buffered: IntGauge,
     /// Connections opened to targets.
     pub(crate) connections: IntCounter,
     /// Calls to the platform's store by outcome.
@@ -94,6 +98,15 @@
                 "outcome",
             )?,
             first,
+            spoilt: counters(
+                "boragereel_spoilt_answers_total",
+                "answers of targets that were not used",
+                "fault",
+            )?,
+            buffered: gauge(
+                "boragereel_buffered_bytes",
+                "bytes of unfinished messages in memory",
+            )?,
             connections: counter("boragereel_connections_total", "connections to targets")?,
             store: counters(
                 "boragereel_store_calls_total",
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -7,7 +7,6 @@
 use fleet::stop::Stop;
 use http::header::HOST;
 use http::{Request, Response, request};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use types::Time;
 
@@ -16,6 +15,7 @@
 use crate::border::Platform;
 use crate::choose;
 use crate::clock::now;
+use crate::intake::{self, Hold};
 use crate::journal::Event;
 use crate::relay;
 use crate::shared::Shared;
@@ -93,7 +93,8 @@
     }
     let patience = ask.patience.unwrap_or(DEFAULT_PATIENCE).min(route.timeout);
     let deadline = arrived + patience;
-    let body = match read(body, &catalog.limits, patience).await {
+    let mut hold = Hold::new(&shared.buffers);
+    let body = match read(body, &catalog.limits, patience, &mut hold).await {
         Ok(body) => body,
         Err(reason) => return Err(refused(reason)),
     };
@@ -101,6 +102,7 @@
     Ok(Asked {
         head,
         body,
+        _hold: hold,
         ask,
         route,
         holder,
@@ -109,12 +111,18 @@
     })
 }
 
-async fn read(body: Incoming, limits: &Limits, patience: Duration) -> Result<Bytes, Reason> {
-    let limited = Limited::new(body, limits.body_bytes);
-    match tokio::time::timeout(patience, limited.collect()).await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Reason::TooLarge),
-        Ok(Err(_)) => Err(Reason::Malformed),
+async fn read(
+    mut body: Incoming,
+    limits: &Limits,
+    patience: Duration,
+    hold: &mut Hold,
+) -> Result<Bytes, Reason> {
+    let whole = intake::collect(&mut body, limits.body_bytes, hold);
+    match tokio::time::timeout(patience, whole).await {
+        Ok(Ok(whole)) => Ok(whole),
+        Ok(Err(intake::Problem::TooLong(_))) => Err(Reason::TooLarge),
+        Ok(Err(intake::Problem::NoMemory)) => Err(Reason::Busy),
+        Ok(Err(intake::Problem::Broken(_))) => Err(Reason::Malformed),
         Err(_) => Err(Reason::TooLate),
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -28,10 +28,45 @@
     pub store_address: SocketAddr,
     /// Whether the whole system starts for the first time.
     pub first_start: bool,
+    /// What the process may use.
+    #[serde(default)]
+    pub limits: Limits,
     /// Bounds that the operators set.
     pub bounds: Bounds,
 }
 
+/// What the process may use; keys that are left out have the values of [`Limits::default`].
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// The memory of the process in MB, beyond which the host ends it.
+    pub memory_mb: f64,
+    /// The longest answer that is not a stream, in bytes. An answer is kept until it is whole, so
+    /// that one that breaks off does not look complete.
+    pub answer_bytes: usize,
+}
+
+/// The part of the memory that unfinished messages may take; the rest is for connections, lists and
+/// what the allocator does not give back.
+const BUFFERED: f64 = 0.35;
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            memory_mb: 128.0,
+            answer_bytes: 4 << 20,
+        }
+    }
+}
+
+impl Limits {
+    /// Returns the bytes that unfinished messages of all requests may take.
+    #[must_use]
+    pub fn buffer_bytes(&self) -> usize {
+        (self.memory_mb * BUFFERED * 1e6) as usize
+    }
+}
+
 /// Bounds that the operators set; the names of times end with their unit.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -149,6 +184,18 @@
             ("bounds.retry_extra", bounds.retry_extra, 0.0, "0 or more"),
             ("bounds.cold_factor", bounds.cold_factor, 0.0, "0 or more"),
             ("bounds.cold_slack", bounds.cold_slack, 0.0, "0 or more"),
+            (
+                "limits.memory_mb",
+                self.limits.memory_mb,
+                32.0,
+                "32 or more",
+            ),
+            (
+                "limits.answer_bytes",
+                self.limits.answer_bytes as f64,
+                1024.0,
+                "1024 or more",
+            ),
         ];
         for (key, value, least, accepted) in least {
             if value < least {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use fleet::allowance::{Ramp, Retries, Terms};
+use fleet::buffers::Buffers;
 use fleet::catalog::Catalog;
 use fleet::kept::{Kept, Standing};
 use fleet::peers::Peers;
@@ -37,6 +38,8 @@
     pub(crate) rollout: RefCell<Rollout>,
     pub(crate) kept: RefCell<Kept>,
     pub(crate) lines: RefCell<connection::Lines>,
+    /// What all requests hold of unfinished messages.
+    pub(crate) buffers: Rc<RefCell<Buffers>>,
     /// Entries that share the allowances, this one among them.
     pub(crate) entries: Cell<usize>,
     /// Their names and addresses.
@@ -62,6 +65,7 @@
             window: settings.retry_window(),
             extra: bounds.retry_extra,
         };
+        let buffers = Buffers::new(settings.limits.buffer_bytes());
         Self {
             settings,
             border,
@@ -76,6 +80,7 @@
             rollout: RefCell::default(),
             kept: RefCell::default(),
             lines: RefCell::default(),
+            buffers: Rc::new(RefCell::new(buffers)),
             entries: Cell::new(1),
             names: RefCell::default(),
             peers: RefCell::default(),
--- /dev/null
+++ b/crates/gateway/tests/events.rs
@@ -0,0 +1,132 @@
+//! Bodies whose frames are always there, as a target that sends without pause makes them.
+
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use fleet::buffers::Buffers;
+use fleet::extent::Extent;
+use gateway::events::{Events, Step};
+use gateway::intake::{Hold, Problem, collect};
+use http_body::Frame;
+
+/// A body without end.
+struct Flood(Bytes);
+
+impl http_body::Body for Flood {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Poll::Ready(Some(Ok(Frame::data(self.0.clone()))))
+    }
+}
+
+fn buffers() -> Rc<RefCell<Buffers>> {
+    Rc::new(RefCell::new(Buffers::new(1 << 20)))
+}
+
+fn block<Output>(test: impl Future<Output = Output>) -> Output {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(test)
+}
+
+async fn read(events: &mut Events, body: &mut Flood) -> String {
+    loop {
+        match events.read(body).await {
+            Ok(Step::Events(_) | Step::Part) => {}
+            Ok(Step::End) => return "the end".to_owned(),
+            Err(why) => return why,
+        }
+    }
+}
+
+/// Guards against bytes that are kept without end because no event ends in them.
+#[test]
+fn bytes_without_an_event_are_given_up() {
+    let buffers = buffers();
+    let mut events = Events::new(Extent::new(None), Hold::new(&buffers));
+    let mut body = Flood(Bytes::from_static(b"data: x\n"));
+    let why = block(read(&mut events, &mut body));
+    assert!(why.starts_with("an event is longer than"), "{why}");
+    drop(events);
+    assert_eq!(buffers.borrow().used(), 0);
+}
+
+/// Guards against events beyond what was asked for, with and without numbers.
+#[test]
+fn events_without_end_are_given_up() {
+    for (event, reason) in [("id: 1\n\n", "more events"), (": x\n\n", "more bytes")] {
+        let mut events = Events::new(Extent::new(Some(100)), Hold::new(&buffers()));
+        let mut body = Flood(Bytes::from_static(event.as_bytes()));
+        let why = block(read(&mut events, &mut body));
+        assert!(why.starts_with(reason), "{why}");
+    }
+}
+
+/// Guards against timers that never run, as bytes are always there: the time of a route would not
+/// end the attempt.
+#[test]
+fn timers_run_beside_a_body_that_is_always_ready() {
+    block(async {
+        let mut body = Flood(Bytes::new());
+        let mut hold = Hold::new(&buffers());
+        let limit = Duration::from_millis(50);
+        let whole = collect(&mut body, 1 << 20, &mut hold);
+        assert!(tokio::time::timeout(limit, whole).await.is_err());
+        let mut events = Events::new(Extent::new(None), Hold::new(&buffers()));
+        let reading = read(&mut events, &mut body);
+        assert!(tokio::time::timeout(limit, reading).await.is_err());
+    });
+}
+
+/// Guards against a message that is kept beyond its limit, and memory that is not given back.
+#[test]
+fn a_message_beyond_its_limit_is_given_up() {
+    let buffers = buffers();
+    let mut body = Flood(Bytes::from_static(&[0; 1000]));
+    let mut hold = Hold::new(&buffers);
+    let long = block(collect(&mut body, 10_000, &mut hold));
+    assert_eq!(long, Err(Problem::TooLong(10_000)));
+    let mut other = Hold::new(&buffers);
+    let full = block(collect(&mut body, 4 << 20, &mut other));
+    assert_eq!(full, Err(Problem::NoMemory));
+    drop((hold, other));
+    assert_eq!(buffers.borrow().used(), 0);
+}
+
+/// Guards against an event that is found twice or not at all where its end comes in two pieces.
+#[test]
+fn an_end_of_an_event_may_come_in_pieces() {
+    let text = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+    for size in 1..text.len() {
+        let pieces = text
+            .chunks(size)
+            .map(|piece| Ok::<_, Infallible>(Frame::data(Bytes::copy_from_slice(piece))));
+        let stream = futures_util::stream::iter(pieces);
+        let mut body = http_body_util::StreamBody::new(stream);
+        let mut events = Events::new(Extent::new(Some(3)), Hold::new(&buffers()));
+        let mut whole = Vec::new();
+        block(async {
+            loop {
+                match events.read(&mut body).await.expect("a sound stream") {
+                    Step::Events(chunk) => whole.extend_from_slice(&chunk.bytes),
+                    Step::Part => {}
+                    Step::End => return,
+                }
+            }
+        });
+        assert_eq!(whole, text, "pieces of {size}");
+        assert_eq!(events.last(), Some(3));
+    }
+}
