--- a/crates/fleet/src/kept/shelf.rs
+++ b/crates/fleet/src/kept/shelf.rs
@@ -40,6 +40,8 @@
     pub(super) since: Time,
 }
 
+/// The longest time that a transfer is taken to last; beyond it nothing is fetched anyway.
+const MOST_TRANSFER: Duration = Duration::from_secs(3600);
 /// How much slower links between failure domains are.
 const REMOTE_FACTOR: f64 = 2.0;
 /// The time over which transfers are averaged, in seconds.
@@ -126,13 +128,14 @@
     /// Returns how long a transfer keeps others from the link; `link` is in Mbit/s, that is bits in
     /// a µs.
     pub(super) fn occupied(&self, tokens: u64, token_bytes: u64, domain: &Domain) -> Duration {
-        let bits = (tokens * token_bytes * 8) as f64;
+        let bits = tokens as f64 * token_bytes as f64 * 8.0;
         let micros = bits / self.host.link.max(1.0);
         let factor = match *domain == self.host.domain {
             true => 1.0,
             false => REMOTE_FACTOR,
         };
-        Duration::from_secs_f64(micros * factor / 1e6)
+        Duration::try_from_secs_f64(micros * factor / 1e6)
+            .map_or(MOST_TRANSFER, |time| time.min(MOST_TRANSFER))
     }
 }
 
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -111,9 +111,9 @@
 impl Load {
     /// Adds another load.
     pub fn add(&mut self, other: &Self) {
-        self.running += other.running;
-        self.reading += other.reading;
-        self.memory += other.memory;
+        self.running = self.running.saturating_add(other.running);
+        self.reading = self.reading.saturating_add(other.reading);
+        self.memory = self.memory.saturating_add(other.memory);
     }
 
     /// Takes another load away.
@@ -142,9 +142,9 @@
             return true;
         }
         if self.capacity == 0 {
-            return self.load.running < self.slots * PLAIN_DEPTH;
+            return self.load.running < self.slots.saturating_mul(PLAIN_DEPTH);
         }
-        let filled = (self.load.memory + self.need) as f64;
+        let filled = self.load.memory as f64 + self.need as f64;
         self.load.running < self.slots && filled <= self.capacity as f64 * FILL
     }
 
@@ -159,15 +159,16 @@
             cost += OUTDATED_MS;
         }
         if self.capacity == 0 {
-            let waiting = f64::from((self.load.running + 1).saturating_sub(self.slots));
+            let running = self.load.running.saturating_add(1);
+            let waiting = f64::from(running.saturating_sub(self.slots));
             let busy = f64::from(self.load.running) / f64::from(self.slots.max(1));
             return cost
                 + PLAIN_MS * waiting / f64::from(self.slots.max(1))
                 + busy * PLAIN_MS / 4.0;
         }
-        let read = (self.load.reading + self.unread) as f64 / READ_PER_MS;
+        let read = (self.load.reading as f64 + self.unread as f64) / READ_PER_MS;
         let step = STEP_MS + RUNNING_MS * f64::from(self.load.running);
-        let filled = (self.load.memory + self.need) as f64 / self.capacity as f64;
+        let filled = (self.load.memory as f64 + self.need as f64) / self.capacity as f64;
         let excess = (filled - 0.9).max(0.0);
         cost + read + step + self.fetch.as_secs_f64() * 1000.0 + MEMORY_MS * excess
     }
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -1,4 +1,5 @@
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -14,7 +15,14 @@
 
 /// The body of an answer to a caller.
 #[derive(Debug)]
-pub(crate) enum Body {
+pub(crate) struct Body {
+    content: Content,
+    /// Counts the request as unanswered until hyper has taken the whole body.
+    request: Option<Rc<()>>,
+}
+
+#[derive(Debug)]
+enum Content {
     /// A whole body, with the memory that it takes until it is written.
     Whole {
         bytes: Option<Bytes>,
@@ -65,17 +73,35 @@
 impl Body {
     /// Returns a body that is all there.
     pub(crate) fn whole(bytes: impl Into<Bytes>) -> Self {
-        Self::Whole {
+        Self::new(Content::Whole {
             bytes: Some(bytes.into()),
             _hold: None,
-        }
+        })
     }
 
     /// Returns a body that is all there and counts in the memory of its request.
     pub(crate) fn held(bytes: Bytes, hold: Hold) -> Self {
-        Self::Whole {
+        Self::new(Content::Whole {
             bytes: Some(bytes),
             _hold: Some(hold),
+        })
+    }
+
+    /// Returns a body whose events are still to come.
+    pub(crate) fn stream(events: mpsc::Receiver<Result<Chunk, Cut>>) -> Self {
+        Self::new(Content::Stream(events))
+    }
+
+    /// Counts a request as unanswered for as long as the body has not been taken.
+    pub(crate) fn counts(mut self, request: Rc<()>) -> Self {
+        self.request = Some(request);
+        self
+    }
+
+    fn new(content: Content) -> Self {
+        Self {
+            content,
+            request: None,
         }
     }
 }
@@ -88,26 +114,26 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        match &mut *self {
-            Self::Whole { bytes, .. } => {
+        match &mut self.content {
+            Content::Whole { bytes, .. } => {
                 Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
             }
-            Self::Stream(events) => events
+            Content::Stream(events) => events
                 .poll_recv(context)
                 .map(|event| event.map(|event| event.map(|chunk| Frame::data(chunk.bytes)))),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Whole { bytes: None, .. })
+        matches!(self.content, Content::Whole { bytes: None, .. })
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Whole { bytes, .. } => {
+        match &self.content {
+            Content::Whole { bytes, .. } => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Self::Stream(_) => SizeHint::default(),
+            Content::Stream(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -117,6 +117,14 @@
         .level_for("event", level)
         .chain(fern::Output::writer(Box::new(queue), "\n"))
         .apply()?;
+    std::panic::set_hook(Box::new(|panic| {
+        let place = panic.location().map(ToString::to_string);
+        let why = panic.payload_as_str().unwrap_or("no text");
+        Event::new("panic")
+            .with("why", why)
+            .with("place", place)
+            .warn();
+    }));
     Ok(())
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod connection;
 pub mod events;
 mod follow;
+mod guard;
 pub mod intake;
 mod journal;
 mod lead;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -31,7 +31,7 @@
     Border: Platform,
 {
     let (events, waiting) = mpsc::channel(AHEAD);
-    let mut response = Response::new(Body::Stream(waiting));
+    let mut response = Response::new(Body::stream(waiting));
     *response.status_mut() = running.status;
     *response.headers_mut() = running.headers.clone();
     tokio::task::spawn_local(async move {
@@ -58,15 +58,22 @@
 {
     let mut last = asked.ask.seen;
     loop {
-        let cut = pump(shared, asked, &mut running, &events, &mut last).await;
+        let end = pump(shared, asked, &mut running, &events, &mut last).await;
         let target = running.flight.target().clone();
-        let Some(why) = cut else {
-            shared.board.borrow_mut().on_success(&target);
-            if !running.closes {
-                connection::keep(shared, &target, running.connection, running.keep);
+        let why = match end {
+            End::Cut(why) => why,
+            End::Left => {
+                serve::ended(shared, asked, "gone");
+                return;
+            }
+            End::Whole => {
+                shared.board.borrow_mut().on_success(&target);
+                if !running.closes {
+                    connection::keep(shared, &target, running.connection, running.keep);
+                }
+                serve::ended(shared, asked, "served");
+                return;
             }
-            serve::ended(shared, asked, "served");
-            return;
         };
         if events.is_closed() {
             return;
@@ -96,33 +103,43 @@
     }
 }
 
-/// Passes events on until the stream ends; returns why it did not end well.
+/// How a target's stream ended.
+enum End {
+    /// Its last event was passed on.
+    Whole,
+    /// It broke off, for this reason.
+    Cut(String),
+    /// The caller does not take it any more.
+    Left,
+}
+
+/// Passes events on until the stream ends.
 async fn pump<Border>(
     shared: &Rc<Shared<Border>>,
     asked: &Asked,
     running: &mut Running<Border>,
     events: &mpsc::Sender<Result<Chunk, Cut>>,
     last: &mut Option<u64>,
-) -> Option<String>
+) -> End
 where
     Border: Platform,
 {
     let mut next = running.first.take();
     loop {
         let Some(event) = next.take() else {
-            return None;
+            return End::Whole;
         };
         let left = asked.left(now());
         match tokio::time::timeout(left, events.send(Ok(event))).await {
             Ok(Ok(())) => *last = running.events.last().or(*last),
-            Ok(Err(_)) => return Some("the caller left".to_owned()),
-            Err(_) => return Some("the caller does not read".to_owned()),
+            // The caller closed the connection, or has stopped reading.
+            Ok(Err(_)) | Err(_) => return End::Left,
         }
         let target = running.flight.target().clone();
         let coming = attempt::next(shared, &target, &mut running.events, &mut running.body);
         next = match attempt::patiently(shared, asked, &target, coming).await {
             Ok(Ok(event)) => event,
-            Ok(Err(why)) | Err(why) => return Some(why),
+            Ok(Err(why)) | Err(why) => return End::Cut(why),
         };
     }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -39,6 +39,7 @@
     Border: Platform,
 {
     let arrived = now();
+    let unanswered = Rc::clone(&shared.unanswered);
     let (head, body) = request.into_parts();
     let mut response = match admit(&shared, head, body, arrived).await {
         Ok(asked) => answer(&shared, Rc::new(asked)).await,
@@ -47,7 +48,7 @@
     if shared.stopping.get().is_some() {
         close(response.headers_mut());
     }
-    response
+    response.map(|body| body.counts(unanswered))
 }
 
 /// Checks a request against the configuration and reads its body.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -24,7 +24,7 @@
 use crate::serve::{self, millis};
 use crate::settings::{Problem, Settings};
 use crate::shared::Shared;
-use crate::{follow, lead, shelf, talk};
+use crate::{follow, guard, lead, shelf, talk};
 
 /// A running entry.
 #[derive(Debug)]
@@ -52,11 +52,16 @@
 const LINGER: f64 = 0.35;
 /// The part of the grace for running requests; the rest is left for the end of the process.
 const WORK: f64 = 0.93;
+/// The part of the grace after which the process ends whatever is under way; the rest is for the
+/// last log lines.
+const LAST: f64 = 0.97;
+/// How often a process that is about to end looks for a moment without a request.
+const SHORT_LOOK: Duration = Duration::from_millis(2);
 /// How often a stopping process looks whether it is done.
 const LOOK: Duration = Duration::from_millis(50);
-/// References to the count of connections that are none: those of the task that accepts and of the
-/// one that stops.
-const BASE: usize = 2;
+/// References to the count of connections that are none: those of the task that accepts, of its
+/// guard, and of the task that stops.
+const BASE: usize = 3;
 /// Looks without an open connection before the end.
 const QUIET: u32 = 6;
 /// How long a failing listener is left alone; running out of descriptors passes.
@@ -94,34 +99,32 @@
     let ready_address = bound(&ready, settings.ready_address)?;
     let name = settings.name.clone();
     let shared = Rc::new(Shared::new(settings, border, Metrics::open()?));
-    for list in [List::Operator, List::Targets] {
-        tokio::task::spawn_local(follow::follow(Rc::clone(&shared), list));
-    }
-    tokio::task::spawn_local(follow::sweep(Rc::clone(&shared)));
     let socket = SocketAddr::new(shared.settings.ip, shared.settings.peer_port);
     let socket = UdpSocket::bind(socket)
         .await
         .map_err(|error| Error::Bind(socket, error))?;
-    tokio::task::spawn_local(talk::talk(Rc::clone(&shared), socket));
-    tokio::task::spawn_local(shelf::follow_all(Rc::clone(&shared)));
-    tokio::task::spawn_local(shelf::free(Rc::clone(&shared)));
-    tokio::task::spawn_local(lead::lead(Rc::clone(&shared)));
-    tokio::task::spawn_local(lead::count(Rc::clone(&shared)));
+    keep(&shared, Rc::new(socket));
     tokio::task::spawn_local(reload(Rc::clone(&shared), file, hup));
-    for listener in [ready, metrics] {
-        tokio::task::spawn_local(administer(Rc::clone(&shared), listener));
+    for listener in [ready, metrics].map(Rc::new) {
+        let shared = Rc::clone(&shared);
+        guard::spawn("administer", move || {
+            administer(Rc::clone(&shared), Rc::clone(&listener))
+        });
     }
     let (close, closing) = watch::channel(false);
     let open = Rc::new(());
-    tokio::task::spawn_local(accept(
-        Rc::clone(&shared),
-        callers,
-        closing,
-        Rc::clone(&open),
-    ));
+    let callers = Rc::new(callers);
+    guard::spawn("accept", {
+        let (shared, open) = (Rc::clone(&shared), Rc::clone(&open));
+        move || {
+            let (shared, open) = (Rc::clone(&shared), Rc::clone(&open));
+            accept(shared, Rc::clone(&callers), closing.clone(), open)
+        }
+    });
     Event::new("start")
         .with("name", name)
         .with("http", http_address.to_string())
+        .with("ready", ready_address.to_string())
         .with("version", env!("CARGO_PKG_VERSION"))
         .info();
     let task = tokio::task::spawn_local(stop(shared, term, close, open));
@@ -132,6 +135,34 @@
     })
 }
 
+/// Starts the tasks that live as long as the process.
+fn keep<Border>(shared: &Rc<Shared<Border>>, socket: Rc<UdpSocket>)
+where
+    Border: Platform,
+{
+    for (name, list) in [
+        ("follow_operator", List::Operator),
+        ("follow_targets", List::Targets),
+    ] {
+        let shared = Rc::clone(shared);
+        guard::spawn(name, move || follow::follow(Rc::clone(&shared), list));
+    }
+    let own = Rc::clone(shared);
+    guard::spawn("sweep", move || follow::sweep(Rc::clone(&own)));
+    let own = Rc::clone(shared);
+    guard::spawn("talk", move || {
+        talk::talk(Rc::clone(&own), Rc::clone(&socket))
+    });
+    let own = Rc::clone(shared);
+    guard::spawn("shelves", move || shelf::follow_all(Rc::clone(&own)));
+    let own = Rc::clone(shared);
+    guard::spawn("free", move || shelf::free(Rc::clone(&own)));
+    let own = Rc::clone(shared);
+    guard::spawn("lead", move || lead::lead(Rc::clone(&own)));
+    let own = Rc::clone(shared);
+    guard::spawn("count", move || lead::count(Rc::clone(&own)));
+}
+
 impl Entry {
     /// Returns the address for callers.
     #[must_use]
@@ -170,7 +201,7 @@
 /// listening socket would be reset when that is closed.
 async fn accept<Border>(
     shared: Rc<Shared<Border>>,
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     closing: watch::Receiver<bool>,
     open: Rc<()>,
 ) where
@@ -211,9 +242,12 @@
     });
     let connection = builder.serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
+    // A connection that is accepted later has a request on its way. It is answered, and the answer
+    // asks for the close.
+    let late = *closing.borrow();
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        _ = closing.wait_for(|&closing| closing) => {
+        _ = closing.wait_for(|&closing| closing), if !late => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -224,7 +258,7 @@
 }
 
 /// Serves readiness and counters.
-async fn administer<Border>(shared: Rc<Shared<Border>>, listener: TcpListener)
+async fn administer<Border>(shared: Rc<Shared<Border>>, listener: Rc<TcpListener>)
 where
     Border: Platform,
 {
@@ -300,7 +334,6 @@
         .info();
     tokio::time::sleep(grace.mul_f64(LINGER)).await;
     close.send_replace(true);
-    // Two references are those of this function and of the task that accepts.
     // Callers may still come while their failure domain has no other entry, so the end waits for a
     // quiet moment.
     let mut quiet = 0;
@@ -309,9 +342,15 @@
         tokio::time::sleep(LOOK).await;
         quiet = if waiting() == 0 { quiet + 1 } else { 0 };
     }
+    // Callers that keep coming are refused at once by now, so there are moments without a request.
+    let unanswered = || Rc::strong_count(&shared.unanswered) - 1;
+    while unanswered() > 0 && now().since(begun) < grace.mul_f64(LAST) {
+        tokio::time::sleep(SHORT_LOOK).await;
+    }
     // From here on nothing else runs: a request that is read now would be cut off.
     Event::new("stop")
         .with("open", waiting())
+        .with("unanswered", unanswered())
         .with("after_ms", millis(now().since(begun)))
         .info();
     journal::write_now();
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -50,6 +50,8 @@
     pub(crate) joined: Cell<Option<Time>>,
     /// When the process was told to stop.
     pub(crate) stopping: Cell<Option<Time>>,
+    /// Counted once more for each request that was read and has no whole answer yet.
+    pub(crate) unanswered: Rc<()>,
     pub(crate) lobby: RefCell<Lobby<Service>>,
     /// Woken when a target may have room.
     pub(crate) room: Notify,
@@ -86,6 +88,7 @@
             peers: RefCell::default(),
             joined: Cell::new(None),
             stopping: Cell::new(None),
+            unanswered: Rc::default(),
             lobby: RefCell::default(),
             room: Notify::new(),
             lag: Notify::new(),
--- a/crates/gateway/src/shelf.rs
+++ b/crates/gateway/src/shelf.rs
@@ -49,7 +49,8 @@
             kept.hosts().map(|(host, _)| host.name.clone()).collect()
         };
         followed.retain(|store, task| {
-            let known = hosts.contains(store);
+            // A follower ends by a panic only, and another one takes its place.
+            let known = hosts.contains(store) && !task.is_finished();
             if !known {
                 task.abort();
             }
--- a/crates/gateway/src/talk.rs
+++ b/crates/gateway/src/talk.rs
@@ -17,14 +17,24 @@
 const SECRET: &str = "secret/peers";
 /// How long an entry waits after a failed call to the store.
 const BACK_OFF: Duration = Duration::from_millis(300);
+
 /// Tells other entries the own loads, and hears theirs.
-pub(crate) async fn talk<Border>(shared: Rc<Shared<Border>>, socket: UdpSocket)
+pub(crate) async fn talk<Border>(shared: Rc<Shared<Border>>, socket: Rc<UdpSocket>)
 where
     Border: Platform,
 {
     let secret = secret(&shared).await;
-    let socket = Rc::new(socket);
-    tokio::task::spawn_local(hear(Rc::clone(&shared), Rc::clone(&socket), secret));
+    // Both end together when one of them panics.
+    tokio::join!(
+        hear(&shared, &socket, secret),
+        tell(&shared, &socket, secret)
+    );
+}
+
+async fn tell<Border>(shared: &Rc<Shared<Border>>, socket: &UdpSocket, secret: [u8; 32])
+where
+    Border: Platform,
+{
     let start = rand::rng().random();
     let mut number = 0;
     loop {
@@ -39,7 +49,7 @@
         if names.is_empty() {
             continue;
         }
-        let word = compose(&shared, start, number, names.len());
+        let word = compose(shared, start, number, names.len());
         let datagram = match packet::seal(&secret, &word) {
             Ok(datagram) => datagram,
             Err(problem) => {
@@ -97,7 +107,7 @@
     }
 }
 
-async fn hear<Border>(shared: Rc<Shared<Border>>, socket: Rc<UdpSocket>, secret: [u8; 32])
+async fn hear<Border>(shared: &Rc<Shared<Border>>, socket: &UdpSocket, secret: [u8; 32])
 where
     Border: Platform,
 {
@@ -108,7 +118,7 @@
             continue;
         };
         match packet::open(&secret, &buffer[..length]) {
-            Ok(word) => take(&shared, &word),
+            Ok(word) => take(shared, &word),
             Err(problem) => log::warn!("a word from {from} is not used: {problem}"),
         }
     }
