entry: older data of the store is not taken, and entries vouch for a configuration

An older cursor is a failure now. - An entry that was restarted and read old data went on with a key that others knew to be gone. Words between entries carry the version of the configuration; who is behind for a second refuses keyed requests. - An entry that the store turned away refused keyed requests after 3.6 s although others could prove that nothing had changed. Words carry the time of the newest evidence on the store's clock. The format of words is 4 now.

--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -20,6 +20,10 @@
     pub start: u64,
     /// Grows with each word of a start.
     pub number: u64,
+    /// The version of the configuration that it uses; 0 for none.
+    pub config: u64,
+    /// When its newest evidence for that was given, on the store's steady clock in milliseconds.
+    pub proof: Option<u64>,
     /// What the sender has under way, by target.
     pub loads: Vec<(Target, Load)>,
     /// How long ago it heard each of these targets.
@@ -58,6 +62,8 @@
     retired: VecDeque<(Time, Store, Key)>,
     news: VecDeque<(Time, Store, Report)>,
     changed: VecDeque<(Time, Target, Model, u64)>,
+    /// The newest configuration that any entry uses, and when it was first heard of.
+    config: Option<(u64, Time)>,
     next: usize,
 }
 
@@ -82,6 +88,9 @@
 const MOST_NEWS: usize = 80;
 /// How long a part that is about to be freed is named.
 const RETIRED: Duration = Duration::from_millis(1800);
+/// How long an entry may take to learn of a configuration that another one uses: both wait for the
+/// same answer of the store.
+const LEARN: Duration = Duration::from_millis(1000);
 /// How long a word counts beyond the time after which the next one is due.
 const SLACK: Duration = Duration::from_millis(400);
 
@@ -102,6 +111,9 @@
             return false;
         }
         self.forget(&word.from);
+        if self.config.is_none_or(|(version, _)| version < word.config) {
+            self.config = Some((word.config, now));
+        }
         let loads: HashMap<Target, Load> = word.loads.iter().cloned().collect();
         for (target, load) in &loads {
             self.sums.entry(target.clone()).or_default().add(load);
@@ -116,6 +128,17 @@
         true
     }
 
+    /// Says whether another entry has used a newer configuration for longer than this one needs to
+    /// learn of it.
+    ///
+    /// A store that answers with old data, or a restarted entry that reads it, must not bring keys
+    /// back that were taken away.
+    #[must_use]
+    pub fn is_ahead(&self, version: u64, now: Time) -> bool {
+        self.config
+            .is_some_and(|(newest, since)| newest > version && now.since(since) >= LEARN)
+    }
+
     /// Drops what is too old to count; `count` is the number of peers.
     pub fn expire(&mut self, count: usize, now: Time) {
         let limit = Self::cycle(count) * 2 + SLACK;
--- a/crates/fleet/src/proof.rs
+++ b/crates/fleet/src/proof.rs
@@ -18,6 +18,9 @@
 /// The part of the bound that is left for the way of a request to its target, and for a store whose
 /// waiting calls hear of changes up to a second late before it drops its history.
 const MARGIN: Duration = Duration::from_millis(1400);
+/// The time in µs by which the clocks of entry and store may seem nearer than they are: the way of
+/// the fastest answer.
+const ALLOWANCE_US: i64 = 10_000;
 
 impl Proof {
     /// Records an answer of the store that was asked at `asked`, arrived at `heard`, and was given
@@ -33,12 +36,32 @@
         let least = self.offset.map_or(offset, |known| known.min(offset));
         self.offset = Some(least);
         let latest = given.saturating_add(least);
-        // Allows for the way of the fastest answer.
-        let early = u64::try_from(latest.saturating_sub(10_000)).unwrap_or(0);
+        let early = u64::try_from(latest.saturating_sub(ALLOWANCE_US)).unwrap_or(0);
         let moment = asked.max(Time(early)).min(heard);
         self.at = self.at.max(Some(moment));
     }
 
+    /// Records that another entry had evidence of the same configuration at `store` on the store's
+    /// steady clock, in milliseconds.
+    ///
+    /// An entry that the store turns away goes on with what its neighbours can prove. It needs one
+    /// answer of its own, or it could not tell its clock from that of the store.
+    pub fn vouch(&mut self, store: u64, now: Time) {
+        let given = i64::try_from(store.saturating_mul(1000)).unwrap_or(i64::MAX);
+        let Some(offset) = self.offset else {
+            return;
+        };
+        let latest = given.saturating_add(offset).saturating_sub(ALLOWANCE_US);
+        let moment = Time(u64::try_from(latest).unwrap_or(0)).min(now);
+        self.at = self.at.max(Some(moment));
+    }
+
+    /// Returns when the newest evidence was given, on the store's steady clock in milliseconds.
+    #[must_use]
+    pub fn given(&self) -> Option<u64> {
+        self.store_time(self.at?)
+    }
+
     /// Converts a time to the store's steady clock, in milliseconds.
     #[must_use]
     pub fn store_time(&self, now: Time) -> Option<u64> {
--- a/crates/fleet/tests/beliefs.rs
+++ b/crates/fleet/tests/beliefs.rs
@@ -105,3 +105,58 @@
         prop_assert!(age + Duration::from_millis(fastest) >= true_age);
     }
 }
+
+/// Guards against an entry that the store turns away and that refuses everything, though others
+/// prove that its configuration is the newest one.
+#[test]
+fn other_entries_vouch_for_a_configuration() {
+    let mut own = Proof::default();
+    // Without an answer of its own, it cannot tell its clock from that of the store.
+    own.vouch(100_000, at(50));
+    assert_eq!(own.age(at(60)), None);
+    own.renew(at(1000), at(1004), 90_000);
+    let mut other = Proof::default();
+    other.renew(at(500_000), at(500_003), 95_000);
+    let given = other.given().expect("evidence");
+    own.vouch(given, at(6100));
+    let age = own.age(at(6100)).expect("evidence");
+    assert!(
+        age >= Duration::from_millis(100) && age < Duration::from_millis(150),
+        "{age:?}"
+    );
+    assert!(own.holds(at(6100), REVOKE));
+    // An old word changes nothing, and none comes from the future.
+    own.vouch(80_000, at(6200));
+    own.vouch(u64::MAX, at(6200));
+    assert!(own.age(at(6200)).expect("evidence") < Duration::from_millis(250));
+}
+
+proptest! {
+    /// Guards against evidence that seems younger than the answer on which it rests, whatever the
+    /// delays and clocks of the two entries are.
+    #[test]
+    fn what_is_vouched_for_is_no_younger_than_its_answer(
+        delays in prop::collection::vec((0..40u64, 0..400u64), 2..20),
+        skews in (0..1_000_000u64, 0..1_000_000u64),
+        way in 0..800u64,
+    ) {
+        let (mut one, mut two) = (Proof::default(), Proof::default());
+        let mut store = 10_000;
+        for (index, (ask, back)) in delays.iter().enumerate() {
+            store += 500;
+            let proof = if index % 2 == 0 { &mut one } else { &mut two };
+            let skew = if index % 2 == 0 { skews.0 } else { skews.1 };
+            proof.renew(at(skew + store - ask), at(skew + store + back), store);
+        }
+        // The last answer to the first entry bounds what it may tell the second one.
+        let given = one.given().expect("evidence");
+        prop_assert!(given <= store);
+        let heard = at(skews.1 + store + way);
+        let before = two.age(heard);
+        two.vouch(given, heard);
+        let after = two.age(heard).expect("evidence");
+        let honest = Duration::from_millis(store + way - given);
+        // The clocks are compared by the fastest answer, which may have taken 40 ms here.
+        prop_assert!(after + Duration::from_millis(400) >= honest.min(before.unwrap_or(honest)));
+    }
+}
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -78,3 +78,18 @@
     }
     assert_eq!(told.len(), names.len());
 }
+
+/// Guards against an entry that reads old data and goes on with keys that were taken away, and
+/// against one that closes its doors in the moment in which all learn of a change.
+#[test]
+fn a_newer_configuration_of_others_counts_after_a_moment() {
+    let mut peers = Peers::default();
+    let mut newer = word("a", 1, 0);
+    newer.config = 8;
+    peers.on_word(&newer, at(1000));
+    newer.number = 2;
+    peers.on_word(&newer, at(1500));
+    assert!(!peers.is_ahead(7, at(1900)));
+    assert!(peers.is_ahead(7, at(2000)));
+    assert!(!peers.is_ahead(8, at(2000)));
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -37,6 +37,9 @@
     Border: Platform,
 {
     let mut cursor = None;
+    // The newest state that was ever read: a store that has lost its place may answer with an older
+    // one, which would bring back targets and evacuations that are gone.
+    let mut newest = 0;
     let mut failures: u32 = 0;
     let wait = match list {
         List::Operator => WAIT,
@@ -50,7 +53,18 @@
         };
         let time = now();
         match heard {
+            Ok(Some(batch)) if batch.cursor < newest => {
+                count(&shared, "old");
+                Event::new("store_old")
+                    .with("list", format!("{list:?}"))
+                    .with("cursor", batch.cursor)
+                    .with("newest", newest)
+                    .warn();
+                shared.roster.borrow_mut().shake(time);
+                tokio::time::sleep(MOST_BACK_OFF).await;
+            }
             Ok(Some(batch)) => {
+                newest = batch.cursor;
                 if failures > 0 || cursor.is_none() {
                     Event::new("store_heard")
                         .with("list", format!("{list:?}"))
--- a/crates/gateway/src/packet.rs
+++ b/crates/gateway/src/packet.rs
@@ -15,7 +15,7 @@
 const CODE_BYTES: usize = 32;
 /// Changes with the layout of [`Packet`]: during an upgrade, entries of two versions talk to each
 /// other, and bytes of another layout may decode to anything.
-const FORMAT: u8 = 3;
+const FORMAT: u8 = 4;
 
 /// Fetches of one host that count in one word; an entry starts fewer between two words.
 const MOST_LATE: u32 = 1000;
@@ -39,6 +39,8 @@
     from: String,
     start: u64,
     number: u64,
+    config: u64,
+    proof: Option<u64>,
     loads: Vec<(Target, u32, u64, u64)>,
     /// Each with the milliseconds since it was heard.
     heard: Vec<(Target, u32)>,
@@ -120,6 +122,8 @@
             from: word.from.clone(),
             start: word.start,
             number: word.number,
+            config: word.config,
+            proof: word.proof,
             loads: loads
                 .map(|(target, load)| (target.clone(), load.running, load.reading, load.memory))
                 .collect(),
@@ -177,6 +181,8 @@
             from: packet.from,
             start: packet.start,
             number: packet.number,
+            config: packet.config,
+            proof: packet.proof,
             loads: loads.collect(),
             heard: heard.collect(),
             late: late.collect(),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -102,7 +102,9 @@
 
     /// Says whether keyed requests may be served.
     pub(crate) fn is_fresh(&self, now: Time) -> bool {
-        self.proof.get().holds(now, self.settings.revoke())
+        let version = self.catalog().map_or(0, |catalog| catalog.version.0);
+        let ahead = self.peers.borrow().is_ahead(version, now);
+        !ahead && self.proof.get().holds(now, self.settings.revoke())
     }
 
     /// Says whether the allowances that entries share may be used.
--- a/crates/gateway/src/talk.rs
+++ b/crates/gateway/src/talk.rs
@@ -93,6 +93,8 @@
         from: shared.settings.name.clone(),
         start,
         number,
+        config: shared.catalog().map_or(0, |catalog| catalog.version.0),
+        proof: shared.proof.get().given(),
         loads: loads
             .map(|(target, load)| (target.clone(), *load))
             .collect(),
@@ -129,6 +131,14 @@
     if !shared.peers.borrow_mut().on_word(word, time) {
         return;
     }
+    let config = shared.catalog().map(|catalog| catalog.version.0);
+    if let Some(given) = word.proof
+        && config == Some(word.config)
+    {
+        let mut proof = shared.proof.get();
+        proof.vouch(given, time);
+        shared.proof.set(proof);
+    }
     let mut board = shared.board.borrow_mut();
     for (target, ago) in &word.heard {
         board.on_heard_by_other(target, time - *ago);
--- a/crates/gateway/tests/packet.rs
+++ b/crates/gateway/tests/packet.rs
@@ -19,6 +19,8 @@
         from: "entry-1".into(),
         start: 9,
         number: 4,
+        config: 12,
+        proof: Some(77_000),
         loads: vec![("t".into(), Load::default())],
         heard: vec![("t".into(), Duration::from_millis(120))],
         late: vec![(
