--- /dev/null
+++ b/crates/fleet/src/cell.rs
@@ -0,0 +1,177 @@
+//! Groups of targets whose requests one entry places.
+//!
+//! Loads that entries tell each other are some hundred ms old where there are many entries, which is
+//! as long as an engine reads a prompt. So the targets are divided into cells, and all requests for
+//! a cell are placed by one entry, its dispatcher, which knows what it has placed. See
+//! `docs/platform.md`.
+
+use std::collections::{BTreeMap, HashMap};
+
+use types::{Domain, Model, Service, Target};
+
+use crate::roster::Roster;
+
+/// A cell: targets of one service in one failure domain.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Cell {
+    /// The service.
+    pub service: Service,
+    /// The failure domain.
+    pub domain: Domain,
+    /// Which part of the domain's targets it has.
+    pub shard: u32,
+    /// The number of parts, a power of two.
+    pub shards: u32,
+}
+
+/// All cells, as the list of targets has them.
+#[derive(Debug, Clone, Default)]
+pub struct Map {
+    /// The number of parts of each domain's targets, by service.
+    domains: HashMap<Service, BTreeMap<Domain, u32>>,
+    /// The newest weights that any target serves.
+    newest: HashMap<Model, u64>,
+}
+
+/// An entry that may be a dispatcher.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Host {
+    /// Its name.
+    pub name: String,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// Its share of a processor. Entries with more of it get more cells.
+    pub weight: f64,
+}
+
+/// Targets of a cell from which a domain has more than one. A dispatcher looks at each of them for
+/// each request, and its messages grow with them.
+const MOST_TARGETS: usize = 24;
+/// The weight of an entry that names none.
+const LEAST_WEIGHT: f64 = 0.01;
+
+impl Cell {
+    /// Says whether a target belongs to the cell.
+    #[must_use]
+    pub fn has(&self, service: &Service, domain: &Domain, target: &Target) -> bool {
+        *service == self.service
+            && *domain == self.domain
+            && part(target, self.shards) == self.shard
+    }
+
+    /// Returns the entries in the order in which they are its dispatcher: those of its own failure
+    /// domain come first, since they are lost with it only.
+    #[must_use]
+    pub fn order(&self, hosts: &[Host]) -> Vec<String> {
+        let mut scored: Vec<(bool, f64, &str)> = hosts
+            .iter()
+            .map(|host| {
+                let weight = host.weight.max(LEAST_WEIGHT);
+                // The least of exponential variables is each one with a chance of its weight.
+                let draw = (self.hash(&host.name) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+                (host.domain != self.domain, -draw.ln() / weight, &*host.name)
+            })
+            .collect();
+        scored.sort_by(|one, other| {
+            let scores = one.1.total_cmp(&other.1);
+            one.0.cmp(&other.0).then(scores).then(one.2.cmp(other.2))
+        });
+        let names = scored.into_iter();
+        names.map(|(_, _, name)| name.to_owned()).collect()
+    }
+
+    fn hash(&self, name: &str) -> u64 {
+        let mut hasher = blake3::Hasher::new();
+        for text in [&*self.service, &*self.domain, name] {
+            hasher.update(&(text.len() as u64).to_le_bytes());
+            hasher.update(text.as_bytes());
+        }
+        hasher.update(&self.shard.to_le_bytes());
+        hasher.update(&self.shards.to_le_bytes());
+        first_bytes(&hasher.finalize())
+    }
+}
+
+impl Map {
+    /// Divides the targets of a list into cells.
+    #[must_use]
+    pub fn new(roster: &Roster) -> Self {
+        let mut counts: HashMap<Service, BTreeMap<Domain, usize>> = HashMap::new();
+        let mut newest: HashMap<Model, u64> = HashMap::new();
+        for entry in roster.iter() {
+            let member = &entry.member;
+            let domains = counts.entry(member.service.clone()).or_default();
+            *domains.entry(member.domain.clone()).or_default() += 1;
+            for (model, version) in &member.weights {
+                let known = newest.entry(model.clone()).or_default();
+                *known = (*known).max(*version);
+            }
+        }
+        let domains = counts.into_iter().map(|(service, domains)| {
+            let shards = domains.into_iter().map(|(domain, count)| {
+                let parts = count.div_ceil(MOST_TARGETS).next_power_of_two();
+                (domain, u32::try_from(parts).unwrap_or(1))
+            });
+            (service, shards.collect())
+        });
+        Self {
+            domains: domains.collect(),
+            newest,
+        }
+    }
+
+    /// Returns the cell of a target.
+    #[must_use]
+    pub fn of(&self, service: &Service, domain: &Domain, target: &Target) -> Option<Cell> {
+        let shards = *self.domains.get(service)?.get(domain)?;
+        Some(Cell {
+            service: service.clone(),
+            domain: domain.clone(),
+            shard: part(target, shards),
+            shards,
+        })
+    }
+
+    /// Returns the cell of a failure domain in which requests with a key meet.
+    #[must_use]
+    pub fn meeting(&self, service: &Service, domain: &Domain, key: &[u8]) -> Option<Cell> {
+        let shards = *self.domains.get(service)?.get(domain)?;
+        Some(Cell {
+            service: service.clone(),
+            domain: domain.clone(),
+            shard: (first_bytes(&blake3::hash(key)) % u64::from(shards)) as u32,
+            shards,
+        })
+    }
+
+    /// Returns the newest weights of a model that any target serves; 0 if there are none.
+    #[must_use]
+    pub fn newest(&self, model: &Model) -> u64 {
+        self.newest.get(model).copied().unwrap_or(0)
+    }
+
+    /// Returns all cells of a service.
+    #[must_use]
+    pub fn cells(&self, service: &Service) -> Vec<Cell> {
+        let domains = self.domains.get(service).into_iter().flatten();
+        let cells = domains.flat_map(|(domain, shards)| {
+            (0..*shards).map(|shard| Cell {
+                service: service.clone(),
+                domain: domain.clone(),
+                shard,
+                shards: *shards,
+            })
+        });
+        cells.collect()
+    }
+}
+
+fn part(target: &Target, shards: u32) -> u32 {
+    (first_bytes(&blake3::hash(target.as_bytes())) % u64::from(shards.max(1))) as u32
+}
+
+fn first_bytes(hash: &blake3::Hash) -> u64 {
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(bytes)
+}
--- a/crates/fleet/src/kept/mod.rs
+++ b/crates/fleet/src/kept/mod.rs
@@ -86,11 +86,24 @@
     Fetch(Store),
 }
 
+/// How it is known which parts a target has in its own memory.
+#[derive(Debug, Clone, Copy)]
+pub enum Local<'flags> {
+    /// From this entry's requests, if those of the others are alike.
+    Guessed,
+    /// From all requests to the target, which this entry places.
+    Placed,
+    /// By the entry that places the requests; one flag for each part.
+    Told(&'flags [bool]),
+}
+
 /// What to do with the shared parts of a prompt at one target.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Plan {
     /// One entry for each shared part.
     pub acts: Vec<Act>,
+    /// Which of the parts the target has in its own memory.
+    pub local: Vec<bool>,
     /// Tokens that the target has to read of the shared parts.
     pub unread: u64,
     /// How long fetching takes.
@@ -219,6 +232,13 @@
         holders.next().map(|shelf| &shelf.host.domain)
     }
 
+    /// Returns the failure domain of the host on which a part would be saved.
+    #[must_use]
+    pub fn home_domain(&self, part: &Shared) -> Option<&Domain> {
+        let home = self.home(part)?;
+        self.host(&home).map(|host| &host.domain)
+    }
+
     /// Returns the boot of a host that answers.
     #[must_use]
     pub fn boot(&self, store: &Store) -> Option<u64> {
@@ -229,12 +249,25 @@
     /// Plans the shared parts of a prompt for a target; `draw` is uniform between 0 and 1. Nothing
     /// is recorded.
     #[must_use]
-    pub fn plan(&self, parts: &[Shared], at: &Place<'_>, draw: f64, now: Time) -> Plan {
+    pub fn plan(
+        &self,
+        parts: &[Shared],
+        at: &Place<'_>,
+        known: Local<'_>,
+        draw: f64,
+        now: Time,
+    ) -> Plan {
         let mut plan = Plan::default();
         // A part is of use only if all parts before it are there too.
         let mut unbroken = true;
-        for part in parts {
-            let local = unbroken && self.is_local(part, at, now);
+        for (index, part) in parts.iter().enumerate() {
+            let there = match known {
+                Local::Guessed => self.is_local(part, at, now) || self.is_popular(part, at, now),
+                Local::Placed => self.is_local(part, at, now),
+                Local::Told(flags) => flags.get(index).copied().unwrap_or(false),
+            };
+            plan.local.push(there);
+            let local = unbroken && there;
             let source = self.source(part, at.domain, draw, now);
             if unbroken && let Some((store, time)) = source {
                 if !local {
@@ -278,10 +311,8 @@
     ) {
         self.entries = entries;
         let bytes = self.token_bytes;
-        for (part, act) in parts.iter().zip(&plan.acts) {
-            let local = self.is_local(part, at, now);
-            let used = self.local.entry(at.target.clone()).or_default();
-            used.insert(part.key.clone(), now);
+        self.on_placed(parts, at.target, now);
+        for ((part, act), local) in parts.iter().zip(&plan.acts).zip(&plan.local) {
             let (uses, last) = self.uses.get(&part.key).copied().unwrap_or((0.0, now));
             let uses = decayed(uses, last, LOCAL.as_secs_f64(), now) + 1.0;
             self.uses.insert(part.key.clone(), (uses, now));
@@ -303,7 +334,7 @@
                     }
                 }
             }
-            if local {
+            if *local {
                 continue;
             }
             // A fetch that is left out counts as well, or leaving some out would let more through.
@@ -319,6 +350,12 @@
         }
     }
 
+    /// Records that a request with these parts goes to a target, which keeps them for a while.
+    pub fn on_placed(&mut self, parts: &[Shared], target: &Target, now: Time) {
+        let used = self.local.entry(target.clone()).or_default();
+        used.extend(parts.iter().map(|part| (part.key.clone(), now)));
+    }
+
     /// Chooses parts of a host to free, when it is nearly full or keeps spaces that are out of use.
     ///
     /// Load pattern: new weights are named twice within seconds, and targets still serve older ones.
@@ -403,15 +440,15 @@
         self.shelves.get(store).map(|shelf| &shelf.host)
     }
 
-    /// Says whether a target has most likely kept a part in its own memory.
+    /// Says whether a target has kept a part in its own memory since a request that is known here.
     fn is_local(&self, part: &Shared, at: &Place<'_>, now: Time) -> bool {
-        let used = self
-            .local
-            .get(at.target)
-            .and_then(|used| used.get(&part.key));
-        if used.is_some_and(|&used| now.since(used) < LOCAL) {
-            return true;
-        }
+        let used = self.local.get(at.target);
+        let used = used.and_then(|used| used.get(&part.key));
+        used.is_some_and(|&used| now.since(used) < LOCAL)
+    }
+
+    /// Says whether a part is used so often that most likely each target has it.
+    fn is_popular(&self, part: &Shared, at: &Place<'_>, now: Time) -> bool {
         // Other entries use it about as often, and their requests are spread over all targets.
         let Some(&(uses, last)) = self.uses.get(&part.key) else {
             return false;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod allowance;
 pub mod buffers;
 pub mod catalog;
+pub mod cell;
+pub mod desk;
 pub mod extent;
 pub mod kept;
 pub mod peers;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -8,6 +8,7 @@
 
 use types::{Model, Store, Target, Time};
 
+use crate::cell::Cell;
 use crate::kept::{Key, Late, Report};
 use crate::placement::Load;
 
@@ -42,6 +43,31 @@
     pub hosts: Vec<(Store, Option<u64>)>,
     /// What these reported lately.
     pub news: Vec<(Store, Report)>,
+    /// Cells of the sender in which requests wait, with the time that another one would.
+    pub delays: Vec<(Cell, Duration)>,
+}
+
+/// What one entry tells the dispatchers of its targets at once.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Update {
+    /// The sender.
+    pub from: String,
+    /// Drawn at each start of the sender.
+    pub start: u64,
+    /// From the same counter as the numbers of words.
+    pub number: u64,
+    /// What it has under way at these targets now.
+    pub loads: Vec<(Target, Load)>,
+    /// The places that are part of it, or that were not used, by the numbers of their requests.
+    pub told: Vec<u64>,
+    /// Targets that have sent something.
+    pub heard: Vec<Target>,
+    /// Targets that failed.
+    pub failed: Vec<Target>,
+    /// Targets that had no room.
+    pub refused: Vec<Target>,
+    /// Targets that refused as they take new weights.
+    pub changing: Vec<Target>,
 }
 
 /// The kept parts that a word names.
@@ -62,6 +88,8 @@
     retired: VecDeque<(Time, Store, Key)>,
     news: VecDeque<(Time, Store, Report)>,
     changed: VecDeque<(Time, Target, Model, u64)>,
+    /// What dispatchers said of the waits in their cells.
+    delays: HashMap<Cell, (Duration, Time)>,
     /// The newest configuration that any entry uses, and when it was first heard of.
     config: Option<(u64, Time)>,
     next: usize,
@@ -111,6 +139,9 @@
             return false;
         }
         self.forget(&word.from);
+        for (cell, delay) in &word.delays {
+            self.delays.insert(cell.clone(), (*delay, now));
+        }
         if self.config.is_none_or(|(version, _)| version < word.config) {
             self.config = Some((word.config, now));
         }
@@ -128,6 +159,62 @@
         true
     }
 
+    /// Takes the loads of some targets; says whether they are newer than what was heard of the sender.
+    pub fn on_update(&mut self, update: &Update, now: Time) -> bool {
+        let known = self.heard.get(&update.from);
+        let same = known.filter(|known| known.start == update.start);
+        if same.is_some_and(|known| known.number >= update.number) {
+            return false;
+        }
+        if same.is_none() {
+            self.forget(&update.from);
+        }
+        let heard = self
+            .heard
+            .entry(update.from.clone())
+            .or_insert_with(|| Heard {
+                start: update.start,
+                number: update.number,
+                at: now,
+                loads: HashMap::new(),
+            });
+        heard.number = update.number;
+        heard.at = now;
+        for (target, load) in &update.loads {
+            let former = match load.running {
+                0 => heard.loads.remove(target),
+                _ => heard.loads.insert(target.clone(), *load),
+            };
+            let sum = self.sums.entry(target.clone()).or_default();
+            sum.subtract(&former.unwrap_or_default());
+            sum.add(load);
+            if sum.running == 0 {
+                self.sums.remove(target);
+            }
+        }
+        true
+    }
+
+    /// Returns how long a request waits in a cell, as far as its dispatcher has said so.
+    #[must_use]
+    pub fn delay(&self, cell: &Cell) -> Duration {
+        self.delays
+            .get(cell)
+            .map_or(Duration::ZERO, |(delay, _)| *delay)
+    }
+
+    /// Says whether an entry was heard lately.
+    #[must_use]
+    pub fn hears(&self, name: &str) -> bool {
+        self.heard.contains_key(name)
+    }
+
+    /// Returns the load that the others have told of a target.
+    #[must_use]
+    pub fn told(&self, target: &Target) -> Load {
+        self.sums.get(target).copied().unwrap_or_default()
+    }
+
     /// Says whether another entry has used a newer configuration for longer than this one needs to
     /// learn of it.
     ///
@@ -152,6 +239,7 @@
             self.forget(&name);
         }
         let recent = Self::cycle(count) + TICK * 2;
+        self.delays.retain(|_, (_, at)| now.since(*at) <= recent);
         while self
             .used
             .front()
@@ -224,7 +312,7 @@
     }
 
     /// Records what a store host reported, to pass it on.
-    pub fn on_news(&mut self, store: &Store, reports: &[Report], now: Time) {
+    pub fn on_reports(&mut self, store: &Store, reports: &[Report], now: Time) {
         let news = reports.iter().cloned();
         self.news
             .extend(news.map(|report| (now, store.clone(), report)));
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -48,6 +48,8 @@
 pub struct Candidate {
     /// What is under way there, from all entries.
     pub load: Load,
+    /// How long the target reads prompts before it begins with this one.
+    pub backlog: Duration,
     /// Tokens of the prompt that have to be read there.
     pub unread: u64,
     /// How long it takes to bring what is kept elsewhere.
@@ -134,6 +136,12 @@
     }
 }
 
+/// Returns how long a target takes to read a number of tokens.
+#[must_use]
+pub fn reading(tokens: u64) -> Duration {
+    Duration::from_secs_f64(tokens as f64 / READ_PER_MS / 1000.0)
+}
+
 impl Candidate {
     /// Says whether a request fits without pushing out what the target keeps or making it wait.
     #[must_use]
@@ -166,11 +174,12 @@
                 + PLAIN_MS * waiting / f64::from(self.slots.max(1))
                 + busy * PLAIN_MS / 4.0;
         }
-        let read = (self.load.reading as f64 + self.unread as f64) / READ_PER_MS;
+        let read = self.unread as f64 / READ_PER_MS;
         let step = STEP_MS + RUNNING_MS * f64::from(self.load.running);
         let filled = (self.load.memory as f64 + self.need as f64) / self.capacity as f64;
         let excess = (filled - 0.9).max(0.0);
-        cost + read + step + self.fetch.as_secs_f64() * 1000.0 + MEMORY_MS * excess
+        let wait = (self.backlog + self.fetch).as_secs_f64() * 1000.0;
+        cost + wait + read + step + MEMORY_MS * excess
     }
 }
 
@@ -258,6 +267,23 @@
         self.load(target).running > 0 && (any >= SILENCE || own >= UNREACHED)
     }
 
+    /// Records that a target has requests, after it had none of any entry.
+    pub fn on_busy(&mut self, target: &Target, now: Time) {
+        let health = self.health.entry(target.clone()).or_default();
+        health.begun = health.begun.max(now);
+    }
+
+    /// Says whether a target is to be left out that has requests of any entries.
+    #[must_use]
+    pub fn avoids_busy(&self, target: &Target, running: u32, now: Time) -> bool {
+        self.is_barred(target, now) || (running > 0 && self.quiet(target, now).1 >= SILENCE)
+    }
+
+    fn is_barred(&self, target: &Target, now: Time) -> bool {
+        let known = self.health.get(target);
+        known.is_some_and(|health| health.avoid_until > now || health.refused_until > now)
+    }
+
     /// Returns for how long a target has sent nothing to this entry, and nothing to any entry.
     fn quiet(&self, target: &Target, now: Time) -> (Duration, Duration) {
         let Some(health) = self.health.get(target) else {
@@ -325,9 +351,7 @@
     /// Says whether a target is to be left out for now.
     #[must_use]
     pub fn avoids(&self, target: &Target, now: Time) -> bool {
-        let known = self.health.get(target);
-        known.is_some_and(|health| health.avoid_until > now || health.refused_until > now)
-            || self.is_silent(target, now)
+        self.is_barred(target, now) || self.is_silent(target, now)
     }
 
     /// Forgets targets that are gone and have nothing under way.
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -46,6 +46,7 @@
 pub struct Roster {
     entries: HashMap<Target, Entry>,
     shaken: Option<Time>,
+    generation: u64,
 }
 
 /// How long a target that vanished around an outage of the store is still used: live targets are
@@ -84,6 +85,13 @@
                 *version = seen.max(*version);
             }
         }
+        let known = self.entries.get(&member.id);
+        let same = known.is_some_and(|known| {
+            known.member.service == member.service
+                && known.member.domain == member.domain
+                && known.member.weights == member.weights
+        });
+        self.generation += u64::from(!same);
         let entry = Entry {
             cold_until,
             doubted_since: None,
@@ -111,6 +119,7 @@
         }
         if newer {
             entry.member = Arc::new(member);
+            self.generation += 1;
         }
         newer
     }
@@ -118,7 +127,7 @@
     /// Records that a target is on the list no more.
     pub fn unlist(&mut self, id: &Target, now: Time) {
         if !self.is_shaken(now, LAPSE_GRACE) {
-            self.entries.remove(id);
+            self.generation += u64::from(self.entries.remove(id).is_some());
             return;
         }
         if let Some(entry) = self.entries.get_mut(id) {
@@ -144,11 +153,19 @@
 
     /// Drops targets that stayed away for longer than the grace.
     pub fn expire(&mut self, now: Time) {
+        let before = self.entries.len();
         self.entries.retain(|_, entry| {
             entry
                 .doubted_since
                 .is_none_or(|since| now.since(since) < LAPSE_GRACE)
         });
+        self.generation += u64::from(self.entries.len() != before);
+    }
+
+    /// Returns a number that changes with the targets, their services, domains and weights.
+    #[must_use]
+    pub fn generation(&self) -> u64 {
+        self.generation
     }
 
     /// Returns all targets, those that leave among them.
--- a/crates/fleet/src/waiting.rs
+++ b/crates/fleet/src/waiting.rs
@@ -56,6 +56,12 @@
 /// Longer intervals are pauses and say nothing of the rate, in seconds.
 const MOST_INTERVAL: f64 = 0.5;
 
+/// Returns how long a request with an objective waits at most.
+#[must_use]
+pub fn limit(objective: Duration) -> Duration {
+    objective.mul_f64(SHARE)
+}
+
 impl<Name> Default for Lobby<Name> {
     fn default() -> Self {
         Self {
@@ -81,22 +87,21 @@
         ticket
     }
 
-    /// Returns what a request does that has waited for some time; `draw` is uniform between 0 and 1
-    /// and spreads the return of refused callers.
+    /// Returns what a request does that has waited for some time and may wait for `limit` in all;
+    /// `draw` is uniform between 0 and 1 and spreads the return of refused callers.
     #[must_use]
     pub fn turn(
         &self,
         service: &Name,
         ticket: Ticket,
         waited: Duration,
-        objective: Duration,
+        limit: Duration,
         draw: f64,
     ) -> Turn {
         let Some(queue) = self.queues.get(service) else {
             return Turn::Look;
         };
         let ahead = queue.waiting.range(..ticket).count();
-        let limit = objective.mul_f64(SHARE);
         let expected = Duration::from_secs_f64(queue.interval * ahead as f64);
         if waited >= limit || (ahead >= WIDTH && waited + expected > limit) {
             let drained = Duration::from_secs_f64(queue.interval * queue.waiting.len() as f64);
@@ -130,6 +135,23 @@
         }
     }
 
+    /// Returns how long a request that joins now is expected to wait.
+    #[must_use]
+    pub fn expected(&self, service: &Name) -> Duration {
+        self.queues.get(service).map_or(Duration::ZERO, |queue| {
+            Duration::from_secs_f64(queue.interval * queue.waiting.len() as f64)
+        })
+    }
+
+    /// Returns the requests that may look for a target now, in order.
+    #[must_use]
+    pub fn first(&self, service: &Name) -> Vec<Ticket> {
+        let queue = self.queues.get(service);
+        queue.map_or_else(Vec::new, |queue| {
+            queue.waiting.iter().take(WIDTH).copied().collect()
+        })
+    }
+
     /// Returns how many requests wait for a service.
     #[must_use]
     pub fn len(&self, service: &Name) -> usize {
--- a/crates/fleet/tests/kept.rs
+++ b/crates/fleet/tests/kept.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use fleet::catalog::StoreHost;
-use fleet::kept::{Act, Kept, Key, Late, Place, Plan, Report, Shared, Standing};
+use fleet::kept::{Act, Kept, Key, Late, Local, Place, Plan, Report, Shared, Standing};
 use types::{Domain, Store, Target, Time};
 
 fn at(millis: u64) -> Time {
@@ -71,7 +71,7 @@
             domain: &self.domain,
             targets: 9,
         };
-        self.kept.plan(parts, &place, 0.5, now).acts
+        self.kept.plan(parts, &place, Local::Guessed, 0.5, now).acts
     }
 }
 
@@ -91,7 +91,7 @@
         domain: &world.domain,
         targets: 9,
     };
-    let plan = world.kept.plan(&parts, &place, 0.5, at(0));
+    let plan = world.kept.plan(&parts, &place, Local::Guessed, 0.5, at(0));
     world.kept.on_sent(&parts, &plan, &place, 1, at(0));
     // The save is under way, so it is neither fetched nor saved again.
     world.target = "other".into();
@@ -240,7 +240,7 @@
             targets: 44,
         };
         let draw = (step as f64 * 0.618).fract();
-        let plan = world.kept.plan(&parts, &place, draw, now);
+        let plan = world.kept.plan(&parts, &place, Local::Guessed, draw, now);
         world.kept.on_sent(&parts, &plan, &place, 1, now);
         if step >= 700 && matches!(plan.acts[0], Act::Fetch(_)) {
             fetched += 0.041;
@@ -254,6 +254,7 @@
 fn observe(world: &mut World, fetched: u64, read: u64, now: Time) {
     let domain = world.domain.clone();
     let plan = |fetch| Plan {
+        local: Vec::new(),
         acts: vec![Act::Fetch(big())],
         unread: 0,
         fetch,
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -19,6 +19,7 @@
 fn candidate() -> Candidate {
     Candidate {
         load: Load::default(),
+        backlog: Duration::ZERO,
         unread: 1700,
         fetch: Duration::ZERO,
         slots: 128,
--- a/crates/fleet/tests/waiting.rs
+++ b/crates/fleet/tests/waiting.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use fleet::placement::{Candidate, Load, best};
-use fleet::waiting::{Lobby, Ticket, Turn};
+use fleet::waiting::{Lobby, Ticket, Turn, limit};
 use types::Time;
 
 const OBJECTIVE: Duration = Duration::from_millis(500);
@@ -19,7 +19,7 @@
     let mut lobby: Lobby<&str> = Lobby::default();
     let less: Vec<Ticket> = (0..4).map(|_| lobby.join(&"s", 2)).collect();
     let more: Vec<Ticket> = (0..3).map(|_| lobby.join(&"s", 0)).collect();
-    let turn = |ticket| lobby.turn(&"s", ticket, Duration::ZERO, OBJECTIVE, 0.5);
+    let turn = |ticket| lobby.turn(&"s", ticket, Duration::ZERO, limit(OBJECTIVE), 0.5);
     assert!(more.iter().all(|ticket| turn(*ticket) == Turn::Look));
     assert!(less.iter().all(|ticket| turn(*ticket) == Turn::Wait));
 }
@@ -37,7 +37,7 @@
         lobby.leave(&"s", first, true, at(now));
     }
     let last = lobby.join(&"s", 1);
-    let turn = lobby.turn(&"s", last, Duration::ZERO, OBJECTIVE, 0.5);
+    let turn = lobby.turn(&"s", last, Duration::ZERO, limit(OBJECTIVE), 0.5);
     let Turn::Refuse(again) = turn else {
         panic!("{turn:?}");
     };
@@ -49,7 +49,7 @@
 fn refused_callers_are_told_different_times() {
     let mut lobby: Lobby<&str> = Lobby::default();
     let ticket = lobby.join(&"s", 1);
-    let again = |draw| lobby.turn(&"s", ticket, OBJECTIVE, OBJECTIVE, draw);
+    let again = |draw| lobby.turn(&"s", ticket, OBJECTIVE, limit(OBJECTIVE), draw);
     assert_ne!(again(0.1), again(0.9));
 }
 
@@ -62,7 +62,7 @@
     for ticket in gone {
         lobby.leave(&"s", ticket, false, at(1));
     }
-    let turn = lobby.turn(&"s", stays, Duration::ZERO, OBJECTIVE, 0.5);
+    let turn = lobby.turn(&"s", stays, Duration::ZERO, limit(OBJECTIVE), 0.5);
     assert_eq!(turn, Turn::Look);
     assert_eq!(lobby.len(&"s"), 1);
 }
@@ -120,7 +120,7 @@
         let mut left = Vec::new();
         for (ticket, since) in std::mem::take(&mut waiting) {
             let waited = Duration::from_millis(now - since);
-            let turn = lobby.turn(&"s", ticket, waited, OBJECTIVE, 0.5);
+            let turn = lobby.turn(&"s", ticket, waited, limit(OBJECTIVE), 0.5);
             let turn = if gate { turn } else { Turn::Look };
             let candidates: Vec<Candidate> = engines[..up]
                 .iter()
@@ -130,6 +130,7 @@
                         reading: 0,
                         memory: engine.memory,
                     },
+                    backlog: Duration::ZERO,
                     unread: OWN,
                     fetch: Duration::ZERO,
                     slots: 128,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -54,6 +54,17 @@
     pub(crate) parts: Vec<kept::Shared>,
     /// What becomes of them.
     pub(crate) plan: kept::Plan,
+    /// The place that a dispatcher gave for it.
+    pub(crate) place: Option<Place>,
+}
+
+/// A place that the dispatcher of a cell gave.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Place {
+    /// The dispatcher.
+    pub(crate) dispatcher: String,
+    /// The number of the request for the place.
+    pub(crate) number: u64,
 }
 
 /// How an attempt ended.
@@ -150,6 +161,10 @@
         tokens.with_label_values(&["read"]).inc_by(choice.unread);
         let input = choice.need.saturating_sub(choice.unread);
         tokens.with_label_values(&["kept"]).inc_by(input);
+        if let Some(place) = &choice.place {
+            shared.placing.on_settled(shared, place);
+        }
+        shared.placing.on_load(&target);
         Self {
             shared: Rc::clone(shared),
             target,
@@ -164,6 +179,7 @@
         if std::mem::take(&mut self.reading) {
             let mut board = self.shared.board.borrow_mut();
             board.on_first(&self.target, self.unread);
+            self.shared.placing.on_first(&self.target);
         }
     }
 
@@ -178,6 +194,7 @@
         self.on_first();
         let mut board = self.shared.board.borrow_mut();
         board.on_end(&self.target, self.need);
+        self.shared.placing.on_load(&self.target);
         self.shared.room.notify_waiters();
     }
 }
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -1,4 +1,5 @@
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,7 +11,7 @@
 use crate::clock::now;
 use crate::journal::Event;
 use crate::orders::Issuer;
-use crate::shared::Shared;
+use crate::shared::{Peer, Shared};
 
 /// The row of the lease on orders.
 const LEASE: &str = "lease/orders";
@@ -249,21 +250,26 @@
     loop {
         match shared.border.scan(ENTRIES).await {
             Ok(rows) => {
-                let known = rows.iter().any(|row| row.key == own);
+                // A host may return at another address, or with another share of a processor.
+                let row = rows.iter().find(|row| row.key == own);
+                let known = row
+                    .and_then(peer)
+                    .is_some_and(|(_, peer)| peer == shared.peer());
+                let version = row.map_or(0, |row| row.version);
                 let entries = rows.len().max(1);
-                let names = rows.iter().filter_map(|row| {
-                    let name = row.key.strip_prefix(ENTRIES)?;
-                    let ip = row.value.get("ip")?.as_str()?.parse().ok()?;
-                    Some((name.to_owned(), ip))
-                });
-                *shared.names.borrow_mut() = names.collect();
+                let names = rows.iter().filter_map(peer);
+                let names: BTreeMap<String, Peer> = names.collect();
+                if *shared.names.borrow() != names {
+                    *shared.names.borrow_mut() = names;
+                    shared.placing.on_hosts();
+                }
                 if shared.entries.replace(entries) != entries {
                     Event::new("entries").with("count", entries).info();
                 }
                 if known && shared.joined.get().is_none() {
                     shared.joined.set(Some(now()));
                 }
-                if !known && !register(&shared, &own).await {
+                if !known && !register(&shared, &own, version).await {
                     tokio::time::sleep(BACK_OFF).await;
                     continue;
                 }
@@ -278,14 +284,26 @@
     }
 }
 
-async fn register<Border>(shared: &Rc<Shared<Border>>, key: &str) -> bool
+/// Reads the row of an entry.
+fn peer(row: &Row) -> Option<(String, Peer)> {
+    let name = row.key.strip_prefix(ENTRIES)?;
+    match serde_json::from_value(row.value.clone()) {
+        Ok(peer) => Some((name.to_owned(), peer)),
+        Err(error) => {
+            log::warn!("the row {} names no entry: {error}", row.key);
+            None
+        }
+    }
+}
+
+async fn register<Border>(shared: &Rc<Shared<Border>>, key: &str, version: u64) -> bool
 where
     Border: Platform,
 {
     let row = Write {
         key: key.to_owned(),
-        expect: 0,
-        value: Some(serde_json::json!({ "ip": shared.settings.ip })),
+        expect: version,
+        value: Some(serde_json::json!(shared.peer())),
     };
     if let Err(error) = shared.border.commit(&[row]).await {
         log::warn!("the entry cannot be registered: {error}");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod metrics;
 mod orders;
 pub mod packet;
+mod placing;
 mod relay;
 mod serve;
 mod server;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -35,6 +35,8 @@
     pub(crate) fetch_share: GaugeVec,
     /// Requests that wait for a target with room.
     pub(crate) waiting: IntGauge,
+    /// Requests of all entries that wait at this one for a place in its cells.
+    pub(crate) queued: IntGauge,
     /// The version of the configuration in force.
     pub(crate) version: IntGauge,
     /// Age of the evidence for the configuration in milliseconds.
@@ -122,6 +124,10 @@
             )?,
             fetch_share,
             waiting: gauge("boragereel_waiting", "requests that wait for a target")?,
+            queued: gauge(
+                "boragereel_queued",
+                "requests of all entries that wait for a place in the cells of this one",
+            )?,
             version: gauge("boragereel_config_version", "configuration in force")?,
             proof: gauge(
                 "boragereel_proof_age_ms",
--- a/crates/gateway/src/packet.rs
+++ b/crates/gateway/src/packet.rs
@@ -3,23 +3,40 @@
 use std::time::Duration;
 
 use displaydoc::Display;
+use fleet::cell::Cell;
+use fleet::desk::{Ask, Demand, Name, Reply};
 use fleet::kept::{Key, Late, Report};
-use fleet::peers::Word;
+use fleet::peers::{Update, Word};
 use fleet::placement::Load;
 use serde::{Deserialize, Serialize};
-use types::{Model, Store, Target};
+use types::{Domain, Model, Service, Store, Target, Team};
 
 /// The largest datagram that is sent or read, in bytes.
 pub const MOST_BYTES: usize = 16 << 10;
-/// Bytes of the authentication code before each word.
+/// Bytes of the authentication code before each message.
 const CODE_BYTES: usize = 32;
 /// Changes with the layout of [`Packet`]: during an upgrade, entries of two versions talk to each
 /// other, and bytes of another layout may decode to anything.
-const FORMAT: u8 = 4;
+pub const FORMAT: u8 = 5;
 
 /// Fetches of one host that count in one word; an entry starts fewer between two words.
 const MOST_LATE: u32 = 1000;
 
+/// What one entry sends to another.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Message {
+    /// What it tells all others in turn.
+    Word(Word),
+    /// What it tells the dispatchers of its targets at once.
+    Update(Update),
+    /// A request for a place.
+    Ask(Ask),
+    /// The answer to the request for a place with this name.
+    Reply(Name, Reply),
+    /// The request for a place with this name is given up.
+    Cancel(Name),
+}
+
 /// Why a datagram is not used.
 #[derive(Debug, Display, PartialEq, Eq, thiserror::Error)]
 pub enum Problem {
@@ -33,41 +50,101 @@
     Malformed(String),
 }
 
-/// A word as it is sent; the pure crate has no formats.
+/// A message as it is sent; the pure crate has no formats.
+#[derive(Serialize, Deserialize)]
+enum Packet {
+    Word(Box<Spoken>),
+    Update(Told),
+    Ask(Asked),
+    Reply(Named, Answered),
+    Cancel(Named),
+}
+
 #[derive(Serialize, Deserialize)]
-struct Packet {
+struct Spoken {
     from: String,
     start: u64,
     number: u64,
     config: u64,
     proof: Option<u64>,
-    loads: Vec<(Target, u32, u64, u64)>,
+    loads: Vec<Loaded>,
     /// Each with the milliseconds since it was heard.
     heard: Vec<(Target, u32)>,
     /// Each with the sum in ms and the number of fetches.
     late: Vec<(Store, i32, u32)>,
     changing: Vec<Target>,
     changed: Vec<(Target, Model, u64)>,
-    used: Vec<Named>,
-    retired: Vec<Named>,
+    used: Vec<Part>,
+    retired: Vec<Part>,
     hosts: Vec<(Store, Option<u64>)>,
     /// Each with whether it is held, and its tokens.
-    news: Vec<(Named, bool, u64)>,
+    news: Vec<(Part, bool, u64)>,
+    /// Each with milliseconds.
+    delays: Vec<(Group, u32)>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Told {
+    from: String,
+    start: u64,
+    number: u64,
+    loads: Vec<Loaded>,
+    told: Vec<u64>,
+    heard: Vec<Target>,
+    failed: Vec<Target>,
+    refused: Vec<Target>,
+    changing: Vec<Target>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Asked {
+    name: Named,
+    cell: Group,
+    rank: u8,
+    /// In milliseconds.
+    limit: u32,
+    queue: bool,
+    model: Option<Model>,
+    team: Option<Team>,
+    parts: Vec<(String, u64)>,
+    own: u64,
+    need: u64,
+    left_out: Vec<Target>,
 }
 
 #[derive(Serialize, Deserialize)]
-struct Named {
+enum Answered {
+    Granted(Target, Vec<bool>),
+    Waits,
+    /// In milliseconds.
+    Busy(u32),
+    /// In milliseconds.
+    Refused(u32),
+    Elsewhere,
+}
+
+/// The target, with requests, tokens that are read, and tokens of memory.
+type Loaded = (Target, u32, u64, u64);
+
+/// The service, the failure domain, the shard and the number of shards.
+type Group = (Service, Domain, u32, u32);
+
+/// The asker, its start and the number.
+type Named = (String, u64, u64);
+
+#[derive(Serialize, Deserialize)]
+struct Part {
     store: Store,
     space: String,
     id: String,
 }
 
-/// Encodes and authenticates a word.
+/// Encodes and authenticates a message.
 ///
 /// # Errors
-/// Fails when the word cannot be encoded or is too long.
-pub fn seal(secret: &[u8; 32], word: &Word) -> Result<Vec<u8>, Problem> {
-    let packet = Packet::from(word);
+/// Fails when the message cannot be encoded or is too long.
+pub fn seal(secret: &[u8; 32], message: &Message) -> Result<Vec<u8>, Problem> {
+    let packet = Packet::from(message);
     let encoded = bincode::serde::encode_to_vec(&packet, layout());
     let encoded = encoded.map_err(|error| Problem::Malformed(error.to_string()))?;
     let mut bytes = vec![FORMAT];
@@ -87,7 +164,7 @@
 ///
 /// # Errors
 /// Fails when the datagram does not come from an entry that knows the secret, or has another layout.
-pub fn open(secret: &[u8; 32], datagram: &[u8]) -> Result<Word, Problem> {
+pub fn open(secret: &[u8; 32], datagram: &[u8]) -> Result<Message, Problem> {
     let (code, bytes) = datagram
         .split_at_checked(CODE_BYTES)
         .ok_or(Problem::Short)?;
@@ -112,26 +189,45 @@
     bincode::config::standard().with_limit::<MOST_BYTES>()
 }
 
-impl From<&Word> for Packet {
+impl From<&Message> for Packet {
+    fn from(message: &Message) -> Self {
+        match message {
+            Message::Word(word) => Self::Word(Box::new(Spoken::from(word))),
+            Message::Update(update) => Self::Update(Told::from(update)),
+            Message::Ask(ask) => Self::Ask(Asked::from(ask)),
+            Message::Reply(name, reply) => Self::Reply(named(name), Answered::from(reply)),
+            Message::Cancel(name) => Self::Cancel(named(name)),
+        }
+    }
+}
+
+impl From<Packet> for Message {
+    fn from(packet: Packet) -> Self {
+        match packet {
+            Packet::Word(spoken) => Self::Word((*spoken).into()),
+            Packet::Update(told) => Self::Update(told.into()),
+            Packet::Ask(asked) => Self::Ask(asked.into()),
+            Packet::Reply(named, answered) => Self::Reply(name(named), answered.into()),
+            Packet::Cancel(named) => Self::Cancel(name(named)),
+        }
+    }
+}
+
+impl From<&Word> for Spoken {
     fn from(word: &Word) -> Self {
-        let name = |(store, key): &(Store, Key)| Named::new(store, key);
-        let loads = word.loads.iter();
+        let part = |(store, key): &(Store, Key)| Part::new(store, key);
         let heard = word.heard.iter();
         let news = word.news.iter();
+        let delays = word.delays.iter();
         Self {
             from: word.from.clone(),
             start: word.start,
             number: word.number,
             config: word.config,
             proof: word.proof,
-            loads: loads
-                .map(|(target, load)| (target.clone(), load.running, load.reading, load.memory))
-                .collect(),
+            loads: word.loads.iter().map(loaded).collect(),
             heard: heard
-                .map(|(target, ago)| {
-                    let millis = u32::try_from(ago.as_millis()).unwrap_or(u32::MAX);
-                    (target.clone(), millis)
-                })
+                .map(|(target, ago)| (target.clone(), millis(*ago)))
                 .collect(),
             late: word
                 .late
@@ -140,63 +236,162 @@
                 .collect(),
             changing: word.changing.clone(),
             changed: word.changed.clone(),
-            used: word.used.iter().map(name).collect(),
-            retired: word.retired.iter().map(name).collect(),
+            used: word.used.iter().map(part).collect(),
+            retired: word.retired.iter().map(part).collect(),
             hosts: word.hosts.clone(),
             news: news
                 .map(|(store, report)| {
-                    let named = Named::new(store, &report.key);
-                    (named, report.held, report.tokens)
+                    let part = Part::new(store, &report.key);
+                    (part, report.held, report.tokens)
                 })
                 .collect(),
+            delays: delays
+                .map(|(cell, delay)| (group(cell), millis(*delay)))
+                .collect(),
         }
     }
 }
 
-impl From<Packet> for Word {
-    fn from(packet: Packet) -> Self {
-        let loads = packet.loads.into_iter();
-        let loads = loads.map(|(target, running, reading, memory)| {
-            let load = Load {
-                running,
-                reading,
-                memory,
-            };
-            (target, load)
-        });
-        let heard = packet.heard.into_iter();
-        let heard = heard.map(|(target, ago)| (target, Duration::from_millis(u64::from(ago))));
-        let late = packet.late.into_iter().map(|(store, sum, count)| {
+impl From<Spoken> for Word {
+    fn from(spoken: Spoken) -> Self {
+        let heard = spoken.heard.into_iter();
+        let heard = heard.map(|(target, ago)| (target, duration(ago)));
+        let late = spoken.late.into_iter().map(|(store, sum, count)| {
             let late = Late {
                 sum_ms: f64::from(sum),
                 count: count.min(MOST_LATE),
             };
             (store, late)
         });
-        let news = packet.news.into_iter().map(|(named, held, tokens)| {
-            let (store, key) = named.key();
+        let news = spoken.news.into_iter().map(|(part, held, tokens)| {
+            let (store, key) = part.key();
             (store, Report { held, key, tokens })
         });
+        let delays = spoken.delays.into_iter();
         Self {
-            from: packet.from,
-            start: packet.start,
-            number: packet.number,
-            config: packet.config,
-            proof: packet.proof,
-            loads: loads.collect(),
+            from: spoken.from,
+            start: spoken.start,
+            number: spoken.number,
+            config: spoken.config,
+            proof: spoken.proof,
+            loads: spoken.loads.into_iter().map(load).collect(),
             heard: heard.collect(),
             late: late.collect(),
-            changing: packet.changing,
-            changed: packet.changed,
-            used: packet.used.into_iter().map(Named::key).collect(),
-            retired: packet.retired.into_iter().map(Named::key).collect(),
-            hosts: packet.hosts,
+            changing: spoken.changing,
+            changed: spoken.changed,
+            used: spoken.used.into_iter().map(Part::key).collect(),
+            retired: spoken.retired.into_iter().map(Part::key).collect(),
+            hosts: spoken.hosts,
             news: news.collect(),
+            delays: delays
+                .map(|(group, delay)| (cell(group), duration(delay)))
+                .collect(),
+        }
+    }
+}
+
+impl From<&Update> for Told {
+    fn from(update: &Update) -> Self {
+        Self {
+            from: update.from.clone(),
+            start: update.start,
+            number: update.number,
+            loads: update.loads.iter().map(loaded).collect(),
+            told: update.told.clone(),
+            heard: update.heard.clone(),
+            failed: update.failed.clone(),
+            refused: update.refused.clone(),
+            changing: update.changing.clone(),
         }
     }
 }
 
-impl Named {
+impl From<Told> for Update {
+    fn from(told: Told) -> Self {
+        Self {
+            from: told.from,
+            start: told.start,
+            number: told.number,
+            loads: told.loads.into_iter().map(load).collect(),
+            told: told.told,
+            heard: told.heard,
+            failed: told.failed,
+            refused: told.refused,
+            changing: told.changing,
+        }
+    }
+}
+
+impl From<&Ask> for Asked {
+    fn from(ask: &Ask) -> Self {
+        let demand = &ask.demand;
+        let parts = demand.parts.iter();
+        Self {
+            name: named(&ask.name),
+            cell: group(&ask.cell),
+            rank: ask.rank,
+            limit: millis(ask.limit),
+            queue: ask.queue,
+            model: demand.model.clone(),
+            team: demand.team.clone(),
+            parts: parts
+                .map(|(id, tokens)| (id.to_string(), *tokens))
+                .collect(),
+            own: demand.own,
+            need: demand.need,
+            left_out: demand.left_out.clone(),
+        }
+    }
+}
+
+impl From<Asked> for Ask {
+    fn from(asked: Asked) -> Self {
+        let parts = asked.parts.into_iter();
+        Self {
+            name: name(asked.name),
+            cell: cell(asked.cell),
+            rank: asked.rank,
+            limit: duration(asked.limit),
+            queue: asked.queue,
+            demand: Demand {
+                model: asked.model,
+                team: asked.team,
+                parts: parts
+                    .map(|(id, tokens)| (id.into(), tokens.min(MOST_TOKENS)))
+                    .collect(),
+                own: asked.own.min(MOST_TOKENS),
+                need: asked.need.min(MOST_TOKENS),
+                left_out: asked.left_out,
+            },
+        }
+    }
+}
+
+impl From<&Reply> for Answered {
+    fn from(reply: &Reply) -> Self {
+        match reply {
+            Reply::Granted(target, local) => Self::Granted(target.clone(), local.clone()),
+            Reply::Waits => Self::Waits,
+            Reply::Busy(delay) => Self::Busy(millis(*delay)),
+            Reply::Refused(again) => Self::Refused(millis(*again)),
+            Reply::Elsewhere => Self::Elsewhere,
+        }
+    }
+}
+
+impl From<Answered> for Reply {
+    fn from(answered: Answered) -> Self {
+        match answered {
+            Answered::Granted(target, local) => Self::Granted(target, local),
+            Answered::Waits => Self::Waits,
+            Answered::Busy(delay) => Self::Busy(duration(delay)),
+            Answered::Refused(again) => Self::Refused(duration(again)),
+            Answered::Elsewhere => Self::Elsewhere,
+        }
+    }
+}
+
+impl Part {
     fn new(store: &Store, key: &Key) -> Self {
         Self {
             store: store.clone(),
@@ -213,3 +408,53 @@
         (self.store, key)
     }
 }
+
+/// The largest number of tokens that a message may name; they are added up without a check.
+const MOST_TOKENS: u64 = u32::MAX as u64;
+
+fn loaded((target, load): &(Target, Load)) -> Loaded {
+    (target.clone(), load.running, load.reading, load.memory)
+}
+
+fn load((target, running, reading, memory): Loaded) -> (Target, Load) {
+    let load = Load {
+        running,
+        reading,
+        memory,
+    };
+    (target, load)
+}
+
+fn group(cell: &Cell) -> Group {
+    let (service, domain) = (cell.service.clone(), cell.domain.clone());
+    (service, domain, cell.shard, cell.shards)
+}
+
+fn cell((service, domain, shard, shards): Group) -> Cell {
+    Cell {
+        service,
+        domain,
+        shard,
+        shards: shards.max(1),
+    }
+}
+
+fn named(name: &Name) -> Named {
+    (name.asker.to_string(), name.start, name.number)
+}
+
+fn name((asker, start, number): Named) -> Name {
+    Name {
+        asker: asker.into(),
+        start,
+        number,
+    }
+}
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn duration(millis: u32) -> Duration {
+    Duration::from_millis(u64::from(millis))
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,9 +12,10 @@
 use crate::connection;
 use crate::events::Chunk;
 use crate::journal::Event;
+use crate::placing;
 use crate::serve;
 use crate::shared::Shared;
-use crate::tries::Tries;
+use crate::tries::{Step, Tries};
 
 /// Events that may wait for a slow caller; the target's connection then blocks as well.
 const AHEAD: usize = 16;
@@ -160,7 +161,14 @@
     }
     tries.leave_out(former);
     loop {
-        let choice = tries.next(shared, asked, last)?;
+        let choice = match placing::next(shared, asked, tries, last).await {
+            Step::Send(choice) => choice,
+            Step::Wait => {
+                serve::wait(shared).await;
+                continue;
+            }
+            Step::End(..) => return None,
+        };
         match serve::attempt(shared, asked, tries, &choice).await {
             Outcome::Started(running) => return Some(*running),
             Outcome::NotRun { .. } | Outcome::Failed { .. } => {}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -17,6 +17,7 @@
 use crate::clock::now;
 use crate::intake::{self, Hold};
 use crate::journal::Event;
+use crate::placing::{self, Ending};
 use crate::relay;
 use crate::shared::Shared;
 use crate::tries::{Step, Tries};
@@ -148,12 +149,10 @@
     let mut tries = Tries::new(service);
     let mut fallback: Option<Box<Whole>> = None;
     loop {
-        let choice = match tries.step(shared, &asked, asked.ask.seen) {
+        let choice = match placing::next(shared, &asked, &mut tries, asked.ask.seen).await {
             Step::Send(choice) => choice,
             Step::Wait => {
-                let room = shared.room.notified();
-                // The time limits the wait if nothing ends meanwhile.
-                let _ = tokio::time::timeout(LOOK_AGAIN, room).await;
+                wait(shared).await;
                 continue;
             }
             Step::End(reason, again) => {
@@ -196,6 +195,13 @@
     }
 }
 
+/// Waits until a target may have room.
+pub(crate) async fn wait<Border>(shared: &Shared<Border>) {
+    let room = shared.room.notified();
+    // The time limits the wait if nothing ends meanwhile.
+    let _ = tokio::time::timeout(LOOK_AGAIN, room).await;
+}
+
 /// Makes one attempt and records what it says of its target.
 pub(crate) async fn attempt<Border>(
     shared: &Rc<Shared<Border>>,
@@ -230,16 +236,21 @@
         }
         Outcome::NotRun { sent: true, why } => {
             tries.arrivals += 1;
-            let outdated = choose::is_outdated(shared, asked.ask.prompt.as_ref(), &choice.member);
+            let model = asked.ask.prompt.as_ref().map(|prompt| &prompt.model);
+            let outdated = choose::is_outdated(shared, model, &choice.member);
             let mut board = shared.board.borrow_mut();
-            match outdated {
-                true => board.on_change(target, time),
-                false => board.on_refusal(target, time),
+            if outdated {
+                board.on_change(target, time);
+                shared.placing.on_end(target, Ending::Changing);
+            } else {
+                board.on_refusal(target, time);
+                shared.placing.on_end(target, Ending::Refused);
             }
             ("refused", why.clone())
         }
         Outcome::NotRun { sent: false, why } => {
             shared.board.borrow_mut().on_failure(target, time);
+            shared.placing.on_end(target, Ending::Failed);
             ("unsent", why.clone())
         }
         Outcome::Failed { why } => {
@@ -249,6 +260,7 @@
             let mut board = shared.board.borrow_mut();
             if board.is_silent(target, time) || time.since(sent) < SLOW {
                 board.on_failure(target, time);
+                shared.placing.on_end(target, Ending::Failed);
             }
             ("failed", why.clone())
         }
@@ -264,6 +276,10 @@
         .with("took_ms", millis(time.since(sent)))
         .with("unread", choice.unread)
         .with("parts", choice.describe())
+        .with(
+            "dispatcher",
+            choice.place.as_ref().map(|place| place.dispatcher.as_str()),
+        )
         .with("running", shared.board.borrow().load(target).running)
         .info();
     outcome
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -24,7 +24,7 @@
 use crate::serve::{self, millis};
 use crate::settings::{Problem, Settings};
 use crate::shared::Shared;
-use crate::{follow, guard, lead, shelf, talk};
+use crate::{follow, guard, lead, placing, shelf, talk};
 
 /// A running entry.
 #[derive(Debug)]
@@ -160,6 +160,10 @@
     let own = Rc::clone(shared);
     guard::spawn("lead", move || lead::lead(Rc::clone(&own)));
     let own = Rc::clone(shared);
+    guard::spawn("dispatch", move || placing::dispatch(Rc::clone(&own)));
+    let own = Rc::clone(shared);
+    guard::spawn("tell", move || placing::tell(Rc::clone(&own)));
+    let own = Rc::clone(shared);
     guard::spawn("count", move || lead::count(Rc::clone(&own)));
 }
 
@@ -329,6 +333,7 @@
     let begun = now();
     let grace = shared.settings.grace();
     shared.stopping.set(Some(begun));
+    shared.placing.freed.notify_one();
     Event::new("stopping")
         .with("grace_ms", millis(grace))
         .info();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -41,6 +41,8 @@
 pub struct Limits {
     /// The memory of the process in MB, beyond which the host ends it.
     pub memory_mb: f64,
+    /// The share of a processor that the process gets; entries with more of it place more requests.
+    pub cpu_share: f64,
     /// The longest answer that is not a stream, in bytes. An answer is kept until it is whole, so
     /// that one that breaks off does not look complete.
     pub answer_bytes: usize,
@@ -54,6 +56,7 @@
     fn default() -> Self {
         Self {
             memory_mb: 128.0,
+            cpu_share: 0.1,
             answer_bytes: 4 << 20,
         }
     }
@@ -190,6 +193,12 @@
                 32.0,
                 "32 or more",
             ),
+            (
+                "limits.cpu_share",
+                self.limits.cpu_share,
+                0.001,
+                "0.001 or more",
+            ),
             (
                 "limits.answer_bytes",
                 self.limits.answer_bytes as f64,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -6,6 +6,7 @@
 use fleet::allowance::{Ramp, Retries, Terms};
 use fleet::buffers::Buffers;
 use fleet::catalog::Catalog;
+use fleet::cell::Host;
 use fleet::kept::{Kept, Standing};
 use fleet::peers::Peers;
 use fleet::placement::{Board, Load};
@@ -14,11 +15,13 @@
 use fleet::roster::Roster;
 use fleet::waiting::Lobby;
 use rand::Rng;
+use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use types::{Domain, Model, Service, Target, Time};
 
 use crate::connection;
 use crate::metrics::Metrics;
+use crate::placing::Placing;
 use crate::settings::Settings;
 
 /// What all tasks of an entry share. One thread runs them, so cells suffice; no borrow is held
@@ -42,8 +45,8 @@
     pub(crate) buffers: Rc<RefCell<Buffers>>,
     /// Entries that share the allowances, this one among them.
     pub(crate) entries: Cell<usize>,
-    /// Their names and addresses.
-    pub(crate) names: RefCell<BTreeMap<String, IpAddr>>,
+    /// Where they are, by name.
+    pub(crate) names: RefCell<BTreeMap<String, Peer>>,
     pub(crate) peers: RefCell<Peers>,
     /// The time before which an entry that joined uses no allowances, as others still count
     /// without it.
@@ -53,12 +56,26 @@
     /// Counted once more for each request that was read and has no whole answer yet.
     pub(crate) unanswered: Rc<()>,
     pub(crate) lobby: RefCell<Lobby<Service>>,
+    pub(crate) placing: Placing,
     /// Woken when a target may have room.
     pub(crate) room: Notify,
     /// Woken when weights fall behind.
     pub(crate) lag: Notify,
 }
 
+/// Where an entry is.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Peer {
+    /// Its address.
+    pub(crate) ip: IpAddr,
+    /// Its failure domain; empty where its row does not name one.
+    #[serde(default)]
+    pub(crate) domain: String,
+    /// Its share of a processor; 0 where its row does not name one.
+    #[serde(default)]
+    pub(crate) cpu: f64,
+}
+
 impl<Border> Shared<Border> {
     pub(crate) fn new(settings: Settings, border: Border, metrics: Metrics) -> Self {
         let bounds = settings.bounds;
@@ -90,6 +107,7 @@
             stopping: Cell::new(None),
             unanswered: Rc::default(),
             lobby: RefCell::default(),
+            placing: Placing::new(),
             room: Notify::new(),
             lag: Notify::new(),
         }
@@ -133,6 +151,38 @@
         ranked.into_iter().position(|name| name == own)
     }
 
+    /// Returns the entries as dispatchers, this one among them.
+    pub(crate) fn hosts(&self) -> Vec<Host> {
+        let names = self.names.borrow();
+        let own = (&self.settings.name, self.peer());
+        let others = names
+            .iter()
+            .filter(|(name, _)| **name != self.settings.name);
+        let peers = others.map(|(name, peer)| (name, peer.clone()));
+        let hosts = peers.chain([own]).map(|(name, peer)| Host {
+            name: name.clone(),
+            domain: peer.domain.as_str().into(),
+            weight: peer.cpu,
+        });
+        hosts.collect()
+    }
+
+    /// Returns where this entry is.
+    pub(crate) fn peer(&self) -> Peer {
+        Peer {
+            ip: self.settings.ip,
+            domain: self.settings.domain.to_string(),
+            cpu: self.settings.limits.cpu_share,
+        }
+    }
+
+    /// Says whether a service is one of model engines.
+    pub(crate) fn is_engine(&self, service: &Service) -> bool {
+        let catalog = self.catalog();
+        let pool = catalog.as_ref().and_then(|catalog| catalog.pool(service));
+        pool.is_some_and(|pool| pool.engine.is_some())
+    }
+
     /// Returns of what use the parts of a space are. Nothing is known of other models, so their spaces
     /// count as current.
     pub(crate) fn standing(&self) -> impl Fn(&str) -> Standing + use<Border> {
--- a/crates/gateway/src/shelf.rs
+++ b/crates/gateway/src/shelf.rs
@@ -158,7 +158,7 @@
         since = news.next;
         if rank.is_some_and(|rank| rank < RELAYS) {
             let mut peers = shared.peers.borrow_mut();
-            peers.on_news(&store, &news.reports, time);
+            peers.on_reports(&store, &news.reports, time);
         }
         shared
             .kept
--- a/crates/gateway/src/talk.rs
+++ b/crates/gateway/src/talk.rs
@@ -9,7 +9,8 @@
 
 use crate::border::Platform;
 use crate::clock::now;
-use crate::packet;
+use crate::packet::{self, Message};
+use crate::placing::{self, Line};
 use crate::shared::Shared;
 use crate::shelf::RELAYS;
 
@@ -24,22 +25,18 @@
     Border: Platform,
 {
     let secret = secret(&shared).await;
+    let line = Rc::new(Line { socket, secret });
+    shared.placing.connect(&line);
     // Both end together when one of them panics.
-    tokio::join!(
-        hear(&shared, &socket, secret),
-        tell(&shared, &socket, secret)
-    );
+    tokio::join!(hear(&shared, &line), tell(&shared, &line));
 }
 
-async fn tell<Border>(shared: &Rc<Shared<Border>>, socket: &UdpSocket, secret: [u8; 32])
+async fn tell<Border>(shared: &Rc<Shared<Border>>, line: &Line)
 where
     Border: Platform,
 {
-    let start = rand::rng().random();
-    let mut number = 0;
     loop {
         tokio::time::sleep(TICK).await;
-        number += 1;
         let names: Vec<String> = {
             let names = shared.names.borrow();
             let own = &shared.settings.name;
@@ -49,8 +46,8 @@
         if names.is_empty() {
             continue;
         }
-        let word = compose(shared, start, number, names.len());
-        let datagram = match packet::seal(&secret, &word) {
+        let word = Message::Word(compose(shared, names.len()));
+        let datagram = match packet::seal(&line.secret, &word) {
             Ok(datagram) => datagram,
             Err(problem) => {
                 log::error!("a word cannot be sent: {problem}");
@@ -62,19 +59,19 @@
             let mut peers = shared.peers.borrow_mut();
             let turn = peers.turn(&names).into_iter();
             turn.filter_map(|name| addresses.get(name))
-                .map(|ip| SocketAddr::new(*ip, shared.settings.peer_port))
+                .map(|peer| SocketAddr::new(peer.ip, shared.settings.peer_port))
                 .collect()
         };
         for peer in turn {
             // A datagram that is not sent is like one that is lost; the next one follows.
-            if let Err(error) = socket.try_send_to(&datagram, peer) {
+            if let Err(error) = line.socket.try_send_to(&datagram, peer) {
                 log::debug!("no word to {peer}: {error}");
             }
         }
     }
 }
 
-fn compose<Border>(shared: &Shared<Border>, start: u64, number: u64, peers: usize) -> Word {
+fn compose<Border>(shared: &Shared<Border>, peers: usize) -> Word {
     let board = shared.board.borrow();
     let loads = board.loads().filter(|(_, load)| load.running > 0);
     let heard = board.heard(now());
@@ -91,8 +88,8 @@
     });
     Word {
         from: shared.settings.name.clone(),
-        start,
-        number,
+        start: shared.placing.start,
+        number: shared.placing.number(),
         config: shared.catalog().map_or(0, |catalog| catalog.version.0),
         proof: shared.proof.get().given(),
         loads: loads
@@ -106,21 +103,23 @@
         retired,
         hosts: hosts.collect(),
         news: shared.peers.borrow().news(),
+        delays: shared.placing.desk.borrow().delays(),
     }
 }
 
-async fn hear<Border>(shared: &Rc<Shared<Border>>, socket: &UdpSocket, secret: [u8; 32])
+async fn hear<Border>(shared: &Rc<Shared<Border>>, line: &Line)
 where
     Border: Platform,
 {
     let mut buffer = vec![0; packet::MOST_BYTES];
     loop {
-        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+        let Ok((length, from)) = line.socket.recv_from(&mut buffer).await else {
             // An earlier datagram met a closed port; the error says nothing of this socket.
             continue;
         };
-        match packet::open(&secret, &buffer[..length]) {
-            Ok(word) => take(shared, &word),
+        match packet::open(&line.secret, &buffer[..length]) {
+            Ok(Message::Word(word)) => take(shared, &word),
+            Ok(message) => placing::on_message(shared, message, Some(from)),
             Err(problem) => log::warn!("a word from {from} is not used: {problem}"),
         }
     }
@@ -131,6 +130,7 @@
     if !shared.peers.borrow_mut().on_word(word, time) {
         return;
     }
+    shared.placing.on_heard(&word.from);
     let config = shared.catalog().map(|catalog| catalog.version.0);
     if let Some(given) = word.proof
         && config == Some(word.config)
--- a/crates/gateway/src/tries.rs
+++ b/crates/gateway/src/tries.rs
@@ -3,12 +3,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fleet::waiting::{Ticket, Turn};
+use fleet::waiting::{self, Ticket, Turn};
 use types::{Service, Target, Time};
 
 use crate::answer::Reason;
 use crate::attempt::{Asked, Choice};
-use crate::choose::choose;
+use crate::choose;
 use crate::clock::now;
 use crate::serve::SOON;
 use crate::shared::Shared;
@@ -76,17 +76,14 @@
         }
     }
 
-    /// Returns the next attempt of a stream that is continued.
-    pub(crate) fn next(
-        &mut self,
-        shared: &Rc<Shared<Border>>,
-        asked: &Asked,
-        seen: Option<u64>,
-    ) -> Option<Choice> {
-        match self.step(shared, asked, seen) {
-            Step::Send(choice) => Some(*choice),
-            Step::Wait | Step::End(..) => None,
-        }
+    /// Returns the service that the request is for.
+    pub(crate) fn service(&self) -> &Service {
+        &self.service
+    }
+
+    /// Returns the targets that get no further attempt.
+    pub(crate) fn left_out(&self) -> &[Target] {
+        &self.left_out
     }
 
     /// Says whether the route allows another run.
@@ -110,42 +107,67 @@
         step
     }
 
-    fn consider(&mut self, shared: &Rc<Shared<Border>>, asked: &Asked, seen: Option<u64>) -> Step {
-        let time = now();
-        if asked.left(time) < LEAST_LEFT {
+    /// Returns the end of a request that has no time left, or may not run again.
+    pub(crate) fn over(&self, asked: &Asked) -> Option<Step> {
+        if asked.left(now()) < LEAST_LEFT {
             let late = self.runs > 0;
             let reason = if late { Reason::Late } else { Reason::TooLate };
-            return Step::End(reason, SOON);
+            return Some(Step::End(reason, SOON));
         }
-        if self.runs > 0 && !self.may_run_again(asked) {
-            return Step::End(Reason::Failed, SOON);
-        }
-        let unable = match self.runs {
+        let spent = self.runs > 0 && !self.may_run_again(asked);
+        spent.then(|| Step::End(Reason::Failed, SOON))
+    }
+
+    /// Returns the end of a request that cannot be sent once more.
+    pub(crate) fn unable(&self) -> Step {
+        let reason = match self.runs {
             0 => Reason::Refused,
             _ => Reason::Failed,
         };
+        Step::End(reason, SOON)
+    }
+
+    /// Returns the end of a request that gets no place in time.
+    pub(crate) fn refused(&self, again: Duration) -> Step {
+        match self.unable() {
+            Step::End(Reason::Refused, _) if self.arrivals == 0 => Step::End(Reason::Busy, again),
+            Step::End(reason, _) => Step::End(reason, again),
+            step => step,
+        }
+    }
+
+    /// Says whether the request may be sent now; another target than the first one costs a part of
+    /// the budget that all entries share.
+    pub(crate) fn may_send(&self, shared: &Rc<Shared<Border>>) -> bool {
+        if self.arrivals == 0 {
+            return true;
+        }
+        let time = now();
+        let entries = shared.entries.get();
+        let mut retries = shared.retries.borrow_mut();
+        shared.has_joined(time) && retries.take(&self.service, entries, time)
+    }
+
+    fn consider(&mut self, shared: &Rc<Shared<Border>>, asked: &Asked, seen: Option<u64>) -> Step {
+        if let Some(step) = self.over(asked) {
+            return step;
+        }
+        let time = now();
         // A request that was sent before goes first: its caller has waited for longest.
         let first = self.arrivals == 0;
         if first && let Some(step) = self.queue(shared, asked, time) {
             return step;
         }
-        let Some(choice) = choose(shared, asked, &self.service, &self.left_out, seen) else {
+        let demand = choose::demand(asked, &self.left_out);
+        let Some(choice) = choose::choose(shared, asked, &self.service, &demand, seen) else {
             if first {
                 self.join(shared, asked);
                 return Step::Wait;
             }
-            return Step::End(unable, SOON);
+            return self.unable();
         };
-        if !first {
-            let entries = shared.entries.get();
-            let allowed = shared.has_joined(time)
-                && shared
-                    .retries
-                    .borrow_mut()
-                    .take(&self.service, entries, time);
-            if !allowed {
-                return Step::End(unable, SOON);
-            }
+        if !self.may_send(shared) {
+            return self.unable();
         }
         // Counted here and not when it is sent: several may open connections at the same time.
         let mut ramp = shared.ramp.borrow_mut();
@@ -178,7 +200,13 @@
         let draw = f64::from(shared.draw()) / f64::from(u32::MAX);
         let waited = time.since(asked.arrived);
         let lobby = shared.lobby.borrow();
-        match lobby.turn(service, ticket, waited, asked.route.objective, draw) {
+        match lobby.turn(
+            service,
+            ticket,
+            waited,
+            waiting::limit(asked.route.objective),
+            draw,
+        ) {
             Turn::Look => None,
             Turn::Wait => Some(Step::Wait),
             Turn::Refuse(again) => {
