--- a/crates/fleet/src/desk.rs
+++ b/crates/fleet/src/desk.rs
@@ -115,6 +115,25 @@
     told: bool,
 }
 
+/// What a dispatcher knows of a cell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Survey {
+    /// Targets that may get the request.
+    pub targets: usize,
+    /// Those of them without a slot or memory for it.
+    pub full: usize,
+    /// Those that have read what they got, or nearly so.
+    pub free: usize,
+    /// Requests under way there.
+    pub running: u32,
+    /// Tokens that they have to read.
+    pub reading: u64,
+    /// Tokens of memory that requests under way take.
+    pub memory: u64,
+    /// Requests that wait.
+    pub waiting: usize,
+}
+
 /// What a dispatcher expects of a target.
 #[derive(Debug, Clone, Copy, Default)]
 struct Spot {
@@ -199,7 +218,7 @@
     }
 
     /// Returns the answers that are due to waiting requests.
-    pub fn poll<Offers>(&mut self, mut offers: Offers, draw: u32, now: Time) -> Vec<(Name, Reply)>
+    pub fn poll<Offers>(&mut self, mut offers: Offers, draw: u32, now: Time) -> Vec<(Ask, Reply)>
     where
         Offers: FnMut(&Ask) -> Vec<Offer>,
     {
@@ -229,8 +248,9 @@
             }
         }
         for (name, again) in over {
-            self.leave(&name, false, now);
-            replies.extend(again.map(|again| (name, Reply::Refused(again))));
+            let left = self.leave(&name, false, now);
+            let refused = left.zip(again);
+            replies.extend(refused.map(|(ask, again)| (ask, Reply::Refused(again))));
         }
         self.given.retain(|_, given| {
             let age = now.since(given.at);
@@ -262,6 +282,31 @@
             .collect()
     }
 
+    /// Returns what decides about a request, for logs.
+    #[must_use]
+    pub fn survey(&self, cell: &Cell, mut offers: Vec<Offer>, now: Time) -> Survey {
+        self.settle(&mut offers, now);
+        let full = offers.iter().filter(|offer| !offer.candidate.is_open());
+        let free = offers
+            .iter()
+            .filter(|offer| offer.candidate.backlog <= DEPTH);
+        Survey {
+            targets: offers.len(),
+            full: full.count(),
+            free: free.count(),
+            running: offers
+                .iter()
+                .map(|offer| offer.candidate.load.running)
+                .sum(),
+            reading: offers
+                .iter()
+                .map(|offer| offer.candidate.load.reading)
+                .sum(),
+            memory: offers.iter().map(|offer| offer.candidate.load.memory).sum(),
+            waiting: self.lobby.len(cell),
+        }
+    }
+
     /// Empties the desk, as the entry stops; returns the requests that have to go elsewhere.
     pub fn close(&mut self, now: Time) -> Vec<Name> {
         let names: Vec<Name> = self.tickets.keys().cloned().collect();
@@ -286,7 +331,7 @@
         offers: &mut Offers,
         draw: u32,
         now: Time,
-    ) -> Option<(Name, Reply)>
+    ) -> Option<(Ask, Reply)>
     where
         Offers: FnMut(&Ask) -> Vec<Offer>,
     {
@@ -297,7 +342,7 @@
             let ask = waiting.ask.clone();
             if let Some(reply) = self.place(&ask, offers(&ask), draw, now) {
                 self.leave(&ask.name, true, now);
-                return Some((ask.name, reply));
+                return Some((ask, reply));
             }
         }
         None
@@ -361,12 +406,11 @@
         soonest.unwrap_or(UNKNOWN)
     }
 
-    fn leave(&mut self, name: &Name, served: bool, now: Time) {
-        let Some((cell, ticket)) = self.tickets.remove(name) else {
-            return;
-        };
+    fn leave(&mut self, name: &Name, served: bool, now: Time) -> Option<Ask> {
+        let (cell, ticket) = self.tickets.remove(name)?;
         self.lobby.leave(&cell, ticket, served, now);
-        self.waiting.remove(&(cell, ticket));
+        let left = self.waiting.remove(&(cell, ticket))?;
+        Some(left.ask)
     }
 }
 
--- a/crates/fleet/tests/desk.rs
+++ b/crates/fleet/tests/desk.rs
@@ -146,7 +146,7 @@
     let mut order = Vec::new();
     for (millis, target) in [(10, "b"), (20, "c"), (30, "d")] {
         let replies = desk.poll(|_| offers(&[target]), 0, at(millis));
-        order.extend(replies.into_iter().map(|(name, _)| name.number));
+        order.extend(replies.into_iter().map(|(ask, _)| ask.name.number));
     }
     assert_eq!(order, [2, 3, 1]);
     assert!(desk.is_idle());
@@ -424,9 +424,9 @@
         }
         for (cell, desk) in desks.iter_mut().enumerate() {
             let replies = desk.poll(|ask| offers(tokens[&ask.name.number].1, cell), 0, at(now));
-            for (name, reply) in replies {
+            for (ask, reply) in replies {
                 if let Reply::Granted(target, _) = reply {
-                    granted.push((name.number, target));
+                    granted.push((ask.name.number, target));
                 }
             }
         }
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -126,6 +126,8 @@
 const POLL: Duration = Duration::from_millis(5);
 /// The same for one without.
 const IDLE: Duration = Duration::from_millis(500);
+/// Other cells that are tried for a request before it waits; each takes a few milliseconds.
+const OTHERS: usize = 3;
 /// Places that were not accepted, for one request.
 const MOST_DECLINED: usize = 3;
 /// The part of the longest gap in a stream for which a request that was sent before may wait.
@@ -165,11 +167,6 @@
         self.orders.borrow_mut().clear();
     }
 
-    /// Records that an entry was heard.
-    pub(crate) fn on_heard(&self, name: &str) {
-        self.mute.borrow_mut().remove(name);
-    }
-
     /// Records that the load of a target has changed.
     pub(crate) fn on_load(&self, target: &Target) {
         self.untold.borrow_mut().loads.insert(target.clone());
@@ -243,6 +240,8 @@
         warm && shared.stopping.get().is_none()
     }
 
+    /// Records that a dispatcher does not answer, or is none any more. It is not asked for a while,
+    /// also if words of it come: it may be too slow to be of use.
     fn on_mute(&self, name: &str, time: Time) {
         let mut mutes = self.mute.borrow_mut();
         let times = mutes.get(name).map_or(0, |mute| mute.times);
@@ -328,8 +327,8 @@
     }
 }
 
-/// Asks for a place: first in the cell where the prompt's parts are kept, then in one other, and
-/// waits in the one with the shorter queue.
+/// Asks for a place: first in the cell where the prompt's parts are kept, then in some others, and
+/// waits in the one with the shortest queue.
 async fn place<Border>(
     shared: &Rc<Shared<Border>>,
     asked: &Asked,
@@ -343,10 +342,11 @@
     let Some(home) = home(shared, tries.service(), &demand) else {
         return Placed::Alone;
     };
-    let other = other(shared, tries.service(), &home);
-    let mut queue = other.is_none();
-    let mut cell = home.clone();
-    let mut busy: Option<Duration> = None;
+    let mut others = others(shared, tries.service(), &home);
+    let mut cell = home;
+    // The cell with the shortest queue so far.
+    let mut shortest: Option<(Duration, Cell)> = None;
+    let mut queue = others.is_empty();
     let mut declined = 0;
     loop {
         let (dispatcher, number, reply) =
@@ -371,18 +371,20 @@
                 }
                 demand.left_out.push(target);
             }
-            Reply::Busy(delay) => match (busy, &other) {
-                (None, Some(other)) if !queue => {
-                    busy = Some(delay);
-                    cell = other.clone();
+            Reply::Busy(delay) => {
+                let shorter = shortest.as_ref().is_none_or(|(least, _)| delay < *least);
+                if shorter {
+                    shortest = Some((delay, cell.clone()));
                 }
-                (first, _) => {
-                    if first.is_some_and(|first| first <= delay) {
-                        cell = home.clone();
+                match (others.pop(), &shortest) {
+                    (Some(other), _) => cell = other,
+                    (None, Some((_, shortest))) => {
+                        cell = shortest.clone();
+                        queue = true;
                     }
-                    queue = true;
+                    (None, None) => queue = true,
                 }
-            },
+            }
             Reply::Refused(again) => return Placed::Refused(again),
             Reply::Waits | Reply::Elsewhere => return Placed::Alone,
         }
@@ -425,21 +427,20 @@
     kept.home_domain(parts.last()?).cloned()
 }
 
-/// Returns another cell: of two, the one with the shorter queue.
-fn other<Border>(shared: &Shared<Border>, service: &Service, home: &Cell) -> Option<Cell> {
+/// Returns other cells to try, the last one first: some at random, so that entries do not all turn
+/// to the same one, in the order of what is known of their queues.
+fn others<Border>(shared: &Shared<Border>, service: &Service, home: &Cell) -> Vec<Cell> {
     let evacuated = shared.evacuated.borrow();
     let mut cells = shared.placing.map(shared).cells(service);
     cells.retain(|cell| cell != home && !evacuated.contains(&cell.domain));
-    let mut draw = || {
-        let count = cells.len();
-        (count > 0).then(|| cells.swap_remove(shared.draw() as usize % count))
-    };
-    let (one, two) = (draw()?, draw());
-    let peers = shared.peers.borrow();
-    match two {
-        Some(two) if peers.delay(&two) < peers.delay(&one) => Some(two),
-        _ => Some(one),
+    let mut others = Vec::new();
+    while others.len() < OTHERS && !cells.is_empty() {
+        let index = shared.draw() as usize % cells.len();
+        others.push(cells.swap_remove(index));
     }
+    let peers = shared.peers.borrow();
+    others.sort_by_key(|cell| std::cmp::Reverse(peers.delay(cell)));
+    others
 }
 
 /// Asks the dispatcher of a cell, or its deputy if it does not answer.
@@ -477,6 +478,7 @@
         match reply {
             Some(Reply::Elsewhere) => shared.placing.on_mute(&dispatcher, now()),
             Some(reply) => {
+                shared.placing.mute.borrow_mut().remove(&dispatcher);
                 pending.close();
                 return Answered::Reply(dispatcher, number, reply);
             }
@@ -600,7 +602,6 @@
     let placing = &shared.placing;
     match message {
         Message::Ask(ask) => {
-            placing.on_heard(&ask.name.asker);
             let name = ask.name.clone();
             let reply = match placing.takes_asks(shared, time) {
                 true => {
@@ -627,10 +628,12 @@
     }
 }
 
-/// Records the parts that a target has once it gets the request.
-fn on_reply<Border>(shared: &Shared<Border>, ask: &Ask, reply: &Reply) {
-    let Reply::Granted(target, _) = reply else {
-        return;
+/// Records the parts that a target has once it gets the request, and logs why one gets none.
+fn on_reply<Border>(shared: &Rc<Shared<Border>>, ask: &Ask, reply: &Reply) {
+    let target = match reply {
+        Reply::Granted(target, _) => target,
+        Reply::Refused(again) => return log_refusal(shared, ask, *again),
+        Reply::Waits | Reply::Busy(_) | Reply::Elsewhere => return,
     };
     let version = {
         let roster = shared.roster.borrow();
@@ -643,6 +646,30 @@
     }
 }
 
+fn log_refusal<Border>(shared: &Rc<Shared<Border>>, ask: &Ask, again: Duration) {
+    let offers = choose::offers(shared, ask);
+    let survey = {
+        let desk = shared.placing.desk.borrow();
+        desk.survey(&ask.cell, offers, now())
+    };
+    Event::new("no_place")
+        .with("entry", &*ask.name.asker)
+        .with("number", ask.name.number)
+        .with("domain", &*ask.cell.domain)
+        .with("shard", ask.cell.shard)
+        .with("rank", ask.rank)
+        .with("need", ask.demand.need)
+        .with("targets", survey.targets)
+        .with("full", survey.full)
+        .with("free", survey.free)
+        .with("running", survey.running)
+        .with("reading", survey.reading)
+        .with("memory", survey.memory)
+        .with("waiting", survey.waiting)
+        .with("again_ms", millis(again))
+        .warn();
+}
+
 fn answer<Border>(shared: &Rc<Shared<Border>>, name: Name, reply: Reply, to: Option<SocketAddr>)
 where
     Border: Platform,
@@ -664,7 +691,6 @@
 
 fn on_update<Border>(shared: &Rc<Shared<Border>>, update: &Update, time: Time) {
     let placing = &shared.placing;
-    placing.on_heard(&update.from);
     {
         let mut desk = placing.desk.borrow_mut();
         for number in &update.told {
@@ -726,20 +752,13 @@
             }
             continue;
         }
-        let mut granted = Vec::new();
         let replies = {
             let mut desk = placing.desk.borrow_mut();
-            let offers = |ask: &Ask| {
-                granted.push(ask.clone());
-                choose::offers(&shared, ask)
-            };
-            desk.poll(offers, shared.draw(), time)
+            desk.poll(|ask| choose::offers(&shared, ask), shared.draw(), time)
         };
-        for (name, reply) in replies {
-            if let Some(ask) = granted.iter().find(|ask| ask.name == name) {
-                on_reply(&shared, ask, &reply);
-            }
-            answer(&shared, name, reply, None);
+        for (ask, reply) in replies {
+            on_reply(&shared, &ask, &reply);
+            answer(&shared, ask.name, reply, None);
         }
         let waiting = i64::try_from(placing.desk.borrow().waiting()).unwrap_or(i64::MAX);
         shared.metrics.queued.set(waiting);
--- a/crates/gateway/src/talk.rs
+++ b/crates/gateway/src/talk.rs
@@ -130,7 +130,6 @@
     if !shared.peers.borrow_mut().on_word(word, time) {
         return;
     }
-    shared.placing.on_heard(&word.from);
     let config = shared.catalog().map(|catalog| catalog.version.0);
     if let Some(given) = word.proof
         && config == Some(word.config)
