rollout: as many targets change at a time as the bound requires, spread over the failure domains

Cause: with each four seconds that a version waited, half as many targets more changed at a time. Change: the number follows from the targets that are behind, how long orders take, and what is left of the bound; while requests wait in many cells no more than that change. Tests: fleet/tests/rollout.rs.

--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use types::{Model, Target, Time};
+use types::{Domain, Model, Target, Time};
 
 use crate::roster::{Entry, Member, Roster};
 
@@ -19,6 +19,21 @@
     /// Targets that a former holder of the lease may have given orders, and until when they get none
     /// of this one.
     barred: HashMap<Target, Time>,
+    /// How long targets took lately for an order, from when it was sent to the new weights.
+    pace: Pace,
+}
+
+/// How long targets take for an order, averaged.
+#[derive(Debug, Clone, Copy)]
+struct Pace(Duration);
+
+/// What limits the number of targets that change at a time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Terms {
+    /// The time after which nothing may begin on older weights.
+    pub bound: Duration,
+    /// Whether requests wait for targets in many cells.
+    pub strained: bool,
 }
 
 /// A version with the time at which this process learned of it.
@@ -33,6 +48,9 @@
 #[derive(Debug, Clone, Copy)]
 struct Ordered {
     version: u64,
+    /// When it was sent.
+    sent: Time,
+    /// When it was sent or answered.
     at: Time,
     answer: Answer,
 }
@@ -81,9 +99,26 @@
 const SHARE: usize = 5;
 /// This many change at a time in a small pool.
 const LEAST: usize = 2;
-/// Each time that this passes, as many targets more change at a time: a takeover of the lease takes
-/// seconds, and after the operators' bound nothing may begin on older weights.
-const HURRY: Duration = Duration::from_millis(4000);
+/// One in this many may change at a time where the bound would pass otherwise.
+const MOST_SHARE: usize = 2;
+/// How long an order takes where none has ended yet: runs end first, and the operators' sheets name
+/// 0.8 to 1.9 s for new weights.
+const USUAL: Duration = Duration::from_millis(2500);
+/// The weight of the newest order in the average.
+const SMOOTHING: f64 = 0.2;
+/// What is left of the bound for a takeover of the lease, which takes seconds.
+const RESERVE: Duration = Duration::from_millis(3000);
+impl Default for Pace {
+    fn default() -> Self {
+        Self(USUAL)
+    }
+}
+
+impl Pace {
+    fn on_done(&mut self, took: Duration) {
+        self.0 = self.0.mul_f64(1.0 - SMOOTHING) + took.mul_f64(SMOOTHING);
+    }
+}
 
 impl Rollout {
     /// Records that a version was named; says whether it is newer than what was known.
@@ -134,39 +169,87 @@
     }
 
     /// Returns the orders to give now, at most as many as may be under way together.
-    pub fn due(&mut self, roster: &Roster, now: Time) -> Vec<Order> {
+    ///
+    /// Load pattern: two versions within seconds while targets leave. All prompts are read again, and
+    /// with more than a fifth of the targets out the others cannot carry them. So no more change at a
+    /// time than the bound requires, as long as requests wait; and the targets that change are spread
+    /// over the failure domains.
+    pub fn due(&mut self, roster: &Roster, terms: Terms, now: Time) -> Vec<Order> {
         self.settle(roster, now);
         let mut behind: Vec<(&Entry, Order)> = roster
             .iter()
             .filter_map(|entry| self.lag(entry).map(|order| (entry, order)))
             .collect();
-        let pool = roster
-            .iter()
-            .filter(|entry| !entry.member.weights.is_empty())
-            .count();
-        let waited = behind
-            .iter()
-            .filter_map(|(entry, order)| self.outdated_since(&entry.member, &order.model))
-            .map(|since| now.since(since))
-            .max();
-        let hurry = waited.unwrap_or_default().as_millis() / HURRY.as_millis();
-        let hurry = usize::try_from(hurry).unwrap_or(0);
-        let limit = (pool / SHARE).max(LEAST) * (2 + hurry) / 2;
         // Those that have been out of date for longest come first: nothing may begin on their
         // weights once the operators' bound has passed.
         behind.sort_by_cached_key(|(entry, order)| {
             let since = self.outdated_since(&entry.member, &order.model);
             (since, order.target.clone())
         });
+        let limit = self.limit(roster, &behind, terms, now);
         let running = self.ordered.values().filter(|order| order.runs()).count();
-        let (barred, free): (Vec<Order>, Vec<Order>) = behind
+        let (barred, free): (Vec<_>, Vec<_>) = behind
             .into_iter()
-            .map(|(_, order)| order)
-            .filter(|order| !self.ordered.contains_key(&order.target))
-            .partition(|order| self.is_barred(&order.target, now));
+            .filter(|(_, order)| !self.ordered.contains_key(&order.target))
+            .partition(|(_, order)| self.is_barred(&order.target, now));
         // What the former holder ordered is most likely under way.
-        let free_places = limit.saturating_sub(running + barred.len());
-        free.into_iter().take(free_places).collect()
+        let places = limit.saturating_sub(running + barred.len());
+        self.spread(roster, free, places)
+    }
+
+    /// Returns how many targets may change at a time.
+    fn limit(&self, roster: &Roster, behind: &[(&Entry, Order)], terms: Terms, now: Time) -> usize {
+        let pool = roster.iter();
+        let pool = pool
+            .filter(|entry| !entry.member.weights.is_empty())
+            .count();
+        // The targets with the earliest bound have to be done by then, one batch after another.
+        let needed = behind
+            .iter()
+            .enumerate()
+            .filter_map(|(index, (entry, order))| {
+                let since = self.outdated_since(&entry.member, &order.model)?;
+                let left = terms.bound.checked_sub(now.since(since) + RESERVE);
+                let left = left.unwrap_or_default().max(self.pace.0);
+                Some(self.pace.0.as_secs_f64() * (index + 1) as f64 / left.as_secs_f64())
+            });
+        let needed = needed.fold(0.0, f64::max).ceil() as usize;
+        let usual = match terms.strained {
+            true => LEAST,
+            false => (pool / SHARE).max(LEAST),
+        };
+        usual.max(needed.min(pool / MOST_SHARE))
+    }
+
+    /// Takes some of the targets in turn, those of failure domains with few changing ones first.
+    fn spread(&self, roster: &Roster, free: Vec<(&Entry, Order)>, places: usize) -> Vec<Order> {
+        let mut changing: HashMap<Domain, usize> = HashMap::new();
+        for (target, order) in &self.ordered {
+            if let Some(entry) = roster.get(target).filter(|_| order.runs()) {
+                *changing.entry(entry.member.domain.clone()).or_default() += 1;
+            }
+        }
+        let mut free = free;
+        let mut chosen = Vec::new();
+        while chosen.len() < places && !free.is_empty() {
+            let oldest =
+                |entry: &Entry, order: &Order| self.outdated_since(&entry.member, &order.model);
+            let key = |(entry, order): &(&Entry, Order)| {
+                let there = changing.get(&entry.member.domain).copied();
+                (oldest(entry, order), there.unwrap_or(0))
+            };
+            let keys = free
+                .iter()
+                .enumerate()
+                .map(|(index, one)| (key(one), index));
+            let Some((_, index)) = keys.min() else {
+                break;
+            };
+            let (entry, order) = free.remove(index);
+            *changing.entry(entry.member.domain.clone()).or_default() += 1;
+            chosen.push(order);
+        }
+        chosen
     }
 
     /// Keeps orders from targets that a former holder of the lease may have given some: orders of two
@@ -189,6 +272,7 @@
     pub fn on_sent(&mut self, order: &Order, now: Time) {
         let ordered = Ordered {
             version: order.version,
+            sent: now,
             at: now,
             answer: Answer::Lost,
         };
@@ -231,6 +315,7 @@
 
     /// Drops orders that are done or have to be given again.
     fn settle(&mut self, roster: &Roster, now: Time) {
+        let pace = &mut self.pace;
         self.ordered.retain(|target, ordered| {
             let Some(entry) = roster.get(target) else {
                 return false;
@@ -240,6 +325,9 @@
                 .weights
                 .iter()
                 .any(|(_, version)| *version >= ordered.version);
+            if done && ordered.answer == Answer::Accepted {
+                pace.on_done(now.since(ordered.sent));
+            }
             !done && now.since(ordered.at) < ordered.patience()
         });
     }
--- a/crates/fleet/tests/rollout.rs
+++ b/crates/fleet/tests/rollout.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use fleet::rollout::{Answer, Rollout};
+use fleet::rollout::{Answer, Rollout, Terms};
 use fleet::roster::{Member, Roster};
 use types::{Model, Target, Time};
 
@@ -11,11 +11,15 @@
 }
 
 fn list(roster: &mut Roster, id: &str, version: u64) {
+    list_in(roster, "pier", id, version);
+}
+
+fn list_in(roster: &mut Roster, domain: &str, id: &str, version: u64) {
     let member = Member {
         id: id.into(),
         service: "engines".into(),
         address: "10.0.0.1:80".parse().expect("an address"),
-        domain: "pier".into(),
+        domain: domain.into(),
         slots: 4,
         draining: false,
         cold: Duration::ZERO,
@@ -37,8 +41,14 @@
     "m".into()
 }
 
+/// The bound of the operators' larger deployments.
+const TERMS: Terms = Terms {
+    bound: Duration::from_secs(20),
+    strained: false,
+};
+
 fn give(rollout: &mut Rollout, roster: &Roster, now: Time) -> Vec<Target> {
-    let due = rollout.due(roster, now);
+    let due = rollout.due(roster, TERMS, now);
     for order in &due {
         rollout.on_sent(order, now);
         rollout.on_answer(&order.target, Answer::Accepted, now);
@@ -89,11 +99,11 @@
     let mut rollout = Rollout::default();
     let roster = fleet(1, 1);
     rollout.name(&model(), 2, at(0));
-    let due = rollout.due(&roster, at(0));
+    let due = rollout.due(&roster, TERMS, at(0));
     rollout.on_sent(&due[0], at(0));
     rollout.on_answer(&due[0].target, Answer::Lost, at(500));
-    assert!(rollout.due(&roster, at(1000)).is_empty());
-    assert_eq!(rollout.due(&roster, at(4000)).len(), 1);
+    assert!(rollout.due(&roster, TERMS, at(1000)).is_empty());
+    assert_eq!(rollout.due(&roster, TERMS, at(4000)).len(), 1);
 }
 
 /// Guards against a version that is named again, or an older one, that starts a rollout.
@@ -154,7 +164,7 @@
         assert!(roster.on_weights(target, &[(model(), 2)]));
         assert!(!roster.on_weights(target, &[(model(), 2)]));
     }
-    rollout.due(&roster, at(3000));
+    rollout.due(&roster, TERMS, at(3000));
     assert!(rollout.changing().all(|target| !given.contains(target)));
 }
 
@@ -175,3 +185,75 @@
     rollout.recall("m", 4, at(100));
     assert_eq!(rollout.named("m").map(|named| named.version), Some(3));
 }
+
+/// Guards against a rollout that takes many targets out while requests wait: on candlewalk-large
+/// scale-1, 21 of 51 were out at a time, and 559 callers were refused within two seconds.
+#[test]
+fn under_strain_no_more_targets_change_than_the_bound_requires() {
+    let mut rollout = Rollout::default();
+    let roster = fleet(51, 1);
+    rollout.name(&model(), 2, at(0));
+    let terms = Terms {
+        bound: Duration::from_secs(20),
+        strained: true,
+    };
+    // Fifty-one targets that take 2.5 s each within 17 s.
+    assert_eq!(rollout.due(&roster, terms, at(0)).len(), 8);
+    let calm = Terms {
+        strained: false,
+        ..terms
+    };
+    assert_eq!(rollout.due(&roster, calm, at(0)).len(), 10);
+    // Later, the bound requires more.
+    assert_eq!(rollout.due(&roster, terms, at(12_000)).len(), 25);
+    let unbound = Terms {
+        bound: Duration::MAX,
+        ..terms
+    };
+    assert_eq!(rollout.due(&roster, unbound, at(12_000)).len(), 2);
+}
+
+/// Guards against a failure domain that loses most of its targets to a rollout at the same time.
+#[test]
+fn changing_targets_are_spread_over_the_domains() {
+    let mut rollout = Rollout::default();
+    let mut roster = Roster::default();
+    for index in 0..40 {
+        let domain = ["a", "b", "c", "d"][index / 10];
+        list_in(&mut roster, domain, &format!("t{index:02}"), 1);
+    }
+    rollout.name(&model(), 2, at(0));
+    let given = give(&mut rollout, &roster, at(0));
+    assert_eq!(given.len(), 8);
+    for domain in ["a", "b", "c", "d"] {
+        let there = given.iter().filter(|target| {
+            let entry = roster.get(target).expect("a target");
+            &*entry.member.domain == domain
+        });
+        assert_eq!(there.count(), 2);
+    }
+}
+
+/// Guards against a bound that passes because orders take longer than expected.
+#[test]
+fn slow_orders_let_more_targets_change_at_a_time() {
+    let given_after = |took: u64| {
+        let mut rollout = Rollout::default();
+        let mut roster = fleet(50, 1);
+        rollout.name(&model(), 2, at(0));
+        let strained = Terms {
+            bound: Duration::from_secs(40),
+            strained: true,
+        };
+        for round in 0..3 {
+            let now = at(round * took);
+            for order in rollout.due(&roster, strained, now) {
+                rollout.on_sent(&order, now);
+                rollout.on_answer(&order.target, Answer::Accepted, now);
+                roster.on_weights(&order.target, &[(model(), 2)]);
+            }
+        }
+        rollout.due(&roster, strained, at(3 * took)).len()
+    };
+    assert!(given_after(6000) > given_after(2000));
+}
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -4,7 +4,7 @@
 
 use control::Lease;
 use fleet::peers::Peers;
-use fleet::rollout::{Answer, Order};
+use fleet::rollout::{Answer, Order, Terms};
 use platform::{Commit, Write};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Mutex;
@@ -89,7 +89,11 @@
         let shared = &self.shared;
         let due = {
             let roster = shared.roster.borrow();
-            shared.rollout.borrow_mut().due(&roster, now())
+            let terms = Terms {
+                bound: shared.settings.weights(),
+                strained: shared.placing.is_strained(shared),
+            };
+            shared.rollout.borrow_mut().due(&roster, terms, now())
         };
         if due.is_empty() {
             return;
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -128,6 +128,9 @@
 const IDLE: Duration = Duration::from_millis(500);
 /// Other cells that are tried for a request before it waits; each takes a few milliseconds.
 const OTHERS: usize = 3;
+/// The share of cells with waiting requests beyond which the targets are strained: they are in the
+/// overload of all, and not in one of a few cells.
+const STRAINED: f64 = 0.3;
 /// Places that were not accepted, for one request.
 const MOST_DECLINED: usize = 3;
 /// The part of the longest gap in a stream for which a request that was sent before may wait.
@@ -258,6 +261,23 @@
             .warn();
     }
 
+    /// Says whether requests wait for engines in many cells.
+    pub(crate) fn is_strained<Border>(&self, shared: &Shared<Border>) -> bool {
+        let catalog = shared.catalog();
+        let pools = catalog.iter().flat_map(|catalog| catalog.pools());
+        let engines = pools.filter(|pool| pool.engine.is_some());
+        let map = self.map(shared);
+        let cells: Vec<Cell> = engines.flat_map(|pool| map.cells(&pool.name)).collect();
+        let own = self.desk.borrow().delays();
+        let peers = shared.peers.borrow();
+        let waits = |cell: &&Cell| {
+            let here = own.iter().any(|(named, _)| named == *cell);
+            here || !peers.delay(cell).is_zero()
+        };
+        let waiting = cells.iter().filter(waits).count();
+        waiting as f64 > cells.len() as f64 * STRAINED
+    }
+
     /// Returns the cells of all targets.
     fn map<Border>(&self, shared: &Shared<Border>) -> Rc<Map> {
         let roster = shared.roster.borrow();
