--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -63,33 +63,47 @@
     /// domain come first, since they are lost with it only.
     #[must_use]
     pub fn order(&self, hosts: &[Host]) -> Vec<String> {
-        let mut scored: Vec<(bool, f64, &str)> = hosts
-            .iter()
-            .map(|host| {
-                let weight = host.weight.max(LEAST_WEIGHT);
-                // The least of exponential variables is each one with a chance of its weight.
-                let draw = (self.hash(&host.name) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-                (host.domain != self.domain, -draw.ln() / weight, &*host.name)
-            })
-            .collect();
-        scored.sort_by(|one, other| {
-            let scores = one.1.total_cmp(&other.1);
-            one.0.cmp(&other.0).then(scores).then(one.2.cmp(other.2))
-        });
-        let names = scored.into_iter();
-        names.map(|(_, _, name)| name.to_owned()).collect()
+        let shard = self.shard.to_le_bytes();
+        let shards = self.shards.to_le_bytes();
+        let key = [
+            self.service.as_bytes(),
+            self.domain.as_bytes(),
+            &shard,
+            &shards,
+        ];
+        ranked(&key, &self.domain, hosts)
     }
+}
 
-    fn hash(&self, name: &str) -> u64 {
-        let mut hasher = blake3::Hasher::new();
-        for text in [&*self.service, &*self.domain, name] {
-            hasher.update(&(text.len() as u64).to_le_bytes());
-            hasher.update(text.as_bytes());
-        }
-        hasher.update(&self.shard.to_le_bytes());
-        hasher.update(&self.shards.to_le_bytes());
-        first_bytes(&hasher.finalize())
+/// Returns entries in the order in which they look after something in a failure domain: those of the
+/// domain first, and among them each one with a chance of its weight.
+#[must_use]
+pub fn ranked(key: &[&[u8]], domain: &Domain, hosts: &[Host]) -> Vec<String> {
+    let mut scored: Vec<(bool, f64, &str)> = hosts
+        .iter()
+        .map(|host| {
+            let weight = host.weight.max(LEAST_WEIGHT);
+            // The least of exponential variables is each one with a chance of its weight.
+            let draw = (hash(key, &host.name) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+            (host.domain != *domain, -draw.ln() / weight, &*host.name)
+        })
+        .collect();
+    scored.sort_by(|one, other| {
+        let scores = one.1.total_cmp(&other.1);
+        one.0.cmp(&other.0).then(scores).then(one.2.cmp(other.2))
+    });
+    let names = scored.into_iter();
+    names.map(|(_, _, name)| name.to_owned()).collect()
+}
+
+fn hash(key: &[&[u8]], name: &str) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    for part in key.iter().copied().chain([name.as_bytes()]) {
+        // The length keeps ("ab", "c") and ("a", "bc") apart.
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
     }
+    first_bytes(&hasher.finalize())
 }
 
 impl Map {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod desk;
 pub mod extent;
 pub mod kept;
+pub mod listing;
 pub mod peers;
 pub mod placement;
 pub mod proof;
--- /dev/null
+++ b/crates/fleet/src/listing.rs
@@ -0,0 +1,177 @@
+//! How the list of targets reaches an entry: from the platform's store, or from a neighbour that
+//! follows the store.
+//!
+//! Each entry on its own would read the whole list at its start and each change, which costs the
+//! store as much as there are entries. A few entries of each failure domain do that, and tell the
+//! others of it; whoever hears of no fresh neighbour asks the store itself. See `docs/platform.md`.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use types::{Domain, Target, Time};
+
+use crate::cell::{Host, ranked};
+use crate::roster::Member;
+
+/// What a neighbour tells of the list.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Notice {
+    /// The neighbour.
+    pub from: String,
+    /// The version of the store's rows that it has.
+    pub cursor: u64,
+    /// How long ago the store answered it.
+    pub age: Duration,
+    /// The digest of its list, once the changes below are made.
+    pub digest: u64,
+    /// Whether the store could not be used lately, so that targets may have left the list by fault.
+    pub shaken: bool,
+    /// Targets that changed.
+    pub listed: Vec<Member>,
+    /// Targets that left, with the versions of their rows.
+    pub unlisted: Vec<(Target, u64)>,
+}
+
+/// A part of a neighbour's list.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Page {
+    /// The neighbour.
+    pub from: String,
+    /// The request that it answers.
+    pub number: u64,
+    /// The version of the store's rows that the neighbour has.
+    pub cursor: u64,
+    /// Targets in the order of their names.
+    pub members: Vec<Member>,
+    /// Whether more follow.
+    pub more: bool,
+}
+
+/// What an entry does next for its list of targets.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Next {
+    /// Ask the store; for changes after this version if there is one, or for the whole list.
+    Store(Option<u64>),
+    /// Read the whole list from this neighbour.
+    Fetch(String),
+    /// A neighbour tells of changes.
+    Rest,
+}
+
+/// What an entry knows of its neighbours' lists.
+#[derive(Debug, Default)]
+pub struct Neighbours {
+    heard: HashMap<String, Heard>,
+    /// Since when the own list has differed from that of a fresh neighbour.
+    differs: Option<Time>,
+    /// The neighbour whose list could not be read, and until when it is not asked for it.
+    refused: Option<(String, Time)>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Heard {
+    at: Time,
+    /// When the store answered it.
+    answered: Time,
+    cursor: u64,
+    digest: u64,
+}
+
+/// Entries of a failure domain that follow the store; the second one in case the first is away.
+pub const LEADERS: usize = 2;
+/// How often an entry that follows the store tells its neighbours so, also without changes.
+pub const BEACON: Duration = Duration::from_millis(500);
+/// How long a neighbour counts that is not heard: two of its beacons may be lost.
+const QUIET: Duration = Duration::from_millis(1600);
+/// How old the store's last answer to a neighbour may be: it holds a call for two seconds while
+/// nothing changes, and changes are gathered for a part of a second.
+const STALE: Duration = Duration::from_millis(3600);
+/// How long two lists may differ: notices arrive at different times.
+const DIFFERS: Duration = Duration::from_millis(800);
+/// How long a neighbour whose list could not be read is not asked for it.
+const REFUSED: Duration = Duration::from_secs(2);
+
+/// Returns the entries of a failure domain that follow the store for it.
+#[must_use]
+pub fn leaders(domain: &Domain, hosts: &[Host], alive: impl Fn(&str) -> bool) -> Vec<String> {
+    let neighbours: Vec<Host> = hosts
+        .iter()
+        .filter(|host| host.domain == *domain)
+        .cloned()
+        .collect();
+    let mut names = ranked(&[b"list", domain.as_bytes()], domain, &neighbours);
+    names.retain(|name| alive(name));
+    names.truncate(LEADERS);
+    names
+}
+
+impl Neighbours {
+    /// Records that a neighbour has told of its list; `digest` is that of the own list with the
+    /// notice's changes.
+    pub fn on_notice(&mut self, notice: &Notice, digest: u64, now: Time) {
+        let heard = Heard {
+            at: now,
+            answered: now - notice.age,
+            cursor: notice.cursor,
+            digest: notice.digest,
+        };
+        self.heard.insert(notice.from.clone(), heard);
+        let same = self.fresh(now).any(|(_, heard)| heard.digest == digest);
+        self.differs = match same {
+            true => None,
+            false => self.differs.or(Some(now)),
+        };
+    }
+
+    /// Records that a neighbour's list was read.
+    pub fn on_fetched(&mut self) {
+        self.differs = None;
+    }
+
+    /// Records that a neighbour's list could not be read.
+    pub fn on_refused(&mut self, name: String, now: Time) {
+        self.refused = Some((name, now + REFUSED));
+    }
+
+    /// Returns what to do next; `leads` says whether this entry follows the store for its
+    /// neighbours, and `cursor` what it has read of the store.
+    pub fn next(&mut self, leads: bool, cursor: Option<u64>, now: Time) -> Next {
+        self.heard.retain(|_, heard| now.since(heard.at) < QUIET);
+        if leads {
+            return Next::Store(self.newest(cursor));
+        }
+        let refused = self.refused.as_ref().filter(|(_, until)| now < *until);
+        let refused = refused.map(|(name, _)| name.as_str());
+        let fresh: Vec<&str> = self.fresh(now).map(|(name, _)| name).collect();
+        let Some(any) = fresh.iter().find(|name| Some(**name) != refused) else {
+            return match fresh.is_empty() || cursor.is_none() {
+                true => Next::Store(self.newest(cursor)),
+                false => Next::Rest,
+            };
+        };
+        let differs = self
+            .differs
+            .is_some_and(|since| now.since(since) >= DIFFERS);
+        match cursor.is_none() || differs {
+            true => Next::Fetch((*any).to_owned()),
+            false => Next::Rest,
+        }
+    }
+
+    /// Returns the version up to which changes are known; none before a whole list was read.
+    fn newest(&self, cursor: Option<u64>) -> Option<u64> {
+        // A list that differs is read as a whole.
+        if self.differs.is_some() {
+            return None;
+        }
+        let told = self.heard.values().map(|heard| heard.cursor).max();
+        cursor.map(|cursor| cursor.max(told.unwrap_or(0)))
+    }
+
+    fn fresh(&self, now: Time) -> impl Iterator<Item = (&str, &Heard)> {
+        let fresh = self.heard.iter().filter(move |(_, heard)| {
+            now.since(heard.at) < QUIET && now.since(heard.answered) < STALE
+        });
+        fresh.map(|(name, heard)| (name.as_str(), heard))
+    }
+}
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -25,6 +25,10 @@
     pub config: u64,
     /// When its newest evidence for that was given, on the store's steady clock in milliseconds.
     pub proof: Option<u64>,
+    /// The version of the store's rows at which it last learned something of the operator.
+    pub operator: u64,
+    /// Whether it has run for long enough to know what the others have under way.
+    pub warm: bool,
     /// What the sender has under way, by target.
     pub loads: Vec<(Target, Load)>,
     /// How long ago it heard each of these targets.
@@ -88,6 +92,11 @@
     retired: VecDeque<(Time, Store, Key)>,
     news: VecDeque<(Time, Store, Report)>,
     changed: VecDeque<(Time, Target, Model, u64)>,
+    /// The newest version at which any other entry learned something of the operator, and when that
+    /// was first heard of.
+    operator: (u64, Time),
+    /// When another entry last had orders under way.
+    ordering: Option<Time>,
     /// What dispatchers said of the waits in their cells.
     delays: HashMap<Cell, (Duration, Time)>,
     /// The newest configuration that any entry uses, and when it was first heard of.
@@ -100,6 +109,7 @@
     start: u64,
     number: u64,
     at: Time,
+    warm: bool,
     loads: HashMap<Target, Load>,
 }
 
@@ -119,6 +129,8 @@
 /// How long an entry may take to learn of a configuration that another one uses: both wait for the
 /// same answer of the store.
 const LEARN: Duration = Duration::from_millis(1000);
+/// How long the answers of the store to two entries lie apart that wait for the same change.
+const NOTICE: Duration = Duration::from_millis(300);
 /// How long a word counts beyond the time after which the next one is due.
 const SLACK: Duration = Duration::from_millis(400);
 
@@ -139,6 +151,12 @@
             return false;
         }
         self.forget(&word.from);
+        if word.operator > self.operator.0 {
+            self.operator = (word.operator, now);
+        }
+        if !word.changing.is_empty() || !word.changed.is_empty() {
+            self.ordering = Some(now);
+        }
         for (cell, delay) in &word.delays {
             self.delays.insert(cell.clone(), (*delay, now));
         }
@@ -153,6 +171,7 @@
             start: word.start,
             number: word.number,
             at: now,
+            warm: word.warm,
             loads,
         };
         self.heard.insert(word.from.clone(), heard);
@@ -176,6 +195,7 @@
                 start: update.start,
                 number: update.number,
                 at: now,
+                warm: false,
                 loads: HashMap::new(),
             });
         heard.number = update.number;
@@ -203,12 +223,24 @@
             .map_or(Duration::ZERO, |(delay, _)| *delay)
     }
 
+    /// Returns how many entries were heard lately.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.heard.len()
+    }
+
     /// Says whether an entry was heard lately.
     #[must_use]
     pub fn hears(&self, name: &str) -> bool {
         self.heard.contains_key(name)
     }
 
+    /// Says whether any other entry knows what all have under way.
+    #[must_use]
+    pub fn has_warm(&self) -> bool {
+        self.heard.values().any(|heard| heard.warm)
+    }
+
     /// Returns the load that the others have told of a target.
     #[must_use]
     pub fn told(&self, target: &Target) -> Load {
@@ -226,6 +258,20 @@
             .is_some_and(|(newest, since)| newest > version && now.since(since) >= LEARN)
     }
 
+    /// Says whether another entry has learned something of the operator that an entry with this
+    /// version lacks, for longer than it takes to learn of it.
+    #[must_use]
+    pub fn is_behind(&self, version: u64, now: Time) -> bool {
+        let (newest, since) = self.operator;
+        newest > version && now.since(since) >= NOTICE
+    }
+
+    /// Says whether another entry has had orders under way within some time.
+    #[must_use]
+    pub fn orders(&self, within: Duration, now: Time) -> bool {
+        self.ordering.is_some_and(|at| now.since(at) < within)
+    }
+
     /// Drops what is too old to count; `count` is the number of peers.
     pub fn expire(&mut self, count: usize, now: Time) {
         let limit = Self::cycle(count) * 2 + SLACK;
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -28,6 +28,8 @@
     pub born: Option<u64>,
     /// The weight versions of its models.
     pub weights: Vec<(Model, u64)>,
+    /// The version of its row in the platform's store; of two reports the greater one is newer.
+    pub revision: u64,
 }
 
 /// A member with what was seen of it over time.
@@ -39,12 +41,16 @@
     pub cold_until: Time,
     /// Set when it vanished from the list in a way that may be the list's fault.
     pub doubted_since: Option<Time>,
+    /// Tells what the list says of it from what it said before.
+    mark: u64,
 }
 
 /// The targets by name.
 #[derive(Debug, Default)]
 pub struct Roster {
     entries: HashMap<Target, Entry>,
+    /// The revisions at which targets left, and when that was learned.
+    gone: HashMap<Target, (u64, Time)>,
     shaken: Option<Time>,
     generation: u64,
 }
@@ -52,6 +58,9 @@
 /// How long a target that vanished around an outage of the store is still used: live targets are
 /// listed again within about two seconds of the store's return.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2200);
+/// How long it is remembered that a target left; reports come by several ways, and none of them is
+/// as late.
+const REMEMBERED: Duration = Duration::from_secs(30);
 
 impl Member {
     /// Returns the weight version of a model.
@@ -60,6 +69,31 @@
         let found = self.weights.iter().find(|(name, _)| &**name == model);
         found.map(|(_, version)| *version)
     }
+
+    /// Returns a number that differs where the list says something else, but for how long the target
+    /// is still cold.
+    #[must_use]
+    pub fn mark(&self) -> u64 {
+        let mut hasher = blake3::Hasher::new();
+        let mut add = |bytes: &[u8]| {
+            hasher.update(&(bytes.len() as u64).to_le_bytes());
+            hasher.update(bytes);
+        };
+        add(self.id.as_bytes());
+        add(self.service.as_bytes());
+        add(self.address.to_string().as_bytes());
+        add(self.domain.as_bytes());
+        add(&self.slots.to_le_bytes());
+        add(&[u8::from(self.draining)]);
+        add(&self.born.unwrap_or(0).to_le_bytes());
+        for (model, version) in &self.weights {
+            add(model.as_bytes());
+            add(&version.to_le_bytes());
+        }
+        let mut mark = [0; 8];
+        mark.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        u64::from_le_bytes(mark)
+    }
 }
 
 impl Roster {
@@ -74,8 +108,22 @@
         self.shaken.is_some_and(|shaken| now.since(shaken) < within)
     }
 
-    /// Records a report. Versions only grow, so an older one than is known is a late report.
-    pub fn list(&mut self, mut member: Member, now: Time) {
+    /// Records a report; says whether it tells anything new. One that is older than what is known is
+    /// late and changes nothing. Weight versions only grow.
+    pub fn list(&mut self, mut member: Member, now: Time) -> bool {
+        let known = self.entries.get(&member.id);
+        let left = self
+            .gone
+            .get(&member.id)
+            .map_or(0, |(revision, _)| *revision);
+        let newest = known.map_or(left, |known| known.member.revision.max(left));
+        if member.revision < newest {
+            return false;
+        }
+        self.gone.remove(&member.id);
+        let mark = member.mark();
+        let news = !member.cold.is_zero()
+            || known.is_none_or(|known| known.mark != mark || known.doubted_since.is_some());
         let cold_until = now + member.cold;
         if let Some(known) = self.entries.get(&member.id)
             && known.member.born == member.born
@@ -95,9 +143,19 @@
         let entry = Entry {
             cold_until,
             doubted_since: None,
+            mark,
             member: Arc::new(member),
         };
         self.entries.insert(entry.member.id.clone(), entry);
+        news
+    }
+
+    /// Returns a number that is the same where two entries have the same list.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let listed = self.entries.values();
+        let listed = listed.filter(|entry| entry.doubted_since.is_none());
+        listed.fold(0, |digest, entry| digest.wrapping_add(entry.mark))
     }
 
     /// Records the weight versions that a target itself reports; its entry in the list is older. Says
@@ -124,19 +182,29 @@
         newer
     }
 
-    /// Records that a target is on the list no more.
-    pub fn unlist(&mut self, id: &Target, now: Time) {
-        if !self.is_shaken(now, LAPSE_GRACE) {
-            self.generation += u64::from(self.entries.remove(id).is_some());
-            return;
+    /// Records that a target is on the list no more since a revision; says whether that is new.
+    pub fn unlist(&mut self, id: &Target, revision: u64, now: Time) -> bool {
+        let known = self.entries.get(id);
+        if known.is_some_and(|known| known.member.revision > revision) {
+            return false;
         }
-        if let Some(entry) = self.entries.get_mut(id) {
-            entry.doubted_since.get_or_insert(now);
+        let (left, _) = self.gone.get(id).copied().unwrap_or_default();
+        self.gone.insert(id.clone(), (left.max(revision), now));
+        if !self.is_shaken(now, LAPSE_GRACE) {
+            let gone = self.entries.remove(id).is_some();
+            self.generation += u64::from(gone);
+            return gone;
         }
+        let Some(entry) = self.entries.get_mut(id) else {
+            return false;
+        };
+        let doubted = entry.doubted_since.is_some();
+        entry.doubted_since.get_or_insert(now);
+        !doubted
     }
 
-    /// Replaces the whole list.
-    pub fn replace(&mut self, members: Vec<Member>, now: Time) {
+    /// Replaces the whole list by that of a revision.
+    pub fn replace(&mut self, members: Vec<Member>, revision: u64, now: Time) {
         let gone: Vec<Target> = self
             .entries
             .keys()
@@ -144,7 +212,7 @@
             .cloned()
             .collect();
         for id in gone {
-            self.unlist(&id, now);
+            self.unlist(&id, revision, now);
         }
         for member in members {
             self.list(member, now);
@@ -153,6 +221,7 @@
 
     /// Drops targets that stayed away for longer than the grace.
     pub fn expire(&mut self, now: Time) {
+        self.gone.retain(|_, (_, at)| now.since(*at) < REMEMBERED);
         let before = self.entries.len();
         self.entries.retain(|_, entry| {
             entry
--- a/crates/fleet/tests/beliefs.rs
+++ b/crates/fleet/tests/beliefs.rs
@@ -20,6 +20,7 @@
         cold: Duration::ZERO,
         born: Some(born),
         weights: vec![("m".into(), version)],
+        revision: 1,
     }
 }
 
@@ -33,7 +34,7 @@
     let mut roster = Roster::default();
     roster.list(member("a", 1, 1), at(0));
     roster.shake(at(1000));
-    roster.unlist(&"a".into(), at(1100));
+    roster.unlist(&"a".into(), 1, at(1100));
     roster.expire(at(1200));
     assert!(roster.get(&"a".into()).is_some());
     let later = at(1100) + LAPSE_GRACE;
@@ -46,7 +47,7 @@
 fn a_target_that_leaves_in_calm_times_is_gone_at_once() {
     let mut roster = Roster::default();
     roster.list(member("a", 1, 1), at(0));
-    roster.unlist(&"a".into(), at(10_000));
+    roster.unlist(&"a".into(), 1, at(10_000));
     assert!(roster.get(&"a".into()).is_none());
 }
 
--- a/crates/fleet/tests/desk.rs
+++ b/crates/fleet/tests/desk.rs
@@ -182,6 +182,7 @@
         cold: Duration::ZERO,
         born: None,
         weights: vec![("m".into(), 3)],
+        revision: 1,
     }
 }
 
--- a/crates/fleet/tests/rollout.rs
+++ b/crates/fleet/tests/rollout.rs
@@ -25,6 +25,7 @@
         cold: Duration::ZERO,
         born: Some(1),
         weights: vec![("m".into(), version)],
+        revision: 1,
     };
     roster.list(member, at(0));
 }
--- a/crates/gateway/src/border.rs
+++ b/crates/gateway/src/border.rs
@@ -164,8 +164,8 @@
     Weights(Model, u64),
     /// A target reported.
     Listed(Member),
-    /// A target is on the list no more, or its report cannot be used.
-    Unlisted(Target),
+    /// A target is on the list no more, or its report cannot be used, since this version of its row.
+    Unlisted(Target, u64),
 }
 
 /// Changes in order.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use fleet::listing::Next;
 use fleet::roster::Member;
 use types::{Target, Time};
 
@@ -8,14 +9,26 @@
 use crate::clock::now;
 use crate::journal::{self, Event};
 use crate::lead;
+use crate::listing::{self, Fetched};
 use crate::serve::millis;
 use crate::shared::Shared;
 
 /// How long the store may hold a call while nothing changes. Evidence ages meanwhile, so it is well
 /// under the bound on removed keys.
 const WAIT: Duration = Duration::from_millis(1500);
-/// The same for the list of targets, which proves nothing.
-const WAIT_TARGETS: Duration = Duration::from_secs(4);
+/// What each entry that is heard adds to the longest wait, beyond that of few entries.
+const WAIT_EACH: Duration = Duration::from_millis(400);
+/// The shortest time for which a call is held.
+const LEAST_WAIT: Duration = Duration::from_millis(700);
+/// The longest time for which a call is held.
+const MOST_WAIT: Duration = Duration::from_secs(6);
+/// How often a call is compared with what others have learned.
+const LOOK: Duration = Duration::from_millis(150);
+/// The age of the evidence beyond which an entry asks itself. The bound on removed keys is five
+/// seconds, and less than four of them are left for the way.
+const UNPROVEN: Duration = Duration::from_millis(2200);
+/// The same for the list of targets. Neighbours rely on the age of the last answer.
+const WAIT_TARGETS: Duration = Duration::from_secs(2);
 /// How long changes of targets are gathered before the next call; each call has a price, and the
 /// bound on targets that leave is two seconds.
 const GATHER: Duration = Duration::from_millis(350);
@@ -24,6 +37,8 @@
 const GATHER_EACH: Duration = Duration::from_millis(15);
 /// The longest time for which they are gathered.
 const MOST_GATHER: Duration = Duration::from_millis(800);
+/// How often an entry whose neighbours tell it of the targets looks whether they still do.
+const REST: Duration = Duration::from_millis(200);
 /// How long an entry waits after a failed call; each further one doubles it.
 const BACK_OFF: Duration = Duration::from_millis(60);
 /// The longest wait after a failed call.
@@ -36,19 +51,48 @@
 where
     Border: Platform,
 {
-    let mut cursor = None;
+    let mut cursor = match list {
+        List::Targets => listing::first(&shared).await,
+        List::Operator => None,
+    };
     // The newest state that was ever read: a store that has lost its place may answer with an older
     // one, which would bring back targets and evacuations that are gone.
-    let mut newest = 0;
+    let mut newest = cursor.unwrap_or(0);
     let mut failures: u32 = 0;
-    let wait = match list {
-        List::Operator => WAIT,
-        List::Targets => WAIT_TARGETS,
-    };
+    let mut hurry = false;
     loop {
+        if list == List::Targets {
+            match shared.listing.next(&shared, cursor) {
+                Next::Rest => {
+                    tokio::time::sleep(REST).await;
+                    continue;
+                }
+                Next::Fetch(neighbour) => {
+                    if let Fetched::Whole(read) = listing::fetch(&shared, &neighbour).await {
+                        cursor = Some(read);
+                        newest = newest.max(read);
+                    }
+                    continue;
+                }
+                Next::Store(known) => cursor = known,
+            }
+        }
         let asked = now();
         let heard = match cursor {
-            Some(cursor) => shared.border.follow(list, cursor, wait).await,
+            Some(cursor) => {
+                let wait = match std::mem::take(&mut hurry) {
+                    true => Duration::ZERO,
+                    false => wait(&shared, list),
+                };
+                let call = shared.border.follow(list, cursor, wait);
+                tokio::select! {
+                    heard = call => heard,
+                    () = overdue(&shared, list) => {
+                        hurry = true;
+                        continue;
+                    }
+                }
+            }
             None => shared.border.load(list).await.map(Some),
         };
         let time = now();
@@ -78,11 +122,25 @@
                     let mut proof = shared.proof.get();
                     proof.renew(asked, time, batch.store_time);
                     shared.proof.set(proof);
+                    let mut read = shared.operator.get();
+                    read.cursor = batch.cursor;
+                    // A whole list tells nothing of when something changed.
+                    if cursor.is_some() && !batch.changes.is_empty() {
+                        read.learned = batch.cursor;
+                    }
+                    shared.operator.set(read);
                 }
                 let whole = cursor.is_none();
+                let quiet = batch.changes.is_empty();
                 cursor = Some(batch.cursor);
+                if list == List::Targets {
+                    shared.listing.on_store(batch.cursor, time);
+                }
                 apply(&shared, list, batch, whole, time);
-                if list == List::Targets && !whole {
+                if list == List::Targets && whole {
+                    listing::publish(&shared, Vec::new(), Vec::new());
+                }
+                if list == List::Targets && !whole && !quiet {
                     let entries = u32::try_from(shared.entries.get()).unwrap_or(u32::MAX);
                     let gather = GATHER + GATHER_EACH.saturating_mul(entries);
                     tokio::time::sleep(gather.min(MOST_GATHER)).await;
@@ -115,6 +173,45 @@
     }
 }
 
+/// Returns how long the store may hold a call. All entries prove to each other that the operator has
+/// changed nothing, so each of them asks less often the more there are.
+fn wait<Border>(shared: &Shared<Border>, list: List) -> Duration {
+    if list == List::Targets {
+        return WAIT_TARGETS;
+    }
+    let heard = shared.peers.borrow().count();
+    let most = WAIT_EACH.saturating_mul(u32::try_from(heard + 1).unwrap_or(u32::MAX));
+    // Spread, since a change ends the calls of all entries at the same moment.
+    let spread = most.clamp(WAIT, MOST_WAIT).saturating_sub(LEAST_WAIT);
+    LEAST_WAIT + spread.mul_f64(f64::from(shared.draw()) / f64::from(u32::MAX))
+}
+
+/// Returns when a call for the operator's changes takes too long: another entry has learned of one,
+/// or nobody proves any more that there are none. The call's connection may have fallen silent.
+async fn overdue<Border>(shared: &Shared<Border>, list: List) {
+    if list == List::Targets {
+        return std::future::pending().await;
+    }
+    let begun = now();
+    loop {
+        tokio::time::sleep(LOOK).await;
+        let time = now();
+        let behind = shared
+            .peers
+            .borrow()
+            .is_behind(shared.operator.get().cursor, time);
+        let age = shared.proof.get().age(time).unwrap_or_default();
+        let unproven = age >= UNPROVEN && time.since(begun) >= WAIT;
+        if behind || unproven {
+            Event::new("store_overdue")
+                .with("behind", behind)
+                .with("proof_age_ms", millis(age))
+                .info();
+            return;
+        }
+    }
+}
+
 fn count<Border>(shared: &Shared<Border>, outcome: &str) {
     shared.metrics.store.with_label_values(&[outcome]).inc();
 }
@@ -125,11 +222,20 @@
 {
     let mut members = Vec::new();
     let mut evacuated = Vec::new();
+    let (mut listed, mut unlisted) = (Vec::new(), Vec::new());
     for change in batch.changes {
         match change {
             Change::Listed(member) if whole => members.push(member),
-            Change::Listed(member) => report(shared, member, time),
-            Change::Unlisted(target) => unlist(shared, &target, time),
+            Change::Listed(member) => {
+                if report(shared, member.clone(), time) {
+                    listed.push(member);
+                }
+            }
+            Change::Unlisted(target, revision) => {
+                if unlist(shared, &target, revision, time) {
+                    unlisted.push((target, revision));
+                }
+            }
             Change::Catalog(catalog) => adopt(shared, *catalog),
             Change::Weights(model, version) => {
                 if shared.rollout.borrow_mut().name(&model, version, time) {
@@ -157,17 +263,27 @@
         }
     }
     if whole && list == List::Targets {
-        shared.roster.borrow_mut().replace(members, time);
+        let mut roster = shared.roster.borrow_mut();
+        roster.replace(members, batch.cursor, time);
+    }
+    if list == List::Targets && (!listed.is_empty() || !unlisted.is_empty()) {
+        listing::publish(shared, listed, unlisted);
     }
     if whole && list == List::Operator {
         *shared.evacuated.borrow_mut() = evacuated.into_iter().collect();
     }
+    on_targets(shared);
+}
+
+/// Wakes who waits for changes of the list of targets.
+pub(crate) fn on_targets<Border>(shared: &Shared<Border>) {
     if shared.rollout.borrow().is_behind(&shared.roster.borrow()) {
         shared.lag.notify_waiters();
     }
 }
 
-fn report<Border>(shared: &Shared<Border>, member: Member, time: Time) {
+/// Takes over what a target reports; says whether that is new.
+pub(crate) fn report<Border>(shared: &Shared<Border>, member: Member, time: Time) -> bool {
     let mut roster = shared.roster.borrow_mut();
     let known = roster.get(&member.id).map(|entry| Rc::new(entry.clone()));
     let changed = known.is_none_or(|known| {
@@ -189,12 +305,21 @@
             )
             .info();
     }
-    roster.list(member, time);
+    roster.list(member, time)
 }
 
-fn unlist<Border>(shared: &Shared<Border>, target: &Target, time: Time) {
-    Event::new("target_gone").with("target", &**target).info();
-    shared.roster.borrow_mut().unlist(target, time);
+/// Takes a target off the list; says whether that is new.
+pub(crate) fn unlist<Border>(
+    shared: &Shared<Border>,
+    target: &Target,
+    revision: u64,
+    time: Time,
+) -> bool {
+    let news = shared.roster.borrow_mut().unlist(target, revision, time);
+    if news {
+        Event::new("target_gone").with("target", &**target).info();
+    }
+    news
 }
 
 fn adopt<Border>(shared: &Shared<Border>, catalog: fleet::catalog::Catalog) {
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -28,6 +28,11 @@
 /// How long entries wait before they try to take the lease, at most; the last holder does not wait,
 /// since it can give orders at once.
 const SPREAD_MS: u64 = 300;
+/// Entries that read the lease of another one, to take it over; the others do so only when nobody
+/// has given orders for [`UNORDERED`].
+const CANDIDATES: usize = 3;
+/// See [`CANDIDATES`]. A takeover between candidates takes about three seconds.
+const UNORDERED: Duration = Duration::from_secs(5);
 /// How often the state of the rollout is looked at while the lease is held.
 const TICK: Duration = Duration::from_millis(100);
 /// How long an entry waits after a failed call to the store.
@@ -56,13 +61,24 @@
     let lease = Lease::new(name, incarnation, terms, nonce);
     let lease = Rc::new(RefCell::new(lease));
     let mut held = false;
+    let mut behind: Option<Time> = None;
     loop {
         let lagging = shared.lag.notified();
         if !is_behind(&shared) {
+            behind = None;
             // Weights may also fall behind without a change of a list, as a target restarts.
             let _ = tokio::time::timeout(LOOK, lagging).await;
             continue;
         }
+        let since = *behind.get_or_insert_with(now);
+        let rank = shared.live_rank(LEASE);
+        let candidate = rank.is_some_and(|rank| rank < CANDIDATES);
+        let ordered = shared.peers.borrow().orders(UNORDERED, now());
+        let early = ordered || now().since(since) < UNORDERED;
+        if !held && !candidate && early {
+            tokio::time::sleep(LOOK).await;
+            continue;
+        }
         if !held {
             let wait = u64::from(shared.draw()) % SPREAD_MS;
             tokio::time::sleep(Duration::from_millis(wait)).await;
@@ -263,6 +279,7 @@
                     *shared.names.borrow_mut() = names;
                     shared.placing.on_hosts();
                 }
+                shared.counted.set(true);
                 if shared.entries.replace(entries) != entries {
                     Event::new("entries").with("count", entries).info();
                 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod intake;
 mod journal;
 mod lead;
+mod listing;
 mod metrics;
 mod orders;
 pub mod packet;
--- a/crates/gateway/src/packet.rs
+++ b/crates/gateway/src/packet.rs
@@ -1,13 +1,16 @@
 //! The datagrams in which entries talk to each other.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use displaydoc::Display;
 use fleet::cell::Cell;
 use fleet::desk::{Ask, Demand, Name, Reply};
 use fleet::kept::{Key, Late, Report};
+use fleet::listing::{Notice, Page};
 use fleet::peers::{Update, Word};
 use fleet::placement::Load;
+use fleet::roster::Member;
 use serde::{Deserialize, Serialize};
 use types::{Domain, Model, Service, Store, Target, Team};
 
@@ -17,7 +20,7 @@
 const CODE_BYTES: usize = 32;
 /// Changes with the layout of [`Packet`]: during an upgrade, entries of two versions talk to each
 /// other, and bytes of another layout may decode to anything.
-pub const FORMAT: u8 = 5;
+pub const FORMAT: u8 = 6;
 
 /// Fetches of one host that count in one word; an entry starts fewer between two words.
 const MOST_LATE: u32 = 1000;
@@ -35,6 +38,12 @@
     Reply(Name, Reply),
     /// The request for a place with this name is given up.
     Cancel(Name),
+    /// What it tells its neighbours of the list of targets.
+    Notice(Notice),
+    /// A request, by its number, for the part of the list after a target.
+    Fetch(u64, Option<Target>),
+    /// The answer to it.
+    Page(Page),
 }
 
 /// Why a datagram is not used.
@@ -58,6 +67,46 @@
     Ask(Asked),
     Reply(Named, Answered),
     Cancel(Named),
+    Notice(Noticed),
+    Fetch(u64, Option<Target>),
+    Page(Listed),
+}
+
+#[derive(Serialize, Deserialize)]
+struct Noticed {
+    from: String,
+    cursor: u64,
+    /// In milliseconds.
+    age: u32,
+    digest: u64,
+    shaken: bool,
+    listed: Vec<Row>,
+    unlisted: Vec<(Target, u64)>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Listed {
+    from: String,
+    number: u64,
+    cursor: u64,
+    members: Vec<Row>,
+    more: bool,
+}
+
+/// A target as the list has it.
+#[derive(Serialize, Deserialize)]
+struct Row {
+    id: Target,
+    service: Service,
+    address: SocketAddr,
+    domain: Domain,
+    slots: u32,
+    draining: bool,
+    /// In milliseconds.
+    cold: u32,
+    born: Option<u64>,
+    weights: Vec<(Model, u64)>,
+    revision: u64,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -67,6 +116,8 @@
     number: u64,
     config: u64,
     proof: Option<u64>,
+    operator: u64,
+    warm: bool,
     loads: Vec<Loaded>,
     /// Each with the milliseconds since it was heard.
     heard: Vec<(Target, u32)>,
@@ -197,6 +248,9 @@
             Message::Ask(ask) => Self::Ask(Asked::from(ask)),
             Message::Reply(name, reply) => Self::Reply(named(name), Answered::from(reply)),
             Message::Cancel(name) => Self::Cancel(named(name)),
+            Message::Notice(notice) => Self::Notice(Noticed::from(notice)),
+            Message::Fetch(number, after) => Self::Fetch(*number, after.clone()),
+            Message::Page(page) => Self::Page(Listed::from(page)),
         }
     }
 }
@@ -209,6 +263,9 @@
             Packet::Ask(asked) => Self::Ask(asked.into()),
             Packet::Reply(named, answered) => Self::Reply(name(named), answered.into()),
             Packet::Cancel(named) => Self::Cancel(name(named)),
+            Packet::Notice(noticed) => Self::Notice(noticed.into()),
+            Packet::Fetch(number, after) => Self::Fetch(number, after),
+            Packet::Page(listed) => Self::Page(listed.into()),
         }
     }
 }
@@ -225,6 +282,8 @@
             number: word.number,
             config: word.config,
             proof: word.proof,
+            operator: word.operator,
+            warm: word.warm,
             loads: word.loads.iter().map(loaded).collect(),
             heard: heard
                 .map(|(target, ago)| (target.clone(), millis(*ago)))
@@ -274,6 +333,8 @@
             number: spoken.number,
             config: spoken.config,
             proof: spoken.proof,
+            operator: spoken.operator,
+            warm: spoken.warm,
             loads: spoken.loads.into_iter().map(load).collect(),
             heard: heard.collect(),
             late: late.collect(),
@@ -391,6 +452,92 @@
     }
 }
 
+impl From<&Notice> for Noticed {
+    fn from(notice: &Notice) -> Self {
+        Self {
+            from: notice.from.clone(),
+            cursor: notice.cursor,
+            age: millis(notice.age),
+            digest: notice.digest,
+            shaken: notice.shaken,
+            listed: notice.listed.iter().map(Row::from).collect(),
+            unlisted: notice.unlisted.clone(),
+        }
+    }
+}
+
+impl From<Noticed> for Notice {
+    fn from(noticed: Noticed) -> Self {
+        Self {
+            from: noticed.from,
+            cursor: noticed.cursor,
+            age: duration(noticed.age),
+            digest: noticed.digest,
+            shaken: noticed.shaken,
+            listed: noticed.listed.into_iter().map(Member::from).collect(),
+            unlisted: noticed.unlisted,
+        }
+    }
+}
+
+impl From<&Page> for Listed {
+    fn from(page: &Page) -> Self {
+        Self {
+            from: page.from.clone(),
+            number: page.number,
+            cursor: page.cursor,
+            members: page.members.iter().map(Row::from).collect(),
+            more: page.more,
+        }
+    }
+}
+
+impl From<Listed> for Page {
+    fn from(listed: Listed) -> Self {
+        Self {
+            from: listed.from,
+            number: listed.number,
+            cursor: listed.cursor,
+            members: listed.members.into_iter().map(Member::from).collect(),
+            more: listed.more,
+        }
+    }
+}
+
+impl From<&Member> for Row {
+    fn from(member: &Member) -> Self {
+        Self {
+            id: member.id.clone(),
+            service: member.service.clone(),
+            address: member.address,
+            domain: member.domain.clone(),
+            slots: member.slots,
+            draining: member.draining,
+            cold: millis(member.cold),
+            born: member.born,
+            weights: member.weights.clone(),
+            revision: member.revision,
+        }
+    }
+}
+
+impl From<Row> for Member {
+    fn from(row: Row) -> Self {
+        Self {
+            id: row.id,
+            service: row.service,
+            address: row.address,
+            domain: row.domain,
+            slots: row.slots,
+            draining: row.draining,
+            cold: duration(row.cold),
+            born: row.born,
+            weights: row.weights,
+            revision: row.revision,
+        }
+    }
+}
+
 impl Part {
     fn new(store: &Store, key: &Key) -> Self {
         Self {
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -112,9 +112,12 @@
 const MUTE: Duration = Duration::from_millis(1000);
 /// The longest time for which it is not asked.
 const MOST_MUTE: Duration = Duration::from_secs(4);
-/// How long after its start an entry is no dispatcher: until then it has heard of the loads of all
-/// others. Where all start together there are none.
+/// How long after its start an entry has heard of the loads of all others.
 const WARM_UP: Duration = Duration::from_millis(1500);
+/// How long after its start it has heard of some others, if there are any.
+const HEAR: Duration = Duration::from_millis(300);
+/// How long an entry is not asked that says it is no dispatcher: it starts or stops.
+const ELSEWHERE: Duration = Duration::from_millis(250);
 /// How long an entry takes silent dispatchers for alive after its own start.
 const ACQUAINT: Duration = Duration::from_secs(3);
 /// Dispatchers of one cell that are asked for one request, and that are told of loads: the second
@@ -237,10 +240,25 @@
         alive.take(DEPUTIES).cloned().collect()
     }
 
-    /// Says whether this entry may be a dispatcher.
+    /// Says whether this entry may be a dispatcher. Where all entries have just started, there are
+    /// no loads that it could have missed.
     fn takes_asks<Border>(&self, shared: &Shared<Border>, time: Time) -> bool {
-        let warm = shared.settings.first_start || time.since(self.started) >= WARM_UP;
-        warm && shared.stopping.get().is_none()
+        let age = time.since(self.started);
+        let alone = age >= HEAR && !shared.peers.borrow().has_warm();
+        (self.is_warm(shared) || alone) && shared.stopping.get().is_none()
+    }
+
+    /// Says whether this entry has run for long enough to know what the others have under way.
+    pub(crate) fn is_warm<Border>(&self, shared: &Shared<Border>) -> bool {
+        shared.settings.first_start || now().since(self.started) >= WARM_UP
+    }
+
+    /// Sends a message to an address.
+    pub(crate) fn send_to(&self, message: &Message, to: SocketAddr) {
+        let line = self.line.borrow().clone();
+        if let Some(line) = line {
+            line.send(message, to);
+        }
     }
 
     /// Records that a dispatcher does not answer, or is none any more. It is not asked for a while,
@@ -496,7 +514,14 @@
         };
         let reply = converse(shared, &dispatcher, request, &mut replies).await;
         match reply {
-            Some(Reply::Elsewhere) => shared.placing.on_mute(&dispatcher, now()),
+            Some(Reply::Elsewhere) => {
+                let mute = Mute {
+                    until: now() + ELSEWHERE,
+                    times: 0,
+                };
+                let mut mutes = shared.placing.mute.borrow_mut();
+                mutes.insert(dispatcher.clone(), mute);
+            }
             Some(reply) => {
                 shared.placing.mute.borrow_mut().remove(&dispatcher);
                 pending.close();
@@ -604,9 +629,9 @@
         return;
     }
     let address = shared.names.borrow().get(to).map(|peer| peer.ip);
-    let line = shared.placing.line.borrow().clone();
-    if let (Some(ip), Some(line)) = (address, line) {
-        line.send(message, SocketAddr::new(ip, shared.settings.peer_port));
+    if let Some(ip) = address {
+        let to = SocketAddr::new(ip, shared.settings.peer_port);
+        shared.placing.send_to(message, to);
     }
 }
 
@@ -644,7 +669,7 @@
         }
         Message::Cancel(name) => placing.desk.borrow_mut().on_cancel(&name, time),
         Message::Update(update) => on_update(shared, &update, time),
-        Message::Word(_) => {}
+        Message::Word(_) | Message::Notice(_) | Message::Fetch(..) | Message::Page(_) => {}
     }
 }
 
@@ -703,9 +728,8 @@
         let peer = names.get(&*name.asker)?;
         Some(SocketAddr::new(peer.ip, shared.settings.peer_port))
     };
-    let line = shared.placing.line.borrow().clone();
-    if let (Some(to), Some(line)) = (to.or_else(known), line) {
-        line.send(&Message::Reply(name, reply), to);
+    if let Some(to) = to.or_else(known) {
+        shared.placing.send_to(&Message::Reply(name, reply), to);
     }
 }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -24,7 +24,7 @@
 use crate::serve::{self, millis};
 use crate::settings::{Problem, Settings};
 use crate::shared::Shared;
-use crate::{follow, guard, lead, placing, shelf, talk};
+use crate::{follow, guard, lead, listing, placing, shelf, talk};
 
 /// A running entry.
 #[derive(Debug)]
@@ -164,6 +164,8 @@
     let own = Rc::clone(shared);
     guard::spawn("tell", move || placing::tell(Rc::clone(&own)));
     let own = Rc::clone(shared);
+    guard::spawn("beacon", move || listing::beacon(Rc::clone(&own)));
+    let own = Rc::clone(shared);
     guard::spawn("count", move || lead::count(Rc::clone(&own)));
 }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -20,6 +20,7 @@
 use types::{Domain, Model, Service, Target, Time};
 
 use crate::connection;
+use crate::listing::Listing;
 use crate::metrics::Metrics;
 use crate::placing::Placing;
 use crate::settings::Settings;
@@ -45,6 +46,8 @@
     pub(crate) buffers: Rc<RefCell<Buffers>>,
     /// Entries that share the allowances, this one among them.
     pub(crate) entries: Cell<usize>,
+    /// Whether they were counted once.
+    pub(crate) counted: Cell<bool>,
     /// Where they are, by name.
     pub(crate) names: RefCell<BTreeMap<String, Peer>>,
     pub(crate) peers: RefCell<Peers>,
@@ -57,12 +60,24 @@
     pub(crate) unanswered: Rc<()>,
     pub(crate) lobby: RefCell<Lobby<Service>>,
     pub(crate) placing: Placing,
+    pub(crate) listing: Listing,
     /// Woken when a target may have room.
     pub(crate) room: Notify,
+    /// How far the operator's list was read.
+    pub(crate) operator: Cell<Read>,
     /// Woken when weights fall behind.
     pub(crate) lag: Notify,
 }
 
+/// How far a list was read, in versions of the store's rows.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Read {
+    /// Up to here.
+    pub(crate) cursor: u64,
+    /// The last change was up to here.
+    pub(crate) learned: u64,
+}
+
 /// Where an entry is.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Peer {
@@ -101,6 +116,7 @@
             lines: RefCell::default(),
             buffers: Rc::new(RefCell::new(buffers)),
             entries: Cell::new(1),
+            counted: Cell::new(false),
             names: RefCell::default(),
             peers: RefCell::default(),
             joined: Cell::new(None),
@@ -108,7 +124,9 @@
             unanswered: Rc::default(),
             lobby: RefCell::default(),
             placing: Placing::new(),
+            listing: Listing::default(),
             room: Notify::new(),
+            operator: Cell::default(),
             lag: Notify::new(),
         }
     }
@@ -139,9 +157,20 @@
     /// store host, the first one frees parts, the first few follow its reports, and the first two of
     /// these pass them on.
     pub(crate) fn rank(&self, store: &str) -> Option<usize> {
-        let key = routing::Key::new(&[store.as_bytes()]);
+        self.rank_among(store, |_| true)
+    }
+
+    /// Returns the position of this entry among those that look after something and are heard.
+    pub(crate) fn live_rank(&self, key: &str) -> Option<usize> {
+        let peers = self.peers.borrow();
+        let own = &self.settings.name;
+        self.rank_among(key, |name| name == own || peers.hears(name))
+    }
+
+    fn rank_among(&self, key: &str, counts: impl Fn(&str) -> bool) -> Option<usize> {
+        let key = routing::Key::new(&[key.as_bytes()]);
         let names = self.names.borrow();
-        let named = names.keys().map(|name| {
+        let named = names.keys().filter(|name| counts(name)).map(|name| {
             let mut bytes = [0; 8];
             bytes.copy_from_slice(&blake3::hash(name.as_bytes()).as_bytes()[..8]);
             (u64::from_le_bytes(bytes), &**name)
--- a/crates/gateway/src/talk.rs
+++ b/crates/gateway/src/talk.rs
@@ -9,6 +9,7 @@
 
 use crate::border::Platform;
 use crate::clock::now;
+use crate::listing;
 use crate::packet::{self, Message};
 use crate::placing::{self, Line};
 use crate::shared::Shared;
@@ -92,6 +93,8 @@
         number: shared.placing.number(),
         config: shared.catalog().map_or(0, |catalog| catalog.version.0),
         proof: shared.proof.get().given(),
+        operator: shared.operator.get().learned,
+        warm: shared.placing.is_warm(shared),
         loads: loads
             .map(|(target, load)| (target.clone(), *load))
             .collect(),
@@ -119,6 +122,11 @@
         };
         match packet::open(&line.secret, &buffer[..length]) {
             Ok(Message::Word(word)) => take(shared, &word),
+            Ok(Message::Notice(notice)) => listing::on_notice(shared, notice),
+            Ok(Message::Fetch(number, after)) => {
+                listing::on_fetch(shared, number, after.as_ref(), from);
+            }
+            Ok(Message::Page(page)) => listing::on_page(shared, page),
             Ok(message) => placing::on_message(shared, message, Some(from)),
             Err(problem) => log::warn!("a word from {from} is not used: {problem}"),
         }
--- a/crates/gateway/tests/packet.rs
+++ b/crates/gateway/tests/packet.rs
@@ -23,6 +23,8 @@
         number: 4,
         config: 12,
         proof: Some(77_000),
+        operator: 900,
+        warm: true,
         loads: vec![("t".into(), Load::default())],
         heard: vec![("t".into(), Duration::from_millis(120))],
         late: vec![(
