listing: neighbours tell each other of the list of targets

Change: two entries of each failure domain follow the list and tell the others of changes by datagrams; an entry that hears of no fresh neighbour asks the store (fleet::listing). Rows carry their version, so of two reports the newer one counts, whichever way it came.

--- a/crates/fleet/src/listing.rs
+++ b/crates/fleet/src/listing.rs
@@ -62,8 +62,10 @@
 #[derive(Debug, Default)]
 pub struct Neighbours {
     heard: HashMap<String, Heard>,
-    /// Since when the own list has differed from that of a fresh neighbour.
+    /// Since when the own list has differed from those of all fresh neighbours.
     differs: Option<Time>,
+    /// The version at which it was last the same as that of one.
+    same: u64,
     /// The neighbour whose list could not be read, and until when it is not asked for it.
     refused: Option<(String, Time)>,
 }
@@ -116,10 +118,12 @@
             digest: notice.digest,
         };
         self.heard.insert(notice.from.clone(), heard);
-        let same = self.fresh(now).any(|(_, heard)| heard.digest == digest);
+        let same = self.fresh(now).filter(|(_, heard)| heard.digest == digest);
+        let same = same.map(|(_, heard)| heard.cursor).max();
+        self.same = self.same.max(same.unwrap_or(0));
         self.differs = match same {
-            true => None,
-            false => self.differs.or(Some(now)),
+            Some(_) => None,
+            None => self.differs.or(Some(now)),
         };
     }
 
@@ -137,15 +141,17 @@
     /// neighbours, and `cursor` what it has read of the store.
     pub fn next(&mut self, leads: bool, cursor: Option<u64>, now: Time) -> Next {
         self.heard.retain(|_, heard| now.since(heard.at) < QUIET);
+        // What is missing comes with the changes since the last version that is known for sure.
+        let known = cursor.map(|cursor| cursor.max(self.same));
         if leads {
-            return Next::Store(self.newest(cursor));
+            return Next::Store(known);
         }
         let refused = self.refused.as_ref().filter(|(_, until)| now < *until);
         let refused = refused.map(|(name, _)| name.as_str());
         let fresh: Vec<&str> = self.fresh(now).map(|(name, _)| name).collect();
         let Some(any) = fresh.iter().find(|name| Some(**name) != refused) else {
             return match fresh.is_empty() || cursor.is_none() {
-                true => Next::Store(self.newest(cursor)),
+                true => Next::Store(known),
                 false => Next::Rest,
             };
         };
@@ -158,16 +164,6 @@
         }
     }
 
-    /// Returns the version up to which changes are known; none before a whole list was read.
-    fn newest(&self, cursor: Option<u64>) -> Option<u64> {
-        // A list that differs is read as a whole.
-        if self.differs.is_some() {
-            return None;
-        }
-        let told = self.heard.values().map(|heard| heard.cursor).max();
-        cursor.map(|cursor| cursor.max(told.unwrap_or(0)))
-    }
-
     fn fresh(&self, now: Time) -> impl Iterator<Item = (&str, &Heard)> {
         let fresh = self.heard.iter().filter(move |(_, heard)| {
             now.since(heard.at) < QUIET && now.since(heard.answered) < STALE
--- /dev/null
+++ b/crates/fleet/tests/listing.rs
@@ -0,0 +1,253 @@
+//! The list of targets by way of neighbours.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use fleet::cell::Host;
+use fleet::listing::{BEACON, LEADERS, Neighbours, Next, Notice, leaders};
+use fleet::roster::{Member, Roster};
+use proptest::prelude::*;
+use types::{Target, Time};
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+fn member(id: &str, revision: u64, draining: bool) -> Member {
+    Member {
+        id: id.into(),
+        service: "engines".into(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        domain: "pier".into(),
+        slots: 4,
+        draining,
+        cold: Duration::ZERO,
+        born: None,
+        weights: Vec::new(),
+        revision,
+    }
+}
+
+fn notice(from: &str, cursor: u64, digest: u64, age: u64) -> Notice {
+    Notice {
+        from: from.to_owned(),
+        cursor,
+        age: Duration::from_millis(age),
+        digest,
+        ..Notice::default()
+    }
+}
+
+/// Guards against entries that all follow the store, and against domains without one that does.
+#[test]
+fn two_entries_of_each_domain_follow_the_store() {
+    let hosts: Vec<Host> = (0..300)
+        .map(|index| Host {
+            name: format!("entry-{index}"),
+            domain: format!("d{}", index % 6).as_str().into(),
+            weight: 0.1,
+        })
+        .collect();
+    let mut all = Vec::new();
+    for domain in 0..6 {
+        let domain = format!("d{domain}");
+        let chosen = leaders(&domain.as_str().into(), &hosts, |_| true);
+        assert_eq!(chosen.len(), LEADERS);
+        let first = chosen[0].clone();
+        let without = leaders(&domain.as_str().into(), &hosts, |name| name != first);
+        assert_eq!(without.len(), LEADERS);
+        assert!(!without.contains(&first));
+        assert_eq!(without[0], chosen[1]);
+        all.extend(chosen);
+    }
+    assert_eq!(all.len(), 12);
+}
+
+/// Guards against entries that rely on a neighbour which has fallen silent, or which the store has
+/// turned away.
+#[test]
+fn without_a_fresh_neighbour_the_store_is_asked() {
+    let mut neighbours = Neighbours::default();
+    assert_eq!(neighbours.next(false, Some(5), at(0)), Next::Store(Some(5)));
+    neighbours.on_notice(&notice("a", 10, 7, 100), 7, at(0));
+    assert_eq!(neighbours.next(false, Some(5), at(1500)), Next::Rest);
+    // Silent; changes go on from where the lists were the same.
+    assert_eq!(
+        neighbours.next(false, Some(5), at(1700)),
+        Next::Store(Some(10))
+    );
+    for beacon in 0..8 {
+        let now = 2000 + beacon * 500;
+        neighbours.on_notice(&notice("a", 10, 7, 100 + beacon * 500), 7, at(now));
+    }
+    assert_eq!(
+        neighbours.next(false, Some(5), at(5600)),
+        Next::Store(Some(10))
+    );
+}
+
+/// Guards against a list that stays wrong after a notice was lost.
+#[test]
+fn a_list_that_differs_is_read_as_a_whole() {
+    let mut neighbours = Neighbours::default();
+    neighbours.on_notice(&notice("a", 10, 7, 100), 7, at(0));
+    neighbours.on_notice(&notice("a", 12, 8, 100), 7, at(500));
+    assert_eq!(neighbours.next(false, Some(5), at(700)), Next::Rest);
+    neighbours.on_notice(&notice("a", 12, 8, 100), 7, at(1000));
+    let next = neighbours.next(false, Some(5), at(1400));
+    assert_eq!(next, Next::Fetch("a".to_owned()));
+    neighbours.on_refused("a".to_owned(), at(1400));
+    assert_eq!(neighbours.next(false, Some(5), at(1400)), Next::Rest);
+    neighbours.on_fetched();
+    neighbours.on_notice(&notice("a", 12, 8, 100), 8, at(1500));
+    assert_eq!(neighbours.next(false, Some(5), at(3000)), Next::Rest);
+}
+
+/// Guards against an entry that reads the whole list from the store each time that the lists of two
+/// entries which follow it differ for a moment.
+#[test]
+fn an_entry_that_follows_the_store_goes_on_with_changes() {
+    let mut neighbours = Neighbours::default();
+    for now in 0..20 {
+        neighbours.on_notice(&notice("a", 10 + now, now, 100), 1000 + now, at(now * 500));
+    }
+    assert_eq!(
+        neighbours.next(true, Some(25), at(9600)),
+        Next::Store(Some(25))
+    );
+    assert_eq!(neighbours.next(true, None, at(9600)), Next::Store(None));
+}
+
+/// Guards against an older report that comes late, by another way, and brings a target back or lets
+/// a leaving one get requests.
+#[test]
+fn of_two_reports_the_newer_row_counts() {
+    let mut roster = Roster::default();
+    assert!(roster.list(member("a", 5, true), at(0)));
+    assert!(!roster.list(member("a", 4, false), at(10)));
+    assert!(
+        roster
+            .get(&"a".into())
+            .is_some_and(|entry| entry.member.draining)
+    );
+    assert!(!roster.unlist(&"a".into(), 4, at(20)));
+    assert!(roster.unlist(&"a".into(), 6, at(30)));
+    assert!(!roster.list(member("a", 5, false), at(40)));
+    assert!(roster.get(&"a".into()).is_none());
+    assert!(roster.list(member("a", 7, false), at(50)));
+}
+
+/// A change of one row in the store.
+#[derive(Debug, Clone)]
+struct Change {
+    target: usize,
+    draining: bool,
+    gone: bool,
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    (0..8usize, any::<bool>(), any::<bool>()).prop_map(|(target, draining, gone)| Change {
+        target,
+        draining,
+        gone,
+    })
+}
+
+proptest! {
+    /// Guards against lists that stay different whatever notices are lost, late or doubled: within
+    /// some beacons after the last change, a member has the list of those that follow the store.
+    #[test]
+    fn lists_become_the_same(
+        changes in prop::collection::vec(change(), 1..60),
+        fates in prop::collection::vec((0..4u8, any::<bool>()), 200),
+    ) {
+        let mut store: BTreeMap<Target, Option<Member>> = BTreeMap::new();
+        let mut chiefs = [Roster::default(), Roster::default()];
+        let mut read = [0u64; 2];
+        let mut own = Roster::default();
+        let mut neighbours = Neighbours::default();
+        let mut cursor = Some(0);
+        let mut rows: Vec<(u64, Target, Option<Member>)> = Vec::new();
+        let mut late: Vec<Notice> = Vec::new();
+        let mut fates = fates.into_iter().cycle();
+        let end = changes.len() as u64 + 12;
+        let mut changes = changes.into_iter();
+        for step in 0..end {
+            let now = at(step * u64::try_from(BEACON.as_millis()).expect("short"));
+            let revision = step + 1;
+            if let Some(change) = changes.next() {
+                let id: Target = format!("t{}", change.target).as_str().into();
+                let row = (!change.gone).then(|| member(&id, revision, change.draining));
+                store.insert(id.clone(), row.clone());
+                rows.push((revision, id, row));
+            }
+            for (index, chief) in chiefs.iter_mut().enumerate() {
+                let (fate, lags) = fates.next().expect("endless");
+                if lags && step + 6 < end {
+                    continue;
+                }
+                let mut notice = notice(["a", "b"][index], revision, 0, 100);
+                for (at_row, id, row) in rows.iter().filter(|(at_row, ..)| *at_row > read[index]) {
+                    match row {
+                        Some(row) => {
+                            chief.list(row.clone(), now);
+                            notice.listed.push(row.clone());
+                        }
+                        None => {
+                            chief.unlist(id, *at_row, now);
+                            notice.unlisted.push((id.clone(), *at_row));
+                        }
+                    }
+                }
+                read[index] = revision;
+                notice.digest = chief.digest();
+                let lost = fate == 0 && step + 6 < end;
+                if fate == 1 {
+                    late.push(notice.clone());
+                }
+                if !lost {
+                    take(&mut own, &mut neighbours, &notice, now);
+                }
+            }
+            if step % 3 == 0
+                && let Some(notice) = late.pop()
+            {
+                take(&mut own, &mut neighbours, &notice, now);
+            }
+            match neighbours.next(false, cursor, now) {
+                Next::Rest => {}
+                Next::Fetch(name) => {
+                    let index = usize::from(name == "b");
+                    let members = chiefs[index].iter().map(|entry| Member::clone(&entry.member));
+                    own.replace(members.collect(), read[index], now);
+                    neighbours.on_fetched();
+                }
+                Next::Store(_) => {
+                    for (at_row, id, row) in &rows {
+                        match row {
+                            Some(row) => { own.list(row.clone(), now); }
+                            None => { own.unlist(id, *at_row, now); }
+                        }
+                    }
+                    cursor = Some(revision);
+                }
+            }
+        }
+        // A row may have been written again with the same content, which nobody needs to know.
+        let wanted: Vec<u64> = store.values().flatten().map(Member::mark).collect();
+        let mut having: Vec<&Member> = own.iter().map(|entry| &*entry.member).collect();
+        having.sort_by(|one, other| one.id.cmp(&other.id));
+        let having: Vec<u64> = having.into_iter().map(Member::mark).collect();
+        prop_assert_eq!(having, wanted);
+    }
+}
+
+fn take(own: &mut Roster, neighbours: &mut Neighbours, notice: &Notice, now: Time) {
+    for member in &notice.listed {
+        own.list(member.clone(), now);
+    }
+    for (id, revision) in &notice.unlisted {
+        own.unlist(id, *revision, now);
+    }
+    neighbours.on_notice(notice, own.digest(), now);
+}
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -139,7 +139,7 @@
 }
 
 /// Takes over what a neighbour tells of the list.
-pub(crate) fn on_notice<Border>(shared: &Rc<Shared<Border>>, notice: Notice)
+pub(crate) fn on_notice<Border>(shared: &Rc<Shared<Border>>, notice: &Notice)
 where
     Border: Platform,
 {
@@ -155,7 +155,7 @@
     }
     let digest = shared.roster.borrow().digest();
     let mut neighbours = shared.listing.neighbours.borrow_mut();
-    neighbours.on_notice(&notice, digest, time);
+    neighbours.on_notice(notice, digest, time);
     drop(neighbours);
     follow::on_targets(shared);
 }
--- a/crates/gateway/src/talk.rs
+++ b/crates/gateway/src/talk.rs
@@ -122,7 +122,7 @@
         };
         match packet::open(&line.secret, &buffer[..length]) {
             Ok(Message::Word(word)) => take(shared, &word),
-            Ok(Message::Notice(notice)) => listing::on_notice(shared, notice),
+            Ok(Message::Notice(notice)) => listing::on_notice(shared, &notice),
             Ok(Message::Fetch(number, after)) => {
                 listing::on_fetch(shared, number, after.as_ref(), from);
             }
