--- a/crates/daemon/src/agent/claim.rs
+++ b/crates/daemon/src/agent/claim.rs
@@ -46,6 +46,10 @@
 const SETTLE_PATIENCE: Duration = Duration::from_millis(500);
 /// How long another agent may take to answer; it may wait for [`SETTLE_PATIENCE`] itself.
 const ASK_TIMEOUT: Duration = Duration::from_secs(2);
+/// The wait before an agent is asked again whose answer was lost with its connection.
+const ASK_PAUSE: Duration = Duration::from_millis(100);
+/// How long an agent is asked again: a broken connection is noticed and opened anew meanwhile.
+const ASK_AGAIN: Duration = Duration::from_millis(600);
 /// How long the directory may lack the agent of a claim; a new member is known everywhere after
 /// 1.2 s at the slowest (docs/CAPACITY.md).
 const LIST_PATIENCE: Duration = Duration::from_millis(1300);
@@ -236,13 +240,26 @@
             );
             return Fate::Unknown;
         };
-        match timeout(ASK_TIMEOUT, self.ask_peer(address, claimed)).await {
-            Ok(Ok(Some(fate))) => return fate,
-            Ok(Ok(None)) => log::warn!("{} did not answer for its claim", claim.agent),
-            Ok(Err(error)) => log::warn!("{} was not asked for its claim: {error}", claim.agent),
-            Err(_) => log::warn!("{} did not answer in time for its claim", claim.agent),
+        let last = Instant::now() + ASK_AGAIN;
+        loop {
+            match timeout(ASK_TIMEOUT, self.ask_peer(address, claimed.clone())).await {
+                Ok(Ok(Some(fate))) => return fate,
+                Ok(Ok(None)) => log::warn!("{} did not answer for its claim", claim.agent),
+                Ok(Err(error)) => {
+                    log::warn!("{} was not asked for its claim: {error}", claim.agent);
+                }
+                Err(_) => {
+                    log::warn!("{} did not answer in time for its claim", claim.agent);
+                    return Fate::Unknown;
+                }
+            }
+            // The question changes nothing that its first time did not change, so it may be asked
+            // again. An agent that is gone does not answer then either.
+            if Instant::now() >= last {
+                return Fate::Unknown;
+            }
+            tokio::time::sleep(ASK_PAUSE).await;
         }
-        Fate::Unknown
     }
 
     /// Returns the address of an agent. A claim reaches the table sooner than the news of an agent
--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -8,13 +8,11 @@
 use std::time::Duration;
 
 use common::fake::Engine;
-use common::{Cluster, Process, expected, read, settings, until};
-use daemon::control;
-use daemon::metrics::Metrics;
+use common::{Cluster, Process, expected, read, until};
 use futures_util::StreamExt;
 use serde_json::{Value, json};
 use types::{Request, Verdict, Version};
-use wire::{Admitted, Digest, End, Event, Frame, Listener, Load, Reason, Refused, Usage};
+use wire::{Admitted, Digest, End, Event, Frame, Load, Reason, Refused, Usage};
 
 const TOKENS: u32 = 40;
 
@@ -91,39 +89,10 @@
     assert_eq!(read(&body), (expected(TOKENS), true), "{body}");
 }
 
-/// What an agent of a test does with a stream.
-type Script = fn(Frame) -> Vec<Frame>;
-
 /// Starts a member that answers the streams of requests as the script says and then breaks them.
-///
-/// Its control part is a real one: a member that does not gossip is soon suspected, and no prompt
-/// is sent to it.
-async fn scripted(script: Script) -> (Cluster, Arc<Mutex<Vec<Frame>>>) {
+async fn scripted(script: fn(Frame) -> Vec<Frame>) -> (Cluster, Arc<Mutex<Vec<Frame>>>) {
     let cluster = Cluster::start().await;
-    let role = json!({ "engine": { "target": "x", "model": "m", "address": "http://127.0.0.1:1",
-        "cold_limit": 1, "warm_limit": 1 } });
-    let settings = settings(&cluster.platform, "scripted", &role);
-    let mut listener = Listener::bind(settings.peer_address, settings.keys())
-        .await
-        .unwrap();
-    let view = control::spawn(&settings, listener.address(), Metrics::new()).unwrap();
-    let seen: Arc<Mutex<Vec<Frame>>> = Arc::default();
-    let log = Arc::clone(&seen);
-    tokio::spawn(async move {
-        while let Some(mut stream) = listener.accept().await {
-            let Ok(Some(frame)) = stream.receiver.recv().await else {
-                continue;
-            };
-            if let Frame::Control(message) = frame {
-                view.serve(message, &mut stream).await;
-                continue;
-            }
-            log.lock().unwrap().push(frame.clone());
-            stream.sender.send_all(&script(frame)).await.unwrap();
-            stream.sender.finish();
-        }
-    });
-    cluster.ready(&["scripted"], &[]).await;
+    let seen = cluster.scripted(script).await;
     (cluster, seen)
 }
 
--- a/crates/daemon/tests/claims.rs
+++ b/crates/daemon/tests/claims.rs
@@ -6,8 +6,11 @@
 
 use common::fake::Service;
 use common::{Cluster, until};
+use control::claim::{Claim, Fate, State};
 use futures_util::future::join_all;
 use serde_json::Value;
+use types::{Attempt, Incarnation};
+use wire::{Answered, Frame};
 
 const FEW: &[&str] = &["service-0", "service-1"];
 
@@ -186,3 +189,45 @@
         assert_eq!((status, service.executed()), (200, index + 1), "{body}");
     }
 }
+
+/// Guards against a call that is refused as in doubt because one connection to the agent of the claim
+/// broke: the agent lives, and knows that the attempt was never sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_is_asked_again_when_its_answer_is_lost() {
+    let cluster = Cluster::start().await;
+    let service = Service::start().await;
+    let agent = cluster.service(FEW[0], service.address).await;
+    let mut asked = 0;
+    let seen = cluster
+        .scripted(move |frame| match frame {
+            Frame::Claimed(claimed) => {
+                asked += 1;
+                let answer = Frame::Fate(Answered {
+                    attempt: claimed.attempt,
+                    fate: Fate::Never,
+                });
+                if asked > 2 { vec![answer] } else { Vec::new() }
+            }
+            _ => Vec::new(),
+        })
+        .await;
+    cluster.ready(&["service-0", "scripted"], &[&agent]).await;
+    let mut digest = blake3::Hasher::new();
+    for part in ["s", "pay", "1"] {
+        digest.update(&(part.len() as u64).to_le_bytes());
+        digest.update(part.as_bytes());
+    }
+    let claim = Claim {
+        attempt: Attempt(7),
+        agent: "scripted".to_owned(),
+        incarnation: Incarnation(1),
+        digest: digest.finalize().to_hex().to_string(),
+        state: State::Claimed,
+    };
+    let key = format!("claim/a/{}", blake3::hash(b"k").to_hex());
+    let row = (1, serde_json::to_value(claim).unwrap());
+    cluster.platform.state.rows.lock().unwrap().insert(key, row);
+    let (status, body) = cluster.call(0, "pay", Some("k"), "1").await;
+    assert_eq!((status, service.executed()), (200, 1), "{body}");
+    assert_eq!(seen.lock().unwrap().len(), 3);
+}
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -5,15 +5,19 @@
 pub mod fake;
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use daemon::agent::{self, Agent};
+use daemon::control;
 use daemon::entry::{self, Entry};
+use daemon::metrics::Metrics;
 use daemon::settings::Settings;
 use platform::config::{Record, propose};
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 use types::Version;
+use wire::{Frame, Listener};
 
 use fake::Platform;
 
@@ -109,6 +113,42 @@
         Process::start(settings(&self.platform, name, &role)).await
     }
 
+    /// Starts a member that answers streams as the script says and then breaks them; returns what
+    /// it gets.
+    ///
+    /// Its control part is a real one: a member that does not gossip is soon suspected, and no
+    /// request is sent to it.
+    pub async fn scripted<Script>(&self, mut script: Script) -> Arc<Mutex<Vec<Frame>>>
+    where
+        Script: FnMut(Frame) -> Vec<Frame> + Send + 'static,
+    {
+        let role = json!({ "engine": { "target": "x", "model": "m", "address": "http://127.0.0.1:1",
+            "cold_limit": 1, "warm_limit": 1 } });
+        let settings = settings(&self.platform, "scripted", &role);
+        let mut listener = Listener::bind(settings.peer_address, settings.keys())
+            .await
+            .unwrap();
+        let view = control::spawn(&settings, listener.address(), Metrics::new()).unwrap();
+        let seen: Arc<Mutex<Vec<Frame>>> = Arc::default();
+        let log = Arc::clone(&seen);
+        tokio::spawn(async move {
+            while let Some(mut stream) = listener.accept().await {
+                let Ok(Some(frame)) = stream.receiver.recv().await else {
+                    continue;
+                };
+                if let Frame::Control(message) = frame {
+                    view.serve(message, &mut stream).await;
+                    continue;
+                }
+                log.lock().unwrap().push(frame.clone());
+                stream.sender.send_all(&script(frame)).await.unwrap();
+                stream.sender.finish();
+            }
+        });
+        self.ready(&["scripted"], &[]).await;
+        seen
+    }
+
     /// Waits until both entries know these members and the agents take work.
     pub async fn ready(&self, members: &[&str], agents: &[&Process]) {
         for entry in &self.entries {
