--- a/crates/daemon/src/agent/claim.rs
+++ b/crates/daemon/src/agent/claim.rs
@@ -242,7 +242,7 @@
         };
         let last = Instant::now() + ASK_AGAIN;
         loop {
-            match timeout(ASK_TIMEOUT, self.ask_peer(address, claimed.clone())).await {
+            match timeout(ASK_TIMEOUT, self.ask_peer(address, claimed)).await {
                 Ok(Ok(Some(fate))) => return fate,
                 Ok(Ok(None)) => log::warn!("{} did not answer for its claim", claim.agent),
                 Ok(Err(error)) => {
