--- a/crates/fleet/src/listing.rs
+++ b/crates/fleet/src/listing.rs
@@ -138,8 +138,9 @@
     }
 
     /// Returns what to do next; `leads` says whether this entry follows the store for its
-    /// neighbours, and `cursor` what it has read of the store.
-    pub fn next(&mut self, leads: bool, cursor: Option<u64>, now: Time) -> Next {
+    /// neighbours, `cursor` what it has read of the list, and `new` whether it has just started and
+    /// may not have heard of its neighbours yet.
+    pub fn next(&mut self, leads: bool, new: bool, cursor: Option<u64>, now: Time) -> Next {
         self.heard.retain(|_, heard| now.since(heard.at) < QUIET);
         // What is missing comes with the changes since the last version that is known for sure.
         let known = cursor.map(|cursor| cursor.max(self.same));
@@ -150,9 +151,10 @@
         let refused = refused.map(|(name, _)| name.as_str());
         let fresh: Vec<&str> = self.fresh(now).map(|(name, _)| name).collect();
         let Some(any) = fresh.iter().find(|name| Some(**name) != refused) else {
-            return match fresh.is_empty() || cursor.is_none() {
-                true => Next::Store(known),
-                false => Next::Rest,
+            let rests = new || !fresh.is_empty();
+            return match rests && cursor.is_some() {
+                true => Next::Rest,
+                false => Next::Store(known),
             };
         };
         let differs = self
--- a/crates/fleet/tests/listing.rs
+++ b/crates/fleet/tests/listing.rs
@@ -68,12 +68,15 @@
 #[test]
 fn without_a_fresh_neighbour_the_store_is_asked() {
     let mut neighbours = Neighbours::default();
-    assert_eq!(neighbours.next(false, Some(5), at(0)), Next::Store(Some(5)));
+    assert_eq!(
+        neighbours.next(false, false, Some(5), at(0)),
+        Next::Store(Some(5))
+    );
     neighbours.on_notice(&notice("a", 10, 7, 100), 7, at(0));
-    assert_eq!(neighbours.next(false, Some(5), at(1500)), Next::Rest);
+    assert_eq!(neighbours.next(false, false, Some(5), at(1500)), Next::Rest);
     // Silent; changes go on from where the lists were the same.
     assert_eq!(
-        neighbours.next(false, Some(5), at(1700)),
+        neighbours.next(false, false, Some(5), at(1700)),
         Next::Store(Some(10))
     );
     for beacon in 0..8 {
@@ -81,26 +84,39 @@
         neighbours.on_notice(&notice("a", 10, 7, 100 + beacon * 500), 7, at(now));
     }
     assert_eq!(
-        neighbours.next(false, Some(5), at(5600)),
+        neighbours.next(false, false, Some(5), at(5600)),
         Next::Store(Some(10))
     );
 }
 
+/// Guards against hundreds of entries that all read each change while they start together, before
+/// they hear of each other.
+#[test]
+fn a_new_entry_waits_for_its_neighbours_for_a_moment() {
+    let mut neighbours = Neighbours::default();
+    assert_eq!(neighbours.next(false, true, Some(5), at(0)), Next::Rest);
+    assert_eq!(neighbours.next(false, true, None, at(0)), Next::Store(None));
+    assert_eq!(
+        neighbours.next(true, true, Some(5), at(0)),
+        Next::Store(Some(5))
+    );
+}
+
 /// Guards against a list that stays wrong after a notice was lost.
 #[test]
 fn a_list_that_differs_is_read_as_a_whole() {
     let mut neighbours = Neighbours::default();
     neighbours.on_notice(&notice("a", 10, 7, 100), 7, at(0));
     neighbours.on_notice(&notice("a", 12, 8, 100), 7, at(500));
-    assert_eq!(neighbours.next(false, Some(5), at(700)), Next::Rest);
+    assert_eq!(neighbours.next(false, false, Some(5), at(700)), Next::Rest);
     neighbours.on_notice(&notice("a", 12, 8, 100), 7, at(1000));
-    let next = neighbours.next(false, Some(5), at(1400));
+    let next = neighbours.next(false, false, Some(5), at(1400));
     assert_eq!(next, Next::Fetch("a".to_owned()));
     neighbours.on_refused("a".to_owned(), at(1400));
-    assert_eq!(neighbours.next(false, Some(5), at(1400)), Next::Rest);
+    assert_eq!(neighbours.next(false, false, Some(5), at(1400)), Next::Rest);
     neighbours.on_fetched();
     neighbours.on_notice(&notice("a", 12, 8, 100), 8, at(1500));
-    assert_eq!(neighbours.next(false, Some(5), at(3000)), Next::Rest);
+    assert_eq!(neighbours.next(false, false, Some(5), at(3000)), Next::Rest);
 }
 
 /// Guards against an entry that reads the whole list from the store each time that the lists of two
@@ -112,10 +128,13 @@
         neighbours.on_notice(&notice("a", 10 + now, now, 100), 1000 + now, at(now * 500));
     }
     assert_eq!(
-        neighbours.next(true, Some(25), at(9600)),
+        neighbours.next(true, false, Some(25), at(9600)),
         Next::Store(Some(25))
     );
-    assert_eq!(neighbours.next(true, None, at(9600)), Next::Store(None));
+    assert_eq!(
+        neighbours.next(true, false, None, at(9600)),
+        Next::Store(None)
+    );
 }
 
 /// Guards against an older report that comes late, by another way, and brings a target back or lets
@@ -214,7 +233,7 @@
             {
                 take(&mut own, &mut neighbours, &notice, now);
             }
-            match neighbours.next(false, cursor, now) {
+            match neighbours.next(false, false, cursor, now) {
                 Next::Rest => {}
                 Next::Fetch(name) => {
                     let index = usize::from(name == "b");
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -42,6 +42,9 @@
 /// How long after it registered an entry uses shared allowances; the others have counted it by
 /// then.
 const JOIN: Duration = Duration::from_secs(6);
+/// How soon an entry that has just registered counts again: all start within a few hundred
+/// milliseconds of each other.
+const RECOUNT: Duration = Duration::from_millis(600);
 /// The same when all start together, before there are callers.
 const FIRST_JOIN: Duration = Duration::from_secs(2);
 
@@ -290,7 +293,7 @@
                     tokio::time::sleep(BACK_OFF).await;
                     continue;
                 }
-                let wait = if known { COUNT } else { FIRST_JOIN };
+                let wait = if known { COUNT } else { RECOUNT };
                 tokio::time::sleep(wait).await;
             }
             Err(error) => {
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -47,6 +47,8 @@
 const FIRST: Duration = Duration::from_millis(900);
 /// How often it tries.
 const PAUSE: Duration = Duration::from_millis(20);
+/// How long after its start an entry takes the others for alive that it has not heard of.
+const ACQUAINT: Duration = Duration::from_millis(2500);
 /// Targets in one notice; a datagram carries some more.
 const MOST_LISTED: usize = 60;
 /// Targets in one page.
@@ -60,7 +62,8 @@
     /// Returns what to do next for the list of targets.
     pub(crate) fn next<Border>(&self, shared: &Shared<Border>, cursor: Option<u64>) -> Next {
         let leads = leads(shared);
-        self.neighbours.borrow_mut().next(leads, cursor, now())
+        let new = shared.placing.age() < ACQUAINT;
+        self.neighbours.borrow_mut().next(leads, new, cursor, now())
     }
 
     /// Records that the store has answered.
@@ -74,7 +77,8 @@
 fn leads<Border>(shared: &Shared<Border>) -> bool {
     let own = &shared.settings.name;
     let peers = shared.peers.borrow();
-    let alive = |name: &str| name == own || peers.hears(name);
+    let new = shared.placing.age() < ACQUAINT;
+    let alive = |name: &str| name == own || new || peers.hears(name);
     leaders(&shared.settings.domain, &shared.hosts(), alive).contains(own)
 }
 
--- a/crates/gateway/src/packet.rs
+++ b/crates/gateway/src/packet/layout.rs
@@ -1,9 +1,8 @@
-//! The datagrams in which entries talk to each other.
+//! Messages as they are sent; the pure crate has no formats.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use displaydoc::Display;
 use fleet::cell::Cell;
 use fleet::desk::{Ask, Demand, Name, Reply};
 use fleet::kept::{Key, Late, Report};
@@ -14,54 +13,14 @@
 use serde::{Deserialize, Serialize};
 use types::{Domain, Model, Service, Store, Target, Team};
 
-/// The largest datagram that is sent or read, in bytes.
-pub const MOST_BYTES: usize = 16 << 10;
-/// Bytes of the authentication code before each message.
-const CODE_BYTES: usize = 32;
-/// Changes with the layout of [`Packet`]: during an upgrade, entries of two versions talk to each
-/// other, and bytes of another layout may decode to anything.
-pub const FORMAT: u8 = 6;
+use super::Message;
 
 /// Fetches of one host that count in one word; an entry starts fewer between two words.
 const MOST_LATE: u32 = 1000;
 
-/// What one entry sends to another.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Message {
-    /// What it tells all others in turn.
-    Word(Word),
-    /// What it tells the dispatchers of its targets at once.
-    Update(Update),
-    /// A request for a place.
-    Ask(Ask),
-    /// The answer to the request for a place with this name.
-    Reply(Name, Reply),
-    /// The request for a place with this name is given up.
-    Cancel(Name),
-    /// What it tells its neighbours of the list of targets.
-    Notice(Notice),
-    /// A request, by its number, for the part of the list after a target.
-    Fetch(u64, Option<Target>),
-    /// The answer to it.
-    Page(Page),
-}
-
-/// Why a datagram is not used.
-#[derive(Debug, Display, PartialEq, Eq, thiserror::Error)]
-pub enum Problem {
-    /// it has no authentication code
-    Short,
-    /// it is not authentic
-    Forged,
-    /// its format {0} is not understood
-    Format(u8),
-    /// it cannot be decoded: {0}
-    Malformed(String),
-}
-
 /// A message as it is sent; the pure crate has no formats.
 #[derive(Serialize, Deserialize)]
-enum Packet {
+pub(super) enum Packet {
     Word(Box<Spoken>),
     Update(Told),
     Ask(Asked),
@@ -73,7 +32,7 @@
 }
 
 #[derive(Serialize, Deserialize)]
-struct Noticed {
+pub(super) struct Noticed {
     from: String,
     cursor: u64,
     /// In milliseconds.
@@ -85,7 +44,7 @@
 }
 
 #[derive(Serialize, Deserialize)]
-struct Listed {
+pub(super) struct Listed {
     from: String,
     number: u64,
     cursor: u64,
@@ -95,7 +54,7 @@
 
 /// A target as the list has it.
 #[derive(Serialize, Deserialize)]
-struct Row {
+pub(super) struct Row {
     id: Target,
     service: Service,
     address: SocketAddr,
@@ -110,7 +69,7 @@
 }
 
 #[derive(Serialize, Deserialize)]
-struct Spoken {
+pub(super) struct Spoken {
     from: String,
     start: u64,
     number: u64,
@@ -135,7 +94,7 @@
 }
 
 #[derive(Serialize, Deserialize)]
-struct Told {
+pub(super) struct Told {
     from: String,
     start: u64,
     number: u64,
@@ -148,7 +107,7 @@
 }
 
 #[derive(Serialize, Deserialize)]
-struct Asked {
+pub(super) struct Asked {
     name: Named,
     cell: Group,
     rank: u8,
@@ -164,7 +123,7 @@
 }
 
 #[derive(Serialize, Deserialize)]
-enum Answered {
+pub(super) enum Answered {
     Granted(Target, Vec<bool>),
     Waits,
     /// In milliseconds.
@@ -175,71 +134,21 @@
 }
 
 /// The target, with requests, tokens that are read, and tokens of memory.
-type Loaded = (Target, u32, u64, u64);
+pub(super) type Loaded = (Target, u32, u64, u64);
 
 /// The service, the failure domain, the shard and the number of shards.
-type Group = (Service, Domain, u32, u32);
+pub(super) type Group = (Service, Domain, u32, u32);
 
 /// The asker, its start and the number.
-type Named = (String, u64, u64);
+pub(super) type Named = (String, u64, u64);
 
 #[derive(Serialize, Deserialize)]
-struct Part {
+pub(super) struct Part {
     store: Store,
     space: String,
     id: String,
 }
 
-/// Encodes and authenticates a message.
-///
-/// # Errors
-/// Fails when the message cannot be encoded or is too long.
-pub fn seal(secret: &[u8; 32], message: &Message) -> Result<Vec<u8>, Problem> {
-    let packet = Packet::from(message);
-    let encoded = bincode::serde::encode_to_vec(&packet, layout());
-    let encoded = encoded.map_err(|error| Problem::Malformed(error.to_string()))?;
-    let mut bytes = vec![FORMAT];
-    bytes.extend_from_slice(&encoded);
-    let mut datagram = blake3::keyed_hash(secret, &bytes).as_bytes().to_vec();
-    datagram.extend_from_slice(&bytes);
-    if datagram.len() > MOST_BYTES {
-        let length = datagram.len();
-        return Err(Problem::Malformed(format!(
-            "{length} bytes, at most {MOST_BYTES}"
-        )));
-    }
-    Ok(datagram)
-}
-
-/// Checks and decodes a datagram.
-///
-/// # Errors
-/// Fails when the datagram does not come from an entry that knows the secret, or has another layout.
-pub fn open(secret: &[u8; 32], datagram: &[u8]) -> Result<Message, Problem> {
-    let (code, bytes) = datagram
-        .split_at_checked(CODE_BYTES)
-        .ok_or(Problem::Short)?;
-    let code = <[u8; CODE_BYTES]>::try_from(code).map_err(|_error| Problem::Short)?;
-    // blake3 compares its hashes in constant time.
-    if blake3::Hash::from(code) != blake3::keyed_hash(secret, bytes) {
-        return Err(Problem::Forged);
-    }
-    let (format, encoded) = bytes.split_first().ok_or(Problem::Short)?;
-    if *format != FORMAT {
-        return Err(Problem::Format(*format));
-    }
-    let decoded: Result<(Packet, usize), _> = bincode::serde::decode_from_slice(encoded, layout());
-    match decoded {
-        Ok((packet, _)) => Ok(packet.into()),
-        Err(error) => Err(Problem::Malformed(error.to_string())),
-    }
-}
-
-/// The limit keeps a wrong length from being allocated.
-fn layout() -> impl bincode::config::Config {
-    bincode::config::standard().with_limit::<MOST_BYTES>()
-}
-
 impl From<&Message> for Packet {
     fn from(message: &Message) -> Self {
         match message {
--- /dev/null
+++ b/crates/gateway/src/placing/ask.rs
@@ -0,0 +1,166 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use fleet::cell::Cell;
+use fleet::desk::{Ask, Demand, Reply};
+use fleet::waiting;
+use tokio::sync::mpsc;
+
+use super::{Mute, own_name, send};
+use crate::attempt::Asked;
+use crate::border::Platform;
+use crate::clock::now;
+use crate::packet::Message;
+use crate::shared::Shared;
+use crate::tries::Tries;
+
+/// What came of asking one dispatcher.
+pub(super) enum Answered {
+    /// It gave a place, or said that it has none.
+    Reply(String, u64, Reply),
+    /// No dispatcher of the cell answers.
+    Nobody,
+}
+
+/// How long an answer may take before the request is sent once more: the way to another failure
+/// domain and back takes a few milliseconds, and a slow host some more.
+const RESEND: Duration = Duration::from_millis(15);
+/// How long it may take in all.
+const ANSWER: Duration = Duration::from_millis(40);
+/// How often a waiting request is renewed.
+const RENEW: Duration = Duration::from_millis(200);
+/// How long an entry is not asked that says it is no dispatcher: it starts or stops.
+const ELSEWHERE: Duration = Duration::from_millis(250);
+/// The part of the longest gap in a stream for which a request that was sent before may wait.
+const AGAIN: f64 = 0.4;
+
+/// Asks the dispatcher of a cell, or its deputy if it does not answer.
+pub(super) async fn ask<Border>(
+    shared: &Rc<Shared<Border>>,
+    asked: &Asked,
+    tries: &Tries<Border>,
+    cell: &Cell,
+    demand: &Demand,
+    queue: bool,
+) -> Answered
+where
+    Border: Platform,
+{
+    for dispatcher in shared.placing.dispatchers(shared, cell) {
+        let number = shared.placing.number();
+        let (sender, mut replies) = mpsc::unbounded_channel();
+        shared.placing.asks.borrow_mut().insert(number, sender);
+        let pending = Pending {
+            shared: Rc::clone(shared),
+            dispatcher: dispatcher.clone(),
+            number,
+            open: true,
+        };
+        let (rank, limit) = urgency(asked, tries);
+        let request = Ask {
+            name: own_name(shared, number),
+            cell: cell.clone(),
+            rank,
+            limit,
+            queue,
+            demand: demand.clone(),
+        };
+        let reply = converse(shared, &dispatcher, request, &mut replies).await;
+        match reply {
+            Some(Reply::Elsewhere) => {
+                let mute = Mute {
+                    until: now() + ELSEWHERE,
+                    times: 0,
+                };
+                let mut mutes = shared.placing.mute.borrow_mut();
+                mutes.insert(dispatcher.clone(), mute);
+            }
+            Some(reply) => {
+                shared.placing.mute.borrow_mut().remove(&dispatcher);
+                pending.close();
+                return Answered::Reply(dispatcher, number, reply);
+            }
+            None => shared.placing.on_mute(&dispatcher, now()),
+        }
+    }
+    Answered::Nobody
+}
+
+/// Returns the rank of a request and how long it may wait. One that was sent before goes first: its
+/// caller has waited for longest, and waits until its stream seems to have stopped.
+fn urgency<Border>(asked: &Asked, tries: &Tries<Border>) -> (u8, Duration) {
+    let time = now();
+    let left = asked.left(time);
+    if tries.arrivals > 0 {
+        return (0, asked.gap().min(left).mul_f64(AGAIN));
+    }
+    let limit = waiting::limit(asked.route.objective);
+    let limit = limit.saturating_sub(time.since(asked.arrived));
+    (asked.rank(), limit.min(left))
+}
+
+/// Sends a request for a place until it is answered for good; `None` if nobody answers.
+async fn converse<Border>(
+    shared: &Rc<Shared<Border>>,
+    dispatcher: &str,
+    request: Ask,
+    replies: &mut mpsc::UnboundedReceiver<Reply>,
+) -> Option<Reply>
+where
+    Border: Platform,
+{
+    let message = Message::Ask(request);
+    let mut asked = now();
+    let mut wait = RESEND;
+    let mut patience = ANSWER;
+    send(shared, dispatcher, &message);
+    loop {
+        match tokio::time::timeout(wait, replies.recv()).await {
+            Ok(Some(Reply::Waits)) => {
+                asked = now();
+                // From here on the dispatcher speaks first, and has to be alive only.
+                wait = RENEW;
+                patience = RENEW + ANSWER;
+            }
+            Ok(reply) => return reply,
+            Err(_) if now().since(asked) >= patience => return None,
+            Err(_) => {
+                send(shared, dispatcher, &message);
+                wait = ANSWER.saturating_sub(RESEND);
+            }
+        }
+    }
+}
+
+/// A request for a place that is under way; it is given up when its caller leaves.
+struct Pending<Border>
+where
+    Border: Platform,
+{
+    shared: Rc<Shared<Border>>,
+    dispatcher: String,
+    number: u64,
+    open: bool,
+}
+
+impl<Border> Pending<Border>
+where
+    Border: Platform,
+{
+    fn close(mut self) {
+        self.open = false;
+    }
+}
+
+impl<Border> Drop for Pending<Border>
+where
+    Border: Platform,
+{
+    fn drop(&mut self) {
+        self.shared.placing.asks.borrow_mut().remove(&self.number);
+        if self.open {
+            let name = own_name(&self.shared, self.number);
+            send(&self.shared, &self.dispatcher, &Message::Cancel(name));
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/placing/tell.rs
@@ -0,0 +1,75 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use fleet::peers::Update;
+use types::Target;
+
+use super::{Untold, send};
+use crate::border::Platform;
+use crate::packet::Message;
+use crate::shared::Shared;
+
+/// How long loads are gathered before they are told.
+const GATHER: Duration = Duration::from_millis(2);
+
+/// Tells the dispatchers of targets how the loads of this entry change.
+pub(crate) async fn tell<Border>(shared: Rc<Shared<Border>>)
+where
+    Border: Platform,
+{
+    let placing = &shared.placing;
+    loop {
+        placing.news.notified().await;
+        tokio::time::sleep(GATHER).await;
+        let untold = std::mem::take(&mut *placing.untold.borrow_mut());
+        for (dispatcher, update) in updates(&shared, untold) {
+            send(&shared, &dispatcher, &Message::Update(update));
+        }
+    }
+}
+
+/// Sorts what is to be told by the dispatchers that it concerns.
+fn updates<Border>(shared: &Shared<Border>, untold: Untold) -> BTreeMap<String, Update> {
+    let placing = &shared.placing;
+    let map = placing.map(shared);
+    let mut updates: BTreeMap<String, Update> = BTreeMap::new();
+    for target in &untold.loads {
+        let cell = {
+            let roster = shared.roster.borrow();
+            let member = roster.get(target).map(|entry| &entry.member);
+            member.and_then(|member| map.of(&member.service, &member.domain, target))
+        };
+        let Some(cell) = cell else {
+            continue;
+        };
+        if !shared.is_engine(&cell.service) {
+            continue;
+        }
+        let load = shared.board.borrow().load(target);
+        for dispatcher in placing.dispatchers(shared, &cell) {
+            let update = updates.entry(dispatcher).or_default();
+            update.loads.push((target.clone(), load));
+            let mut note = |from: &BTreeSet<Target>, to: fn(&mut Update) -> &mut Vec<Target>| {
+                if from.contains(target) {
+                    to(update).push(target.clone());
+                }
+            };
+            note(&untold.heard, |update| &mut update.heard);
+            note(&untold.failed, |update| &mut update.failed);
+            note(&untold.refused, |update| &mut update.refused);
+            note(&untold.changing, |update| &mut update.changing);
+        }
+    }
+    for (dispatcher, numbers) in untold.places {
+        updates.entry(dispatcher).or_default().told = numbers;
+    }
+    // What this entry does is on its own board.
+    updates.remove(&shared.settings.name);
+    for update in updates.values_mut() {
+        update.from.clone_from(&shared.settings.name);
+        update.start = placing.start;
+        update.number = placing.number();
+    }
+    updates
+}
