--- a/crates/fleet/src/cell.rs
+++ b/crates/fleet/src/cell.rs
@@ -11,13 +11,13 @@
 
 use crate::roster::Roster;
 
-/// A cell: targets of one service in one failure domain.
+/// A cell: targets of one service, in one failure domain if there are many of them.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Cell {
     /// The service.
     pub service: Service,
-    /// The failure domain.
-    pub domain: Domain,
+    /// The failure domain; none for a service with few targets, which are one cell.
+    pub domain: Option<Domain>,
     /// Which part of the domain's targets it has.
     pub shard: u32,
     /// The number of parts, a power of two.
@@ -28,7 +28,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Map {
     /// The number of parts of each domain's targets, by service.
-    domains: HashMap<Service, BTreeMap<Domain, u32>>,
+    domains: HashMap<Service, BTreeMap<Option<Domain>, u32>>,
     /// The newest weights that any target serves.
     newest: HashMap<Model, u64>,
 }
@@ -44,8 +44,9 @@
     pub weight: f64,
 }
 
-/// Targets of a cell from which a domain has more than one. A dispatcher looks at each of them for
-/// each request, and its messages grow with them.
+/// Targets from which a service has a cell in each domain, and a domain more than one. A dispatcher
+/// looks at each of them for each request. With fewer targets a request waits longer for the next
+/// one that becomes free.
 const MOST_TARGETS: usize = 24;
 /// The weight of an entry that names none.
 const LEAST_WEIGHT: f64 = 0.01;
@@ -55,37 +56,40 @@
     #[must_use]
     pub fn has(&self, service: &Service, domain: &Domain, target: &Target) -> bool {
         *service == self.service
-            && *domain == self.domain
+            && self.domain.as_ref().is_none_or(|own| own == domain)
             && part(target, self.shards) == self.shard
     }
 
+    /// Says whether all of its targets are in a failure domain.
+    #[must_use]
+    pub fn is_inside(&self, domains: impl Fn(&Domain) -> bool) -> bool {
+        self.domain.as_ref().is_some_and(domains)
+    }
+
     /// Returns the entries in the order in which they are its dispatcher: those of its own failure
     /// domain come first, since they are lost with it only.
     #[must_use]
     pub fn order(&self, hosts: &[Host]) -> Vec<String> {
         let shard = self.shard.to_le_bytes();
         let shards = self.shards.to_le_bytes();
-        let key = [
-            self.service.as_bytes(),
-            self.domain.as_bytes(),
-            &shard,
-            &shards,
-        ];
-        ranked(&key, &self.domain, hosts)
+        let domain = self.domain.as_deref().unwrap_or_default();
+        let key = [self.service.as_bytes(), domain.as_bytes(), &shard, &shards];
+        ranked(&key, self.domain.as_ref(), hosts)
     }
 }
 
 /// Returns entries in the order in which they look after something in a failure domain: those of the
 /// domain first, and among them each one with a chance of its weight.
 #[must_use]
-pub fn ranked(key: &[&[u8]], domain: &Domain, hosts: &[Host]) -> Vec<String> {
+pub fn ranked(key: &[&[u8]], domain: Option<&Domain>, hosts: &[Host]) -> Vec<String> {
     let mut scored: Vec<(bool, f64, &str)> = hosts
         .iter()
         .map(|host| {
             let weight = host.weight.max(LEAST_WEIGHT);
             // The least of exponential variables is each one with a chance of its weight.
             let draw = (hash(key, &host.name) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-            (host.domain != *domain, -draw.ln() / weight, &*host.name)
+            let remote = domain.is_some_and(|domain| host.domain != *domain);
+            (remote, -draw.ln() / weight, &*host.name)
         })
         .collect();
     scored.sort_by(|one, other| {
@@ -122,9 +126,13 @@
             }
         }
         let domains = counts.into_iter().map(|(service, domains)| {
+            let total: usize = domains.values().sum();
+            if total <= MOST_TARGETS {
+                return (service, BTreeMap::from([(None, 1)]));
+            }
             let shards = domains.into_iter().map(|(domain, count)| {
                 let parts = count.div_ceil(MOST_TARGETS).next_power_of_two();
-                (domain, u32::try_from(parts).unwrap_or(1))
+                (Some(domain), u32::try_from(parts).unwrap_or(1))
             });
             (service, shards.collect())
         });
@@ -137,27 +145,34 @@
     /// Returns the cell of a target.
     #[must_use]
     pub fn of(&self, service: &Service, domain: &Domain, target: &Target) -> Option<Cell> {
-        let shards = *self.domains.get(service)?.get(domain)?;
+        let (domain, shards) = self.group(service, domain)?;
         Some(Cell {
             service: service.clone(),
-            domain: domain.clone(),
+            domain,
             shard: part(target, shards),
             shards,
         })
     }
 
-    /// Returns the cell of a failure domain in which requests with a key meet.
+    /// Returns the cell for a failure domain in which requests with a key meet.
     #[must_use]
     pub fn meeting(&self, service: &Service, domain: &Domain, key: &[u8]) -> Option<Cell> {
-        let shards = *self.domains.get(service)?.get(domain)?;
+        let (domain, shards) = self.group(service, domain)?;
         Some(Cell {
             service: service.clone(),
-            domain: domain.clone(),
+            domain,
             shard: (first_bytes(&blake3::hash(key)) % u64::from(shards)) as u32,
             shards,
         })
     }
 
+    fn group(&self, service: &Service, domain: &Domain) -> Option<(Option<Domain>, u32)> {
+        let domains = self.domains.get(service)?;
+        let one = domains.get(&None).map(|shards| (None, *shards));
+        let own = Some(domain.clone());
+        one.or_else(|| domains.get(&own).map(|shards| (own.clone(), *shards)))
+    }
+
     /// Returns the newest weights of a model that any target serves; 0 if there are none.
     #[must_use]
     pub fn newest(&self, model: &Model) -> u64 {
--- a/crates/fleet/src/desk.rs
+++ b/crates/fleet/src/desk.rs
@@ -11,7 +11,8 @@
 use types::{Model, Target, Team, Time};
 
 use crate::cell::Cell;
-use crate::placement::{Candidate, Load, best, reading};
+use crate::pace::Pace;
+use crate::placement::{Candidate, Load, best};
 use crate::waiting::{Lobby, Ticket, Turn};
 
 /// The name of a request for a place.
@@ -95,6 +96,7 @@
     /// Places that were given and are not yet part of what their entries tell.
     given: HashMap<Name, Given>,
     spots: HashMap<Target, Spot>,
+    pace: Pace,
 }
 
 #[derive(Debug)]
@@ -204,6 +206,11 @@
         Reply::Waits
     }
 
+    /// Takes over how fast targets read.
+    pub fn on_pace(&mut self, pace: Pace) {
+        self.pace = pace;
+    }
+
     /// Forgets a request whose caller has left, or which was given up.
     pub fn on_cancel(&mut self, name: &Name, now: Time) {
         self.leave(name, false, now);
@@ -356,7 +363,7 @@
         let offer = offers.swap_remove(best(&candidates, draw)?);
         let unread = offer.candidate.unread;
         let spot = self.spots.entry(offer.target.clone()).or_default();
-        spot.free_at = spot.free_at.max(now + offer.candidate.backlog) + reading(unread);
+        spot.free_at = spot.free_at.max(now + offer.candidate.backlog) + offer.candidate.read;
         let given = Given {
             target: offer.target.clone(),
             local: offer.local.clone(),
@@ -389,7 +396,7 @@
                 tokens => {
                     let spot = self.spots.get(&offer.target).copied().unwrap_or_default();
                     let left = spot.free_at.since(now);
-                    reading(tokens).min(left.max(RESIDUE))
+                    self.pace.reading(tokens).min(left.max(RESIDUE))
                 }
             };
         }
--- a/crates/fleet/src/kept/mod.rs
+++ b/crates/fleet/src/kept/mod.rs
@@ -13,7 +13,7 @@
 use types::{Domain, Store, Target, Time};
 
 use crate::catalog::StoreHost;
-use crate::placement::READ_PER_MS;
+use crate::pace::Pace;
 pub use pace::Late;
 use shelf::{Held, MEMORY_S, Saving, Shelf, decayed};
 
@@ -39,6 +39,7 @@
 #[derive(Debug, Default)]
 pub struct Kept {
     shelves: HashMap<Store, Shelf>,
+    pace: Pace,
     token_bytes: u64,
     /// Entries that share the hosts about evenly.
     entries: usize,
@@ -175,6 +176,11 @@
         }
     }
 
+    /// Takes over how fast targets read.
+    pub fn on_pace(&mut self, pace: Pace) {
+        self.pace = pace;
+    }
+
     /// Records what a host reports; another boot means that everything before is gone.
     pub fn on_reports(&mut self, store: &Store, boot: u64, reports: Vec<Report>, now: Time) {
         let Some(shelf) = self.shelves.get_mut(store) else {
@@ -481,7 +487,7 @@
         draw: f64,
         now: Time,
     ) -> Option<(Store, Duration)> {
-        let read = Duration::from_secs_f64(part.tokens as f64 / READ_PER_MS / 1000.0);
+        let read = self.pace.reading(part.tokens);
         // Without a limit the queues of overloaded links would delay all fetches.
         let holders = self.shelves.iter().filter(|(_, shelf)| {
             shelf.up
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod extent;
 pub mod kept;
 pub mod listing;
+pub mod pace;
 pub mod peers;
 pub mod placement;
 pub mod proof;
--- a/crates/fleet/src/listing.rs
+++ b/crates/fleet/src/listing.rs
@@ -101,7 +101,7 @@
         .filter(|host| host.domain == *domain)
         .cloned()
         .collect();
-    let mut names = ranked(&[b"list", domain.as_bytes()], domain, &neighbours);
+    let mut names = ranked(&[b"list", domain.as_bytes()], Some(domain), &neighbours);
     names.retain(|name| alive(name));
     names.truncate(LEADERS);
     names
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -52,6 +52,8 @@
     pub backlog: Duration,
     /// Tokens of the prompt that have to be read there.
     pub unread: u64,
+    /// How long that takes.
+    pub read: Duration,
     /// How long it takes to bring what is kept elsewhere.
     pub fetch: Duration,
     /// Requests that it runs at the same time.
@@ -66,8 +68,6 @@
     pub outdated: bool,
 }
 
-/// Tokens of a prompt that an engine reads in a millisecond; the operators' sheets name 74.8.
-pub const READ_PER_MS: f64 = 74.8;
 /// The time of one step of an engine in ms, which each chunk of a prompt waits for.
 const STEP_MS: f64 = 5.0;
 /// What a running request adds to the time of a step, in ms.
@@ -136,12 +136,6 @@
     }
 }
 
-/// Returns how long a target takes to read a number of tokens.
-#[must_use]
-pub fn reading(tokens: u64) -> Duration {
-    Duration::from_secs_f64(tokens as f64 / READ_PER_MS / 1000.0)
-}
-
 impl Candidate {
     /// Says whether a request fits without pushing out what the target keeps or making it wait.
     #[must_use]
@@ -174,12 +168,11 @@
                 + PLAIN_MS * waiting / f64::from(self.slots.max(1))
                 + busy * PLAIN_MS / 4.0;
         }
-        let read = self.unread as f64 / READ_PER_MS;
         let step = STEP_MS + RUNNING_MS * f64::from(self.load.running);
         let filled = (self.load.memory as f64 + self.need as f64) / self.capacity as f64;
         let excess = (filled - 0.9).max(0.0);
-        let wait = (self.backlog + self.fetch).as_secs_f64() * 1000.0;
-        cost + wait + read + step + MEMORY_MS * excess
+        let wait = (self.backlog + self.fetch + self.read).as_secs_f64() * 1000.0;
+        cost + wait + step + MEMORY_MS * excess
     }
 }
 
--- a/crates/fleet/tests/desk.rs
+++ b/crates/fleet/tests/desk.rs
@@ -6,7 +6,8 @@
 
 use fleet::cell::{Cell, Host, Map};
 use fleet::desk::{Ask, Demand, Desk, Name, Offer, Reply};
-use fleet::placement::{Candidate, Load, best, reading};
+use fleet::pace::Pace;
+use fleet::placement::{Candidate, Load, best};
 use fleet::roster::{Member, Roster};
 use fleet::waiting;
 use proptest::prelude::*;
@@ -21,7 +22,7 @@
 fn cell() -> Cell {
     Cell {
         service: "engines".into(),
-        domain: "pier".into(),
+        domain: Some("pier".into()),
         shard: 0,
         shards: 1,
     }
@@ -45,7 +46,11 @@
     }
 }
 
-/// A target without load; the prompt takes 100 ms to read there.
+fn reading(tokens: u64) -> Duration {
+    Pace::default().reading(tokens)
+}
+
+/// A target without load; the prompt takes 125 ms to read there.
 fn offer(target: &str) -> Offer {
     Offer {
         target: target.into(),
@@ -53,6 +58,7 @@
             load: Load::default(),
             backlog: Duration::ZERO,
             unread: 7480,
+            read: reading(7480),
             fetch: Duration::ZERO,
             slots: 4,
             capacity: 50_000,
@@ -218,6 +224,28 @@
     assert!(meeting.is_some_and(|cell| cells.contains(&cell)));
 }
 
+/// Guards against cells of few targets, in which a request waits long for the next one that becomes
+/// free.
+#[test]
+fn a_service_with_few_targets_is_one_cell() {
+    let mut roster = Roster::default();
+    for index in 0..24 {
+        let domain = ["pier", "bluff", "marina"][index % 3];
+        roster.list(member(&format!("t-{index}"), domain), at(0));
+    }
+    let map = Map::new(&roster);
+    let cells = map.cells(&"engines".into());
+    assert_eq!(cells.len(), 1);
+    assert!(roster.iter().all(|entry| {
+        let member = &entry.member;
+        cells[0].has(&member.service, &member.domain, &member.id)
+    }));
+    let meeting = map.meeting(&"engines".into(), &"nowhere".into(), b"5c1e");
+    assert_eq!(meeting.as_ref(), cells.first());
+    assert!(!cells[0].is_inside(|_| true));
+    assert_eq!(cells[0].order(&hosts(12)).len(), 12);
+}
+
 fn hosts(count: usize) -> Vec<Host> {
     let hosts = (0..count).map(|index| Host {
         name: format!("entry-{index}"),
@@ -355,6 +383,7 @@
                 load: told[0].1[index],
                 backlog: reading(told[0].1[index].reading),
                 unread: tokens,
+                read: reading(tokens),
                 ..offer("x").candidate
             })
             .collect();
@@ -397,6 +426,7 @@
                 candidate: Candidate {
                     load: loads[index],
                     unread: tokens,
+                    read: reading(tokens),
                     ..offer("x").candidate
                 },
                 local: Vec::new(),
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -21,6 +21,7 @@
         load: Load::default(),
         backlog: Duration::ZERO,
         unread: 1700,
+        read: Duration::from_millis(23),
         fetch: Duration::ZERO,
         slots: 128,
         capacity: 64_000,
--- a/crates/fleet/tests/waiting.rs
+++ b/crates/fleet/tests/waiting.rs
@@ -132,6 +132,7 @@
                     },
                     backlog: Duration::ZERO,
                     unread: OWN,
+                    read: Duration::from_millis(23),
                     fetch: Duration::ZERO,
                     slots: 128,
                     capacity: MEMORY,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,7 +7,6 @@
 use fleet::catalog::{Kind, Pool, Route};
 use fleet::extent::Extent;
 use fleet::kept;
-use fleet::placement;
 use fleet::roster::Member;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Request, Response, StatusCode, request};
@@ -420,8 +419,8 @@
     let left = asked.left(now());
     if asked.route.kind == Kind::Stream && head.status.is_success() {
         let waited = answered.since(sent);
-        let read = Duration::from_secs_f64(choice.unread as f64 / placement::READ_PER_MS / 1000.0);
-        let excess = waited.saturating_sub(read);
+        let pace = shared.on_pace(choice.unread, waited);
+        let excess = waited.saturating_sub(pace.reading(choice.unread));
         let domain = &choice.member.domain;
         shared
             .kept
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -74,7 +74,7 @@
             let load = shared.load(&member.id);
             let mut one = weigh(shared, &pool, demand, member, count, Local::Guessed, draw);
             one.candidate.load = load;
-            one.candidate.backlog = placement::reading(load.reading);
+            one.candidate.backlog = shared.pace.get().reading(load.reading);
             // Requests of a session meet at the same target, which has likely kept their parts.
             if Some(index) == home {
                 one.candidate.fetch = one.candidate.fetch.mul_f64(HOME_FETCH);
@@ -217,6 +217,7 @@
         load: Load::default(),
         backlog: Duration::ZERO,
         unread: demand.own + plan.unread,
+        read: shared.pace.get().reading(demand.own + plan.unread),
         fetch: plan.fetch + plan.strain,
         slots: member.slots,
         capacity: pool.engine.as_ref().map_or(0, |engine| engine.memory),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts,
+    Encoder, Gauge, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts,
     Registry, TextEncoder,
 };
 
@@ -37,6 +37,8 @@
     pub(crate) waiting: IntGauge,
     /// Requests of all entries that wait at this one for a place in its cells.
     pub(crate) queued: IntGauge,
+    /// Tokens of prompts that engines read in a millisecond, as far as seen.
+    pub(crate) pace: Gauge,
     /// The version of the configuration in force.
     pub(crate) version: IntGauge,
     /// Age of the evidence for the configuration in milliseconds.
@@ -79,6 +81,11 @@
                 .buckets(BUCKETS.to_vec()),
         )?;
         registry.register(Box::new(first.clone()))?;
+        let pace = Gauge::new(
+            "boragereel_read_tokens_per_ms",
+            "tokens of prompts that engines read in a millisecond",
+        )?;
+        registry.register(Box::new(pace.clone()))?;
         let fetch_share = GaugeVec::new(
             Opts::new(
                 "boragereel_fetch_share",
@@ -128,6 +135,7 @@
                 "boragereel_queued",
                 "requests of all entries that wait for a place in the cells of this one",
             )?,
+            pace,
             version: gauge("boragereel_config_version", "configuration in force")?,
             proof: gauge(
                 "boragereel_proof_age_ms",
--- a/crates/gateway/src/packet/layout.rs
+++ b/crates/gateway/src/packet/layout.rs
@@ -137,7 +137,7 @@
 pub(super) type Loaded = (Target, u32, u64, u64);
 
 /// The service, the failure domain, the shard and the number of shards.
-pub(super) type Group = (Service, Domain, u32, u32);
+pub(super) type Group = (Service, Option<Domain>, u32, u32);
 
 /// The asker, its start and the number.
 pub(super) type Named = (String, u64, u64);
--- a/crates/gateway/src/placing/place.rs
+++ b/crates/gateway/src/placing/place.rs
@@ -136,13 +136,13 @@
     let key = session.map_or(&[][..], |(id, _)| id.as_bytes());
     let meeting = |domain: &Domain| {
         let cell = map.meeting(service, domain, key);
-        cell.filter(|_| !evacuated.contains(domain))
+        cell.filter(|cell| !cell.is_inside(|domain| evacuated.contains(domain)))
     };
     let kept = kept_domain(shared, &map, demand);
     let kept = kept.and_then(|domain| meeting(&domain));
     let any = || {
         let mut cells = map.cells(service).into_iter();
-        cells.find(|cell| !evacuated.contains(&cell.domain))
+        cells.find(|cell| !cell.is_inside(|domain| evacuated.contains(domain)))
     };
     kept.or_else(|| meeting(&shared.settings.domain))
         .or_else(any)
@@ -168,7 +168,8 @@
 fn others<Border>(shared: &Shared<Border>, service: &Service, home: &Cell) -> Vec<Cell> {
     let evacuated = shared.evacuated.borrow();
     let mut cells = shared.placing.map(shared).cells(service);
-    cells.retain(|cell| cell != home && !evacuated.contains(&cell.domain));
+    let out = |domain: &Domain| evacuated.contains(domain);
+    cells.retain(|cell| cell != home && !cell.is_inside(out));
     let mut others = Vec::new();
     while others.len() < OTHERS && !cells.is_empty() {
         let index = shared.draw() as usize % cells.len();
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -2,12 +2,14 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::IpAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use fleet::allowance::{Ramp, Retries, Terms};
 use fleet::buffers::Buffers;
 use fleet::catalog::Catalog;
 use fleet::cell::Host;
 use fleet::kept::{Kept, Standing};
+use fleet::pace::Pace;
 use fleet::peers::Peers;
 use fleet::placement::{Board, Load};
 use fleet::proof::Proof;
@@ -41,6 +43,7 @@
     pub(crate) ramp: RefCell<Ramp<Target>>,
     pub(crate) rollout: RefCell<Rollout>,
     pub(crate) kept: RefCell<Kept>,
+    pub(crate) pace: Cell<Pace>,
     pub(crate) lines: RefCell<connection::Lines>,
     /// What all requests hold of unfinished messages.
     pub(crate) buffers: Rc<RefCell<Buffers>>,
@@ -113,6 +116,7 @@
             ramp: RefCell::default(),
             rollout: RefCell::default(),
             kept: RefCell::default(),
+            pace: Cell::default(),
             lines: RefCell::default(),
             buffers: Rc::new(RefCell::new(buffers)),
             entries: Cell::new(1),
@@ -205,6 +209,17 @@
         }
     }
 
+    /// Records when the first event of a prompt came; returns how fast targets read.
+    pub(crate) fn on_pace(&self, unread: u64, took: Duration) -> Pace {
+        let mut pace = self.pace.get();
+        pace.on_first(unread, took);
+        self.pace.set(pace);
+        self.kept.borrow_mut().on_pace(pace);
+        self.placing.desk.borrow_mut().on_pace(pace);
+        self.metrics.pace.set(pace.rate());
+        pace
+    }
+
     /// Says whether a service is one of model engines.
     pub(crate) fn is_engine(&self, service: &Service) -> bool {
         let catalog = self.catalog();
--- a/crates/gateway/tests/packet.rs
+++ b/crates/gateway/tests/packet.rs
@@ -54,7 +54,7 @@
 fn cell() -> Cell {
     Cell {
         service: "engines".into(),
-        domain: "pier".into(),
+        domain: Some("pier".into()),
         shard: 1,
         shards: 2,
     }
