--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -99,11 +99,14 @@
 const SHARE: usize = 5;
 /// This many change at a time in a small pool.
 const LEAST: usize = 2;
-/// One in this many may change at a time where the bound would pass otherwise.
-const MOST_SHARE: usize = 2;
+/// How many times the usual number may change at a time where the bound would pass otherwise. Targets
+/// take longer to load weights while more than the usual number do so, so that little is gained.
+const MOST: (usize, usize) = (3, 2);
+/// The same where the bound needs more than twice the usual number.
+const LAST: usize = 2;
 /// How long an order takes where none has ended yet: runs end first, and the operators' sheets name
 /// 0.8 to 1.9 s for new weights.
-const USUAL: Duration = Duration::from_millis(2500);
+const USUAL: Duration = Duration::from_millis(2000);
 /// The weight of the newest order in the average.
 const SMOOTHING: f64 = 0.2;
 /// What is left of the bound for a takeover of the lease, which takes seconds.
@@ -214,11 +217,13 @@
                 Some(self.pace.0.as_secs_f64() * (index + 1) as f64 / left.as_secs_f64())
             });
         let needed = needed.fold(0.0, f64::max).ceil() as usize;
-        let usual = match terms.strained {
-            true => LEAST,
-            false => (pool / SHARE).max(LEAST),
+        let usual = (pool / SHARE).max(LEAST);
+        let most = match needed >= usual * LAST {
+            true => usual * LAST,
+            false => usual * MOST.0 / MOST.1,
         };
-        usual.max(needed.min(pool / MOST_SHARE))
+        let least = if terms.strained { LEAST } else { usual };
+        least.max(needed.min(most))
     }
 
     /// Takes some of the targets in turn, those of failure domains with few changing ones first.
