fetch: whole answers are read up to a bound everywhere; refusals name who had no place

Cause: the engine client, the store client, the platform's clients, the adapter and the tools read whole answers without a bound in bytes, and a stream of an engine only ended when its connection did. Ruled out: a bound in time alone, since 60 s of a fast sender fill any memory.

The line `refused` names the dispatcher that had no room and the number of the question; `boragereel trace` follows both to the line `no_place` of that dispatcher (test a_refusal_is_followed_to_who_had_no_place).

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -132,7 +132,14 @@
         .await
         .map_err(failed)?;
     match response.status().as_u16() {
-        200 => Ok(Some(response.json().await.map_err(failed)?)),
+        200 => {
+            let failed = |error| Failure::Failed(format!("{entry}: {error}"));
+            Ok(Some(
+                fetch::json(response, status::ANSWER_BYTES)
+                    .await
+                    .map_err(failed)?,
+            ))
+        }
         404 | 405 => Ok(None),
         status => Err(Failure::Failed(format!(
             "{entry} answered with status {status}"
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -14,6 +14,8 @@
 const TIMEOUT: Duration = Duration::from_secs(2);
 /// Processes asked at the same time.
 const PARALLEL: usize = 64;
+/// The longest answer of a process about itself, in bytes; it names a few hundred fields.
+pub(crate) const ANSWER_BYTES: usize = 1 << 20;
 
 /// A process as the platform's rows and its own answer describe it.
 #[derive(Debug)]
@@ -90,7 +92,9 @@
         .await
         .and_then(reqwest::Response::error_for_status)
         .map_err(failed)?;
-    response.json().await.map_err(failed)
+    fetch::json(response, ANSWER_BYTES)
+        .await
+        .map_err(|error| format!("{address}: {error}"))
 }
 
 fn summarize(head: Version, processes: &[Process]) -> Output {
--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -20,6 +20,15 @@
     fields: Map<String, Value>,
 }
 
+/// What the lines of a request name.
+#[derive(Debug)]
+struct Known<'lines> {
+    processes: BTreeSet<&'lines str>,
+    targets: BTreeSet<&'lines str>,
+    /// The requests for a place that were refused, by the process that asked and its number.
+    asked: BTreeSet<(&'lines str, u64)>,
+}
+
 /// Prints what all processes decided on one request, with what they learned around it.
 pub(crate) fn trace(mut arguments: pico_args::Arguments) -> Result<Output, Failure> {
     let around: Option<f64> = arguments.opt_value_from_str("--around")?;
@@ -53,14 +62,20 @@
     let around = Duration::from_secs_f64(around);
     let from = first.at.checked_sub(around).unwrap_or(first.at);
     let until = last.at.checked_add(around).unwrap_or(last.at);
-    let processes: BTreeSet<&str> = own.iter().filter_map(|line| line.text("process")).collect();
-    let targets: BTreeSet<&str> = own.iter().filter_map(|line| line.text("target")).collect();
+    let known = Known {
+        processes: own.iter().filter_map(|line| line.text("process")).collect(),
+        targets: own.iter().filter_map(|line| line.text("target")).collect(),
+        asked: own
+            .iter()
+            .filter_map(|line| line.asked("process"))
+            .collect(),
+    };
     let shown: Vec<&Line> = lines
         .iter()
         .filter(|line| {
             line.text("request") == Some(&request) || {
                 let near = line.at >= from && line.at <= until;
-                near && line.concerns(&processes, &targets)
+                near && line.concerns(&known)
             }
         })
         .collect();
@@ -115,17 +130,25 @@
         self.fields.get(name)?.as_str()
     }
 
-    /// Says whether the line tells what one of the processes learned, or what any process learned of
-    /// one of the targets; lines about other requests do not.
-    fn concerns(&self, processes: &BTreeSet<&str>, targets: &BTreeSet<&str>) -> bool {
+    /// Returns the request for a place that the line is about; `field` names who asked.
+    fn asked(&self, field: &str) -> Option<(&str, u64)> {
+        Some((self.text(field)?, self.fields.get("number")?.as_u64()?))
+    }
+
+    /// Says whether the line tells what one of the processes learned, what any process learned of
+    /// one of the targets, or why there was no place; lines about other requests do not.
+    fn concerns(&self, known: &Known<'_>) -> bool {
         if self.fields.contains_key("request") {
             return false;
         }
+        if let Some(asked) = self.asked("entry") {
+            return known.asked.contains(&asked);
+        }
         match self.text("target") {
-            Some(target) => targets.contains(target),
+            Some(target) => known.targets.contains(target),
             None => self
                 .text("process")
-                .is_some_and(|process| processes.contains(process)),
+                .is_some_and(|process| known.processes.contains(process)),
         }
     }
 
--- a/crates/cli/tests/trace.rs
+++ b/crates/cli/tests/trace.rs
@@ -69,6 +69,23 @@
     assert_eq!(json["lines"][1]["event"], "attempt");
 }
 
+/// Guards against a refusal whose reason only another process knows, and against those of others.
+#[test]
+fn a_refusal_is_followed_to_who_had_no_place() {
+    let log = r#"
+{"time":"2026-01-08T03:52:49.500Z","level":"WARN","process":"entry-2","event":"no_place","entry":"entry-1","number":7,"full":4}
+{"time":"2026-01-08T03:52:49.500Z","level":"WARN","process":"entry-2","event":"no_place","entry":"entry-3","number":7,"full":4}
+{"time":"2026-01-08T03:52:49.500Z","level":"WARN","process":"entry-1","event":"no_place","entry":"entry-3","number":8,"full":4}
+{"time":"2026-01-08T03:52:49.502Z","level":"WARN","process":"entry-1","event":"refused","request":"abc","reason":"busy","dispatcher":"entry-2","number":7}
+"#;
+    let (code, out, _) = run(&["trace", "abc"], log);
+    assert_eq!(code, 0);
+    let lines: Vec<&str> = out.lines().collect();
+    assert_eq!(lines.len(), 2, "{out}");
+    assert!(lines[0].contains("entry-2 no_place entry=entry-1"), "{out}");
+    assert!(lines[1].contains("* entry-1 refused"), "{out}");
+}
+
 /// Guards against an empty answer where the id is wrong or the log is the wrong one.
 #[test]
 fn what_cannot_be_found_or_read_is_said() {
--- a/crates/context/src/block.rs
+++ b/crates/context/src/block.rs
@@ -6,6 +6,9 @@
 
 /// The number of tokens in a block.
 pub const BLOCK_TOKENS: usize = 1024;
+/// The largest block that is read from an engine or a store host, in bytes; a block of the largest
+/// models is taken to have 16 MiB (`docs/CAPACITY.md`).
+pub const MAX_BLOCK_BYTES: usize = 64 << 20;
 
 /// The name of a block; only who holds the team's [`Secret`] can compute it.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/context/src/lib.rs
+++ b/crates/context/src/lib.rs
@@ -9,7 +9,7 @@
 mod link;
 mod secret;
 
-pub use block::{BLOCK_TOKENS, Block, Id, chain, root, tokens};
+pub use block::{BLOCK_TOKENS, Block, Id, MAX_BLOCK_BYTES, chain, root, tokens};
 pub use envelope::{Envelope, Miss};
 pub use link::{Bounds, Link, Urgency};
 pub use secret::Secret;
--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -5,6 +5,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::BoxStream;
 use serde::Deserialize;
+use tokio::time::{Instant, timeout, timeout_at};
 use types::{Attempt, Boot, Weights};
 
 use crate::sse::Decoder;
@@ -28,8 +29,15 @@
 
 /// How long an engine may take to accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// How long an engine may be silent while it answers.
+/// How long an engine may be silent while it answers, and how long it may take for a block.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long an engine may send bytes of which none makes a piece of the answer: an engine keeps a
+/// connection open with comments while it reads the prompt, and the longest one takes less.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(60);
+/// How many bytes an engine may send between two pieces of an answer.
+const EVENT_BYTES: usize = 2 << 20;
+/// The longest report of an engine about itself, in bytes; it has some ten numbers.
+const STATUS_BYTES: usize = 64 << 10;
 
 #[derive(Deserialize)]
 struct Body {
@@ -93,13 +101,13 @@
 
     async fn complete(&self, completion: &Completion) -> Result<Running, Error> {
         let url = format!("{}/v1/completions", self.base);
-        let response = self.http.post(url).json(completion).send().await?;
-        Running::new(response, completion.delivered.len() as u32)
+        let sent = self.http.post(url).json(completion).send();
+        Running::open(sent, completion.delivered.len() as u32).await
     }
 
     async fn resume(&self, attempt: Attempt, from: u32) -> Result<Running, Error> {
         let url = format!("{}/v1/streams/{attempt}/{from}", self.base);
-        Running::new(self.http.get(url).send().await?, from)
+        Running::open(self.http.get(url).send(), from).await
     }
 
     async fn cancel(&self, attempt: Attempt) -> Result<(), Error> {
@@ -115,17 +123,20 @@
             .send()
             .await?;
         check(&response)?;
-        Ok(response.json().await?)
+        Ok(fetch::json(response, STATUS_BYTES).await?)
     }
 
     async fn export(&self, id: &Id) -> Result<Option<Vec<u8>>, Error> {
         let response = self
             .http
             .get(format!("{}/v1/kv/{id}", self.base))
+            .timeout(READ_TIMEOUT)
             .send()
             .await?;
         match check(&response) {
-            Ok(()) => Ok(Some(response.bytes().await?.to_vec())),
+            Ok(()) => Ok(Some(
+                fetch::whole(response, context::MAX_BLOCK_BYTES).await?,
+            )),
             Err(Error::Unknown) => Ok(None),
             Err(error) => Err(error),
         }
@@ -137,6 +148,7 @@
             .http
             .put(url)
             .header("x-weights", &**weights)
+            .timeout(READ_TIMEOUT)
             .body(bytes);
         check(&request.send().await?)
     }
@@ -148,7 +160,13 @@
 }
 
 impl Running {
-    fn new(response: reqwest::Response, next: u32) -> Result<Self, Error> {
+    async fn open<Sent>(sent: Sent, next: u32) -> Result<Self, Error>
+    where
+        Sent: Future<Output = Result<reqwest::Response, reqwest::Error>>,
+    {
+        let response = timeout(EVENT_TIMEOUT, sent)
+            .await
+            .map_err(|_elapsed| Error::Data("no whole head for a minute"))??;
         check(&response)?;
         let boot = response
             .headers()
@@ -202,6 +220,8 @@
         if self.ended {
             return Ok(None);
         }
+        let due = Instant::now() + EVENT_TIMEOUT;
+        let mut unused = 0;
         loop {
             while let Some(event) = self.decoder.decode().map_err(Error::Data)? {
                 if event.data == "[DONE]" || event.data.is_empty() {
@@ -211,11 +231,17 @@
                     return Ok(Some(chunk));
                 }
             }
-            match self.bytes.next().await {
-                Some(Ok(bytes)) => self.decoder.push(&bytes),
-                Some(Err(error)) => return Err(Error::Broken(error)),
-                None => return Ok(None),
+            let bytes = match timeout_at(due, self.bytes.next()).await {
+                Ok(Some(Ok(bytes))) => bytes,
+                Ok(Some(Err(error))) => return Err(Error::Broken(error)),
+                Ok(None) => return Ok(None),
+                Err(_elapsed) => return Err(Error::Data("no piece of the answer for a minute")),
+            };
+            unused += bytes.len();
+            if unused > EVENT_BYTES {
+                return Err(Error::Data("2 MiB without a piece of the answer"));
             }
+            self.decoder.push(&bytes);
         }
     }
 
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -127,6 +127,16 @@
     }
 }
 
+impl From<fetch::Error> for Error {
+    fn from(error: fetch::Error) -> Self {
+        match error {
+            fetch::Error::Http(error) => Self::Broken(error),
+            fetch::Error::TooLong(_) => Self::Data("the answer is too long"),
+            fetch::Error::Data(_) => Self::Data("the answer is not the JSON that is due"),
+        }
+    }
+}
+
 impl From<reqwest::Error> for Error {
     fn from(error: reqwest::Error) -> Self {
         if error.is_connect() {
--- a/crates/engine/src/service.rs
+++ b/crates/engine/src/service.rs
@@ -75,7 +75,7 @@
 
 impl Service for Plain {
     async fn call(&self, call: &Call, attempt: Attempt, body: &str) -> Result<Reply, Error> {
-        let mut response = self
+        let response = self
             .http
             .post(format!("{}/v1/calls/{call}", self.base))
             .header("x-attempt", attempt.to_string())
@@ -84,14 +84,8 @@
             .send()
             .await?;
         let status = response.status().as_u16();
-        let mut bytes = Vec::new();
         // The call reached the service, so whatever fails from here on leaves its outcome open.
-        while let Some(piece) = response.chunk().await.map_err(Error::Broken)? {
-            if bytes.len() + piece.len() > MAX_REPLY_BYTES {
-                return Err(Error::Data("the reply is larger than 1 MiB"));
-            }
-            bytes.extend_from_slice(&piece);
-        }
+        let bytes = fetch::whole(response, MAX_REPLY_BYTES).await?;
         let body =
             String::from_utf8(bytes).map_err(|_error| Error::Data("the reply is not UTF-8"))?;
         Ok(Reply { status, body })
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,3 +1,4 @@
+use std::cell::RefCell;
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -35,6 +36,8 @@
     pub(crate) arrived: Time,
     /// When the caller or the route gives up.
     pub(crate) deadline: Time,
+    /// Who had no place for it in time, and the number under which that was asked.
+    pub(crate) refused_by: RefCell<Option<Place>>,
 }
 
 /// Where an attempt goes.
--- a/crates/gateway/src/placing/place.rs
+++ b/crates/gateway/src/placing/place.rs
@@ -121,7 +121,10 @@
                     (None, None) => queue = true,
                 }
             }
-            Reply::Refused(again) => return Placed::Refused(again),
+            Reply::Refused(again) => {
+                asked.refused_by.replace(Some(given));
+                return Placed::Refused(again);
+            }
             Reply::Waits | Reply::Elsewhere => return Placed::Alone,
         }
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,3 +1,4 @@
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,7 +12,7 @@
 use types::Time;
 
 use crate::answer::{Body, Reason, close};
-use crate::attempt::{self, Asked, Choice, Outcome, Whole};
+use crate::attempt::{self, Asked, Choice, Outcome, Place, Whole};
 use crate::border::Platform;
 use crate::choose;
 use crate::clock::now;
@@ -44,7 +45,10 @@
     let (head, body) = request.into_parts();
     let mut response = match admit(&shared, head, body, arrived).await {
         Ok(asked) => answer(&shared, Rc::new(asked)).await,
-        Err((reason, id)) => refuse(&shared, reason, SOON, &id, arrived),
+        Err((reason, id)) => {
+            let place = None;
+            refuse(&shared, reason, SOON, &id, arrived, place)
+        }
     };
     if shared.stopping.get().is_some() {
         close(response.headers_mut());
@@ -110,6 +114,7 @@
         holder,
         arrived,
         deadline,
+        refused_by: RefCell::default(),
     })
 }
 
@@ -291,7 +296,9 @@
     reason: Reason,
     again: Duration,
 ) -> Response<Body> {
-    refuse(shared, reason, again, &asked.ask.id, asked.arrived)
+    let place = asked.refused_by.borrow();
+    let id = &asked.ask.id;
+    refuse(shared, reason, again, id, asked.arrived, place.as_ref())
 }
 
 fn refuse<Border>(
@@ -300,6 +307,7 @@
     again: Duration,
     id: &str,
     arrived: Time,
+    place: Option<&Place>,
 ) -> Response<Body> {
     shared
         .metrics
@@ -316,6 +324,8 @@
         .with("again_ms", millis(again))
         .with("config", shared.catalog().map(|catalog| catalog.version.0))
         .with("proof_age_ms", proof)
+        .with("dispatcher", place.map(|place| place.dispatcher.as_str()))
+        .with("number", place.map(|place| place.number))
         .warn();
     let promises = reason.status() == http::StatusCode::SERVICE_UNAVAILABLE;
     reason.answer(promises.then_some(again))
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -15,6 +15,9 @@
 
 /// How long the platform may take for an answer.
 const TIMEOUT: Duration = Duration::from_secs(2);
+/// The longest answer of the platform, in bytes: the members of 3,330 processes and the rules of
+/// 4,200 teams take a few MB as JSON.
+const ANSWER_BYTES: usize = 32 << 20;
 
 #[derive(Serialize)]
 struct Transaction<'writes> {
@@ -65,7 +68,7 @@
         let url = format!("{}/v1/rows/{key}", self.table);
         let response = self.http.get(url).send().await?;
         match response.status().as_u16() {
-            200 => Ok(Some(response.json().await?)),
+            200 => Ok(Some(fetch::json(response, ANSWER_BYTES).await?)),
             404 => Ok(None),
             status => Err(Error::Status(status)),
         }
@@ -75,7 +78,7 @@
         let url = format!("{}/v1/scan/{prefix}", self.table);
         let response = self.http.get(url).send().await?;
         match response.status().as_u16() {
-            200 => Ok(response.json::<Rows>().await?.rows),
+            200 => Ok(fetch::json::<Rows>(response, ANSWER_BYTES).await?.rows),
             status => Err(Error::Status(status)),
         }
     }
@@ -89,8 +92,14 @@
             .send()
             .await?;
         match response.status().as_u16() {
-            200 => Ok(Commit::Applied(response.json::<Applied>().await?.versions)),
-            409 => Ok(Commit::Conflict(response.json::<Conflict>().await?.key)),
+            200 => {
+                let applied: Applied = fetch::json(response, ANSWER_BYTES).await?;
+                Ok(Commit::Applied(applied.versions))
+            }
+            409 => {
+                let conflict: Conflict = fetch::json(response, ANSWER_BYTES).await?;
+                Ok(Commit::Conflict(conflict.key))
+            }
             status => Err(Error::Status(status)),
         }
     }
@@ -101,7 +110,7 @@
         let url = format!("{}/v1/objects/{name}", self.objects);
         let response = self.http.get(url).send().await?;
         match response.status().as_u16() {
-            200 => Ok(Some(response.bytes().await?.to_vec())),
+            200 => Ok(Some(fetch::whole(response, ANSWER_BYTES).await?)),
             404 => Ok(None),
             status => Err(Error::Status(status)),
         }
@@ -122,7 +131,7 @@
         let url = format!("{}/v1/hosts", self.hosts);
         let response = self.http.get(url).send().await?;
         match response.status().as_u16() {
-            200 => Ok(response.json().await?),
+            200 => Ok(fetch::json(response, ANSWER_BYTES).await?),
             status => Err(Error::Status(status)),
         }
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -130,6 +130,15 @@
     }
 }
 
+impl From<fetch::Error> for Error {
+    fn from(error: fetch::Error) -> Self {
+        match error {
+            fetch::Error::Http(error) => error.into(),
+            fetch::Error::TooLong(_) | fetch::Error::Data(_) => Self::Data(error.to_string()),
+        }
+    }
+}
+
 impl From<reqwest::Error> for Error {
     fn from(error: reqwest::Error) -> Self {
         if error.is_connect() {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -40,6 +40,8 @@
     Full,
     /// the store host answered with status {0}
     Status(u16),
+    /// the answer of the store host cannot be read: {0}
+    Answer(#[from] fetch::Error),
 }
 
 /// Talks to a store host over HTTP.
@@ -51,6 +53,8 @@
 
 /// How long a store may take for an answer; recomputing a block takes less.
 const TIMEOUT: Duration = Duration::from_secs(1);
+/// The longest number of blocks as JSON, in bytes.
+const HELD_BYTES: usize = 4096;
 
 #[derive(Serialize)]
 struct Query {
@@ -87,7 +91,10 @@
         let url = format!("{}/v1/held", self.base);
         let response = self.http.post(url).json(&query).send().await?;
         match response.status().as_u16() {
-            200 => Ok(response.json::<Held>().await?.held.min(ids.len())),
+            200 => Ok(fetch::json::<Held>(response, HELD_BYTES)
+                .await?
+                .held
+                .min(ids.len())),
             status => Err(Error::Status(status)),
         }
     }
@@ -99,7 +106,9 @@
             .send()
             .await?;
         match response.status().as_u16() {
-            200 => Ok(Some(response.bytes().await?.to_vec())),
+            200 => Ok(Some(
+                fetch::whole(response, context::MAX_BLOCK_BYTES).await?,
+            )),
             404 => Ok(None),
             status => Err(Error::Status(status)),
         }
