reach: an entry says which failure domains it cannot reach

Cause: while the link between two failure domains is cut, dispatchers elsewhere reach both and give places at targets that the asking entry cannot reach. Each failure was told to all as one of the target, so others avoided sound targets too. Ruled out: overload alone (targets were free at that time), mute dispatchers (a share of the requests had no dispatcher, 74 of 455 attempts). Change: fleet::reach holds a failure domain to be out of reach once two of its targets do not take a connection with nothing reached in between; after a first failure a second target is tried at once, without a request. Requests for places name such domains (packet format 8), cells inside them are not asked, and failures behind a cut are not told as failures of the target. Two targets are tried four times a second until something answers. A request that lost time that way goes first for as long as it would be in time.

--- a/crates/fleet/src/desk.rs
+++ b/crates/fleet/src/desk.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use types::{Model, Target, Team, Time};
+use types::{Domain, Model, Target, Team, Time};
 
 use crate::cell::Cell;
 use crate::pace::Pace;
@@ -41,6 +41,8 @@
     pub need: u64,
     /// Targets that must not get it.
     pub left_out: Vec<Target>,
+    /// Failure domains that the entry cannot reach.
+    pub unreached: Vec<Domain>,
 }
 
 /// A request for a place.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod peers;
 pub mod placement;
 pub mod proof;
+pub mod reach;
 pub mod rollout;
 pub mod roster;
 pub mod stop;
--- /dev/null
+++ b/crates/fleet/tests/reach.rs
@@ -0,0 +1,84 @@
+//! Which failure domains an entry holds to be out of reach.
+
+use std::time::Duration;
+
+use fleet::reach::{Finding, Reach};
+use proptest::prelude::*;
+use types::{Domain, Target, Time};
+
+fn at(ms: u64) -> Time {
+    Time::default() + Duration::from_millis(ms)
+}
+
+fn domain(name: &str) -> Domain {
+    name.into()
+}
+
+fn target(name: &str) -> Target {
+    name.into()
+}
+
+#[test]
+fn a_cut_link_is_known_after_two_targets() {
+    let mut reach = Reach::default();
+    let pier = domain("pier");
+    assert_eq!(reach.on_failed(&pier, &target("a"), at(0)), Finding::Target);
+    assert!(!reach.is_cut(&pier));
+    assert_eq!(reach.on_failed(&pier, &target("b"), at(40)), Finding::Cut);
+    assert!(reach.is_cut(&pier));
+    assert!(!reach.is_cut(&domain("bluff")));
+    assert_eq!(reach.on_failed(&pier, &target("c"), at(50)), Finding::Known);
+    assert_eq!(reach.cut(), std::slice::from_ref(&pier));
+    assert_eq!(
+        reach.on_reached(&pier, at(3040)),
+        Some(Duration::from_secs(3))
+    );
+    assert!(reach.cut().is_empty());
+    assert_eq!(reach.on_reached(&pier, at(3050)), None);
+}
+
+/// A target that is dead says nothing of its failure domain, however often it is tried.
+#[test]
+fn one_dead_target_cuts_nothing_off() {
+    let mut reach = Reach::default();
+    let pier = domain("pier");
+    for ms in (0..5000).step_by(100) {
+        assert_eq!(
+            reach.on_failed(&pier, &target("a"), at(ms)),
+            Finding::Target
+        );
+    }
+}
+
+#[test]
+fn failures_far_apart_or_with_a_success_between_cut_nothing_off() {
+    let mut reach = Reach::default();
+    let pier = domain("pier");
+    reach.on_failed(&pier, &target("a"), at(0));
+    assert_eq!(
+        reach.on_failed(&pier, &target("b"), at(1600)),
+        Finding::Target
+    );
+    reach.on_reached(&pier, at(1700));
+    assert_eq!(
+        reach.on_failed(&pier, &target("c"), at(1800)),
+        Finding::Target
+    );
+}
+
+proptest! {
+    /// Whatever fails, a failure domain in which something was reached is used again at once.
+    #[test]
+    fn what_was_reached_is_used(failed in prop::collection::vec((0..4u8, 0..3000u64), 0..40)) {
+        let mut reach = Reach::default();
+        let pier = domain("pier");
+        let mut time = 0;
+        for (name, after) in failed {
+            time += after;
+            reach.on_failed(&pier, &target(&name.to_string()), at(time));
+        }
+        reach.on_reached(&pier, at(time));
+        prop_assert!(!reach.is_cut(&pier));
+        prop_assert!(reach.cut().is_empty());
+    }
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,10 +17,11 @@
 
 use crate::border::{Ask, Platform, Send};
 use crate::clock::now;
-use crate::connection::{self, Connection, Next};
+use crate::connection::{self, Connection, Next, Unopened};
 use crate::events::{Chunk, Events, Step};
 use crate::intake::{self, Hold};
 use crate::journal::Event;
+use crate::reach;
 use crate::shared::Shared;
 
 /// A request of a caller, whole and checked.
@@ -327,7 +328,10 @@
     loop {
         let connection = match connect(shared, choice, once).await {
             Ok(connection) => connection,
-            Err(why) => return Outcome::NotRun { sent: false, why },
+            Err(unopened) => {
+                let why = unopened.to_string();
+                return Outcome::NotRun { sent: false, why };
+            }
         };
         let used = connection.used;
         match exchange(shared, asked, choice, connection).await {
@@ -342,7 +346,7 @@
     shared: &Rc<Shared<Border>>,
     choice: &Choice,
     once: bool,
-) -> Result<Connection, String>
+) -> Result<Connection, Unopened>
 where
     Border: Platform,
 {
@@ -357,9 +361,9 @@
         Next::Use(connection) => Ok(connection),
         Next::Open(slot) => {
             shared.metrics.connections.inc();
-            connection::open(choice.member.address, slot).await
+            reach::connect(shared, &choice.member, slot).await
         }
-        Next::Full => Err(format!("all {limit} connections are in use")),
+        Next::Full => Err(Unopened::Full(limit)),
     }
 }
 
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -31,22 +31,27 @@
 const WEIGHTS_MARGIN: Duration = Duration::from_millis(1500);
 
 /// Returns what has to be known of a request to place it.
-pub(crate) fn demand(asked: &Asked, left_out: &[Target]) -> Demand {
+pub(crate) fn demand<Border>(
+    shared: &Shared<Border>,
+    asked: &Asked,
+    left_out: &[Target],
+) -> Demand {
     let holder = asked.holder.as_ref();
     let isolated = holder.filter(|holder| holder.isolated);
     let prompt = asked.ask.prompt.as_ref();
     let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
     // The last part of a prompt is its own and neither fetched nor saved.
-    let shared = parts.iter().take(parts.len().saturating_sub(1));
+    let common = parts.iter().take(parts.len().saturating_sub(1));
     Demand {
         model: prompt.map(|prompt| prompt.model.clone()),
         team: isolated.map(|holder| holder.team.clone()),
-        parts: shared
+        parts: common
             .map(|part| (part.id.as_ref().into(), part.tokens))
             .collect(),
         own: prompt.map_or(0, own_tokens),
         need: prompt.map_or(0, memory),
         left_out: left_out.to_vec(),
+        unreached: shared.reach.borrow().cut(),
     }
 }
 
@@ -145,6 +150,10 @@
     let pool = shared.catalog()?.pool(service).cloned()?;
     let inside = |member: &Member| member.id == *target;
     let member = usable(shared, &pool, demand, time, inside, |_| false).pop()?;
+    let cut = shared.reach.borrow().is_cut(&member.domain);
+    if cut && !demand.unreached.contains(&member.domain) {
+        return None;
+    }
     let draw = f64::from(shared.draw()) / f64::from(u32::MAX);
     let one = weigh(shared, &pool, demand, member, 1, Local::Told(local), draw);
     Some(settle(shared, asked, one, pool, 1, seen))
@@ -158,8 +167,8 @@
     candidate: Candidate,
 }
 
-/// Returns the targets of a pool that may get a request. Those that failed lately are left out
-/// unless there are no others.
+/// Returns the targets of a pool that may get a request. Those that failed lately or are out of
+/// the entry's reach are left out unless there are no others.
 fn usable<Border>(
     shared: &Shared<Border>,
     pool: &Pool,
@@ -192,7 +201,8 @@
         {
             continue;
         }
-        match avoids(member) || entry.doubted_since.is_some() {
+        let unreached = demand.unreached.contains(&member.domain);
+        match unreached || avoids(member) || entry.doubted_since.is_some() {
             true => avoided.push(Arc::clone(member)),
             false => sound.push(Arc::clone(member)),
         }
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use displaydoc::Display;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -69,7 +70,7 @@
 /// closes it meanwhile leaves open whether the request ran.
 const KEEP_ONCE: Duration = Duration::from_millis(1500);
 /// How long it may take to open a connection; the way to a target takes a few milliseconds.
-const CONNECT: Duration = Duration::from_millis(350);
+pub(crate) const CONNECT: Duration = Duration::from_millis(350);
 /// How long sent bytes may stay unconfirmed; a target that is cut off does not answer.
 const UNCONFIRMED: Duration = Duration::from_millis(2500);
 /// Bytes of the head of an answer; a longer one ends the connection.
@@ -130,20 +131,33 @@
     }
 }
 
-/// Opens a connection. Nothing of the request is sent, so a failure means that it has not run.
-pub(crate) async fn open(address: SocketAddr, slot: Slot) -> Result<Connection, String> {
+/// Why there is no connection. Nothing of the request was sent, so it has not run.
+#[derive(Debug, Display, PartialEq, Eq)]
+pub(crate) enum Unopened {
+    /// no connection within {0:?}
+    Silent(Duration),
+    /// {0}
+    Failed(String),
+    /// all {0} connections are in use
+    Full(u32),
+}
+
+impl std::error::Error for Unopened {}
+
+/// Opens a connection.
+pub(crate) async fn open(address: SocketAddr, slot: Slot) -> Result<Connection, Unopened> {
     let connecting = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
     let stream = match connecting {
         Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => return Err(error.to_string()),
-        Err(_) => return Err(format!("no connection within {CONNECT:?}")),
+        Ok(Err(error)) => return Err(Unopened::Failed(error.to_string())),
+        Err(_) => return Err(Unopened::Silent(CONNECT)),
     };
     prepare(&stream);
     let (sender, driver) = http1::Builder::new()
         .max_buf_size(HEAD_BYTES)
         .handshake(TokioIo::new(stream))
         .await
-        .map_err(|error| error.to_string())?;
+        .map_err(|error| Unopened::Failed(error.to_string()))?;
     tokio::task::spawn_local(async move {
         // The request on the connection reports its own failure.
         if let Err(error) = driver.await {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod orders;
 pub mod packet;
 mod placing;
+mod reach;
 mod relay;
 mod serve;
 mod server;
--- a/crates/gateway/src/packet/layout.rs
+++ b/crates/gateway/src/packet/layout.rs
@@ -120,6 +120,7 @@
     own: u64,
     need: u64,
     left_out: Vec<Target>,
+    unreached: Vec<Domain>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -310,6 +311,7 @@
             own: demand.own,
             need: demand.need,
             left_out: demand.left_out.clone(),
+            unreached: demand.unreached.clone(),
         }
     }
 }
@@ -332,6 +334,7 @@
                 own: asked.own.min(MOST_TOKENS),
                 need: asked.need.min(MOST_TOKENS),
                 left_out: asked.left_out,
+                unreached: asked.unreached,
             },
         }
     }
--- a/crates/gateway/src/packet/mod.rs
+++ b/crates/gateway/src/packet/mod.rs
@@ -16,7 +16,7 @@
 const CODE_BYTES: usize = 32;
 /// Changes with the layout of [`Packet`]: during an upgrade, entries of two versions talk to each
 /// other, and bytes of another layout may decode to anything.
-pub const FORMAT: u8 = 7;
+pub const FORMAT: u8 = 8;
 
 /// What one entry sends to another.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/gateway/src/placing/ask.rs
+++ b/crates/gateway/src/placing/ask.rs
@@ -87,15 +87,20 @@
 }
 
 /// Returns the rank of a request and how long it may wait. One that was sent before goes first: its
-/// caller has waited for longest, and waits until its stream seems to have stopped.
+/// caller has waited for longest, and waits until its stream seems to have stopped. One that lost
+/// time at a target out of reach goes first as well, for as long as it would be in time.
 fn urgency<Border>(asked: &Asked, tries: &Tries<Border>) -> (u8, Duration) {
     let time = now();
     let left = asked.left(time);
     if tries.arrivals > 0 {
         return (0, asked.gap().min(left).mul_f64(AGAIN));
     }
+    let waited = time.since(asked.arrived);
+    if !tries.left_out().is_empty() {
+        return (0, asked.route.objective.saturating_sub(waited).min(left));
+    }
     let limit = waiting::limit(asked.route.objective);
-    let limit = limit.saturating_sub(time.since(asked.arrived));
+    let limit = limit.saturating_sub(waited);
     (asked.rank(), limit.min(left))
 }
 
--- a/crates/gateway/src/placing/place.rs
+++ b/crates/gateway/src/placing/place.rs
@@ -74,7 +74,7 @@
 where
     Border: Platform,
 {
-    let mut demand = choose::demand(asked, tries.left_out());
+    let mut demand = choose::demand(shared, asked, tries.left_out());
     let Some(home) = home(shared, tries.service(), &demand) else {
         return Placed::Alone;
     };
@@ -106,6 +106,7 @@
                     return Placed::Alone;
                 }
                 demand.left_out.push(target);
+                demand.unreached = shared.reach.borrow().cut();
             }
             Reply::Busy(delay) => {
                 let shorter = shortest.as_ref().is_none_or(|(least, _)| delay < *least);
@@ -134,18 +135,19 @@
 /// parts, or would keep them.
 fn home<Border>(shared: &Shared<Border>, service: &Service, demand: &Demand) -> Option<Cell> {
     let map = shared.placing.map(shared);
-    let evacuated = shared.evacuated.borrow();
+    let (evacuated, reach) = (shared.evacuated.borrow(), shared.reach.borrow());
+    let out = |domain: &Domain| evacuated.contains(domain) || reach.is_cut(domain);
     let session = demand.parts.last();
     let key = session.map_or(&[][..], |(id, _)| id.as_bytes());
     let meeting = |domain: &Domain| {
         let cell = map.meeting(service, domain, key);
-        cell.filter(|cell| !cell.is_inside(|domain| evacuated.contains(domain)))
+        cell.filter(|cell| !cell.is_inside(out))
     };
     let kept = kept_domain(shared, &map, demand);
     let kept = kept.and_then(|domain| meeting(&domain));
     let any = || {
         let mut cells = map.cells(service).into_iter();
-        cells.find(|cell| !cell.is_inside(|domain| evacuated.contains(domain)))
+        cells.find(|cell| !cell.is_inside(out))
     };
     kept.or_else(|| meeting(&shared.settings.domain))
         .or_else(any)
@@ -169,9 +171,9 @@
 /// Returns other cells to try, the last one first: some at random, so that entries do not all turn
 /// to the same one, in the order of what is known of their queues.
 fn others<Border>(shared: &Shared<Border>, service: &Service, home: &Cell) -> Vec<Cell> {
-    let evacuated = shared.evacuated.borrow();
+    let (evacuated, reach) = (shared.evacuated.borrow(), shared.reach.borrow());
     let mut cells = shared.placing.map(shared).cells(service);
-    let out = |domain: &Domain| evacuated.contains(domain);
+    let out = |domain: &Domain| evacuated.contains(domain) || reach.is_cut(domain);
     cells.retain(|cell| cell != home && !cell.is_inside(out));
     let mut others = Vec::new();
     while others.len() < OTHERS && !cells.is_empty() {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -19,6 +19,7 @@
 use crate::intake::{self, Hold};
 use crate::journal::Event;
 use crate::placing::{self, Ending};
+use crate::reach;
 use crate::relay;
 use crate::shared::Shared;
 use crate::tries::{Step, Tries};
@@ -221,6 +222,12 @@
     let sent = now();
     let outcome = attempt::run(shared, asked, choice).await;
     let time = now();
+    if !matches!(
+        outcome,
+        Outcome::NotRun { sent: false, .. } | Outcome::Failed { .. }
+    ) {
+        reach::on_reached(shared, &choice.member.domain);
+    }
     let (word, why) = match &outcome {
         Outcome::Answered(whole) if whole.status.is_server_error() => {
             tries.arrivals += 1;
@@ -254,8 +261,11 @@
             ("refused", why.clone())
         }
         Outcome::NotRun { sent: false, why } => {
-            shared.board.borrow_mut().on_failure(target, time);
-            shared.placing.on_end(target, Ending::Failed);
+            // Behind a cut, nothing speaks against the target: others reach it.
+            if !shared.reach.borrow().is_cut(&choice.member.domain) {
+                shared.board.borrow_mut().on_failure(target, time);
+                shared.placing.on_end(target, Ending::Failed);
+            }
             ("unsent", why.clone())
         }
         Outcome::Failed { why } => {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -24,7 +24,7 @@
 use crate::serve::{self, millis};
 use crate::settings::{Problem, Settings};
 use crate::shared::Shared;
-use crate::{follow, guard, lead, listing, placing, shelf, talk};
+use crate::{follow, guard, lead, listing, placing, reach, shelf, talk};
 
 /// A running entry.
 #[derive(Debug)]
@@ -162,6 +162,8 @@
     let own = Rc::clone(shared);
     guard::spawn("dispatch", move || placing::dispatch(Rc::clone(&own)));
     let own = Rc::clone(shared);
+    guard::spawn("probe", move || reach::probe(Rc::clone(&own)));
+    let own = Rc::clone(shared);
     guard::spawn("tell", move || placing::tell(Rc::clone(&own)));
     let own = Rc::clone(shared);
     guard::spawn("beacon", move || listing::beacon(Rc::clone(&own)));
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -13,6 +13,7 @@
 use fleet::peers::Peers;
 use fleet::placement::{Board, Load};
 use fleet::proof::Proof;
+use fleet::reach::Reach;
 use fleet::rollout::Rollout;
 use fleet::roster::Roster;
 use fleet::waiting::Lobby;
@@ -64,6 +65,8 @@
     pub(crate) lobby: RefCell<Lobby<Service>>,
     pub(crate) placing: Placing,
     pub(crate) listing: Listing,
+    /// Which failure domains this entry reaches.
+    pub(crate) reach: RefCell<Reach>,
     /// Woken when a target may have room.
     pub(crate) room: Notify,
     /// How far the operator's list was read.
@@ -129,6 +132,7 @@
             lobby: RefCell::default(),
             placing: Placing::new(),
             listing: Listing::default(),
+            reach: RefCell::default(),
             room: Notify::new(),
             operator: Cell::default(),
             lag: Notify::new(),
--- a/crates/gateway/src/tries.rs
+++ b/crates/gateway/src/tries.rs
@@ -158,7 +158,7 @@
         if first && let Some(step) = self.queue(shared, asked, time) {
             return step;
         }
-        let demand = choose::demand(asked, &self.left_out);
+        let demand = choose::demand(shared, asked, &self.left_out);
         let Some(choice) = choose::choose(shared, asked, &self.service, &demand, seen) else {
             if first {
                 self.join(shared, asked);
--- a/crates/gateway/tests/packet.rs
+++ b/crates/gateway/tests/packet.rs
@@ -77,6 +77,7 @@
         own: 250,
         need: 1100,
         left_out: vec!["t".into()],
+        unreached: vec!["pier".into()],
     };
     let ask = Ask {
         name: name(),
