kept: a part that is still fetched is not freed

The entry that frees parts waits two seconds for others to stop sending requests that fetch them; those that were sent before may take longer. Ruled out: a missed retirement (the request was sent before it), a longer wait (targets may be slow for longer than any). Change: an entry that hears of a part which its own requests still fetch says so in each of its words until the first event has come, and the part is told once more and freed later. Two of its words come within the time that is waited. Test: a_part_that_is_still_fetched_is_not_freed.

--- a/crates/fleet/src/kept/mod.rs
+++ b/crates/fleet/src/kept/mod.rs
@@ -18,7 +18,7 @@
 use shelf::{Held, MEMORY_S, Saving, Shelf, decayed};
 
 /// The name of a part within a space.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Key {
     /// The weights and, where isolated, the team.
     pub space: Arc<str>,
@@ -50,6 +50,8 @@
     /// How late the first events of requests without fetches come at the targets of a failure
     /// domain, in ms.
     usual_ms: HashMap<Domain, f64>,
+    /// Parts that requests of this entry fetch now, with the number of these requests.
+    fetching: HashMap<(Store, Key), u32>,
     /// When the entry last looked at the time.
     looked: Option<Time>,
     /// When it last went on after it had stood still.
@@ -180,6 +182,8 @@
 /// An entry that has not looked at the time for this long stood still itself. It gets two words from
 /// each other entry in the time that others have to stop using a part.
 const STALL: Duration = Duration::from_millis(700);
+/// Parts in one word that are about to be freed and still fetched.
+const MOST_READING: usize = 40;
 /// How long others have to stop using a part before it is freed.
 const RETIRE: Duration = Duration::from_millis(2000);
 /// How long a freed part is not fetched, so that a late report does not bring it back.
@@ -398,6 +402,8 @@
                     }
                 }
                 Act::Fetch(store) => {
+                    let fetched = (store.clone(), part.key.clone());
+                    *self.fetching.entry(fetched).or_insert(0) += 1;
                     let shelf = self.shelves.get_mut(store);
                     if let Some(held) = shelf.and_then(|shelf| shelf.held.get_mut(&part.key)) {
                         held.used = now;
@@ -445,6 +451,7 @@
         // What finds no room on a fast host goes to a slower one, so parts in use are freed there.
         let last_resort = slowest == Some(shelf.host.delay);
         shelf.retired.retain(|_, at| now.since(*at) < RETIRED);
+        shelf.reading.retain(|_, at| now.since(*at) < RETIRED);
         let unused = shelf.held.keys();
         let unused = unused.filter(|key| standing(&key.space) == Standing::Unused);
         let mut chosen: Vec<Key> = unused.take(most).cloned().collect();
@@ -485,6 +492,50 @@
         chosen
     }
 
+    /// Records that a request has what it fetched, or does not need it any more.
+    pub fn on_fetched(&mut self, store: &Store, key: &Key) {
+        let fetched = (store.clone(), key.clone());
+        if let Some(count) = self.fetching.get_mut(&fetched) {
+            *count -= 1;
+            if *count == 0 {
+                self.fetching.remove(&fetched);
+            }
+        }
+    }
+
+    /// Returns the parts that are about to be freed while requests of this entry still fetch them.
+    ///
+    /// Load pattern: a store host or a target is slow, and a request gets its parts seconds after it
+    /// was sent.
+    #[must_use]
+    pub fn reading(&self) -> Vec<(Store, Key)> {
+        let retired = |(store, key): &&(Store, Key)| {
+            let shelf = self.shelves.get(store);
+            shelf.is_some_and(|shelf| shelf.retired.contains_key(key))
+        };
+        let reading = self.fetching.keys().filter(retired);
+        let mut reading: Vec<(Store, Key)> = reading.cloned().collect();
+        reading.sort();
+        reading.truncate(MOST_READING);
+        reading
+    }
+
+    /// Records that another entry still fetches a part that is about to be freed.
+    pub fn on_reading(&mut self, store: &Store, key: &Key, now: Time) {
+        if let Some(shelf) = self.shelves.get_mut(store) {
+            shelf.reading.insert(key.clone(), now);
+        }
+    }
+
+    /// Says whether any entry has said in some last time that it still fetches a part.
+    #[must_use]
+    pub fn is_read(&self, store: &Store, key: &Key, within: Duration, now: Time) -> bool {
+        let shelf = self.shelves.get(store);
+        let told = shelf.and_then(|shelf| shelf.reading.get(key));
+        told.is_some_and(|at| now.since(*at) < within)
+            || self.fetching.contains_key(&(store.clone(), key.clone()))
+    }
+
     /// Records that parts are about to be freed; they are not fetched any more.
     pub fn on_retired(&mut self, store: &Store, keys: &[Key], now: Time) {
         let Some(shelf) = self.shelves.get_mut(store) else {
--- a/crates/fleet/src/kept/shelf.rs
+++ b/crates/fleet/src/kept/shelf.rs
@@ -17,6 +17,8 @@
     pub(super) held: HashMap<Key, Held>,
     pub(super) saving: HashMap<Key, Saving>,
     pub(super) retired: HashMap<Key, Time>,
+    /// When other entries last said that they still fetch a part.
+    pub(super) reading: HashMap<Key, Time>,
     pub(super) tokens: u64,
     /// Seconds of transfers by this entry, of which older ones count less.
     pub(super) work: f64,
@@ -71,6 +73,7 @@
             held: HashMap::new(),
             saving: HashMap::new(),
             retired: HashMap::new(),
+            reading: HashMap::new(),
             tokens: 0,
             work: 0.0,
             worked: Time::default(),
@@ -85,6 +88,7 @@
         self.held.clear();
         self.saving.clear();
         self.retired.clear();
+        self.reading.clear();
         self.tokens = 0;
         self.work = 0.0;
         self.willing = 1.0;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -43,6 +43,8 @@
     pub used: Vec<(Store, Key)>,
     /// Parts that it is about to free.
     pub retired: Vec<(Store, Key)>,
+    /// Parts that others are about to free and that it still fetches.
+    pub reading: Vec<(Store, Key)>,
     /// The store hosts whose reports it passes on: their boot, or none for one that is down.
     pub hosts: Vec<(Store, Option<u64>)>,
     /// What these reported lately.
@@ -146,10 +148,11 @@
 const LEARN: Duration = Duration::from_millis(1000);
 /// How long the answers of the store to two entries lie apart that wait for the same change.
 const NOTICE: Duration = Duration::from_millis(300);
-/// How long a word counts beyond the time after which the next one is due.
-const SLACK: Duration = Duration::from_millis(400);
 
 impl Peers {
+    /// How long a word counts beyond the time after which the next one is due.
+    pub const SLACK: Duration = Duration::from_millis(400);
+
     /// Returns the time in which each of `count` peers gets a word.
     #[must_use]
     pub fn cycle(count: usize) -> Duration {
@@ -300,7 +303,7 @@
 
     /// Drops what is too old to count; `count` is the number of peers.
     pub fn expire(&mut self, count: usize, now: Time) {
-        let limit = Self::cycle(count) * 2 + SLACK;
+        let limit = Self::cycle(count) * 2 + Self::SLACK;
         let old: Vec<String> = self
             .heard
             .iter()
--- a/crates/fleet/tests/kept.rs
+++ b/crates/fleet/tests/kept.rs
@@ -430,6 +430,42 @@
     assert_eq!(world.acts(&parts, at(6050)), [Act::Fetch(big())]);
 }
 
+/// Guards against parts that are freed before a slow target has fetched them: found on
+/// phanvui-ops-grown trouble-2, where a request got its parts two seconds after it was sent (MIXED).
+#[test]
+fn a_part_that_is_still_fetched_is_not_freed() {
+    let mut world = World::open(&[host("big", "pier", 10_000, 74_000.0, 6.0)]);
+    let report = vec![held("m.1", "a", 500), held("m.1", "b", 500)];
+    world.kept.on_reports(&big(), 1, report, at(0));
+    let within = Duration::from_millis(1600);
+    let (a, b) = (key("m.1", "a"), key("m.1", "b"));
+    let sent = [part("m.1", "a", 500)];
+    let place = Place {
+        target: &world.target,
+        domain: &world.domain,
+        targets: 9,
+    };
+    let plan = world.kept.plan(&sent, &place, Local::Guessed, 0.5, at(10));
+    assert_eq!(plan.acts, [Act::Fetch(big())]);
+    for millis in [10, 20] {
+        world.kept.on_sent(&sent, &plan, &place, 1, at(millis));
+    }
+    assert!(world.kept.reading().is_empty());
+    world
+        .kept
+        .on_retired(&big(), &[a.clone(), b.clone()], at(100));
+    assert_eq!(world.kept.reading(), [(big(), a.clone())]);
+    world.kept.on_fetched(&big(), &a);
+    assert!(world.kept.is_read(&big(), &a, within, at(2100)));
+    world.kept.on_fetched(&big(), &a);
+    assert!(!world.kept.is_read(&big(), &a, within, at(2100)));
+    assert!(world.kept.reading().is_empty());
+    // Another entry says that it fetches the other one.
+    world.kept.on_reading(&big(), &b, at(1000));
+    assert!(world.kept.is_read(&big(), &b, within, at(2100)));
+    assert!(!world.kept.is_read(&big(), &b, within, at(2700)));
+}
+
 /// Guards against long parts that are never saved, and read by each request of their session: found
 /// on phanvui-ops-grown, where the large hosts take 771,138 tokens, a part has 8,610 on average, and
 /// 0.147 of the worth went into reading parts again.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,13 +7,13 @@
 use bytes::Bytes;
 use fleet::catalog::{Kind, Pool, Route};
 use fleet::extent::Extent;
-use fleet::kept;
+use fleet::kept::{self, Key};
 use fleet::roster::Member;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Request, Response, StatusCode, request};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use types::{Target, Time};
+use types::{Store, Target, Time};
 
 use crate::border::{Ask, Platform, Send};
 use crate::clock::now;
@@ -123,6 +123,8 @@
     unread: u64,
     need: u64,
     reading: bool,
+    /// What the target fetches for it.
+    fetched: Vec<(Store, Key)>,
 }
 
 /// How often a request that waits for the first byte looks whether its target still sends anything.
@@ -153,12 +155,16 @@
             shared.entries.get(),
             time,
         );
-        let mut peers = shared.peers.borrow_mut();
+        let mut fetched = Vec::new();
         for (part, act) in choice.parts.iter().zip(&choice.plan.acts) {
             if let kept::Act::Fetch(store) = act {
-                peers.on_used(store.clone(), part.key.clone(), time);
+                fetched.push((store.clone(), part.key.clone()));
             }
         }
+        let mut peers = shared.peers.borrow_mut();
+        for (store, key) in &fetched {
+            peers.on_used(store.clone(), key.clone(), time);
+        }
         drop(peers);
         let tokens = &shared.metrics.tokens;
         tokens.with_label_values(&["read"]).inc_by(choice.unread);
@@ -174,6 +180,14 @@
             unread: choice.unread,
             need: choice.need,
             reading: true,
+            fetched,
+        }
+    }
+
+    fn on_fetched(&mut self) {
+        let mut kept = self.shared.kept.borrow_mut();
+        for (store, key) in self.fetched.drain(..) {
+            kept.on_fetched(&store, &key);
         }
     }
 
@@ -183,6 +197,8 @@
             let mut board = self.shared.board.borrow_mut();
             board.on_first(&self.target, self.unread);
             self.shared.placing.on_first(&self.target);
+            drop(board);
+            self.on_fetched();
         }
     }
 
--- a/crates/gateway/src/packet/layout.rs
+++ b/crates/gateway/src/packet/layout.rs
@@ -86,6 +86,7 @@
     changed: Vec<(Target, Model, u64)>,
     used: Vec<Part>,
     retired: Vec<Part>,
+    reading: Vec<Part>,
     hosts: Vec<(Store, Option<u64>)>,
     /// Each with whether it is held, and its tokens.
     news: Vec<(Part, bool, u64)>,
@@ -209,6 +210,7 @@
             changed: word.changed.clone(),
             used: word.used.iter().map(part).collect(),
             retired: word.retired.iter().map(part).collect(),
+            reading: word.reading.iter().map(part).collect(),
             hosts: word.hosts.clone(),
             news: news
                 .map(|(store, report)| {
@@ -256,6 +258,7 @@
             changed: spoken.changed,
             used: spoken.used.into_iter().map(Part::key).collect(),
             retired: spoken.retired.into_iter().map(Part::key).collect(),
+            reading: spoken.reading.into_iter().map(Part::key).collect(),
             hosts: spoken.hosts,
             news: news.collect(),
             delays: delays
--- a/crates/gateway/src/shelf.rs
+++ b/crates/gateway/src/shelf.rs
@@ -258,32 +258,51 @@
 }
 
 /// Frees parts once the others have stopped using them.
-async fn free_retired<Border>(shared: Rc<Shared<Border>>, store: Store, retired: Vec<Key>)
+async fn free_retired<Border>(shared: Rc<Shared<Border>>, store: Store, mut retired: Vec<Key>)
 where
     Border: Platform,
 {
-    loop {
-        let entries = shared.entries.get();
-        tokio::time::sleep(Kept::retire_time().max(Peers::cycle(entries) * 3)).await;
+    while !retired.is_empty() {
+        let cycle = Peers::cycle(shared.entries.get());
+        tokio::time::sleep(Kept::retire_time().max(cycle * 3)).await;
+        let mut later = Vec::new();
         if shared.peers.borrow().may_free() {
-            break;
+            // Each entry has had two turns to say that it still fetches one.
+            let told = cycle * 2 + Peers::SLACK;
+            let kept = shared.kept.borrow();
+            let read = |key: &Key| kept.is_read(&store, key, told, now());
+            (later, retired) = retired.into_iter().partition(read);
+        } else {
+            // One is out of reach since, and may not have heard of it.
+            std::mem::swap(&mut later, &mut retired);
+        }
+        if !later.is_empty() {
+            tell_retired(&shared, &store, &later);
         }
-        // One is out of reach since, and may not have heard of it.
-        tell_retired(&shared, &store, &retired);
+        if !retired.is_empty() {
+            free_now(&shared, &store, &retired).await;
+        }
+        retired = later;
     }
+}
+
+async fn free_now<Border>(shared: &Rc<Shared<Border>>, store: &Store, retired: &[Key])
+where
+    Border: Platform,
+{
     let host = {
         let kept = shared.kept.borrow();
         let mut hosts = kept.hosts();
         hosts
-            .find(|(host, _)| host.name == store)
+            .find(|(host, _)| host.name == *store)
             .map(|(host, boot)| (host.address, boot))
     };
     let Some((address, Some(boot))) = host else {
         return;
     };
-    let freed = shared.border.free(address, boot, &retired).await;
+    let freed = shared.border.free(address, boot, retired).await;
     Event::new("parts_freed")
-        .with("store", &*store)
+        .with("store", &**store)
         .with("parts", retired.len())
         .with("failure", freed.err())
         .info();
--- a/crates/gateway/src/talk.rs
+++ b/crates/gateway/src/talk.rs
@@ -105,6 +105,7 @@
         changed: shared.peers.borrow().changed(),
         used,
         retired,
+        reading: kept.reading(),
         hosts: hosts.collect(),
         news: shared.peers.borrow().news(),
         delays: shared.placing.desk.borrow().delays(),
@@ -143,6 +144,9 @@
         let mut kept = shared.kept.borrow_mut();
         kept.on_retired(store, std::slice::from_ref(key), time);
     }
+    for (store, key) in &word.reading {
+        shared.kept.borrow_mut().on_reading(store, key, time);
+    }
     if !shared.peers.borrow_mut().on_word(word, time) {
         return;
     }
--- a/crates/gateway/tests/packet.rs
+++ b/crates/gateway/tests/packet.rs
@@ -49,6 +49,13 @@
         )],
         delays: vec![(cell(), Duration::from_millis(70))],
         silent: vec!["entry-9".into()],
+        reading: vec![(
+            "big".into(),
+            Key {
+                space: "m.1".into(),
+                id: "a".into(),
+            },
+        )],
         leaves: true,
     }
 }
