--- a/crates/fleet/src/kept/mod.rs
+++ b/crates/fleet/src/kept/mod.rs
@@ -161,8 +161,8 @@
 const FULL: f64 = 0.92;
 /// The part of a host's room to which it is freed.
 const FREED: f64 = 0.88;
-/// The same where parts of older weights are kept. Those of new ones come faster than room is made
-/// for them, which takes as long as others need to stop using a part.
+/// The part of a host's room above which parts of older weights are freed. Those of new ones come
+/// faster than room is made for them, which takes as long as others need to stop using a part.
 const OUTDATED_FULL: f64 = 0.65;
 /// The part of a host's room down to which parts of older weights are freed.
 const OUTDATED_FREED: f64 = 0.6;
@@ -438,8 +438,8 @@
     /// The hosts are full of parts of older weights then, which few requests will fetch; unless they
     /// make room, nothing that is read on the new weights can be kept.
     ///
-    /// The parts are retired here; they may be freed after [`Kept::retire_time`], when the other
-    /// entries have stopped using them.
+    /// The parts are retired here, `most` of them; they may be freed after [`Kept::retire_time`], when
+    /// the other entries have stopped using them and none says that it still reads one.
     pub fn retire<Of>(&mut self, store: &Store, standing: Of, most: usize, now: Time) -> Vec<Key>
     where
         Of: Fn(&str) -> Standing,
@@ -527,7 +527,7 @@
         }
     }
 
-    /// Says whether any entry has said in some last time that it still fetches a part.
+    /// Says whether any entry has said `within` the last time that it still fetches a part.
     #[must_use]
     pub fn is_read(&self, store: &Store, key: &Key, within: Duration, now: Time) -> bool {
         let shelf = self.shelves.get(store);
