gateway: log requests and connections that end without a response

A request whose task was dropped before it had a response (the connection failed, or the task panicked) left no line, a failed connection of a caller was logged at debug level without its limits, and 'cut' did not say why no other target continued the stream.

Adds 'ended' with 'gone' or 'panicked' for such requests, 'connection_failed' with cause, age and the configuration whose limits it uses, 'why' and both configurations in 'ended', and the counter boragereel_failed_connections_total.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,7 +13,7 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode, request};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use types::{Store, Target, Time};
+use types::{Store, Target, Time, Version};
 
 use crate::adapter::{Envelope, Head, Platform};
 use crate::buffer::{self, Reservation};
@@ -37,6 +37,8 @@
     pub(crate) arrived: Time,
     /// When the caller's or the route's timeout expires.
     pub(crate) deadline: Time,
+    /// The version of the configuration in force at admission.
+    pub(crate) config: Version,
     /// The dispatcher that refused to place the request, with the sequence number of the placement
     /// request.
     pub(crate) refused_by: RefCell<Option<Grant>>,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,8 @@
     pub(crate) buffered: IntGauge,
     /// Connections opened to targets.
     pub(crate) connections: IntCounter,
+    /// Callers' connections that failed, by cause.
+    pub(crate) failed_connections: IntCounterVec,
     /// Calls to the platform's table store by outcome.
     pub(crate) store_calls: IntCounterVec,
     /// Weight update orders by the target's answer.
@@ -117,6 +119,11 @@
                 "bytes of unfinished messages in memory",
             )?,
             connections: counter("boragereel_connections_total", "connections to targets")?,
+            failed_connections: counters(
+                "boragereel_failed_connections_total",
+                "callers' connections that failed, by cause",
+                "cause",
+            )?,
             store_calls: counters(
                 "boragereel_store_calls_total",
                 "store calls by outcome",
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -42,7 +42,7 @@
         tokio::select! {
             // The caller disconnected: dropping the relay closes the target's connection.
             () = closed.closed() => {
-                serve::record_end(&shared, &admitted, "gone");
+                serve::record_end(&shared, &admitted, "gone", Some("the caller disconnected"));
             }
             () = relay(&shared, &admitted, progress, stream, sender) => {}
         }
@@ -65,8 +65,8 @@
         let target = stream.in_flight.target().clone();
         let cause = match end {
             End::Truncated(cause) => cause,
-            End::CallerGone => {
-                serve::record_end(shared, admitted, "gone");
+            End::CallerGone(why) => {
+                serve::record_end(shared, admitted, "gone", Some(why));
                 return;
             }
             End::Complete => {
@@ -74,7 +74,7 @@
                 if !stream.closes {
                     connection::release(shared, &target, stream.connection, stream.keep_alive);
                 }
-                serve::record_end(shared, admitted, "served");
+                serve::record_end(shared, admitted, "served", None);
                 return;
             }
         };
@@ -92,9 +92,9 @@
         // starts.
         drop(stream);
         let next_stream = match resume(shared, admitted, &mut progress, last_event, &target).await {
-            Some(next_stream) => next_stream,
-            None => {
-                serve::record_end(shared, admitted, "cut");
+            Ok(next_stream) => next_stream,
+            Err(why) => {
+                serve::record_end(shared, admitted, "cut", Some(&why));
                 // hyper discards data that it has not written when the body fails.
                 tokio::time::sleep(FLUSH_TIME).await;
                 // If the receiver is gone, the caller has disconnected and needs no error.
@@ -113,8 +113,8 @@
     Complete,
     /// The stream was truncated, for this cause.
     Truncated(String),
-    /// The caller disconnected or has stopped reading.
-    CallerGone,
+    /// The caller disconnected or has stopped reading, as this text says.
+    CallerGone(&'static str),
 }
 
 /// Relays events until the stream ends.
@@ -136,8 +136,8 @@
         let remaining = admitted.remaining(now());
         match tokio::time::timeout(remaining, sender.send(Ok(chunk))).await {
             Ok(Ok(())) => *last_event = stream.events.last_id().or(*last_event),
-            // The caller closed the connection or has stopped reading.
-            Ok(Err(_)) | Err(_) => return End::CallerGone,
+            Ok(Err(_)) => return End::CallerGone("the caller disconnected"),
+            Err(_) => return End::CallerGone("the caller stopped reading until the deadline"),
         }
         let target = stream.in_flight.target().clone();
         let reading = attempt::next_chunk(shared, &target, &mut stream.events, &mut stream.body);
@@ -149,18 +149,21 @@
 }
 
 /// Resumes a stream at another target.
+///
+/// # Errors
+/// Returns for logs why no other target continues it.
 async fn resume<Adapter>(
     shared: &Rc<Shared<Adapter>>,
     admitted: &Rc<Admitted>,
     progress: &mut Progress<Adapter>,
     last_event: Option<u64>,
     failed: &Target,
-) -> Option<Streaming<Adapter>>
+) -> Result<Streaming<Adapter>, String>
 where
     Adapter: Platform,
 {
     if !admitted.route.resumable {
-        return None;
+        return Err("the route allows no resumption".to_owned());
     }
     progress.exclude(failed);
     loop {
@@ -170,13 +173,18 @@
                 serve::wait_for_capacity(shared).await;
                 continue;
             }
-            Step::Fail(..) => return None,
+            Step::Fail(reason, _) => return Err(reason.to_string()),
         };
         match serve::attempt(shared, admitted, progress, &choice).await {
-            Outcome::Streaming(stream) => return Some(*stream),
+            Outcome::Streaming(stream) => return Ok(*stream),
             Outcome::NotRun { .. } | Outcome::Failed { .. } => {}
             // A buffered response is a failure of the target here.
-            Outcome::Buffered(_) => return None,
+            Outcome::Buffered(response) => {
+                return Err(format!(
+                    "the next target responded with status {}",
+                    response.status
+                ));
+            }
         }
     }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -9,7 +9,7 @@
 use http::header::HOST;
 use http::{Request, Response, request};
 use hyper::body::Incoming;
-use types::Time;
+use types::{Target, Time};
 
 use crate::adapter::Platform;
 use crate::answer::{Body, Reason, close};
@@ -44,26 +44,69 @@
     let arrived = now();
     let unanswered = Rc::clone(&shared.unanswered);
     let (parts, body) = request.into_parts();
-    let mut response = match admit(&shared, parts, body, arrived).await {
-        Ok(admitted) => forward(&shared, Rc::new(admitted)).await,
-        Err((reason, id)) => {
-            let grant = None;
-            refuse(&shared, reason, DEFAULT_RETRY_AFTER, &id, arrived, grant)
+    let mut pending = Pending {
+        shared: Rc::clone(&shared),
+        id: "".into(),
+        arrived,
+        target: None,
+        answered: false,
+    };
+    let mut response = match admit(&shared, parts, body, &mut pending).await {
+        Ok(admitted) => forward(&shared, Rc::new(admitted), &mut pending).await,
+        Err(reason) => {
+            let (id, grant) = (&pending.id, None);
+            refuse(&shared, reason, DEFAULT_RETRY_AFTER, id, arrived, grant)
         }
     };
+    pending.answered = true;
     if shared.stopping.get().is_some() {
         close(response.headers_mut());
     }
     response.map(|body| body.counted_as(unanswered))
 }
 
+/// A request without a response so far. If it is dropped, which happens when the connection ends or
+/// the task panics, it is logged.
+#[derive(Debug)]
+struct Pending<Adapter> {
+    shared: Rc<Shared<Adapter>>,
+    /// Empty until the head has been parsed.
+    id: Box<str>,
+    arrived: Time,
+    /// The target of the last attempt.
+    target: Option<Target>,
+    answered: bool,
+}
+
+impl<Adapter> Drop for Pending<Adapter> {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        let outcome = if std::thread::panicking() {
+            "panicked"
+        } else {
+            "gone"
+        };
+        let requests = &self.shared.metrics.requests;
+        requests.with_label_values(&[outcome]).inc();
+        Event::new("ended")
+            .with("request", &*self.id)
+            .with("outcome", outcome)
+            .with("target", self.target.as_deref())
+            .with("after_ms", millis(now().since(self.arrived)))
+            .with("config", self.shared.config_version())
+            .warn();
+    }
+}
+
 /// Checks a request against the configuration and reads its body.
 async fn admit<Adapter>(
     shared: &Rc<Shared<Adapter>>,
     parts: request::Parts,
     body: Incoming,
-    arrived: Time,
-) -> Result<Admitted, (Reason, Box<str>)>
+    pending: &mut Pending<Adapter>,
+) -> Result<Admitted, Reason>
 where
     Adapter: Platform,
 {
@@ -73,21 +116,22 @@
             Event::new("malformed")
                 .with("why", error.to_string())
                 .warn();
-            return Err((Reason::Malformed, "".into()));
+            return Err(Reason::Malformed);
         }
     };
-    let reject = |reason| (reason, head.id.clone());
-    let catalog = shared.catalog().ok_or_else(|| reject(Reason::NoCatalog))?;
+    pending.id.clone_from(&head.id);
+    let arrived = pending.arrived;
+    let catalog = shared.catalog().ok_or(Reason::NoCatalog)?;
     // An unknown route or key may be unknown only because the configuration is outdated.
     let is_fresh = shared.is_fresh(arrived);
-    let reject_unless_stale = |reason| reject(if is_fresh { reason } else { Reason::Stale });
+    let unless_stale = |reason| if is_fresh { reason } else { Reason::Stale };
     let route = catalog
         .route(host(&parts), parts.uri.path())
-        .ok_or_else(|| reject_unless_stale(Reason::NoRoute))?;
+        .ok_or_else(|| unless_stale(Reason::NoRoute))?;
     let owner = match catalog.caller(route, head.key.as_deref()) {
         Caller::Anonymous => None,
-        Caller::Unauthenticated => return Err(reject_unless_stale(Reason::NoKey)),
-        Caller::Authenticated(_) if !is_fresh => return Err(reject(Reason::Stale)),
+        Caller::Unauthenticated => return Err(unless_stale(Reason::NoKey)),
+        Caller::Authenticated(_) if !is_fresh => return Err(Reason::Stale),
         Caller::Authenticated(owner) => Some(owner),
     };
     if let Some(stopping_since) = shared.stopping.get() {
@@ -95,16 +139,13 @@
             grace: shared.settings.grace(),
         };
         if !shutdown.accepts(route, arrived.since(stopping_since)) {
-            return Err(reject(Reason::Stopping));
+            return Err(Reason::Stopping);
         }
     }
     let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = arrived + timeout;
     let mut reservation = Reservation::new(&shared.buffers);
-    let body = match read_body(body, &catalog.limits, timeout, &mut reservation).await {
-        Ok(body) => body,
-        Err(reason) => return Err(reject(reason)),
-    };
+    let body = read_body(body, &catalog.limits, timeout, &mut reservation).await?;
     let route = Arc::clone(route);
     Ok(Admitted {
         parts,
@@ -115,6 +156,7 @@
         owner,
         arrived,
         deadline,
+        config: catalog.version,
         refused_by: RefCell::default(),
     })
 }
@@ -141,7 +183,11 @@
 }
 
 /// Sends a request to targets until one responds, or until no further attempt is possible.
-async fn forward<Adapter>(shared: &Rc<Shared<Adapter>>, admitted: Rc<Admitted>) -> Response<Body>
+async fn forward<Adapter>(
+    shared: &Rc<Shared<Adapter>>,
+    admitted: Rc<Admitted>,
+    pending: &mut Pending<Adapter>,
+) -> Response<Body>
 where
     Adapter: Platform,
 {
@@ -172,13 +218,14 @@
                 // The target's error response is more informative than one of this entry.
                 return match fallback {
                     Some(response) => {
-                        record_end(shared, &admitted, "error");
+                        record_end(shared, &admitted, "error", None);
                         response.response()
                     }
                     None => fail(shared, &admitted, reason, retry_after),
                 };
             }
         };
+        pending.target = Some(choice.member.id.clone());
         match attempt(shared, &admitted, &mut progress, &choice).await {
             Outcome::Buffered(response) => {
                 let retry = response.status.is_server_error()
@@ -189,7 +236,7 @@
                     continue;
                 }
                 shared.metrics.on_first(now().since(admitted.arrived));
-                record_end(shared, &admitted, "served");
+                record_end(shared, &admitted, "served", None);
                 return response.response();
             }
             Outcome::Streaming(stream) => {
@@ -356,7 +403,7 @@
         .with("status", reason.status().as_u16())
         .with("after_ms", millis(time.since(arrived)))
         .with("again_ms", millis(retry_after))
-        .with("config", shared.catalog().map(|catalog| catalog.version.0))
+        .with("config", shared.config_version())
         .with("proof_age_ms", evidence_age)
         .with("dispatcher", grant.map(|grant| grant.dispatcher.as_str()))
         .with("number", grant.map(|grant| grant.sequence))
@@ -365,18 +412,22 @@
     reason.response(is_unavailable.then_some(retry_after))
 }
 
-/// Records the end of a request to which a target responded.
+/// Records the end of a request to which a target responded; `why` is the cause of an early end.
 pub(crate) fn record_end<Adapter>(
     shared: &Rc<Shared<Adapter>>,
     admitted: &Admitted,
     outcome: &str,
+    why: Option<&str>,
 ) {
     shared.metrics.requests.with_label_values(&[outcome]).inc();
     Event::new("ended")
         .with("request", &*admitted.head.id)
         .with("outcome", outcome)
+        .with("why", why)
         .with("route", &*admitted.route.name)
         .with("after_ms", millis(now().since(admitted.arrived)))
+        .with("admitted_config", admitted.config.0)
+        .with("config", shared.config_version())
         .info();
 }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -239,6 +240,8 @@
 ) where
     Adapter: Platform,
 {
+    let accepted = now();
+    let config = shared.config_version();
     let limits = shared.catalog().map(|catalog| catalog.limits);
     let limits = limits.unwrap_or_default();
     let mut builder = http1::Builder::new();
@@ -246,7 +249,9 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout + IDLE_SLACK)
         .max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES));
+    let requests = Cell::new(0_u64);
     let service = service_fn(|request: Request<Incoming>| {
+        requests.set(requests.get() + 1);
         let shared = Rc::clone(&shared);
         async move { Ok::<_, Infallible>(serve::serve(shared, request).await) }
     });
@@ -263,7 +268,33 @@
         }
     };
     if let Err(error) = ended {
-        log::debug!("connection of a caller failed: {error}");
+        let cause = failure_cause(&error);
+        let failures = &shared.metrics.failed_connections;
+        failures.with_label_values(&[cause]).inc();
+        Event::new("connection_failed")
+            .with("cause", cause)
+            .with("why", error.to_string())
+            .with("requests", requests.get())
+            .with("after_ms", millis(now().since(accepted)))
+            .with("idle_limit_ms", millis(limits.idle_timeout))
+            .with("accepted_config", config)
+            .with("config", shared.config_version())
+            .info();
+    }
+}
+
+/// Returns the metric label of a failure of a caller's connection.
+fn failure_cause(error: &hyper::Error) -> &'static str {
+    if error.is_timeout() {
+        "idle"
+    } else if error.is_parse() {
+        "malformed"
+    } else if error.is_incomplete_message() {
+        "closed_by_caller"
+    } else if error.is_user() {
+        "truncated_stream"
+    } else {
+        "io"
     }
 }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -145,6 +145,12 @@
         self.catalog.borrow().clone()
     }
 
+    /// Returns the version of the configuration in force.
+    pub(crate) fn config_version(&self) -> Option<u64> {
+        let catalog = self.catalog.borrow();
+        catalog.as_ref().map(|catalog| catalog.version.0)
+    }
+
     /// Returns whether requests with API keys may be served.
     pub(crate) fn is_fresh(&self, now: Time) -> bool {
         let version = self.catalog().map_or(0, |catalog| catalog.version.0);
