gateway: end a stream as complete only by an explicit mark

Callers saw a stream that ended regularly (last chunk of length 0) although events were missing. The relay signalled the end of a stream by dropping the sender of its channel, so every exit that sent no error looked like the end: a caller whose next event could not be buffered until the deadline, and a panic of the relay's task.

The channel now carries an explicit end. A body whose sender is dropped without it fails, so that hyper aborts the connection. A caller that takes the end too late is recorded as gone.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -29,7 +29,19 @@
         _reservation: Option<Reservation>,
     },
     /// A stream. An error aborts the connection, so that the response does not look complete.
-    Stream(mpsc::Receiver<Result<Chunk, Truncated>>),
+    Stream {
+        parts: mpsc::Receiver<Part>,
+        ended: bool,
+    },
+}
+
+/// A part of a stream.
+#[derive(Debug)]
+pub(crate) enum Part {
+    /// Events.
+    Chunk(Chunk),
+    /// The stream is complete. A stream whose sender is dropped without this is truncated.
+    End,
 }
 
 /// A stream ended before its last event.
@@ -88,8 +100,11 @@
     }
 
     /// Returns a body whose events are still to arrive.
-    pub(crate) fn stream(events: mpsc::Receiver<Result<Chunk, Truncated>>) -> Self {
-        Self::new(Content::Stream(events))
+    pub(crate) fn stream(parts: mpsc::Receiver<Part>) -> Self {
+        Self::new(Content::Stream {
+            parts,
+            ended: false,
+        })
     }
 
     /// Counts a request as unanswered until the body has been taken.
@@ -118,9 +133,18 @@
             Content::Buffered { bytes, .. } => {
                 Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
             }
-            Content::Stream(events) => events
-                .poll_recv(context)
-                .map(|event| event.map(|event| event.map(|chunk| Frame::data(chunk.bytes)))),
+            Content::Stream { ended: true, .. } => Poll::Ready(None),
+            Content::Stream { parts, ended } => parts.poll_recv(context).map(|part| match part {
+                Some(Part::Chunk(chunk)) => Some(Ok(Frame::data(chunk.bytes))),
+                Some(Part::End) => {
+                    *ended = true;
+                    None
+                }
+                None => {
+                    *ended = true;
+                    Some(Err(Truncated::Early))
+                }
+            }),
         }
     }
 
@@ -133,7 +157,7 @@
             Content::Buffered { bytes, .. } => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Content::Stream(_) => SizeHint::default(),
+            Content::Stream { .. } => SizeHint::default(),
         }
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,7 +6,7 @@
 use types::Target;
 
 use crate::adapter::Platform;
-use crate::answer::{Body, Truncated};
+use crate::answer::{Body, Part};
 use crate::attempt::{self, Admitted, Outcome, Streaming};
 use crate::clock::now;
 use crate::connection;
@@ -15,7 +15,6 @@
 use crate::retry::{Progress, Step};
 use crate::serve;
 use crate::shared::Shared;
-use crate::sse::Chunk;
 
 /// Chunks of events that are buffered for a slow caller; beyond that, reading from the target stops
 /// as well.
@@ -55,7 +54,7 @@
     admitted: &Rc<Admitted>,
     mut progress: Progress<Adapter>,
     mut stream: Streaming<Adapter>,
-    sender: mpsc::Sender<Result<Chunk, Truncated>>,
+    sender: mpsc::Sender<Part>,
 ) where
     Adapter: Platform,
 {
@@ -74,7 +73,12 @@
                 if !stream.closes {
                     connection::release(shared, &target, stream.connection, stream.keep_alive);
                 }
-                serve::record_end(shared, admitted, "served", None);
+                // Without this the response would look truncated.
+                let (outcome, why) = match send(admitted, &sender, Part::End).await {
+                    Ok(()) => ("served", None),
+                    Err(why) => ("gone", Some(why)),
+                };
+                serve::record_end(shared, admitted, outcome, why);
                 return;
             }
         };
@@ -97,8 +101,6 @@
                 serve::record_end(shared, admitted, "cut", Some(&why));
                 // hyper discards data that it has not written when the body fails.
                 tokio::time::sleep(FLUSH_TIME).await;
-                // If the receiver is gone, the caller has disconnected and needs no error.
-                let _ = sender.send(Err(Truncated::Early)).await;
                 return;
             }
         };
@@ -122,7 +124,7 @@
     shared: &Rc<Shared<Adapter>>,
     admitted: &Admitted,
     stream: &mut Streaming<Adapter>,
-    sender: &mpsc::Sender<Result<Chunk, Truncated>>,
+    sender: &mpsc::Sender<Part>,
     last_event: &mut Option<u64>,
 ) -> End
 where
@@ -133,12 +135,10 @@
         let Some(chunk) = next_chunk.take() else {
             return End::Complete;
         };
-        let remaining = admitted.remaining(now());
-        match tokio::time::timeout(remaining, sender.send(Ok(chunk))).await {
-            Ok(Ok(())) => *last_event = stream.events.last_id().or(*last_event),
-            Ok(Err(_)) => return End::CallerGone("the caller disconnected"),
-            Err(_) => return End::CallerGone("the caller stopped reading until the deadline"),
+        if let Err(why) = send(admitted, sender, Part::Chunk(chunk)).await {
+            return End::CallerGone(why);
         }
+        *last_event = stream.events.last_id().or(*last_event);
         let target = stream.in_flight.target().clone();
         let reading = attempt::next_chunk(shared, &target, &mut stream.events, &mut stream.body);
         next_chunk = match attempt::await_target(shared, admitted, &target, reading).await {
@@ -148,6 +148,23 @@
     }
 }
 
+/// Passes a part of the stream on to the caller, as soon as it has read enough of what came before.
+///
+/// # Errors
+/// Returns for logs why the caller will not read it.
+async fn send(
+    admitted: &Admitted,
+    sender: &mpsc::Sender<Part>,
+    part: Part,
+) -> Result<(), &'static str> {
+    let remaining = admitted.remaining(now());
+    match tokio::time::timeout(remaining, sender.send(part)).await {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(_)) => Err("the caller disconnected"),
+        Err(_) => Err("the caller stopped reading until the deadline"),
+    }
+}
+
 /// Resumes a stream at another target.
 ///
 /// # Errors
