gateway: don't end connections of callers that pause reading

A caller that read nothing for a few seconds, while a large response was being sent, lost the rest of it: its connection was reset. The sockets of callers had a TCP_USER_TIMEOUT of 2.5 s like those of targets, and Linux applies it also to a peer that acknowledges window probes but keeps its window closed.

The sockets of callers now have a user timeout of 15 s, and keep-alive probes every 5 s for callers that vanish while no data is in flight. Those of targets are unchanged.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use types::{Target, Time};
 
@@ -74,6 +74,10 @@
 /// How long sent bytes may stay unacknowledged; a target behind a network partition does not
 /// acknowledge them.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2500);
+/// How long a caller may be unreachable, or keep its window closed, before its connection is closed.
+const CALLER_USER_TIMEOUT: Duration = Duration::from_secs(15);
+/// The interval of the probes on a connection of a caller without data in flight.
+const CALLER_KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(5);
 /// The maximum size of a response head; a larger one ends the connection.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// How long a connection may take to become ready again after a response.
@@ -185,13 +189,33 @@
     })
 }
 
-/// Disables Nagle's algorithm and sets the timeout after which an unresponsive connection is
-/// closed.
-pub(crate) fn set_socket_options(stream: &TcpStream) {
+/// Sets the options of a connection to a target: disables Nagle's algorithm, and sets the timeout
+/// after which an unresponsive connection is closed.
+fn set_socket_options(stream: &TcpStream) {
     let socket = SockRef::from(stream);
     let nodelay = stream.set_nodelay(true);
     let user_timeout = socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
-    if let Err(error) = nodelay.and(user_timeout) {
+    log_socket_error(nodelay.and(user_timeout));
+}
+
+/// Sets the options of a connection of a caller.
+///
+/// On Linux the user timeout also ends a connection whose peer acknowledges probes but keeps its
+/// window closed, so it must exceed any pause of a slow caller. Keep-alive probes find callers that
+/// are unreachable while no data is in flight.
+pub(crate) fn set_caller_socket_options(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let keep_alive = TcpKeepalive::new()
+        .with_time(CALLER_KEEP_ALIVE_INTERVAL)
+        .with_interval(CALLER_KEEP_ALIVE_INTERVAL);
+    let nodelay = stream.set_nodelay(true);
+    let user_timeout = socket.set_tcp_user_timeout(Some(CALLER_USER_TIMEOUT));
+    let keep_alive = socket.set_tcp_keepalive(&keep_alive);
+    log_socket_error(nodelay.and(user_timeout).and(keep_alive));
+}
+
+fn log_socket_error(result: std::io::Result<()>) {
+    if let Err(error) = result {
         log::warn!("cannot set socket options: {error}");
     }
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -19,7 +19,7 @@
 use crate::adapter::{List, Platform};
 use crate::answer::Body;
 use crate::clock::now;
-use crate::connection::set_socket_options;
+use crate::connection::set_caller_socket_options;
 use crate::logging::{self, Event};
 use crate::metrics::Metrics;
 use crate::serve::{self, millis};
@@ -223,7 +223,7 @@
             tokio::time::sleep(ACCEPT_BACK_OFF).await;
             continue;
         };
-        set_socket_options(&socket);
+        set_caller_socket_options(&socket);
         let (shared, closing, open) = (Rc::clone(&shared), closing.clone(), Rc::clone(&open));
         tokio::task::spawn_local(async move {
             serve_connection(shared, socket, closing).await;
