gateway: flush the events of every truncated stream

A stream whose relay panicked sometimes reached its caller without the events that the relay had passed on: hyper discards what it has not written when a body fails. Only the exit for streams that cannot be resumed waited before it let the body fail.

The body waits now by itself, whichever way the relay ended.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -1,6 +1,6 @@
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,10 +9,15 @@
 use http::{HeaderMap, Response, StatusCode};
 use http_body::{Frame, SizeHint};
 use tokio::sync::mpsc;
+use tokio::time::Sleep;
 
 use crate::buffer::Reservation;
 use crate::sse::Chunk;
 
+/// How long hyper gets to write the events of a truncated stream before the connection is aborted;
+/// it discards what it has not written when a body fails.
+const FLUSH_TIME: Duration = Duration::from_millis(10);
+
 /// The body of a response to a caller.
 #[derive(Debug)]
 pub(crate) struct Body {
@@ -31,10 +36,19 @@
     /// A stream. An error aborts the connection, so that the response does not look complete.
     Stream {
         parts: mpsc::Receiver<Part>,
-        ended: bool,
+        progress: Progress,
     },
 }
 
+/// How far a stream has come.
+#[derive(Debug)]
+enum Progress {
+    Open,
+    /// It is truncated, and aborts the connection after this.
+    Truncated(Pin<Box<Sleep>>),
+    Ended,
+}
+
 /// A part of a stream.
 #[derive(Debug)]
 pub(crate) enum Part {
@@ -103,7 +117,7 @@
     pub(crate) fn stream(parts: mpsc::Receiver<Part>) -> Self {
         Self::new(Content::Stream {
             parts,
-            ended: false,
+            progress: Progress::Open,
         })
     }
 
@@ -133,18 +147,7 @@
             Content::Buffered { bytes, .. } => {
                 Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
             }
-            Content::Stream { ended: true, .. } => Poll::Ready(None),
-            Content::Stream { parts, ended } => parts.poll_recv(context).map(|part| match part {
-                Some(Part::Chunk(chunk)) => Some(Ok(Frame::data(chunk.bytes))),
-                Some(Part::End) => {
-                    *ended = true;
-                    None
-                }
-                None => {
-                    *ended = true;
-                    Some(Err(Truncated::Early))
-                }
-            }),
+            Content::Stream { parts, progress } => progress.poll_part(parts, context),
         }
     }
 
@@ -162,6 +165,32 @@
     }
 }
 
+impl Progress {
+    fn poll_part(
+        &mut self,
+        parts: &mut mpsc::Receiver<Part>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
+        loop {
+            match self {
+                Self::Open => match ready!(parts.poll_recv(context)) {
+                    Some(Part::Chunk(chunk)) => {
+                        return Poll::Ready(Some(Ok(Frame::data(chunk.bytes))));
+                    }
+                    Some(Part::End) => *self = Self::Ended,
+                    None => *self = Self::Truncated(Box::pin(tokio::time::sleep(FLUSH_TIME))),
+                },
+                Self::Truncated(flushed) => {
+                    ready!(flushed.as_mut().poll(context));
+                    *self = Self::Ended;
+                    return Poll::Ready(Some(Err(Truncated::Early)));
+                }
+                Self::Ended => return Poll::Ready(None),
+            }
+        }
+    }
+}
+
 impl Reason {
     /// Returns the status. 503 promises that the request has not run and will not; 502 and 504
     /// promise nothing.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,5 +1,4 @@
 use std::rc::Rc;
-use std::time::Duration;
 
 use http::Response;
 use tokio::sync::mpsc;
@@ -19,8 +18,6 @@
 /// Chunks of events that are buffered for a slow caller; beyond that, reading from the target stops
 /// as well.
 const CHANNEL_CAPACITY: usize = 16;
-/// How long hyper gets to write buffered events to the caller before the response is aborted.
-const FLUSH_TIME: Duration = Duration::from_millis(10);
 
 /// Relays a stream to the caller, from the first event to the last.
 pub(crate) fn respond<Adapter>(
@@ -99,8 +96,6 @@
             Ok(next_stream) => next_stream,
             Err(why) => {
                 serve::record_end(shared, admitted, "cut", Some(&why));
-                // hyper discards data that it has not written when the body fails.
-                tokio::time::sleep(FLUSH_TIME).await;
                 return;
             }
         };
