gateway: respond with 502 when a request panics

A panic while a request was served ended its connection without a response, so the caller could not tell it from a lost request, and lost the connection.

The panic is caught around the request's future, which is dropped and never polled again. The panic's unwinding releases what the request held, as it did when the panic ended the connection's task; the task's other requests and the rest of the process are as exposed to it as before. 502 promises nothing about whether the request ran.

A panic in a body that is being sent still aborts the connection, as the head has been sent.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -90,6 +90,8 @@
     Stopping,
     /// the target failed after it may have run the request
     Failed,
+    /// the entry failed, and a target may have run the request
+    Panicked,
     /// the time is over, and a target may have run the request
     TimedOut,
     /// the time is over before the request was sent
@@ -207,7 +209,7 @@
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::Failed => StatusCode::BAD_GATEWAY,
+            Self::Failed | Self::Panicked => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -226,6 +228,7 @@
             Self::Refused => "refused",
             Self::Stopping => "stopping",
             Self::Failed => "failed",
+            Self::Panicked => "panicked",
             Self::TimedOut => "late",
             Self::TimedOutUnsent => "too_late",
         }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,6 +1,8 @@
 use std::cell::RefCell;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -44,25 +46,66 @@
     let arrived = now();
     let unanswered = Rc::clone(&shared.unanswered);
     let (parts, body) = request.into_parts();
-    let mut pending = Pending {
+    let pending = Pending {
         shared: Rc::clone(&shared),
         id: "".into(),
         arrived,
         target: None,
         answered: false,
     };
-    let mut response = match admit(&shared, parts, body, &mut pending).await {
+    let responding = respond(Rc::clone(&shared), parts, body, pending);
+    let mut response = catch_panic(responding)
+        .await
+        .unwrap_or_else(|Panicked| Reason::Panicked.response(None));
+    if shared.stopping.get().is_some() {
+        close(response.headers_mut());
+    }
+    response.map(|body| body.counted_as(unanswered))
+}
+
+/// Responds to a request.
+async fn respond<Adapter>(
+    shared: Rc<Shared<Adapter>>,
+    parts: request::Parts,
+    body: Incoming,
+    mut pending: Pending<Adapter>,
+) -> Response<Body>
+where
+    Adapter: Platform,
+{
+    let response = match admit(&shared, parts, body, &mut pending).await {
         Ok(admitted) => forward(&shared, Rc::new(admitted), &mut pending).await,
         Err(reason) => {
-            let (id, grant) = (&pending.id, None);
-            refuse(&shared, reason, DEFAULT_RETRY_AFTER, id, arrived, grant)
+            let (id, arrived) = (&pending.id, pending.arrived);
+            refuse(&shared, reason, DEFAULT_RETRY_AFTER, id, arrived, None)
         }
     };
     pending.answered = true;
-    if shared.stopping.get().is_some() {
-        close(response.headers_mut());
-    }
-    response.map(|body| body.counted_as(unanswered))
+    response
+}
+
+/// A future panicked.
+#[derive(Debug)]
+struct Panicked;
+
+/// Runs a future to its end or to its panic, which would otherwise end the caller's connection.
+///
+/// # Errors
+/// Fails if the future panics. Like the tasks of this process, which may panic at any time, the
+/// future must leave what it shares with others usable.
+async fn catch_panic<Task>(task: Task) -> Result<Task::Output, Panicked>
+where
+    Task: Future,
+{
+    let mut task = std::pin::pin!(task);
+    std::future::poll_fn(|context| {
+        let poll = AssertUnwindSafe(|| task.as_mut().poll(context));
+        match catch_unwind(poll) {
+            Ok(poll) => poll.map(Ok),
+            Err(_) => Poll::Ready(Err(Panicked)),
+        }
+    })
+    .await
 }
 
 /// A request without a response so far. If it is dropped, which happens when the connection ends or
