gateway: read and drop the body of a request that is refused early

Callers that were refused before the entry had read their bodies (unknown route or key, stale configuration, shutdown, too large) lost their connections: hyper tries one read of a body that nobody wants, then closes the connection, and the bytes that arrive afterwards reset it. A caller that is still sending sees a failed write instead of the refusal.

The refusal is sent at once, as before, and the rest of the body is read and dropped, up to 1 MiB and 3 s, so that the connection carries the next request. Beyond that, and where the caller waits for 100 Continue, the connection is closed; the entry then reads on for up to 1 s after its end of the connection, so that the refusal is not overtaken by a reset.

--- /dev/null
+++ b/crates/gateway/src/caller.rs
@@ -0,0 +1,181 @@
+use std::cell::Cell;
+use std::io::{ErrorKind, Result};
+use std::net::Shutdown;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Sleep;
+
+/// The connection of a caller, shared by hyper and the tasks that serve its requests.
+#[derive(Debug)]
+pub(crate) struct Link {
+    socket: TcpStream,
+    /// Whether a body was left unread, so that the caller may still be sending it.
+    is_body_unread: Cell<bool>,
+}
+
+/// The I/O of a link for hyper.
+#[derive(Debug)]
+pub(crate) struct Io {
+    link: Rc<Link>,
+    /// Ends the wait for the caller's end of the connection.
+    linger: Option<Pin<Box<Sleep>>>,
+}
+
+/// The maximum number of bytes that are read and dropped after a refusal, to keep the connection.
+pub(crate) const MAX_DRAIN_BYTES: u64 = 1 << 20;
+/// How long the rest of a body is awaited after a refusal.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long a connection is read after its last response if the caller may still be sending. Bytes
+/// that arrive on a closed socket reset the connection, and some callers lose the response by that.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// The size of the buffer for bytes that are dropped.
+const DISCARD_BUFFER_BYTES: usize = 8 << 10;
+
+impl Link {
+    pub(crate) fn new(socket: TcpStream) -> Self {
+        Self {
+            socket,
+            is_body_unread: Cell::new(false),
+        }
+    }
+
+    /// Records that a body is left unread.
+    pub(crate) fn abandon_body(&self) {
+        self.is_body_unread.set(true);
+    }
+
+    /// Reads and drops the rest of a body, so that the connection can carry the next request. A
+    /// body that is too long or takes too long is left unread, and hyper closes the connection.
+    pub(crate) async fn drain(&self, mut body: Incoming) {
+        let reading = async {
+            let mut dropped = 0;
+            while let Some(Ok(frame)) = body.frame().await {
+                tokio::task::coop::consume_budget().await;
+                dropped += frame.data_ref().map_or(0, Bytes::len) as u64;
+                if dropped > MAX_DRAIN_BYTES {
+                    return false;
+                }
+            }
+            true
+        };
+        let is_complete = tokio::time::timeout(DRAIN_TIMEOUT, reading).await;
+        if is_complete != Ok(true) {
+            self.abandon_body();
+        }
+    }
+
+    /// Returns whether bytes have arrived that were not read yet.
+    fn has_unread_bytes(&self) -> bool {
+        let mut byte = [std::mem::MaybeUninit::uninit()];
+        let peeked = SockRef::from(&self.socket).peek(&mut byte);
+        peeked.is_ok_and(|count| count > 0)
+    }
+
+    /// Reads and drops bytes until the caller closes its end of the connection.
+    fn poll_discard(&self, context: &mut Context<'_>) -> Poll<()> {
+        let mut buffer = [0; DISCARD_BUFFER_BYTES];
+        loop {
+            if ready!(self.socket.poll_read_ready(context)).is_err() {
+                return Poll::Ready(());
+            }
+            match self.socket.try_read(&mut buffer) {
+                Ok(1..) => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Ok(0) | Err(_) => return Poll::Ready(()),
+            }
+        }
+    }
+}
+
+impl Io {
+    pub(crate) fn new(link: Rc<Link>) -> Self {
+        Self { link, linger: None }
+    }
+}
+
+impl AsyncRead for Io {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        let socket = &self.link.socket;
+        loop {
+            ready!(socket.poll_read_ready(context))?;
+            match socket.try_read_buf(buffer) {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                read => return Poll::Ready(read.map(drop)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Io {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<Result<usize>> {
+        let socket = &self.link.socket;
+        loop {
+            ready!(socket.poll_write_ready(context))?;
+            match socket.try_write(bytes) {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[std::io::IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        let socket = &self.link.socket;
+        loop {
+            ready!(socket.poll_write_ready(context))?;
+            match socket.try_write_vectored(slices) {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        let Self { link, linger } = &mut *self;
+        let linger = match linger {
+            Some(linger) => linger,
+            None => {
+                match SockRef::from(&link.socket).shutdown(Shutdown::Write) {
+                    Err(error) if error.kind() == ErrorKind::NotConnected => {}
+                    shut_down => shut_down?,
+                }
+                if !link.is_body_unread.get() && !link.has_unread_bytes() {
+                    return Poll::Ready(Ok(()));
+                }
+                linger.insert(Box::pin(tokio::time::sleep(LINGER_TIMEOUT)))
+            }
+        };
+        if linger.as_mut().poll(context).is_ready() {
+            return Poll::Ready(Ok(()));
+        }
+        link.poll_discard(context).map(Ok)
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod attempt;
 pub mod buffer;
 mod cache;
+mod caller;
 mod choose;
 mod clock;
 mod connection;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -8,8 +8,9 @@
 use bytes::Bytes;
 use fleet::catalog::{Caller, Limits};
 use fleet::shutdown::Shutdown;
-use http::header::HOST;
+use http::header::{EXPECT, HOST};
 use http::{Request, Response, request};
+use http_body::Body as _;
 use hyper::body::Incoming;
 use types::{Target, Time};
 
@@ -17,6 +18,7 @@
 use crate::answer::{Body, Reason, close};
 use crate::attempt::{self, Admitted, Buffered, Choice, Grant, Outcome};
 use crate::buffer::{self, Reservation};
+use crate::caller::{Link, MAX_DRAIN_BYTES};
 use crate::choose;
 use crate::clock::now;
 use crate::dispatch::{self, Failure};
@@ -38,6 +40,7 @@
 /// Serves a caller's request.
 pub(crate) async fn serve<Adapter>(
     shared: Rc<Shared<Adapter>>,
+    link: Rc<Link>,
     request: Request<Incoming>,
 ) -> Response<Body>
 where
@@ -46,6 +49,8 @@
     let arrived = now();
     let unanswered = Rc::clone(&shared.unanswered);
     let (parts, body) = request.into_parts();
+    let expects_continue = parts.headers.contains_key(EXPECT);
+    let mut body = Some(body);
     let pending = Pending {
         shared: Rc::clone(&shared),
         id: "".into(),
@@ -53,13 +58,25 @@
         target: None,
         answered: false,
     };
-    let responding = respond(Rc::clone(&shared), parts, body, pending);
+    let responding = respond(Rc::clone(&shared), parts, &mut body, pending);
     let mut response = catch_panic(responding)
         .await
         .unwrap_or_else(|Panicked| Reason::Panicked.response(None));
     if shared.stopping.get().is_some() {
         close(response.headers_mut());
     }
+    if let Some(body) = body.filter(|body| !body.is_end_stream()) {
+        if expects_continue {
+            // The caller may or may not send the body, so the next request cannot be found.
+            close(response.headers_mut());
+            link.abandon_body();
+        } else {
+            if body.size_hint().lower() > MAX_DRAIN_BYTES {
+                close(response.headers_mut());
+            }
+            tokio::task::spawn_local(async move { link.drain(body).await });
+        }
+    }
     response.map(|body| body.counted_as(unanswered))
 }
 
@@ -67,7 +84,7 @@
 async fn respond<Adapter>(
     shared: Rc<Shared<Adapter>>,
     parts: request::Parts,
-    body: Incoming,
+    body: &mut Option<Incoming>,
     mut pending: Pending<Adapter>,
 ) -> Response<Body>
 where
@@ -143,11 +160,12 @@
     }
 }
 
-/// Checks a request against the configuration and reads its body.
+/// Checks a request against the configuration and reads its body, which is left to the caller of
+/// this function unless it is read completely.
 async fn admit<Adapter>(
     shared: &Rc<Shared<Adapter>>,
     parts: request::Parts,
-    body: Incoming,
+    body: &mut Option<Incoming>,
     pending: &mut Pending<Adapter>,
 ) -> Result<Admitted, Reason>
 where
@@ -205,14 +223,20 @@
 }
 
 async fn read_body(
-    mut body: Incoming,
+    body: &mut Option<Incoming>,
     limits: &Limits,
     timeout: Duration,
     reservation: &mut Reservation,
 ) -> Result<Bytes, Reason> {
-    let body = buffer::collect(&mut body, limits.body_bytes, reservation);
-    match tokio::time::timeout(timeout, body).await {
-        Ok(Ok(body)) => Ok(body),
+    let Some(unread) = body else {
+        return Ok(Bytes::new());
+    };
+    let reading = buffer::collect(unread, limits.body_bytes, reservation);
+    match tokio::time::timeout(timeout, reading).await {
+        Ok(Ok(bytes)) => {
+            *body = None;
+            Ok(bytes)
+        }
         Ok(Err(buffer::Problem::TooLong(_))) => Err(Reason::TooLarge),
         Ok(Err(buffer::Problem::NoMemory)) => Err(Reason::Busy),
         Ok(Err(buffer::Problem::Interrupted(_))) => Err(Reason::Malformed),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -18,6 +18,7 @@
 
 use crate::adapter::{List, Platform};
 use crate::answer::Body;
+use crate::caller::{Io, Link};
 use crate::clock::now;
 use crate::connection::set_caller_socket_options;
 use crate::logging::{self, Event};
@@ -249,13 +250,14 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout + IDLE_SLACK)
         .max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES));
+    let link = Rc::new(Link::new(socket));
     let requests = Cell::new(0_u64);
     let service = service_fn(|request: Request<Incoming>| {
         requests.set(requests.get() + 1);
-        let shared = Rc::clone(&shared);
-        async move { Ok::<_, Infallible>(serve::serve(shared, request).await) }
+        let (shared, link) = (Rc::clone(&shared), Rc::clone(&link));
+        async move { Ok::<_, Infallible>(serve::serve(shared, link, request).await) }
     });
-    let connection = builder.serve_connection(TokioIo::new(socket), service);
+    let connection = builder.serve_connection(TokioIo::new(Io::new(Rc::clone(&link))), service);
     tokio::pin!(connection);
     // A connection that is accepted after this point has a request on its way. It gets a response,
     // which asks for the connection to be closed.
