gateway: apply the timeouts in force to open connections of callers

Callers reuse connections that were idle for up to four fifths of the newest idle timeout, but a connection kept the timeout that was in force when it was accepted: after a change that raises it, their requests met connections that were being closed. hyper's only timeout runs from the last response to the end of the next head, so it also closed connections on which a request was arriving, and the configured head timeout had no effect.

The entry now watches a connection by itself: what it waits for is known from the bytes read and the requests in progress, and the limits are looked up whenever a timeout may have passed, at least every second. An idle connection is closed only if no byte of a request has been read or waits in the socket; this holds during a shutdown as well. A head that has begun is bounded by the head timeout. The size limit of a head is still that at the accept, as hyper cannot change it.

Closing for idleness is no longer a failure, so connection_failed has no cause idle; head_timeout is new.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -12,6 +12,7 @@
 use tokio::time::Sleep;
 
 use crate::buffer::Reservation;
+use crate::caller::Exchange;
 use crate::sse::Chunk;
 
 /// How long hyper gets to write the events of a truncated stream before the connection is aborted;
@@ -22,8 +23,9 @@
 #[derive(Debug)]
 pub(crate) struct Body {
     content: Content,
-    /// Counts the request as unanswered until hyper has taken the whole body.
-    request: Option<Rc<()>>,
+    /// Counts the request as unanswered, and its connection as in use, until hyper has taken the
+    /// whole body.
+    request: Option<(Rc<()>, Rc<Exchange>)>,
 }
 
 #[derive(Debug)]
@@ -124,8 +126,8 @@
     }
 
     /// Counts a request as unanswered until the body has been taken.
-    pub(crate) fn counted_as(mut self, request: Rc<()>) -> Self {
-        self.request = Some(request);
+    pub(crate) fn counted_as(mut self, request: Rc<()>, exchange: Rc<Exchange>) -> Self {
+        self.request = Some((request, exchange));
         self
     }
 
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -13,6 +13,9 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
+use types::Time;
+
+use crate::clock::now;
 
 /// The connection of a caller, shared by hyper and the tasks that serve its requests.
 #[derive(Debug)]
@@ -20,8 +23,31 @@
     socket: TcpStream,
     /// Whether a body was left unread, so that the caller may still be sending it.
     is_body_unread: Cell<bool>,
+    /// The requests whose bodies are being read or whose responses are not complete.
+    requests: Cell<usize>,
+    /// Whether the socket's buffer had no room for the last bytes of a response.
+    is_write_blocked: Cell<bool>,
+    /// When the last response was written, or the connection was accepted.
+    idle_since: Cell<Time>,
+    /// When the head of the next request began to arrive.
+    head_since: Cell<Option<Time>>,
+}
+
+/// What a connection waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// The end of a request that has been received.
+    Request,
+    /// The rest of a head that began to arrive at this time.
+    Head(Time),
+    /// The next request, since this time.
+    Idle(Time),
 }
 
+/// A request in progress on a link.
+#[derive(Debug)]
+pub(crate) struct Exchange(Rc<Link>);
+
 /// The I/O of a link for hyper.
 #[derive(Debug)]
 pub(crate) struct Io {
@@ -45,6 +71,30 @@
         Self {
             socket,
             is_body_unread: Cell::new(false),
+            requests: Cell::new(0),
+            is_write_blocked: Cell::new(false),
+            idle_since: Cell::new(now()),
+            head_since: Cell::new(None),
+        }
+    }
+
+    /// Returns what the connection waits for.
+    pub(crate) fn phase(&self) -> Phase {
+        if self.requests.get() > 0 || self.is_write_blocked.get() {
+            return Phase::Request;
+        }
+        match self.head_since.get() {
+            Some(since) => Phase::Head(since),
+            None => Phase::Idle(self.idle_since.get()),
+        }
+    }
+
+    /// Bytes between requests are the beginning of a head, except for the empty lines that some
+    /// callers send after a body.
+    fn on_read(&self, bytes: &[u8]) {
+        let is_between = self.requests.get() == 0 && self.head_since.get().is_none();
+        if is_between && bytes.iter().any(|byte| !b"\r\n".contains(byte)) {
+            self.head_since.set(Some(now()));
         }
     }
 
@@ -74,7 +124,7 @@
     }
 
     /// Returns whether bytes have arrived that were not read yet.
-    fn has_unread_bytes(&self) -> bool {
+    pub(crate) fn has_unread_bytes(&self) -> bool {
         let mut byte = [std::mem::MaybeUninit::uninit()];
         let peeked = SockRef::from(&self.socket).peek(&mut byte);
         peeked.is_ok_and(|count| count > 0)
@@ -96,6 +146,27 @@
     }
 }
 
+impl Exchange {
+    pub(crate) fn new(link: Rc<Link>) -> Self {
+        link.requests.set(link.requests.get() + 1);
+        link.head_since.set(None);
+        Self(link)
+    }
+
+    /// Returns the link of the request.
+    pub(crate) fn link(&self) -> &Link {
+        &self.0
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        self.0.requests.set(self.0.requests.get().saturating_sub(1));
+        self.0.head_since.set(None);
+        self.0.idle_since.set(now());
+    }
+}
+
 impl Io {
     pub(crate) fn new(link: Rc<Link>) -> Self {
         Self { link, linger: None }
@@ -109,11 +180,16 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
         let socket = &self.link.socket;
+        let filled = buffer.filled().len();
         loop {
             ready!(socket.poll_read_ready(context))?;
             match socket.try_read_buf(buffer) {
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                read => return Poll::Ready(read.map(drop)),
+                Ok(_) => {
+                    self.link.on_read(&buffer.filled()[filled..]);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) => return Poll::Ready(Err(error)),
             }
         }
     }
@@ -127,10 +203,15 @@
     ) -> Poll<Result<usize>> {
         let socket = &self.link.socket;
         loop {
+            self.link.is_write_blocked.set(true);
             ready!(socket.poll_write_ready(context))?;
+            self.link.is_write_blocked.set(false);
             match socket.try_write(bytes) {
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
+                written => {
+                    self.link.idle_since.set(now());
+                    return Poll::Ready(written);
+                }
             }
         }
     }
@@ -142,10 +223,15 @@
     ) -> Poll<Result<usize>> {
         let socket = &self.link.socket;
         loop {
+            self.link.is_write_blocked.set(true);
             ready!(socket.poll_write_ready(context))?;
+            self.link.is_write_blocked.set(false);
             match socket.try_write_vectored(slices) {
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
+                written => {
+                    self.link.idle_since.set(now());
+                    return Poll::Ready(written);
+                }
             }
         }
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -18,7 +18,7 @@
 use crate::answer::{Body, Reason, close};
 use crate::attempt::{self, Admitted, Buffered, Choice, Grant, Outcome};
 use crate::buffer::{self, Reservation};
-use crate::caller::{Link, MAX_DRAIN_BYTES};
+use crate::caller::{Exchange, Link, MAX_DRAIN_BYTES};
 use crate::choose;
 use crate::clock::now;
 use crate::dispatch::{self, Failure};
@@ -48,6 +48,7 @@
 {
     let arrived = now();
     let unanswered = Rc::clone(&shared.unanswered);
+    let exchange = Rc::new(Exchange::new(link));
     let (parts, body) = request.into_parts();
     let expects_continue = parts.headers.contains_key(EXPECT);
     let mut body = Some(body);
@@ -69,15 +70,16 @@
         if expects_continue {
             // The caller may or may not send the body, so the next request cannot be found.
             close(response.headers_mut());
-            link.abandon_body();
+            exchange.link().abandon_body();
         } else {
             if body.size_hint().lower() > MAX_DRAIN_BYTES {
                 close(response.headers_mut());
             }
-            tokio::task::spawn_local(async move { link.drain(body).await });
+            let exchange = Rc::clone(&exchange);
+            tokio::task::spawn_local(async move { exchange.link().drain(body).await });
         }
     }
-    response.map(|body| body.counted_as(unanswered))
+    response.map(|body| body.counted_as(unanswered, exchange))
 }
 
 /// Responds to a request.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use displaydoc::Display;
+use fleet::catalog::Limits;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -18,7 +19,7 @@
 
 use crate::adapter::{List, Platform};
 use crate::answer::Body;
-use crate::caller::{Io, Link};
+use crate::caller::{Io, Link, Phase};
 use crate::clock::now;
 use crate::connection::set_caller_socket_options;
 use crate::logging::{self, Event};
@@ -75,6 +76,8 @@
 /// Extra time for which an idle connection is kept beyond the configured timeout, so that a caller
 /// that uses the full timeout does not send a request on a connection that is being closed.
 const IDLE_SLACK: Duration = Duration::from_secs(2);
+/// How often a connection looks for changes of its limits.
+const LIMITS_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Starts an entry on the current thread's local set.
 ///
@@ -243,13 +246,12 @@
 {
     let accepted = now();
     let config = shared.config_version();
-    let limits = shared.catalog().map(|catalog| catalog.limits);
-    let limits = limits.unwrap_or_default();
     let mut builder = http1::Builder::new();
+    // `await_close` applies the timeouts in force, which may change while the connection is open.
     builder
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout + IDLE_SLACK)
-        .max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES));
+        .header_read_timeout(None)
+        .max_buf_size(limits(&shared).head_bytes.max(MIN_HEAD_BYTES));
     let link = Rc::new(Link::new(socket));
     let requests = Cell::new(0_u64);
     let service = service_fn(|request: Request<Incoming>| {
@@ -262,41 +264,117 @@
     // A connection that is accepted after this point has a request on its way. It gets a response,
     // which asks for the connection to be closed.
     let accepted_after_close = *closing.borrow();
+    let closing = (!accepted_after_close).then_some(&mut closing);
     let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        _ = closing.wait_for(|&closing| closing), if !accepted_after_close => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+        // The connection comes first, so that it takes notice of bytes that have arrived.
+        biased;
+        ended = connection.as_mut() => ended.map_err(Failure::from),
+        close = await_close(&shared, &link, closing) => match close {
+            Close::Gracefully => {
+                connection.as_mut().graceful_shutdown();
+                connection.await.map_err(Failure::from)
+            }
+            Close::HeadTimedOut => Err(Failure {
+                cause: "head_timeout",
+                why: "the head of a request did not end in time".to_owned(),
+            }),
         }
     };
-    if let Err(error) = ended {
-        let cause = failure_cause(&error);
+    if let Err(Failure { cause, why }) = ended {
         let failures = &shared.metrics.failed_connections;
         failures.with_label_values(&[cause]).inc();
         Event::new("connection_failed")
             .with("cause", cause)
-            .with("why", error.to_string())
+            .with("why", why)
             .with("requests", requests.get())
             .with("after_ms", millis(now().since(accepted)))
-            .with("idle_limit_ms", millis(limits.idle_timeout))
             .with("accepted_config", config)
             .with("config", shared.config_version())
             .info();
     }
 }
 
-/// Returns the metric label of a failure of a caller's connection.
-fn failure_cause(error: &hyper::Error) -> &'static str {
-    if error.is_timeout() {
-        "idle"
-    } else if error.is_parse() {
-        "malformed"
-    } else if error.is_incomplete_message() {
-        "closed_by_caller"
-    } else if error.is_user() {
-        "truncated_stream"
-    } else {
-        "io"
+/// How the entry closes a connection.
+#[derive(Debug)]
+enum Close {
+    /// It is idle, or ends after the request in progress.
+    Gracefully,
+    /// A head began to arrive and did not end in time.
+    HeadTimedOut,
+}
+
+/// Waits until a connection must be closed by the limits in force, which may change meanwhile, or
+/// because of `closing`.
+async fn await_close<Adapter>(
+    shared: &Shared<Adapter>,
+    link: &Link,
+    mut closing: Option<&mut watch::Receiver<bool>>,
+) -> Close {
+    loop {
+        let limits = limits(shared);
+        let is_closing = closing.as_ref().is_some_and(|closing| *closing.borrow());
+        let remaining = match link.phase() {
+            Phase::Request if is_closing => return Close::Gracefully,
+            Phase::Request => LIMITS_INTERVAL,
+            Phase::Head(since) => {
+                let remaining = limits.head_timeout.saturating_sub(now().since(since));
+                match (remaining.is_zero(), link.has_unread_bytes()) {
+                    (false, _) => remaining,
+                    // The process was suspended, and has yet to read what arrived meanwhile.
+                    (true, true) => POLL_INTERVAL,
+                    (true, false) => return Close::HeadTimedOut,
+                }
+            }
+            Phase::Idle(_) if link.has_unread_bytes() => POLL_INTERVAL,
+            Phase::Idle(since) => {
+                let limit = limits.idle_timeout + IDLE_SLACK;
+                let remaining = limit.saturating_sub(now().since(since));
+                if is_closing || remaining.is_zero() {
+                    return Close::Gracefully;
+                }
+                remaining
+            }
+        };
+        let remaining = remaining.min(LIMITS_INTERVAL);
+        match &mut closing {
+            // The wait also ends if the sender is dropped, which ends the process.
+            Some(closing) if !is_closing => {
+                let _ = tokio::time::timeout(remaining, closing.changed()).await;
+            }
+            _ => tokio::time::sleep(remaining).await,
+        }
+    }
+}
+
+/// Returns the limits on callers in force.
+fn limits<Adapter>(shared: &Shared<Adapter>) -> Limits {
+    let limits = shared.catalog().map(|catalog| catalog.limits);
+    limits.unwrap_or_default()
+}
+
+/// Why a caller's connection failed.
+#[derive(Debug)]
+struct Failure {
+    /// The metric label.
+    cause: &'static str,
+    why: String,
+}
+
+impl From<hyper::Error> for Failure {
+    fn from(error: hyper::Error) -> Self {
+        let cause = if error.is_parse() {
+            "malformed"
+        } else if error.is_incomplete_message() {
+            "closed_by_caller"
+        } else if error.is_user() {
+            "truncated_stream"
+        } else {
+            "io"
+        };
+        Self {
+            cause,
+            why: error.to_string(),
+        }
     }
 }
 
