gateway: keep connections to targets that read late

A stream was cut, and resumed or lost, when its target had responded before it had read a long body and read nothing for 2.5 s: Linux applies TCP_USER_TIMEOUT also to a peer that acknowledges window probes but keeps its window closed. The same ended requests delivered at most once early, although the target was well.

It is 2.5 s, as before, once the connection is dropped, so that a request that the entry no longer waits for does not arrive after a network partition.

Bodies that fit into the target's receive buffer were not affected. Unreachable targets behind a real partition were not tried; a test can't lose packets here.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -41,9 +41,15 @@
     pub(crate) sender: SendRequest<Full<Bytes>>,
     /// Whether it has carried a request before.
     pub(crate) reused: bool,
+    _socket: Socket,
     _open: OpenCount,
 }
 
+/// Another handle to the socket of a connection. When it is dropped, what has not reached the
+/// target yet is given up soon.
+#[derive(Debug)]
+struct Socket(socket2::Socket);
+
 /// Counts a connection towards the target's limit while it is open.
 #[derive(Debug)]
 struct OpenCount(Rc<Cell<u32>>);
@@ -71,11 +77,11 @@
 const IDLE_TIMEOUT_AT_MOST_ONCE: Duration = Duration::from_millis(1500);
 /// How long opening a connection may take; a round trip to a target takes a few milliseconds.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
-/// How long sent bytes may stay unacknowledged; a target behind a network partition does not
-/// acknowledge them.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2500);
-/// How long a caller may be unreachable, or keep its window closed, before its connection is closed.
-const CALLER_USER_TIMEOUT: Duration = Duration::from_secs(15);
+/// How long a peer may be unreachable, or keep its window closed, before its connection is closed.
+const USER_TIMEOUT: Duration = Duration::from_secs(15);
+/// The same after an entry has closed a connection to a target: a request that it no longer waits
+/// for must not reach the target long after a network partition.
+const CLOSED_USER_TIMEOUT: Duration = Duration::from_millis(2500);
 /// The interval of the probes on a connection of a caller without data in flight.
 const CALLER_KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(5);
 /// The maximum size of a response head; a larger one ends the connection.
@@ -143,6 +149,12 @@
     }
 }
 
+impl Drop for Socket {
+    fn drop(&mut self) {
+        log_socket_error(self.0.set_tcp_user_timeout(Some(CLOSED_USER_TIMEOUT)));
+    }
+}
+
 impl Drop for OpenCount {
     fn drop(&mut self) {
         self.0.set(self.0.get().saturating_sub(1));
@@ -171,6 +183,9 @@
         Err(_) => return Err(Error::Timeout(CONNECT_TIMEOUT)),
     };
     set_socket_options(&stream);
+    let socket = SockRef::from(&stream)
+        .try_clone()
+        .map_err(|error| Error::Failed(error.to_string()))?;
     let (sender, driver) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream))
@@ -185,33 +200,31 @@
     Ok(Connection {
         sender,
         reused: false,
+        _socket: Socket(socket),
         _open: permit.0,
     })
 }
 
-/// Sets the options of a connection to a target: disables Nagle's algorithm, and sets the timeout
-/// after which an unresponsive connection is closed.
+/// Disables Nagle's algorithm and sets the timeout after which an unresponsive connection is
+/// closed.
+///
+/// On Linux the timeout also ends a connection whose peer acknowledges probes but keeps its window
+/// closed, so it must exceed any pause of a peer that reads slowly.
 fn set_socket_options(stream: &TcpStream) {
     let socket = SockRef::from(stream);
     let nodelay = stream.set_nodelay(true);
-    let user_timeout = socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
+    let user_timeout = socket.set_tcp_user_timeout(Some(USER_TIMEOUT));
     log_socket_error(nodelay.and(user_timeout));
 }
 
-/// Sets the options of a connection of a caller.
-///
-/// On Linux the user timeout also ends a connection whose peer acknowledges probes but keeps its
-/// window closed, so it must exceed any pause of a slow caller. Keep-alive probes find callers that
-/// are unreachable while no data is in flight.
+/// Sets the options of a connection of a caller. Keep-alive probes find callers that are
+/// unreachable while no data is in flight.
 pub(crate) fn set_caller_socket_options(stream: &TcpStream) {
-    let socket = SockRef::from(stream);
+    set_socket_options(stream);
     let keep_alive = TcpKeepalive::new()
         .with_time(CALLER_KEEP_ALIVE_INTERVAL)
         .with_interval(CALLER_KEEP_ALIVE_INTERVAL);
-    let nodelay = stream.set_nodelay(true);
-    let user_timeout = socket.set_tcp_user_timeout(Some(CALLER_USER_TIMEOUT));
-    let keep_alive = socket.set_tcp_keepalive(&keep_alive);
-    log_socket_error(nodelay.and(user_timeout).and(keep_alive));
+    log_socket_error(SockRef::from(stream).set_tcp_keepalive(&keep_alive));
 }
 
 fn log_socket_error(result: std::io::Result<()>) {
