--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,13 +1,16 @@
 use std::cell::RefCell;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
 use fleet::catalog::{Caller, Limits};
 use fleet::shutdown::Shutdown;
-use http::header::HOST;
+use http::header::{EXPECT, HOST};
 use http::{Request, Response, request};
+use http_body::Body as _;
 use hyper::body::Incoming;
 use types::{Target, Time};
 
@@ -15,6 +18,7 @@
 use crate::answer::{Body, Reason, close};
 use crate::attempt::{self, Admitted, Buffered, Choice, Grant, Outcome};
 use crate::buffer::{self, Reservation};
+use crate::caller::{Exchange, Link, MAX_DRAIN_BYTES};
 use crate::choose;
 use crate::clock::now;
 use crate::dispatch::{self, Failure};
@@ -36,6 +40,7 @@
 /// Serves a caller's request.
 pub(crate) async fn serve<Adapter>(
     shared: Rc<Shared<Adapter>>,
+    link: Rc<Link>,
     request: Request<Incoming>,
 ) -> Response<Body>
 where
@@ -43,26 +48,83 @@
 {
     let arrived = now();
     let unanswered = Rc::clone(&shared.unanswered);
+    let exchange = Rc::new(Exchange::new(link));
     let (parts, body) = request.into_parts();
-    let mut pending = Pending {
+    let expects_continue = parts.headers.contains_key(EXPECT);
+    let mut body = Some(body);
+    let pending = Pending {
         shared: Rc::clone(&shared),
         id: "".into(),
         arrived,
         target: None,
         answered: false,
     };
-    let mut response = match admit(&shared, parts, body, &mut pending).await {
+    let responding = respond(Rc::clone(&shared), parts, &mut body, pending);
+    let mut response = catch_panic(responding)
+        .await
+        .unwrap_or_else(|Panicked| Reason::Panicked.response(None));
+    if shared.stopping.get().is_some() {
+        close(response.headers_mut());
+    }
+    if let Some(body) = body.filter(|body| !body.is_end_stream()) {
+        if expects_continue {
+            // The caller may or may not send the body, so the next request cannot be found.
+            close(response.headers_mut());
+            exchange.link().abandon_body();
+        } else {
+            if body.size_hint().lower() > MAX_DRAIN_BYTES {
+                close(response.headers_mut());
+            }
+            let exchange = Rc::clone(&exchange);
+            tokio::task::spawn_local(async move { exchange.link().drain(body).await });
+        }
+    }
+    response.map(|body| body.counted_as(unanswered, exchange))
+}
+
+/// Responds to a request.
+async fn respond<Adapter>(
+    shared: Rc<Shared<Adapter>>,
+    parts: request::Parts,
+    body: &mut Option<Incoming>,
+    mut pending: Pending<Adapter>,
+) -> Response<Body>
+where
+    Adapter: Platform,
+{
+    let response = match admit(&shared, parts, body, &mut pending).await {
         Ok(admitted) => forward(&shared, Rc::new(admitted), &mut pending).await,
         Err(reason) => {
-            let (id, grant) = (&pending.id, None);
-            refuse(&shared, reason, DEFAULT_RETRY_AFTER, id, arrived, grant)
+            let (id, arrived) = (&pending.id, pending.arrived);
+            refuse(&shared, reason, DEFAULT_RETRY_AFTER, id, arrived, None)
         }
     };
     pending.answered = true;
-    if shared.stopping.get().is_some() {
-        close(response.headers_mut());
-    }
-    response.map(|body| body.counted_as(unanswered))
+    response
+}
+
+/// A future panicked.
+#[derive(Debug)]
+struct Panicked;
+
+/// Runs a future to its end or to its panic, which would otherwise end the caller's connection.
+///
+/// # Errors
+/// Fails if the future panics. Like the tasks of this process, which may panic at any time, the
+/// future must leave what it shares with others usable.
+async fn catch_panic<Task>(task: Task) -> Result<Task::Output, Panicked>
+where
+    Task: Future,
+{
+    let mut task = std::pin::pin!(task);
+    std::future::poll_fn(|context| {
+        let poll = AssertUnwindSafe(|| task.as_mut().poll(context));
+        match catch_unwind(poll) {
+            Ok(poll) => poll.map(Ok),
+            Err(_) => Poll::Ready(Err(Panicked)),
+        }
+    })
+    .await
 }
 
 /// A request without a response so far. If it is dropped, which happens when the connection ends or
@@ -100,11 +162,12 @@
     }
 }
 
-/// Checks a request against the configuration and reads its body.
+/// Checks a request against the configuration and reads its body, which is left to the caller of
+/// this function unless it is read completely.
 async fn admit<Adapter>(
     shared: &Rc<Shared<Adapter>>,
     parts: request::Parts,
-    body: Incoming,
+    body: &mut Option<Incoming>,
     pending: &mut Pending<Adapter>,
 ) -> Result<Admitted, Reason>
 where
@@ -162,14 +225,20 @@
 }
 
 async fn read_body(
-    mut body: Incoming,
+    body: &mut Option<Incoming>,
     limits: &Limits,
     timeout: Duration,
     reservation: &mut Reservation,
 ) -> Result<Bytes, Reason> {
-    let body = buffer::collect(&mut body, limits.body_bytes, reservation);
-    match tokio::time::timeout(timeout, body).await {
-        Ok(Ok(body)) => Ok(body),
+    let Some(unread) = body else {
+        return Ok(Bytes::new());
+    };
+    let reading = buffer::collect(unread, limits.body_bytes, reservation);
+    match tokio::time::timeout(timeout, reading).await {
+        Ok(Ok(bytes)) => {
+            *body = None;
+            Ok(bytes)
+        }
         Ok(Err(buffer::Problem::TooLong(_))) => Err(Reason::TooLarge),
         Ok(Err(buffer::Problem::NoMemory)) => Err(Reason::Busy),
         Ok(Err(buffer::Problem::Interrupted(_))) => Err(Reason::Malformed),
