fleet: pick services by weights of any size

A route whose weights add up to more than 32 bits multiplied the draw with the sum in 64 bits. A debug build panicked while a request was served, so its caller got no response; a release build wrapped and split the requests by other shares than the configuration names.

The test failed with "attempt to multiply with overflow". The product is now calculated in 128 bits; the result is less than the sum of the weights. No request was lost in a release build: the wrapped draw still found a service.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -258,7 +258,9 @@
         if total == 0 {
             return self.split.first().map(|(service, _)| service);
         }
-        let mut left = u64::from(draw) * total / (u64::from(u32::MAX) + 1);
+        // The product needs more than 64 bits if the weights add up to more than 32.
+        let scaled = u128::from(draw) * u128::from(total) / (u128::from(u32::MAX) + 1);
+        let mut left = scaled as u64;
         for (service, weight) in &self.split {
             if left < u64::from(*weight) {
                 return Some(service);
--- a/crates/fleet/tests/catalog.rs
+++ b/crates/fleet/tests/catalog.rs
@@ -96,3 +96,15 @@
         }
     }
 }
+
+/// Guards against weights whose sum needs more than 32 bits, by which a draw was multiplied without
+/// room for the product: the draws of the second half went to the first service.
+#[test]
+fn weights_of_any_size_split_evenly() {
+    let route = route("r", "h", "/", &[("a", u32::MAX), ("b", u32::MAX)]);
+    let picked = |draw| route.pick_service(draw).map(|service| &**service);
+    assert_eq!(picked(0), Some("a"));
+    assert_eq!(picked(u32::MAX / 4), Some("a"));
+    assert_eq!(picked(u32::MAX / 4 * 3), Some("b"));
+    assert_eq!(picked(u32::MAX), Some("b"));
+}
