control: saturate the fencing token of a lease

The test failed with "attempt to add with overflow". Only another writer of the row can cause it, since tokens grow by one with each holder.

--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -199,11 +199,11 @@
                     first_seen + Duration::from_millis(grant.duration_ms) / 10 * 11
                 });
                 if grant.is_none_or(|grant| self.is_available(&grant)) {
-                    return self.write(now, version, Fence(fence + 1), false);
+                    return self.write(now, version, Fence(fence.saturating_add(1)), false);
                 }
                 if now >= expiry {
                     return match now.since(last_read) <= MAX_VIEW_AGE {
-                        true => self.write(now, version, Fence(fence + 1), false),
+                        true => self.write(now, version, Fence(fence.saturating_add(1)), false),
                         false => Step::Read,
                     };
                 }
--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -297,3 +297,24 @@
     step(&mut simulation, &[Event::Advance(1); 6]);
     assert_eq!(simulation.fence_of(1), Some(2));
 }
+
+/// Guards against a row with the greatest fencing token, after which the token would overflow.
+#[test]
+fn the_greatest_fencing_token_does_not_overflow() {
+    let mut lease = Lease::new("one".into(), Incarnation(1), TIMING, 0);
+    lease.acquire();
+    assert_eq!(lease.poll(Time(0)), Step::Read);
+    let grant = Grant {
+        holder: "other".into(),
+        incarnation: Incarnation(1),
+        write: 1,
+        fence: types::Fence(u64::MAX),
+        duration_ms: u64::MAX,
+        released: true,
+    };
+    lease.on_read(Time(0), Some((1, grant)));
+    let Step::Write(write) = lease.poll(Time(0)) else {
+        panic!("the released lease is taken");
+    };
+    assert_eq!(write.grant.fence.0, u64::MAX);
+}
