gateway: limit the numbers in messages of other entries

The loads of targets and the tokens of cached segments in a state message were taken as they came, while the code that adds them up relies on numbers below 2^32 and has no checks. The sums overflow: a panic in a debug build, and a wrong sum in a release build. Datagrams are authenticated, so only an entry of another version or with a fault can send such numbers.

--- a/crates/gateway/src/packet/layout.rs
+++ b/crates/gateway/src/packet/layout.rs
@@ -249,7 +249,7 @@
                 Report {
                     present,
                     key,
-                    tokens,
+                    tokens: tokens.min(MAX_TOKENS),
                 },
             )
         });
@@ -492,6 +492,8 @@
 
 /// The maximum number of tokens in a message; they are summed without overflow checks.
 const MAX_TOKENS: u64 = u32::MAX as u64;
+/// The maximum number of running requests of a target in a message, for the same reason.
+const MAX_RUNNING: u32 = 1 << 16;
 
 fn encode_load((target, load): &(Target, placement::Load)) -> TargetLoad {
     (
@@ -506,9 +508,9 @@
     (target, running, prefill_tokens, kv_tokens): TargetLoad,
 ) -> (Target, placement::Load) {
     let load = placement::Load {
-        running,
-        prefill_tokens,
-        kv_tokens,
+        running: running.min(MAX_RUNNING),
+        prefill_tokens: prefill_tokens.min(MAX_TOKENS),
+        kv_tokens: kv_tokens.min(MAX_TOKENS),
     };
     (target, load)
 }
--- a/crates/gateway/tests/packet.rs
+++ b/crates/gateway/tests/packet.rs
@@ -176,3 +176,43 @@
         let _ = open(&SECRET, &with_mac(&payload));
     }
 }
+
+/// Guards against numbers of another entry that overflow when the loads and segments of several
+/// targets are added.
+#[test]
+fn extreme_numbers_of_another_entry_are_limited() {
+    let mut state = state();
+    let load = Load {
+        running: u32::MAX,
+        prefill_tokens: u64::MAX,
+        kv_tokens: u64::MAX,
+    };
+    state.loads = vec![("t".into(), load), ("u".into(), load)];
+    let report = |id: &str| {
+        let key = Key {
+            namespace: "m.1".into(),
+            id: id.into(),
+        };
+        let tokens = u64::MAX;
+        let present = true;
+        (
+            "store".into(),
+            Report {
+                present,
+                key,
+                tokens,
+            },
+        )
+    };
+    state.reports = vec![report("a"), report("b")];
+    let datagram = seal(&SECRET, &Message::State(state)).expect("a datagram");
+    let Ok(Message::State(state)) = open(&SECRET, &datagram) else {
+        panic!("a state");
+    };
+    let mut tokens = state.reports.iter().map(|(_, report)| report.tokens);
+    assert!(tokens.try_fold(0_u64, u64::checked_add).is_some());
+    let mut running = state.loads.iter().map(|(_, load)| load.running);
+    assert!(running.try_fold(0_u32, u32::checked_add).is_some());
+    let mut kv_tokens = state.loads.iter().map(|(_, load)| load.kv_tokens);
+    assert!(kv_tokens.try_fold(0_u64, u64::checked_add).is_some());
+}
