gateway: do not write over an invalid lease row in a loop

If the row lease/orders cannot be parsed, the entry that wants the lease took it for missing and wrote it under the condition that it does not exist. The write failed, the row was read again, and so on without a pause: 5135 reads in two seconds with the fake store. All entries share the calls that the store allows, so the reads of the lists compete with these (not run: a store that limits calls).

The test failed with the reads above. An invalid row is now left alone, read again once a second, and logged once for each version of it. It was never replaced before either: an operator has to delete it.

--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -124,14 +124,22 @@
     Adapter: Platform,
 {
     let mut issuer: Option<Rc<Issuer<Adapter>>> = None;
+    let mut invalid_version = None;
     while needs_orders(shared) {
         let step = lease.borrow_mut().poll(now());
         match step {
             Step::Read => {
                 let read = shared.adapter.get(LEASE_KEY).await;
-                match read {
-                    Ok(row) => {
-                        lease.borrow_mut().on_read(now(), row.and_then(parse_grant));
+                let version = read.as_ref().ok().and_then(Option::as_ref);
+                let version = version.map(|row| row.version);
+                match read.map(|row| row.map(parse_grant).transpose()) {
+                    Ok(Ok(grant)) => lease.borrow_mut().on_read(now(), grant),
+                    Ok(Err(error)) => {
+                        if invalid_version != version {
+                            log::error!("invalid lease in row {LEASE_KEY}: {error}");
+                            invalid_version = version;
+                        }
+                        tokio::time::sleep(POLL_INTERVAL).await;
                     }
                     Err(error) => {
                         log::warn!("failed to read the lease on orders: {error}");
@@ -171,15 +179,10 @@
     issuer.is_some()
 }
 
-/// Parses the row of the lease. An invalid row counts as missing, and an operator has to delete it.
-fn parse_grant(row: Row) -> Option<(u64, Grant)> {
-    match serde_json::from_value(row.value) {
-        Ok(grant) => Some((row.version, grant)),
-        Err(error) => {
-            log::error!("invalid lease in row {LEASE_KEY}: {error}");
-            None
-        }
-    }
+/// Parses the row of the lease. A process does not replace an invalid row, since it does not know
+/// the fencing token; an operator has to delete it.
+fn parse_grant(row: Row) -> Result<(u64, Grant), serde_json::Error> {
+    serde_json::from_value(row.value).map(|grant| (row.version, grant))
 }
 
 async fn write_lease<Adapter>(shared: &Rc<Shared<Adapter>>, write: control::Write) -> Written
