gateway: count responses of slow callers in the memory budget

A buffered response was passed to hyper as a whole. hyper then dropped the body with its memory reservation, but kept the bytes until the caller had read them. Callers who stop reading held up to limits.answer_bytes (4 MiB) each outside of the budget, and nothing bounds their number.

Bodies are now passed in copied pieces of 16 KiB, of which hyper takes no more than its write buffer holds, so the reservation lasts until the end of the response is taken. Streams were bounded already: 16 chunks of a stream are queued, with their reservations.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -39,6 +39,9 @@
     Early,
 }
 
+/// The size of the pieces in which a complete body is passed to hyper.
+const PIECE_BYTES: usize = 16 << 10;
+
 /// Why an entry responds by itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub(crate) enum Reason {
@@ -116,7 +119,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         match &mut self.content {
             Content::Buffered { bytes, .. } => {
-                Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
+                Poll::Ready(next_piece(bytes).map(|piece| Ok(Frame::data(piece))))
             }
             Content::Stream(events) => events
                 .poll_recv(context)
@@ -138,6 +141,18 @@
     }
 }
 
+/// Takes the next piece of a complete body. hyper asks for it when it has written enough of the
+/// previous ones. Pieces are copies, since a slice would keep the memory of the whole body after
+/// its reservation is released.
+fn next_piece(bytes: &mut Option<Bytes>) -> Option<Bytes> {
+    let body = bytes.as_mut()?;
+    let piece = body.split_to(body.len().min(PIECE_BYTES));
+    if body.is_empty() {
+        *bytes = None;
+    }
+    Some(Bytes::copy_from_slice(&piece))
+}
+
 impl Reason {
     /// Returns the status. 503 promises that the request has not run and will not; 502 and 504
     /// promise nothing.
