gateway: keep a request at a silent target that no other can replace

Callers lost accepted requests: a stream was cut, or an idempotent request got 502, when its target sent nothing for 0.6 s and no other target could run it.

Cause: await_target abandoned the request as soon as the target counted as unresponsive, closed the connection, and only then looked for another target. If the retry quota or the route's attempts were used up, or no other target was there, the request ended, although a suspended target goes on after a second or so.

Now the request is placed at another target first, while its own target may still go on. It is moved only if the route allows another attempt, the quota grants it, and a healthy target is found. The quota is charged in the step that decides the move. The old connection is closed before the request is sent again. A dead target is still replaced at the same time as before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,6 +21,7 @@
 use crate::connection::{self, Checkout, Connection, Error};
 use crate::logging::Event;
 use crate::reachability;
+use crate::retry::{self, Progress};
 use crate::shared::Shared;
 use crate::sse::{Chunk, Splitter, Step};
 
@@ -264,50 +265,126 @@
 }
 
 /// Waits for a response, or the next events of one, until the caller's timeout or, if the request
-/// can be retried, until the target is unresponsive. A slow but responsive target is not abandoned,
-/// because its prefill work would be lost.
+/// can be retried, until another target takes it over from an unresponsive one.
+///
+/// A slow but responsive target is not abandoned, because its prefill work would be lost. Nor is an
+/// unresponsive one as long as no other target takes the request: it may have been suspended and go
+/// on.
 pub(crate) async fn await_target<Adapter, Operation>(
     shared: &Rc<Shared<Adapter>>,
     admitted: &Admitted,
+    progress: &mut Progress<Adapter>,
     target: &Target,
+    last_event: Option<u64>,
     operation: Operation,
 ) -> Result<Operation::Output, String>
 where
     Adapter: Platform,
     Operation: Future,
 {
-    let started = now();
-    let max_wait = admitted.stall_timeout().min(admitted.remaining(started));
-    let mut operation = pin!(operation);
+    let watch = Watch::start(shared, admitted, target);
+    let mut operation = pin!(async {
+        let output = operation.await;
+        shared.tracker.borrow_mut().on_heard(target, now());
+        output
+    });
     loop {
-        let waited = now().since(started);
-        let remaining = max_wait.saturating_sub(waited);
-        if let Ok(output) =
-            tokio::time::timeout(remaining.min(POLL_INTERVAL), operation.as_mut()).await
-        {
-            shared.tracker.borrow_mut().on_heard(target, now());
-            return Ok(output);
+        tokio::select! {
+            biased;
+            output = operation.as_mut() => return Ok(output),
+            silent = watch.until(Silence::Unresponsive) => silent?,
         }
-        let time = now();
-        let (unresponsive, should_probe, stalled) = {
-            let mut tracker = shared.tracker.borrow_mut();
-            tracker.on_tick(time);
-            let stalled = time.since(tracker.awake_since()) < POLL_INTERVAL;
-            (
-                tracker.is_unresponsive(target, time),
-                tracker.should_probe(target, time),
-                stalled,
-            )
-        };
-        // If the entry itself was suspended, data that arrived meanwhile has not been read yet.
-        if remaining <= POLL_INTERVAL && !stalled {
-            return Err(format!("the target sent nothing within {max_wait:?}"));
+        if !admitted.route.is_retryable() {
+            continue;
         }
-        if unresponsive && admitted.route.is_retryable() {
-            return Err("the target is unresponsive".to_owned());
+        tokio::select! {
+            biased;
+            output = operation.as_mut() => return Ok(output),
+            placed = retry::take_over(shared, admitted, progress, target, last_event) => {
+                if placed {
+                    return Err("the target is unresponsive".to_owned());
+                }
+            }
+            heard = watch.until(Silence::Heard) => heard?,
         }
-        if should_probe {
-            tokio::task::spawn_local(probe(Rc::clone(shared), target.clone()));
+    }
+}
+
+/// Watches the target of a request that waits for its data.
+struct Watch<'wait, Adapter> {
+    shared: &'wait Rc<Shared<Adapter>>,
+    target: &'wait Target,
+    started: Time,
+    max_wait: Duration,
+}
+
+/// Whether a target has sent nothing for too long.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Silence {
+    Heard,
+    Unresponsive,
+}
+
+impl<'wait, Adapter> Watch<'wait, Adapter>
+where
+    Adapter: Platform,
+{
+    fn start(
+        shared: &'wait Rc<Shared<Adapter>>,
+        admitted: &Admitted,
+        target: &'wait Target,
+    ) -> Self {
+        let started = now();
+        let max_wait = admitted.stall_timeout().min(admitted.remaining(started));
+        Self {
+            shared,
+            target,
+            started,
+            max_wait,
+        }
+    }
+
+    /// Waits until the target is in a state, and probes it meanwhile.
+    ///
+    /// # Errors
+    /// Fails with the cause when the caller waits no longer.
+    async fn until(&self, state: Silence) -> Result<(), String> {
+        loop {
+            let waited = now().since(self.started);
+            let remaining = self.max_wait.saturating_sub(waited);
+            let pause = match remaining {
+                Duration::ZERO => POLL_INTERVAL,
+                remaining => remaining.min(POLL_INTERVAL),
+            };
+            tokio::time::sleep(pause).await;
+            let time = now();
+            let (unresponsive, should_probe, stalled) = {
+                let mut tracker = self.shared.tracker.borrow_mut();
+                tracker.on_tick(time);
+                let stalled = time.since(tracker.awake_since()) < POLL_INTERVAL;
+                (
+                    tracker.is_unresponsive(self.target, time),
+                    tracker.should_probe(self.target, time),
+                    stalled,
+                )
+            };
+            // If the entry itself was suspended, data that arrived meanwhile has not been read yet.
+            if remaining <= POLL_INTERVAL && !stalled {
+                return Err(format!(
+                    "the target sent nothing within {:?}",
+                    self.max_wait
+                ));
+            }
+            if should_probe {
+                tokio::task::spawn_local(probe(Rc::clone(self.shared), self.target.clone()));
+            }
+            let reached = match state {
+                Silence::Unresponsive => unresponsive,
+                Silence::Heard => !unresponsive,
+            };
+            if reached {
+                return Ok(());
+            }
         }
     }
 }
@@ -345,6 +422,7 @@
 pub(crate) async fn run<Adapter>(
     shared: &Rc<Shared<Adapter>>,
     admitted: &Admitted,
+    progress: &mut Progress<Adapter>,
     choice: &Choice,
 ) -> Outcome<Adapter>
 where
@@ -360,7 +438,7 @@
             }
         };
         let reused = connection.reused;
-        match exchange(shared, admitted, choice, connection).await {
+        match exchange(shared, admitted, progress, choice, connection).await {
             // The target closed an idle connection before any byte of the request was sent.
             Outcome::NotRun { sent: false, .. } if reused => {}
             outcome => return outcome,
@@ -397,6 +475,7 @@
 async fn exchange<Adapter>(
     shared: &Rc<Shared<Adapter>>,
     admitted: &Admitted,
+    progress: &mut Progress<Adapter>,
     choice: &Choice,
     mut connection: Connection,
 ) -> Outcome<Adapter>
@@ -410,7 +489,10 @@
     let sent_at = now();
     let mut in_flight = InFlight::start(shared, choice);
     let sending = connection.sender.try_send_request(request);
-    let response = match await_target(shared, admitted, in_flight.target(), sending).await {
+    let last_event = choice.envelope.last_event;
+    let target = in_flight.target();
+    let waiting = await_target(shared, admitted, progress, target, last_event, sending);
+    let response = match waiting.await {
         Ok(Ok(response)) => response,
         Ok(Err(mut error)) => {
             if error.take_message().is_some() {
@@ -472,10 +554,20 @@
             .cache_index
             .borrow_mut()
             .on_first_token(&choice.plan, domain, excess, now());
-        return start_stream(
-            shared, admitted, head, body, connection, in_flight, &response,
-        )
-        .await;
+        let prompt = admitted.head.prompt.as_ref();
+        let limit = Limit::new(prompt.map(|prompt| prompt.max_output));
+        let stream = Streaming {
+            headers: shared.adapter.downstream_headers(&head.headers),
+            status: head.status,
+            first_chunk: None,
+            events: Splitter::new(limit, Reservation::new(&shared.buffers)),
+            body,
+            connection,
+            in_flight,
+            keep_alive: response.keep_alive,
+            closes: response.closes,
+        };
+        return start_stream(shared, admitted, progress, choice, stream).await;
     }
     let limit = shared.settings.limits.answer_bytes;
     let collected = buffer::collect(&mut body, limit, &mut reservation);
@@ -519,37 +611,23 @@
 async fn start_stream<Adapter>(
     shared: &Rc<Shared<Adapter>>,
     admitted: &Admitted,
-    head: http::response::Parts,
-    mut body: Incoming,
-    connection: Connection,
-    mut in_flight: InFlight<Adapter>,
-    response: &crate::adapter::Response,
+    progress: &mut Progress<Adapter>,
+    choice: &Choice,
+    mut stream: Streaming<Adapter>,
 ) -> Outcome<Adapter>
 where
     Adapter: Platform,
 {
-    let prompt = admitted.head.prompt.as_ref();
-    let limit = Limit::new(prompt.map(|prompt| prompt.max_output));
-    let mut events = Splitter::new(limit, Reservation::new(&shared.buffers));
-    let target = in_flight.target().clone();
-    let reading = next_chunk(shared, &target, &mut events, &mut body);
-    let first_chunk = await_target(shared, admitted, &target, reading).await;
-    let first_chunk = match first_chunk.and_then(|chunk| chunk) {
+    let target = &choice.member.id;
+    let last_event = choice.envelope.last_event;
+    let reading = next_chunk(shared, target, &mut stream.events, &mut stream.body);
+    let waiting = await_target(shared, admitted, progress, target, last_event, reading);
+    stream.first_chunk = match waiting.await.and_then(|chunk| chunk) {
         Ok(chunk) => chunk,
         Err(cause) => return Outcome::Failed { cause },
     };
-    in_flight.on_first_event();
-    Outcome::Streaming(Box::new(Streaming {
-        headers: shared.adapter.downstream_headers(&head.headers),
-        status: head.status,
-        first_chunk,
-        events,
-        body,
-        connection,
-        in_flight,
-        keep_alive: response.keep_alive,
-        closes: response.closes,
-    }))
+    stream.in_flight.on_first_event();
+    Outcome::Streaming(Box::new(stream))
 }
 
 /// Waits for the next complete events of a stream; `None` is its regular end. Any bytes count as a
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -249,6 +249,17 @@
     if healthy.is_empty() { avoided } else { healthy }
 }
 
+/// Whether a target gets requests only if there are no others.
+pub(crate) fn avoids<Adapter>(shared: &Shared<Adapter>, member: &Member) -> bool {
+    let roster = shared.roster.borrow();
+    let is_suspected = roster
+        .get(&member.id)
+        .is_none_or(|record| record.suspected_since.is_some());
+    is_suspected
+        || shared.tracker.borrow().avoids(&member.id, now())
+        || shared.reachability.borrow().is_unreachable(&member.domain)
+}
+
 /// Plans how a target handles the segments of a prompt. The caller fills in the load.
 fn evaluate<Adapter>(
     shared: &Shared<Adapter>,
--- a/crates/gateway/src/dispatch/acquire.rs
+++ b/crates/gateway/src/dispatch/acquire.rs
@@ -38,6 +38,9 @@
 where
     Adapter: Platform,
 {
+    if let Some(choice) = progress.take_takeover() {
+        return Step::Send(choice);
+    }
     let catalog = shared.catalog();
     let pool = catalog.and_then(|catalog| catalog.pool(progress.service()).cloned());
     let acquired = match pool.is_some_and(|pool| pool.engine.is_some()) {
@@ -51,7 +54,7 @@
     };
     match acquired {
         Acquired::Granted(choice) => {
-            if !progress.may_send(shared) {
+            if !progress.may_send(shared, &choice) {
                 release(shared, choice.grant.as_ref());
                 return progress.no_target_left();
             }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -61,7 +61,15 @@
 {
     let mut last_event = admitted.head.last_event;
     loop {
-        let end = forward(shared, admitted, &mut stream, &sender, &mut last_event).await;
+        let end = forward(
+            shared,
+            admitted,
+            &mut progress,
+            &mut stream,
+            &sender,
+            &mut last_event,
+        )
+        .await;
         let target = stream.in_flight.target().clone();
         let cause = match end {
             End::Truncated(cause) => cause,
@@ -121,6 +129,7 @@
 async fn forward<Adapter>(
     shared: &Rc<Shared<Adapter>>,
     admitted: &Admitted,
+    progress: &mut Progress<Adapter>,
     stream: &mut Streaming<Adapter>,
     sender: &mpsc::Sender<Result<Chunk, Truncated>>,
     last_event: &mut Option<u64>,
@@ -141,7 +150,9 @@
         }
         let target = stream.in_flight.target().clone();
         let reading = attempt::next_chunk(shared, &target, &mut stream.events, &mut stream.body);
-        next_chunk = match attempt::await_target(shared, admitted, &target, reading).await {
+        let waiting =
+            attempt::await_target(shared, admitted, progress, &target, *last_event, reading);
+        next_chunk = match waiting.await {
             Ok(Ok(chunk)) => chunk,
             Ok(Err(cause)) | Err(cause) => return End::Truncated(cause),
         };
@@ -166,6 +177,7 @@
         return Err("the route allows no resumption".to_owned());
     }
     progress.exclude(failed);
+    progress.in_flight = false;
     loop {
         let choice = match dispatch::next(shared, admitted, progress, last_event).await {
             Step::Send(choice) => choice,
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -6,10 +6,12 @@
 use fleet::queue::{self, Decision, Ticket};
 use types::{Service, Target, Time};
 
+use crate::adapter::Platform;
 use crate::answer::Reason;
 use crate::attempt::{Admitted, Choice};
 use crate::choose;
 use crate::clock::now;
+use crate::dispatch;
 use crate::serve::DEFAULT_RETRY_AFTER;
 use crate::shared::Shared;
 
@@ -25,6 +27,10 @@
     pub(crate) deliveries: u32,
     /// Number of targets at which it may have run.
     pub(crate) runs: u32,
+    /// Whether a target may be running it.
+    pub(crate) in_flight: bool,
+    /// The attempt that takes the request over from a silent target.
+    takeover: Option<Box<Choice>>,
     /// Its ticket while it waits in the queue of its service.
     queued: Option<Queued<Adapter>>,
 }
@@ -65,6 +71,8 @@
             excluded: Vec::new(),
             deliveries: 0,
             runs: 0,
+            in_flight: false,
+            takeover: None,
             queued: None,
         }
     }
@@ -141,12 +149,21 @@
         }
     }
 
-    /// Whether the request may be sent now. Sending it to another target uses the retry quota,
-    /// which all entries share.
-    pub(crate) fn may_send(&self, shared: &Rc<Shared<Adapter>>) -> bool {
+    /// Returns the attempt that takes the request over from a silent target, once.
+    pub(crate) fn take_takeover(&mut self) -> Option<Box<Choice>> {
+        self.takeover.take()
+    }
+
+    /// Whether the request may be sent to a target now. Sending it to another target uses the retry
+    /// quota, which all entries share. From a silent target, which may go on, it is moved only to a
+    /// target that is healthy.
+    pub(crate) fn may_send(&self, shared: &Rc<Shared<Adapter>>, choice: &Choice) -> bool {
         if self.deliveries == 0 {
             return true;
         }
+        if self.in_flight && choose::avoids(shared, &choice.member) {
+            return false;
+        }
         let time = now();
         let entries = shared.entry_count.get();
         let mut retries = shared.retries.borrow_mut();
@@ -177,7 +194,7 @@
             }
             return self.no_target_left();
         };
-        if !self.may_send(shared) {
+        if !self.may_send(shared, &choice) {
             return self.no_target_left();
         }
         // Counted here instead of on sending, because several requests may open connections
@@ -243,6 +260,30 @@
     }
 }
 
+/// Places a request, whose target is silent, at another target. Returns whether it was placed; the
+/// next step is to send it there.
+///
+/// Dropping the future keeps the request at its target and uses no quota.
+pub(crate) async fn take_over<Adapter>(
+    shared: &Rc<Shared<Adapter>>,
+    admitted: &Admitted,
+    progress: &mut Progress<Adapter>,
+    silent: &Target,
+    last_event: Option<u64>,
+) -> bool
+where
+    Adapter: Platform,
+{
+    progress.exclude(silent);
+    match dispatch::next(shared, admitted, progress, last_event).await {
+        Step::Send(choice) => {
+            progress.takeover = Some(choice);
+            true
+        }
+        Step::Wait | Step::Fail(..) => false,
+    }
+}
+
 /// Whether the roster has any target of a service.
 fn has_targets<Adapter>(shared: &Rc<Shared<Adapter>>, service: &Service) -> bool {
     let roster = shared.roster.borrow();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -278,7 +278,19 @@
 {
     let target = &choice.member.id;
     let sent_at = now();
-    let outcome = attempt::run(shared, admitted, choice).await;
+    // Counted before the outcome is known, because the request may be taken over from this target.
+    progress.deliveries += 1;
+    progress.runs += 1;
+    progress.in_flight = true;
+    let outcome = attempt::run(shared, admitted, progress, choice).await;
+    progress.in_flight = matches!(outcome, Outcome::Streaming(_));
+    match outcome {
+        Outcome::NotRun { sent, .. } => {
+            progress.runs -= 1;
+            progress.deliveries -= u32::from(!sent);
+        }
+        Outcome::Buffered(_) | Outcome::Streaming(_) | Outcome::Failed { .. } => {}
+    }
     let time = now();
     if !matches!(
         outcome,
@@ -288,24 +300,15 @@
     }
     let (label, cause) = match &outcome {
         Outcome::Buffered(response) if response.status.is_server_error() => {
-            progress.deliveries += 1;
-            progress.runs += 1;
             shared.tracker.borrow_mut().on_failure(target, time);
             ("error", response.status.as_u16().to_string())
         }
         Outcome::Buffered(response) => {
-            progress.deliveries += 1;
-            progress.runs += 1;
             shared.tracker.borrow_mut().on_success(target);
             ("answered", response.status.as_u16().to_string())
         }
-        Outcome::Streaming(_) => {
-            progress.deliveries += 1;
-            progress.runs += 1;
-            ("started", String::new())
-        }
+        Outcome::Streaming(_) => ("started", String::new()),
         Outcome::NotRun { sent: true, cause } => {
-            progress.deliveries += 1;
             let model = admitted.head.prompt.as_ref().map(|prompt| &prompt.model);
             let outdated = choose::is_outdated(shared, model, &choice.member);
             let mut tracker = shared.tracker.borrow_mut();
@@ -332,8 +335,6 @@
             ("unsent", cause.clone())
         }
         Outcome::Failed { cause } => {
-            progress.deliveries += 1;
-            progress.runs += 1;
             // A target that was only slow is not recorded as failed: its load would move to the
             // others.
             let mut tracker = shared.tracker.borrow_mut();
