gateway: use all attempts of a route to resume a stream

Callers lost the rest of a stream that had broken off when the first target that should resume it responded with an error, although the route allowed another attempt and another target was there.

Cause: resume() returned as soon as an attempt ended with a buffered response. Now it goes on until the attempts, the targets or the retry quota are used up, as it did for refusals and failed connections. The log names the last failure.

Evidence: a_failed_resumption_is_followed_by_another failed before: after a 500 the stream had only its first event. The error's text did not reach the caller in this case, nor did the stream seem complete, which a_stream_that_is_not_resumed_is_cut checks.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -178,6 +178,7 @@
     }
     progress.exclude(failed);
     progress.in_flight = false;
+    let mut failure = None;
     loop {
         let choice = match dispatch::next(shared, admitted, progress, last_event).await {
             Step::Send(choice) => choice,
@@ -185,18 +186,18 @@
                 serve::wait_for_capacity(shared).await;
                 continue;
             }
-            Step::Fail(reason, _) => return Err(reason.to_string()),
+            Step::Fail(reason, _) => return Err(failure.unwrap_or_else(|| reason.to_string())),
         };
         match serve::attempt(shared, admitted, progress, &choice).await {
             Outcome::Streaming(stream) => return Ok(*stream),
-            Outcome::NotRun { .. } | Outcome::Failed { .. } => {}
             // A buffered response is a failure of the target here.
             Outcome::Buffered(response) => {
-                return Err(format!(
-                    "the next target responded with status {}",
-                    response.status
+                failure = Some(format!(
+                    "{} responded with status {}",
+                    choice.member.id, response.status
                 ));
             }
+            Outcome::NotRun { cause, .. } | Outcome::Failed { cause } => failure = Some(cause),
         }
     }
 }
