gateway: relay only responses that continue a stream

Callers found the text of an error in the middle of their stream, events twice, and a stream that seemed complete without its last events: a target that was to resume the stream responded 200 with something else.

Cause: any successful response was relayed after the events of the target before. Now it must be a stream of events by its content type or have a numbered event, and the first number must be greater than the last one that was relayed. Otherwise the attempt counts as failed and the next one is made. A gap between the numbers is not detected, because the protocol only says that they increase.

--- a/crates/fleet/src/stream.rs
+++ b/crates/fleet/src/stream.rs
@@ -21,6 +21,15 @@
     TooManyBytes,
 }
 
+/// The first event of a response that should resume a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Resumption {
+    /// Whether the response is declared as a stream of events; `None` if it has no type.
+    pub is_event_stream: Option<bool>,
+    /// The id of its first numbered event.
+    pub first_id: Option<u64>,
+}
+
 /// Numbered events allowed beyond the requested tokens, such as a final event.
 const EXTRA_EVENTS: u64 = 16;
 /// Bytes allowed per token with its event. Events have a few dozen bytes on the operators' data
@@ -66,3 +75,18 @@
         }
     }
 }
+
+impl Resumption {
+    /// Returns whether the response may follow the event with the id `last` within one stream.
+    ///
+    /// Load pattern: a target responds to the attempt to resume with the text of an error, or
+    /// starts the stream again. The caller would find both in the middle of its stream.
+    #[must_use]
+    pub fn continues(self, last: Option<u64>) -> bool {
+        match (self.is_event_stream, self.first_id) {
+            (Some(false), _) | (None, None) => false,
+            (Some(true), None) => true,
+            (Some(true) | None, Some(first)) => last.is_none_or(|last| first > last),
+        }
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,7 +1,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use fleet::stream::Resumption;
 use http::Response;
+use http::header::CONTENT_TYPE;
 use tokio::sync::mpsc;
 use types::Target;
 
@@ -20,6 +22,8 @@
 /// Chunks of events that are buffered for a slow caller; beyond that, reading from the target stops
 /// as well.
 const CHANNEL_CAPACITY: usize = 16;
+/// The content type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 /// How long hyper gets to write buffered events to the caller before the response is aborted.
 const FLUSH_TIME: Duration = Duration::from_millis(10);
 
@@ -189,7 +193,13 @@
             Step::Fail(reason, _) => return Err(failure.unwrap_or_else(|| reason.to_string())),
         };
         match serve::attempt(shared, admitted, progress, &choice).await {
-            Outcome::Streaming(stream) => return Ok(*stream),
+            Outcome::Streaming(stream) if continues(&stream, last_event) => return Ok(*stream),
+            Outcome::Streaming(_) => {
+                progress.in_flight = false;
+                let target = &choice.member.id;
+                shared.tracker.borrow_mut().on_failure(target, now());
+                failure = Some(format!("{target} did not continue the stream"));
+            }
             // A buffered response is a failure of the target here.
             Outcome::Buffered(response) => {
                 failure = Some(format!(
@@ -201,3 +211,17 @@
         }
     }
 }
+
+/// Whether a response continues a stream after the last relayed event.
+fn continues<Adapter>(stream: &Streaming<Adapter>, last_event: Option<u64>) -> bool {
+    // A target has nothing to add if it broke off after the last event.
+    if stream.first_chunk.is_none() {
+        return true;
+    }
+    let content_type = stream.headers.get(CONTENT_TYPE);
+    let resumption = Resumption {
+        is_event_stream: content_type.map(|value| value.as_bytes().starts_with(EVENT_STREAM)),
+        first_id: stream.events.first_id(),
+    };
+    resumption.continues(last_event)
+}
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -15,6 +15,7 @@
     buffer: BytesMut,
     /// Length of the buffer's prefix that was searched and contains no end of an event.
     searched: usize,
+    first_id: Option<u64>,
     last_id: Option<u64>,
     limit: Limit,
     reservation: Reservation,
@@ -51,6 +52,7 @@
         Self {
             buffer: BytesMut::new(),
             searched: 0,
+            first_id: None,
             last_id: None,
             limit,
             reservation,
@@ -85,6 +87,11 @@
         }
     }
 
+    /// Returns the id of the first event that was returned and has one.
+    pub fn first_id(&self) -> Option<u64> {
+        self.first_id
+    }
+
     /// Returns the id of the last event that was returned.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
@@ -111,13 +118,16 @@
         }
         self.searched = 0;
         let complete = self.buffer.split_to(end).freeze();
-        let (count, last) = event_ids(&complete);
+        let (count, ids) = event_ids(&complete);
         match self.limit.consume(count, complete.len() as u64) {
             Verdict::Within => {}
             Verdict::TooManyEvents => return Err("more events than requested".to_owned()),
             Verdict::TooManyBytes => return Err("more bytes than requested".to_owned()),
         }
-        self.last_id = last.or(self.last_id);
+        if let Some((first, last)) = ids {
+            self.first_id = self.first_id.or(Some(first));
+            self.last_id = Some(last);
+        }
         Ok(Step::Events(Chunk {
             _reservation: self.reservation.split(complete.len()),
             bytes: complete,
@@ -133,10 +143,13 @@
     lf.max(crlf.map_or(0, |at| at + 4))
 }
 
-/// Returns the number of events with an id, and the last id.
-fn event_ids(bytes: &[u8]) -> (u64, Option<u64>) {
+/// Returns the number of events with an id, and the first and the last id.
+fn event_ids(bytes: &[u8]) -> (u64, Option<(u64, u64)>) {
     let lines = bytes.split(|&byte| byte == b'\n');
     let event_ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
     let event_ids = event_ids.filter_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok());
-    event_ids.fold((0, None), |(count, _), id| (count + 1, Some(id)))
+    event_ids.fold((0, None), |(count, ids), id| {
+        let first = ids.map_or(id, |(first, _)| first);
+        (count + 1, Some((first, id)))
+    })
 }
