gateway: follow the newest configuration with the next attempt

Beside a change of the configuration callers lost requests: one that waited for a target was refused with 503, and a stream that broke off was cut, if the change had moved their route to another service.

Cause: a request kept the service of the configuration that admitted it for all its attempts. Once that service was gone or its targets were draining, it found no target. Now each attempt looks up the request's host and path in the newest configuration, and a request that waits at a dispatcher does so every 100 ms. It follows only a route that admits it for the same team and with the same delivery semantics; otherwise it stays with its service. So it never reaches a service that no configuration allows for it.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -214,6 +214,26 @@
         routes.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// Returns the route of a request that an older configuration admitted under another route, if
+    /// this configuration admits it for the same team and with the same delivery semantics.
+    #[must_use]
+    pub fn readmit(
+        &self,
+        (host, path): (&str, &str),
+        key: Option<&str>,
+        admitted: &Route,
+        owner: Option<&Owner>,
+    ) -> Option<&Arc<Route>> {
+        let route = self.route(host, path)?;
+        let is_same = route.delivery == admitted.delivery && route.resumable == admitted.resumable;
+        let is_allowed = match self.caller(route, key) {
+            Caller::Anonymous => owner.is_none(),
+            Caller::Authenticated(current) => owner.is_some_and(|owner| owner.team == current.team),
+            Caller::Unauthenticated => false,
+        };
+        (is_same && is_allowed).then_some(route)
+    }
+
     /// Identifies the sender of a request with this key on this route.
     #[must_use]
     pub fn caller(&self, route: &Route, key: Option<&str>) -> Caller {
@@ -268,6 +288,15 @@
         None
     }
 
+    /// Returns whether requests are sent to a service.
+    #[must_use]
+    pub fn uses(&self, service: &Service) -> bool {
+        let is_only = self.split.len() == 1;
+        self.split
+            .iter()
+            .any(|(name, weight)| name == service && (is_only || *weight > 0))
+    }
+
     /// Returns whether a request that may already have run can be sent again.
     #[must_use]
     pub fn is_retryable(&self) -> bool {
--- a/crates/fleet/tests/catalog.rs
+++ b/crates/fleet/tests/catalog.rs
@@ -96,3 +96,46 @@
         }
     }
 }
+
+/// Guards against a request that follows a newer configuration to a service that is not allowed for
+/// its path, its team or its delivery semantics.
+#[test]
+fn a_request_is_readmitted_only_under_the_same_terms() {
+    let catalog = catalog();
+    let team = |name: &str| Owner {
+        team: name.into(),
+        rank: None,
+        isolated: false,
+    };
+    let admitted = route("older", "a.example", "/x/", &[("zero", 1)]);
+    let readmit = |path, key, owner: Option<&Owner>, admitted: &Route| {
+        let route = catalog.readmit(("a.example", path), key, admitted, owner);
+        route.map(|route| route.name.to_string())
+    };
+    let (parks, roads) = (team("parks"), team("roads"));
+    let readmitted = readmit("/x/z", Some("key"), Some(&parks), &admitted);
+    assert_eq!(readmitted.as_deref(), Some("short"));
+    assert_eq!(readmit("/z", Some("key"), Some(&parks), &admitted), None);
+    assert_eq!(readmit("/x/z", Some("old"), Some(&parks), &admitted), None);
+    assert_eq!(readmit("/x/z", Some("key"), Some(&roads), &admitted), None);
+    assert_eq!(readmit("/x/z", Some("key"), None, &admitted), None);
+    let idempotent = Route {
+        delivery: Delivery::Idempotent,
+        ..admitted
+    };
+    assert_eq!(
+        readmit("/x/z", Some("key"), Some(&parks), &idempotent),
+        None
+    );
+}
+
+/// Guards against requests that are moved to or kept at a service whose share is zero.
+#[test]
+fn a_service_without_a_share_is_not_used() {
+    let split = route("split", "a.example", "/x/", &[("one", 1), ("two", 0)]);
+    assert!(split.uses(&"one".into()));
+    assert!(!split.uses(&"two".into()));
+    assert!(!split.uses(&"three".into()));
+    let only = route("only", "a.example", "/x/", &[("one", 0)]);
+    assert!(only.uses(&"one".into()));
+}
--- a/crates/gateway/src/dispatch/acquire.rs
+++ b/crates/gateway/src/dispatch/acquire.rs
@@ -25,6 +25,8 @@
 
 /// Number of other cells that are tried before a request is queued; each takes a few milliseconds.
 const OTHER_CELLS: usize = 3;
+/// How often a request that waits for a placement checks for a newer configuration.
+const CONFIG_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of grants that a request may decline.
 const MAX_DECLINED: usize = 3;
 
@@ -41,16 +43,21 @@
     if let Some(choice) = progress.take_takeover() {
         return Step::Send(choice);
     }
-    let catalog = shared.catalog();
-    let pool = catalog.and_then(|catalog| catalog.pool(progress.service()).cloned());
-    let acquired = match pool.is_some_and(|pool| pool.engine.is_some()) {
-        true => {
-            if let Some(step) = progress.exhausted(admitted) {
-                return step;
-            }
-            acquire(shared, admitted, progress, last_event).await
+    let acquired = loop {
+        progress.follow_config(shared, admitted);
+        let catalog = shared.catalog();
+        let pool = catalog.and_then(|catalog| catalog.pool(progress.service()).cloned());
+        if pool.is_none_or(|pool| pool.engine.is_none()) {
+            break Acquired::NoDispatcher;
+        }
+        if let Some(step) = progress.exhausted(admitted) {
+            return step;
+        }
+        tokio::select! {
+            biased;
+            acquired = acquire(shared, admitted, progress, last_event) => break acquired,
+            () = until_moved(shared, admitted, progress) => {}
         }
-        false => Acquired::NoDispatcher,
     };
     match acquired {
         Acquired::Granted(choice) => {
@@ -66,6 +73,17 @@
     }
 }
 
+/// Waits until a newer configuration moves a request to another service.
+async fn until_moved<Adapter>(
+    shared: &Rc<Shared<Adapter>>,
+    admitted: &Admitted,
+    progress: &Progress<Adapter>,
+) {
+    while !progress.is_moved(shared, admitted) {
+        tokio::time::sleep(CONFIG_INTERVAL).await;
+    }
+}
+
 /// Requests a placement, first in the cell whose domain caches the prompt's segments, then in some
 /// others; finally queues in the cell with the shortest queue.
 async fn acquire<Adapter>(
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -1,10 +1,12 @@
 //! Retries of a request: which targets it may still try, and when it gives up.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use fleet::catalog::Route;
 use fleet::queue::{self, Decision, Ticket};
-use types::{Service, Target, Time};
+use types::{Service, Target, Time, Version};
 
 use crate::adapter::Platform;
 use crate::answer::Reason;
@@ -12,7 +14,7 @@
 use crate::choose;
 use crate::clock::now;
 use crate::dispatch;
-use crate::serve::DEFAULT_RETRY_AFTER;
+use crate::serve::{self, DEFAULT_RETRY_AFTER};
 use crate::shared::Shared;
 
 /// A request with less time left than this is not sent.
@@ -22,6 +24,8 @@
 #[derive(Debug)]
 pub(crate) struct Progress<Adapter> {
     service: Service,
+    /// The version of the configuration that the service was last checked against.
+    config: Version,
     excluded: Vec<Target>,
     /// Number of targets that received the request.
     pub(crate) deliveries: u32,
@@ -65,9 +69,10 @@
 
 impl<Adapter> Progress<Adapter> {
     /// Starts without any attempts.
-    pub(crate) fn new(service: Service) -> Self {
+    pub(crate) fn new(service: Service, config: Version) -> Self {
         Self {
             service,
+            config,
             excluded: Vec::new(),
             deliveries: 0,
             runs: 0,
@@ -98,6 +103,43 @@
         self.runs < admitted.route.max_attempts
     }
 
+    /// Follows a newer configuration that admits the request: its route may use other
+    /// services.
+    pub(crate) fn follow_config(&mut self, shared: &Rc<Shared<Adapter>>, admitted: &Admitted) {
+        let Some(route) = self.newer_route(shared, admitted) else {
+            return;
+        };
+        if let Some(catalog) = shared.catalog() {
+            self.config = catalog.version;
+        }
+        if !route.uses(&self.service)
+            && let Some(service) = route.pick_service(shared.random())
+        {
+            self.service = service.clone();
+            // The ticket belongs to the queue of the former service.
+            self.queued = None;
+        }
+    }
+
+    /// Whether a newer configuration has moved the request to another service.
+    pub(crate) fn is_moved(&self, shared: &Rc<Shared<Adapter>>, admitted: &Admitted) -> bool {
+        let route = self.newer_route(shared, admitted);
+        route.is_some_and(|route| !route.uses(&self.service))
+    }
+
+    /// Returns the route in a newer configuration that still admits the request.
+    fn newer_route(&self, shared: &Rc<Shared<Adapter>>, admitted: &Admitted) -> Option<Arc<Route>> {
+        let catalog = shared.catalog()?;
+        if catalog.version <= self.config {
+            return None;
+        }
+        let (parts, key) = (&admitted.parts, admitted.head.key.as_deref());
+        let host_and_path = (serve::host(parts), parts.uri.path());
+        let owner = admitted.owner.as_deref();
+        let route = catalog.readmit(host_and_path, key, &admitted.route, owner);
+        route.cloned()
+    }
+
     /// Returns the next step, and leaves the queue unless the request has to wait.
     pub(crate) fn step(
         &mut self,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -177,7 +177,7 @@
     }
 }
 
-fn host(parts: &request::Parts) -> &str {
+pub(crate) fn host(parts: &request::Parts) -> &str {
     let header = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     header.or_else(|| parts.uri.host()).unwrap_or("")
 }
@@ -198,7 +198,7 @@
         .retries
         .borrow_mut()
         .on_request(&service, admitted.arrived);
-    let mut progress = Progress::new(service);
+    let mut progress = Progress::new(service, admitted.config);
     let mut fallback: Option<Box<Buffered>> = None;
     loop {
         let choice = match dispatch::next(
