gateway: apply a longer timeout of a route to waiting requests

Callers got 503 "the time is over before the request was sent" while they still waited and the configuration in force gave their request more time: a request kept the timeout of the configuration that admitted it. Its next attempt now gets the longer of both, within the caller's own timeout. A shorter one leaves it as it is. An attempt that runs keeps its time, because its target has got the former deadline and stops work then.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,4 +1,4 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -22,6 +22,7 @@
 use crate::logging::Event;
 use crate::reachability;
 use crate::retry::{self, Progress};
+use crate::serve::DEFAULT_TIMEOUT;
 use crate::shared::Shared;
 use crate::sse::{Chunk, Splitter, Step};
 
@@ -37,7 +38,7 @@
     pub(crate) owner: Option<Arc<fleet::catalog::Owner>>,
     pub(crate) arrived: Time,
     /// When the caller's or the route's timeout expires.
-    pub(crate) deadline: Time,
+    pub(crate) deadline: Cell<Time>,
     /// The version of the configuration in force at admission.
     pub(crate) config: Version,
     /// The dispatcher that refused to place the request, with the sequence number of the placement
@@ -244,7 +245,14 @@
 impl Admitted {
     /// Returns the time until the deadline.
     pub(crate) fn remaining(&self, now: Time) -> Duration {
-        self.deadline.since(now)
+        self.deadline.get().since(now)
+    }
+
+    /// Applies the timeout of the route in a newer configuration if it is longer.
+    pub(crate) fn extend_deadline(&self, timeout: Duration) {
+        let timeout = self.head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(timeout);
+        let deadline = self.arrived + timeout;
+        self.deadline.set(self.deadline.get().max(deadline));
     }
 
     /// Returns the priority rank; the team's rank overrides the route's.
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -103,8 +103,8 @@
         self.runs < admitted.route.max_attempts
     }
 
-    /// Follows a newer configuration that admits the request: its route may use other
-    /// services.
+    /// Follows a newer configuration that admits the request: its route may be longer in time, or
+    /// use other services.
     pub(crate) fn follow_config(&mut self, shared: &Rc<Shared<Adapter>>, admitted: &Admitted) {
         let Some(route) = self.newer_route(shared, admitted) else {
             return;
@@ -112,6 +112,7 @@
         if let Some(catalog) = shared.catalog() {
             self.config = catalog.version;
         }
+        admitted.extend_deadline(route.timeout);
         if !route.uses(&self.service)
             && let Some(service) = route.pick_service(shared.random())
         {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,4 +1,4 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,7 +25,7 @@
 use crate::shared::Shared;
 
 /// The timeout of a request without a deadline.
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+pub(crate) const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 /// When a caller may retry after a refusal that is unrelated to load.
 pub(crate) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// The maximum time a queued request waits before it tries again to find a target.
@@ -155,7 +155,7 @@
         route,
         owner,
         arrived,
-        deadline,
+        deadline: Cell::new(deadline),
         config: catalog.version,
         refused_by: RefCell::default(),
     })
