gateway: treat a change of the protocol as a failed attempt

Callers were told 503, which promises that a request has not run, after a target had responded 101 with the header for refusals; and a 101 with the target's authentication code was relayed as the response. hyper skips the other informational responses, but returns 101 as a final one. A target that sends it breaks the protocol, so nothing is known about the run: an at-most-once request now ends with 502.

Evidence: a_change_of_the_protocol_is_a_failure failed before with 503 instead of 502. Ruled out: refusals in responses 100, 103 and 199 have no effect, as the other test shows, which passed before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -523,6 +523,16 @@
     let responded_at = now();
     let (head, mut body) = response.into_parts();
     let response = shared.adapter.parse_response(head.status, &head.headers);
+    // hyper skips the other informational responses.
+    if head.status == StatusCode::SWITCHING_PROTOCOLS {
+        shared
+            .metrics
+            .invalid_responses
+            .with_label_values(&["head"])
+            .inc();
+        let cause = "the target changed the protocol".to_owned();
+        return Outcome::Failed { cause };
+    }
     // A refusal of another request says nothing about this one, which may still be running.
     // Dropping the connection keeps the pending response from being read as that of the next
     // request.
