gateway: wait for a connection like for a slot

Callers got 503 although their request could be served within their time: while all connections to a target that this entry may open were in use, even for a moment, the request excluded the target for good, and the target was recorded as failed, so that all requests avoided it for 0.4 s or more.

Cause: the limit was checked after the target was chosen, and reaching it counted as a failed connection. Now a target without a free connection is not chosen, so the request waits for it as for a slot, at most for its share of the latency objective. A connection that is returned to the pool wakes waiting requests.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -454,6 +454,13 @@
     }
 }
 
+/// Returns how many connections to each target of a pool this entry may open.
+pub(crate) fn connection_limit<Adapter>(shared: &Shared<Adapter>, pool: &Pool) -> u32 {
+    let entries = shared.entry_count.get().max(1) as f64;
+    let share = f64::from(pool.max_connections) * CONNECTION_SHARE / entries;
+    (share as u32).max(1)
+}
+
 async fn connect<Adapter>(
     shared: &Rc<Shared<Adapter>>,
     choice: &Choice,
@@ -462,9 +469,7 @@
 where
     Adapter: Platform,
 {
-    let entries = shared.entry_count.get().max(1) as f64;
-    let share = f64::from(choice.pool.max_connections) * CONNECTION_SHARE / entries;
-    let limit = (share as u32).max(1);
+    let limit = connection_limit(shared, &choice.pool);
     let checkout =
         shared
             .connections
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -13,7 +13,7 @@
 use types::{Domain, Model, Service, Store, Target, Team, Time};
 
 use crate::adapter::{Envelope, Fetch, Prompt};
-use crate::attempt::{Admitted, Choice};
+use crate::attempt::{self, Admitted, Choice};
 use crate::clock::now;
 use crate::shared::Shared;
 
@@ -102,7 +102,9 @@
             evaluated
         })
         .collect();
-    options.retain(|evaluated| evaluated.candidate.is_open());
+    options.retain(|evaluated| {
+        evaluated.candidate.is_open() && has_connection(shared, &evaluated.member, &pool)
+    });
     let candidates: Vec<Candidate> = options
         .iter()
         .map(|evaluated| evaluated.candidate)
@@ -179,6 +181,9 @@
     let pool = shared.catalog()?.pool(service).cloned()?;
     let is_eligible = |member: &Member| member.id == *target;
     let member = usable(shared, &pool, demand, time, is_eligible, |_| false).pop()?;
+    if !has_connection(shared, &member, &pool) {
+        return None;
+    }
     let unreachable = shared.reachability.borrow().is_unreachable(&member.domain);
     if unreachable && !demand.unreachable.contains(&member.domain) {
         return None;
@@ -249,6 +254,12 @@
     if healthy.is_empty() { avoided } else { healthy }
 }
 
+/// Whether this entry may use one more connection to a target.
+fn has_connection<Adapter>(shared: &Shared<Adapter>, member: &Member, pool: &Pool) -> bool {
+    let limit = attempt::connection_limit(shared, pool);
+    shared.connections.borrow().has_room(&member.id, limit)
+}
+
 /// Whether a target gets requests only if there are no others.
 pub(crate) fn avoids<Adapter>(shared: &Shared<Adapter>, member: &Member) -> bool {
     let roster = shared.roster.borrow();
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -110,6 +110,12 @@
         Checkout::Open(Permit(OpenCount(Rc::clone(&pool.open))))
     }
 
+    /// Returns whether a request would get a connection, of which `limit` may be open.
+    pub(crate) fn has_room(&self, target: &Target, limit: u32) -> bool {
+        let pool = self.targets.get(target);
+        pool.is_none_or(|pool| !pool.idle.is_empty() || pool.open.get() < limit)
+    }
+
     fn check_in(
         &mut self,
         target: &Target,
@@ -218,5 +224,6 @@
             .connections
             .borrow_mut()
             .check_in(&target, connection, keep_alive, now());
+        shared.capacity_freed.notify_waiters();
     });
 }
