--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,6 +1,8 @@
 use std::rc::Rc;
 
+use fleet::stream::Resumption;
 use http::Response;
+use http::header::CONTENT_TYPE;
 use tokio::sync::mpsc;
 use types::Target;
 
@@ -18,6 +20,8 @@
 /// Chunks of events that are buffered for a slow caller; beyond that, reading from the target stops
 /// as well.
 const CHANNEL_CAPACITY: usize = 16;
+/// The content type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 
 /// Relays a stream to the caller, from the first event to the last.
 pub(crate) fn respond<Adapter>(
@@ -57,7 +61,15 @@
 {
     let mut last_event = admitted.head.last_event;
     loop {
-        let end = forward(shared, admitted, &mut stream, &sender, &mut last_event).await;
+        let end = forward(
+            shared,
+            admitted,
+            &mut progress,
+            &mut stream,
+            &sender,
+            &mut last_event,
+        )
+        .await;
         let target = stream.in_flight.target().clone();
         let cause = match end {
             End::Truncated(cause) => cause,
@@ -118,6 +130,7 @@
 async fn forward<Adapter>(
     shared: &Rc<Shared<Adapter>>,
     admitted: &Admitted,
+    progress: &mut Progress<Adapter>,
     stream: &mut Streaming<Adapter>,
     sender: &mpsc::Sender<Part>,
     last_event: &mut Option<u64>,
@@ -136,7 +149,9 @@
         *last_event = stream.events.last_id().or(*last_event);
         let target = stream.in_flight.target().clone();
         let reading = attempt::next_chunk(shared, &target, &mut stream.events, &mut stream.body);
-        next_chunk = match attempt::await_target(shared, admitted, &target, reading).await {
+        let waiting =
+            attempt::await_target(shared, admitted, progress, &target, *last_event, reading);
+        next_chunk = match waiting.await {
             Ok(Ok(chunk)) => chunk,
             Ok(Err(cause)) | Err(cause) => return End::Truncated(cause),
         };
@@ -178,6 +193,8 @@
         return Err("the route allows no resumption".to_owned());
     }
     progress.exclude(failed);
+    progress.in_flight = false;
+    let mut failure = None;
     loop {
         let choice = match dispatch::next(shared, admitted, progress, last_event).await {
             Step::Send(choice) => choice,
@@ -185,18 +202,38 @@
                 serve::wait_for_capacity(shared).await;
                 continue;
             }
-            Step::Fail(reason, _) => return Err(reason.to_string()),
+            Step::Fail(reason, _) => return Err(failure.unwrap_or_else(|| reason.to_string())),
         };
         match serve::attempt(shared, admitted, progress, &choice).await {
-            Outcome::Streaming(stream) => return Ok(*stream),
-            Outcome::NotRun { .. } | Outcome::Failed { .. } => {}
+            Outcome::Streaming(stream) if continues(&stream, last_event) => return Ok(*stream),
+            Outcome::Streaming(_) => {
+                progress.in_flight = false;
+                let target = &choice.member.id;
+                shared.tracker.borrow_mut().on_failure(target, now());
+                failure = Some(format!("{target} did not continue the stream"));
+            }
             // A buffered response is a failure of the target here.
             Outcome::Buffered(response) => {
-                return Err(format!(
-                    "the next target responded with status {}",
-                    response.status
+                failure = Some(format!(
+                    "{} responded with status {}",
+                    choice.member.id, response.status
                 ));
             }
+            Outcome::NotRun { cause, .. } | Outcome::Failed { cause } => failure = Some(cause),
         }
     }
 }
+
+/// Whether a response continues a stream after the last relayed event.
+fn continues<Adapter>(stream: &Streaming<Adapter>, last_event: Option<u64>) -> bool {
+    // A target has nothing to add if it broke off after the last event.
+    if stream.first_chunk.is_none() {
+        return true;
+    }
+    let content_type = stream.headers.get(CONTENT_TYPE);
+    let resumption = Resumption {
+        is_event_stream: content_type.map(|value| value.as_bytes().starts_with(EVENT_STREAM)),
+        first_id: stream.events.first_id(),
+    };
+    resumption.continues(last_event)
+}
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -1,16 +1,20 @@
 //! Retries of a request: which targets it may still try, and when it gives up.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use fleet::catalog::Route;
 use fleet::queue::{self, Decision, Ticket};
-use types::{Service, Target, Time};
+use types::{Service, Target, Time, Version};
 
+use crate::adapter::Platform;
 use crate::answer::Reason;
 use crate::attempt::{Admitted, Choice};
 use crate::choose;
 use crate::clock::now;
-use crate::serve::DEFAULT_RETRY_AFTER;
+use crate::dispatch;
+use crate::serve::{self, DEFAULT_RETRY_AFTER};
 use crate::shared::Shared;
 
 /// A request with less time left than this is not sent.
@@ -20,11 +24,17 @@
 #[derive(Debug)]
 pub(crate) struct Progress<Adapter> {
     service: Service,
+    /// The version of the configuration that the service was last checked against.
+    config: Version,
     excluded: Vec<Target>,
     /// Number of targets that received the request.
     pub(crate) deliveries: u32,
     /// Number of targets at which it may have run.
     pub(crate) runs: u32,
+    /// Whether a target may be running it.
+    pub(crate) in_flight: bool,
+    /// The attempt that takes the request over from a silent target.
+    takeover: Option<Box<Choice>>,
     /// Its ticket while it waits in the queue of its service.
     queued: Option<Queued<Adapter>>,
 }
@@ -59,12 +69,15 @@
 
 impl<Adapter> Progress<Adapter> {
     /// Starts without any attempts.
-    pub(crate) fn new(service: Service) -> Self {
+    pub(crate) fn new(service: Service, config: Version) -> Self {
         Self {
             service,
+            config,
             excluded: Vec::new(),
             deliveries: 0,
             runs: 0,
+            in_flight: false,
+            takeover: None,
             queued: None,
         }
     }
@@ -90,6 +103,44 @@
         self.runs < admitted.route.max_attempts
     }
 
+    /// Follows a newer configuration that admits the request: its route may be longer in time, or
+    /// use other services.
+    pub(crate) fn follow_config(&mut self, shared: &Rc<Shared<Adapter>>, admitted: &Admitted) {
+        let Some(route) = self.newer_route(shared, admitted) else {
+            return;
+        };
+        if let Some(catalog) = shared.catalog() {
+            self.config = catalog.version;
+        }
+        admitted.extend_deadline(route.timeout);
+        if !route.uses(&self.service)
+            && let Some(service) = route.pick_service(shared.random())
+        {
+            self.service = service.clone();
+            // The ticket belongs to the queue of the former service.
+            self.queued = None;
+        }
+    }
+
+    /// Whether a newer configuration has moved the request to another service.
+    pub(crate) fn is_moved(&self, shared: &Rc<Shared<Adapter>>, admitted: &Admitted) -> bool {
+        let route = self.newer_route(shared, admitted);
+        route.is_some_and(|route| !route.uses(&self.service))
+    }
+
+    /// Returns the route in a newer configuration that still admits the request.
+    fn newer_route(&self, shared: &Rc<Shared<Adapter>>, admitted: &Admitted) -> Option<Arc<Route>> {
+        let catalog = shared.catalog()?;
+        if catalog.version <= self.config {
+            return None;
+        }
+        let (parts, key) = (&admitted.parts, admitted.head.key.as_deref());
+        let host_and_path = (serve::host(parts), parts.uri.path());
+        let owner = admitted.owner.as_deref();
+        let route = catalog.readmit(host_and_path, key, &admitted.route, owner);
+        route.cloned()
+    }
+
     /// Returns the next step, and leaves the queue unless the request has to wait.
     pub(crate) fn step(
         &mut self,
@@ -141,12 +192,21 @@
         }
     }
 
-    /// Whether the request may be sent now. Sending it to another target uses the retry quota,
-    /// which all entries share.
-    pub(crate) fn may_send(&self, shared: &Rc<Shared<Adapter>>) -> bool {
+    /// Returns the attempt that takes the request over from a silent target, once.
+    pub(crate) fn take_takeover(&mut self) -> Option<Box<Choice>> {
+        self.takeover.take()
+    }
+
+    /// Whether the request may be sent to a target now. Sending it to another target uses the retry
+    /// quota, which all entries share. From a silent target, which may go on, it is moved only to a
+    /// target that is healthy.
+    pub(crate) fn may_send(&self, shared: &Rc<Shared<Adapter>>, choice: &Choice) -> bool {
         if self.deliveries == 0 {
             return true;
         }
+        if self.in_flight && choose::avoids(shared, &choice.member) {
+            return false;
+        }
         let time = now();
         let entries = shared.entry_count.get();
         let mut retries = shared.retries.borrow_mut();
@@ -177,7 +237,7 @@
             }
             return self.no_target_left();
         };
-        if !self.may_send(shared) {
+        if !self.may_send(shared, &choice) {
             return self.no_target_left();
         }
         // Counted here instead of on sending, because several requests may open connections
@@ -243,6 +303,30 @@
     }
 }
 
+/// Places a request, whose target is silent, at another target. Returns whether it was placed; the
+/// next step is to send it there.
+///
+/// Dropping the future keeps the request at its target and uses no quota.
+pub(crate) async fn take_over<Adapter>(
+    shared: &Rc<Shared<Adapter>>,
+    admitted: &Admitted,
+    progress: &mut Progress<Adapter>,
+    silent: &Target,
+    last_event: Option<u64>,
+) -> bool
+where
+    Adapter: Platform,
+{
+    progress.exclude(silent);
+    match dispatch::next(shared, admitted, progress, last_event).await {
+        Step::Send(choice) => {
+            progress.takeover = Some(choice);
+            true
+        }
+        Step::Wait | Step::Fail(..) => false,
+    }
+}
+
 /// Whether the roster has any target of a service.
 fn has_targets<Adapter>(shared: &Rc<Shared<Adapter>>, service: &Service) -> bool {
     let roster = shared.roster.borrow();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,4 +1,4 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -29,7 +29,7 @@
 use crate::shared::Shared;
 
 /// The timeout of a request without a deadline.
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+pub(crate) const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 /// When a caller may retry after a refusal that is unrelated to load.
 pub(crate) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// The maximum time a queued request waits before it tries again to find a target.
@@ -218,7 +218,7 @@
         route,
         owner,
         arrived,
-        deadline,
+        deadline: Cell::new(deadline),
         config: catalog.version,
         refused_by: RefCell::default(),
     })
@@ -246,7 +246,7 @@
     }
 }
 
-fn host(parts: &request::Parts) -> &str {
+pub(crate) fn host(parts: &request::Parts) -> &str {
     let header = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     header.or_else(|| parts.uri.host()).unwrap_or("")
 }
@@ -267,7 +267,7 @@
         .retries
         .borrow_mut()
         .on_request(&service, admitted.arrived);
-    let mut progress = Progress::new(service);
+    let mut progress = Progress::new(service, admitted.config);
     let mut fallback: Option<Box<Buffered>> = None;
     loop {
         let choice = match dispatch::next(
@@ -347,7 +347,19 @@
 {
     let target = &choice.member.id;
     let sent_at = now();
-    let outcome = attempt::run(shared, admitted, choice).await;
+    // Counted before the outcome is known, because the request may be taken over from this target.
+    progress.deliveries += 1;
+    progress.runs += 1;
+    progress.in_flight = true;
+    let outcome = attempt::run(shared, admitted, progress, choice).await;
+    progress.in_flight = matches!(outcome, Outcome::Streaming(_));
+    match outcome {
+        Outcome::NotRun { sent, .. } => {
+            progress.runs -= 1;
+            progress.deliveries -= u32::from(!sent);
+        }
+        Outcome::Buffered(_) | Outcome::Streaming(_) | Outcome::Failed { .. } => {}
+    }
     let time = now();
     if !matches!(
         outcome,
@@ -357,24 +369,15 @@
     }
     let (label, cause) = match &outcome {
         Outcome::Buffered(response) if response.status.is_server_error() => {
-            progress.deliveries += 1;
-            progress.runs += 1;
             shared.tracker.borrow_mut().on_failure(target, time);
             ("error", response.status.as_u16().to_string())
         }
         Outcome::Buffered(response) => {
-            progress.deliveries += 1;
-            progress.runs += 1;
             shared.tracker.borrow_mut().on_success(target);
             ("answered", response.status.as_u16().to_string())
         }
-        Outcome::Streaming(_) => {
-            progress.deliveries += 1;
-            progress.runs += 1;
-            ("started", String::new())
-        }
+        Outcome::Streaming(_) => ("started", String::new()),
         Outcome::NotRun { sent: true, cause } => {
-            progress.deliveries += 1;
             let model = admitted.head.prompt.as_ref().map(|prompt| &prompt.model);
             let outdated = choose::is_outdated(shared, model, &choice.member);
             let mut tracker = shared.tracker.borrow_mut();
@@ -401,8 +404,6 @@
             ("unsent", cause.clone())
         }
         Outcome::Failed { cause } => {
-            progress.deliveries += 1;
-            progress.runs += 1;
             // A target that was only slow is not recorded as failed: its load would move to the
             // others.
             let mut tracker = shared.tracker.borrow_mut();
