gateway: read requests until the process exits

Every graceful exit lost what arrived in its last 60 ms: the process waited for a moment without a request in progress, and then slept to let the log thread write, on the thread that serves callers. Listener and connections stayed open, nobody read, and the exit reset them, without a line in the log.

The wait is asynchronous now, and the exit needs another moment without a request in progress after it. What is sent in the very moment of the exit is still reset. Ruled out: requests read before are all answered, as the older test shows.

--- a/crates/gateway/src/logging.rs
+++ b/crates/gateway/src/logging.rs
@@ -128,9 +128,9 @@
     Ok(())
 }
 
-/// Blocks until the queued lines have had time to be written, at the end of the process.
-pub(crate) fn flush() {
-    std::thread::sleep(BATCHING_DELAY + Duration::from_millis(10));
+/// Waits until the queued lines have had time to be written, at the end of the process.
+pub(crate) async fn flush() {
+    tokio::time::sleep(BATCHING_DELAY + Duration::from_millis(10)).await;
 }
 
 fn write(queued: &Receiver<Vec<u8>>) {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -16,6 +16,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use types::Time;
 
 use crate::adapter::{List, Platform};
 use crate::answer::Body;
@@ -57,9 +58,11 @@
 /// The share of the grace period in which open connections may finish; the rest is for the end of
 /// the process.
 const REQUEST_DEADLINE_SHARE: f64 = 0.93;
-/// The share of the grace period after which the process exits even if requests are in progress;
-/// the rest is for the last log lines.
-const EXIT_DEADLINE_SHARE: f64 = 0.97;
+/// The share of the grace period after which the last log lines are written even if requests are in
+/// progress.
+const FLUSH_DEADLINE_SHARE: f64 = 0.97;
+/// The share of the grace period after which the process exits even if requests are in progress.
+const EXIT_DEADLINE_SHARE: f64 = 0.985;
 /// Poll interval before exit, while waiting for a moment without a request in progress.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// Poll interval of the shutdown.
@@ -472,15 +475,28 @@
     // New requests are refused immediately by now, so there are moments without a request in
     // progress.
     let unanswered = || Rc::strong_count(&shared.unanswered) - 1;
-    while unanswered() > 0 && now().since(started) < grace.mul_f64(EXIT_DEADLINE_SHARE) {
-        tokio::time::sleep(EXIT_POLL_INTERVAL).await;
-    }
+    wait_until_answered(unanswered, started + grace.mul_f64(FLUSH_DEADLINE_SHARE)).await;
     gossip::send_leaving(&shared);
-    // No other task runs from here on: a request that is read now would be aborted.
     Event::new("stop")
         .with("open", open_connections())
         .with("unanswered", unanswered())
         .with("after_ms", millis(now().since(started)))
         .info();
-    logging::flush();
+    // Callers are served while the lines are written, so the exit needs another such moment.
+    logging::flush().await;
+    wait_until_answered(unanswered, started + grace.mul_f64(EXIT_DEADLINE_SHARE)).await;
+}
+
+/// Waits for a moment without a request in progress, or for the deadline.
+async fn wait_until_answered<Unanswered>(unanswered: Unanswered, deadline: Time)
+where
+    Unanswered: Fn() -> usize,
+{
+    // The first poll comes after a wait as well: requests that have arrived are read meanwhile.
+    loop {
+        tokio::time::sleep(EXIT_POLL_INTERVAL).await;
+        if unanswered() == 0 || now() >= deadline {
+            return;
+        }
+    }
 }
