gateway: let slow responses of the table store arrive

Cause: while another entry reported a newer change, a call for the operator's list was dropped after 150 ms and made again without a wait, and the next one as well, so a response that takes longer than 150 ms could never arrive. A dropped call closes its connection, and the rows are sent again from the start. The total timeouts of the adapter (1.2 s for a page, 1.3 s beyond the wait for a feed) had the same effect on links that carry 10 Mbit/s.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -24,6 +24,11 @@
 const MAX_WAIT: Duration = Duration::from_secs(6);
 /// The interval at which a pending call is compared with what other entries have reported.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(150);
+/// How long a call without a wait may take before it is made again. Each further one in succession
+/// may take twice as long: a large configuration takes seconds on a slow link.
+const IMMEDIATE_TIMEOUT: Duration = Duration::from_millis(600);
+/// How often that timeout doubles.
+const IMMEDIATE_DOUBLINGS: u32 = 3;
 /// The age of the freshness evidence beyond which an entry asks the store itself. The revocation
 /// bound for keys is five seconds, and less than four of them remain after the margin for requests
 /// in transit.
@@ -62,7 +67,8 @@
     // version, which would bring back removed targets and evacuations.
     let mut newest = cursor.unwrap_or(0);
     let mut failures: u32 = 0;
-    let mut immediate = false;
+    // The number of successive calls without a wait.
+    let mut immediate: u32 = 0;
     loop {
         if list == List::Targets {
             match shared.discovery.next(&shared, cursor) {
@@ -83,15 +89,15 @@
         let sent_at = now();
         let reply = match cursor {
             Some(cursor) => {
-                let wait = match std::mem::take(&mut immediate) {
-                    true => Duration::ZERO,
-                    false => wait(&shared, list),
+                let wait = match immediate {
+                    0 => wait(&shared, list),
+                    _ => Duration::ZERO,
                 };
                 let call = shared.adapter.watch(list, cursor, wait);
                 tokio::select! {
                     reply = call => reply,
-                    () = stalled(&shared, list) => {
-                        immediate = true;
+                    () = stalled(&shared, list, immediate) => {
+                        immediate += 1;
                         continue;
                     }
                 }
@@ -112,6 +118,7 @@
             }
             Ok(Some(batch)) => {
                 newest = batch.cursor;
+                immediate = 0;
                 if failures > 0 || cursor.is_none() {
                     Event::new("store_heard")
                         .with("list", format!("{list:?}"))
@@ -191,12 +198,22 @@
 
 /// Returns when the call for the operator's list has stalled: another entry has reported a newer
 /// change, or the freshness evidence is not renewed any more. This happens when the connection of
-/// the call is dead without being closed.
-async fn stalled<Adapter>(shared: &Shared<Adapter>, list: List) {
+/// the call is dead without being closed. A call without a wait has stalled if it takes too long;
+/// `immediate` says how many of them were made in succession.
+async fn stalled<Adapter>(shared: &Shared<Adapter>, list: List, immediate: u32) {
     if list == List::Targets {
         return std::future::pending().await;
     }
     let started = now();
+    if let Some(doublings) = immediate.checked_sub(1) {
+        let factor = 2u32.saturating_pow(doublings.min(IMMEDIATE_DOUBLINGS));
+        tokio::time::sleep(IMMEDIATE_TIMEOUT * factor).await;
+        Event::new("store_overdue")
+            .with("behind", true)
+            .with("calls", immediate)
+            .info();
+        return;
+    }
     loop {
         tokio::time::sleep(STALL_CHECK_INTERVAL).await;
         let time = now();
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -10,6 +10,7 @@
 pub use client::Client;
 
 use std::future::Future;
+use std::time::Duration;
 
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
@@ -113,6 +114,8 @@
     Unreachable(reqwest::Error),
     /// the platform's answer was lost: {0}
     Lost(reqwest::Error),
+    /// the platform did not respond within {0:?}
+    Timeout(Duration),
     /// the platform answered with status {0}
     Status(u16),
     /// the platform answered with data that cannot be read: {0}
@@ -125,7 +128,9 @@
     pub fn verdict(&self) -> Verdict {
         match self {
             Self::Unreachable(_) => Verdict::NotRun,
-            Self::Lost(_) | Self::Status(_) | Self::Data(_) => Verdict::MayHaveRun,
+            Self::Lost(_) | Self::Timeout(_) | Self::Status(_) | Self::Data(_) => {
+                Verdict::MayHaveRun
+            }
         }
     }
 }
