--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -214,6 +214,26 @@
         routes.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// Returns the route of a request that an older configuration admitted under another route, if
+    /// this configuration admits it for the same team and with the same delivery semantics.
+    #[must_use]
+    pub fn readmit(
+        &self,
+        (host, path): (&str, &str),
+        key: Option<&str>,
+        admitted: &Route,
+        owner: Option<&Owner>,
+    ) -> Option<&Arc<Route>> {
+        let route = self.route(host, path)?;
+        let is_same = route.delivery == admitted.delivery && route.resumable == admitted.resumable;
+        let is_allowed = match self.caller(route, key) {
+            Caller::Anonymous => owner.is_none(),
+            Caller::Authenticated(current) => owner.is_some_and(|owner| owner.team == current.team),
+            Caller::Unauthenticated => false,
+        };
+        (is_same && is_allowed).then_some(route)
+    }
+
     /// Identifies the sender of a request with this key on this route.
     #[must_use]
     pub fn caller(&self, route: &Route, key: Option<&str>) -> Caller {
@@ -258,7 +278,9 @@
         if total == 0 {
             return self.split.first().map(|(service, _)| service);
         }
-        let mut left = u64::from(draw) * total / (u64::from(u32::MAX) + 1);
+        // The product needs more than 64 bits if the weights add up to more than 32.
+        let scaled = u128::from(draw) * u128::from(total) / (u128::from(u32::MAX) + 1);
+        let mut left = scaled as u64;
         for (service, weight) in &self.split {
             if left < u64::from(*weight) {
                 return Some(service);
@@ -268,6 +290,15 @@
         None
     }
 
+    /// Returns whether requests are sent to a service.
+    #[must_use]
+    pub fn uses(&self, service: &Service) -> bool {
+        let is_only = self.split.len() == 1;
+        self.split
+            .iter()
+            .any(|(name, weight)| name == service && (is_only || *weight > 0))
+    }
+
     /// Returns whether a request that may already have run can be sent again.
     #[must_use]
     pub fn is_retryable(&self) -> bool {
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -1,6 +1,6 @@
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,16 +9,23 @@
 use http::{HeaderMap, Response, StatusCode};
 use http_body::{Frame, SizeHint};
 use tokio::sync::mpsc;
+use tokio::time::Sleep;
 
 use crate::buffer::Reservation;
+use crate::caller::Exchange;
 use crate::sse::Chunk;
 
+/// How long hyper gets to write the events of a truncated stream before the connection is aborted;
+/// it discards what it has not written when a body fails.
+const FLUSH_TIME: Duration = Duration::from_millis(10);
+
 /// The body of a response to a caller.
 #[derive(Debug)]
 pub(crate) struct Body {
     content: Content,
-    /// Counts the request as unanswered until hyper has taken the whole body.
-    request: Option<Rc<()>>,
+    /// Counts the request as unanswered, and its connection as in use, until hyper has taken the
+    /// whole body.
+    request: Option<(Rc<()>, Rc<Exchange>)>,
 }
 
 #[derive(Debug)]
@@ -29,7 +36,28 @@
         _reservation: Option<Reservation>,
     },
     /// A stream. An error aborts the connection, so that the response does not look complete.
-    Stream(mpsc::Receiver<Result<Chunk, Truncated>>),
+    Stream {
+        parts: mpsc::Receiver<Part>,
+        progress: Progress,
+    },
+}
+
+/// How far a stream has come.
+#[derive(Debug)]
+enum Progress {
+    Open,
+    /// It is truncated, and aborts the connection after this.
+    Truncated(Pin<Box<Sleep>>),
+    Ended,
+}
+
+/// A part of a stream.
+#[derive(Debug)]
+pub(crate) enum Part {
+    /// Events.
+    Chunk(Chunk),
+    /// The stream is complete. A stream whose sender is dropped without this is truncated.
+    End,
 }
 
 /// A stream ended before its last event.
@@ -39,6 +67,9 @@
     Early,
 }
 
+/// The size of the pieces in which a complete body is passed to hyper.
+const PIECE_BYTES: usize = 16 << 10;
+
 /// Why an entry responds by itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub(crate) enum Reason {
@@ -64,6 +95,8 @@
     Stopping,
     /// the target failed after it may have run the request
     Failed,
+    /// the entry failed, and a target may have run the request
+    Panicked,
     /// the time is over, and a target may have run the request
     TimedOut,
     /// the time is over before the request was sent
@@ -88,13 +121,16 @@
     }
 
     /// Returns a body whose events are still to arrive.
-    pub(crate) fn stream(events: mpsc::Receiver<Result<Chunk, Truncated>>) -> Self {
-        Self::new(Content::Stream(events))
+    pub(crate) fn stream(parts: mpsc::Receiver<Part>) -> Self {
+        Self::new(Content::Stream {
+            parts,
+            progress: Progress::Open,
+        })
     }
 
     /// Counts a request as unanswered until the body has been taken.
-    pub(crate) fn counted_as(mut self, request: Rc<()>) -> Self {
-        self.request = Some(request);
+    pub(crate) fn counted_as(mut self, request: Rc<()>, exchange: Rc<Exchange>) -> Self {
+        self.request = Some((request, exchange));
         self
     }
 
@@ -116,11 +152,9 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         match &mut self.content {
             Content::Buffered { bytes, .. } => {
-                Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
+                Poll::Ready(next_piece(bytes).map(|piece| Ok(Frame::data(piece))))
             }
-            Content::Stream(events) => events
-                .poll_recv(context)
-                .map(|event| event.map(|event| event.map(|chunk| Frame::data(chunk.bytes)))),
+            Content::Stream { parts, progress } => progress.poll_part(parts, context),
         }
     }
 
@@ -133,11 +167,49 @@
             Content::Buffered { bytes, .. } => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Content::Stream(_) => SizeHint::default(),
+            Content::Stream { .. } => SizeHint::default(),
         }
     }
 }
 
+impl Progress {
+    fn poll_part(
+        &mut self,
+        parts: &mut mpsc::Receiver<Part>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
+        loop {
+            match self {
+                Self::Open => match ready!(parts.poll_recv(context)) {
+                    Some(Part::Chunk(chunk)) => {
+                        return Poll::Ready(Some(Ok(Frame::data(chunk.bytes))));
+                    }
+                    Some(Part::End) => *self = Self::Ended,
+                    None => *self = Self::Truncated(Box::pin(tokio::time::sleep(FLUSH_TIME))),
+                },
+                Self::Truncated(flushed) => {
+                    ready!(flushed.as_mut().poll(context));
+                    *self = Self::Ended;
+                    return Poll::Ready(Some(Err(Truncated::Early)));
+                }
+                Self::Ended => return Poll::Ready(None),
+            }
+        }
+    }
+}
+
+/// Takes the next piece of a complete body. hyper asks for it when it has written enough of the
+/// previous ones. Pieces are copies, since a slice would keep the memory of the whole body after
+/// its reservation is released.
+fn next_piece(bytes: &mut Option<Bytes>) -> Option<Bytes> {
+    let body = bytes.as_mut()?;
+    let piece = body.split_to(body.len().min(PIECE_BYTES));
+    if body.is_empty() {
+        *bytes = None;
+    }
+    Some(Bytes::copy_from_slice(&piece))
+}
+
 impl Reason {
     /// Returns the status. 503 promises that the request has not run and will not; 502 and 504
     /// promise nothing.
@@ -154,7 +226,7 @@
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::Failed => StatusCode::BAD_GATEWAY,
+            Self::Failed | Self::Panicked => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -173,6 +245,7 @@
             Self::Refused => "refused",
             Self::Stopping => "stopping",
             Self::Failed => "failed",
+            Self::Panicked => "panicked",
             Self::TimedOut => "late",
             Self::TimedOutUnsent => "too_late",
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,12 +1,13 @@
 use std::rc::Rc;
-use std::time::Duration;
 
+use fleet::stream::Resumption;
 use http::Response;
+use http::header::CONTENT_TYPE;
 use tokio::sync::mpsc;
 use types::Target;
 
 use crate::adapter::Platform;
-use crate::answer::{Body, Truncated};
+use crate::answer::{Body, Part};
 use crate::attempt::{self, Admitted, Outcome, Streaming};
 use crate::clock::now;
 use crate::connection;
@@ -15,13 +16,12 @@
 use crate::retry::{Progress, Step};
 use crate::serve;
 use crate::shared::Shared;
-use crate::sse::Chunk;
 
 /// Chunks of events that are buffered for a slow caller; beyond that, reading from the target stops
 /// as well.
 const CHANNEL_CAPACITY: usize = 16;
-/// How long hyper gets to write buffered events to the caller before the response is aborted.
-const FLUSH_TIME: Duration = Duration::from_millis(10);
+/// The content type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 
 /// Relays a stream to the caller, from the first event to the last.
 pub(crate) fn respond<Adapter>(
@@ -55,13 +55,21 @@
     admitted: &Rc<Admitted>,
     mut progress: Progress<Adapter>,
     mut stream: Streaming<Adapter>,
-    sender: mpsc::Sender<Result<Chunk, Truncated>>,
+    sender: mpsc::Sender<Part>,
 ) where
     Adapter: Platform,
 {
     let mut last_event = admitted.head.last_event;
     loop {
-        let end = forward(shared, admitted, &mut stream, &sender, &mut last_event).await;
+        let end = forward(
+            shared,
+            admitted,
+            &mut progress,
+            &mut stream,
+            &sender,
+            &mut last_event,
+        )
+        .await;
         let target = stream.in_flight.target().clone();
         let cause = match end {
             End::Truncated(cause) => cause,
@@ -74,7 +82,12 @@
                 if !stream.closes {
                     connection::release(shared, &target, stream.connection, stream.keep_alive);
                 }
-                serve::record_end(shared, admitted, "served", None);
+                // Without this the response would look truncated.
+                let (outcome, why) = match send(admitted, &sender, Part::End).await {
+                    Ok(()) => ("served", None),
+                    Err(why) => ("gone", Some(why)),
+                };
+                serve::record_end(shared, admitted, outcome, why);
                 return;
             }
         };
@@ -95,10 +108,6 @@
             Ok(next_stream) => next_stream,
             Err(why) => {
                 serve::record_end(shared, admitted, "cut", Some(&why));
-                // hyper discards data that it has not written when the body fails.
-                tokio::time::sleep(FLUSH_TIME).await;
-                // If the receiver is gone, the caller has disconnected and needs no error.
-                let _ = sender.send(Err(Truncated::Early)).await;
                 return;
             }
         };
@@ -121,8 +130,9 @@
 async fn forward<Adapter>(
     shared: &Rc<Shared<Adapter>>,
     admitted: &Admitted,
+    progress: &mut Progress<Adapter>,
     stream: &mut Streaming<Adapter>,
-    sender: &mpsc::Sender<Result<Chunk, Truncated>>,
+    sender: &mpsc::Sender<Part>,
     last_event: &mut Option<u64>,
 ) -> End
 where
@@ -133,21 +143,38 @@
         let Some(chunk) = next_chunk.take() else {
             return End::Complete;
         };
-        let remaining = admitted.remaining(now());
-        match tokio::time::timeout(remaining, sender.send(Ok(chunk))).await {
-            Ok(Ok(())) => *last_event = stream.events.last_id().or(*last_event),
-            Ok(Err(_)) => return End::CallerGone("the caller disconnected"),
-            Err(_) => return End::CallerGone("the caller stopped reading until the deadline"),
+        if let Err(why) = send(admitted, sender, Part::Chunk(chunk)).await {
+            return End::CallerGone(why);
         }
+        *last_event = stream.events.last_id().or(*last_event);
         let target = stream.in_flight.target().clone();
         let reading = attempt::next_chunk(shared, &target, &mut stream.events, &mut stream.body);
-        next_chunk = match attempt::await_target(shared, admitted, &target, reading).await {
+        let waiting =
+            attempt::await_target(shared, admitted, progress, &target, *last_event, reading);
+        next_chunk = match waiting.await {
             Ok(Ok(chunk)) => chunk,
             Ok(Err(cause)) | Err(cause) => return End::Truncated(cause),
         };
     }
 }
 
+/// Passes a part of the stream on to the caller, as soon as it has read enough of what came before.
+///
+/// # Errors
+/// Returns for logs why the caller will not read it.
+async fn send(
+    admitted: &Admitted,
+    sender: &mpsc::Sender<Part>,
+    part: Part,
+) -> Result<(), &'static str> {
+    let remaining = admitted.remaining(now());
+    match tokio::time::timeout(remaining, sender.send(part)).await {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(_)) => Err("the caller disconnected"),
+        Err(_) => Err("the caller stopped reading until the deadline"),
+    }
+}
+
 /// Resumes a stream at another target.
 ///
 /// # Errors
@@ -166,6 +193,8 @@
         return Err("the route allows no resumption".to_owned());
     }
     progress.exclude(failed);
+    progress.in_flight = false;
+    let mut failure = None;
     loop {
         let choice = match dispatch::next(shared, admitted, progress, last_event).await {
             Step::Send(choice) => choice,
@@ -173,18 +202,38 @@
                 serve::wait_for_capacity(shared).await;
                 continue;
             }
-            Step::Fail(reason, _) => return Err(reason.to_string()),
+            Step::Fail(reason, _) => return Err(failure.unwrap_or_else(|| reason.to_string())),
         };
         match serve::attempt(shared, admitted, progress, &choice).await {
-            Outcome::Streaming(stream) => return Ok(*stream),
-            Outcome::NotRun { .. } | Outcome::Failed { .. } => {}
+            Outcome::Streaming(stream) if continues(&stream, last_event) => return Ok(*stream),
+            Outcome::Streaming(_) => {
+                progress.in_flight = false;
+                let target = &choice.member.id;
+                shared.tracker.borrow_mut().on_failure(target, now());
+                failure = Some(format!("{target} did not continue the stream"));
+            }
             // A buffered response is a failure of the target here.
             Outcome::Buffered(response) => {
-                return Err(format!(
-                    "the next target responded with status {}",
-                    response.status
+                failure = Some(format!(
+                    "{} responded with status {}",
+                    choice.member.id, response.status
                 ));
             }
+            Outcome::NotRun { cause, .. } | Outcome::Failed { cause } => failure = Some(cause),
         }
     }
 }
+
+/// Whether a response continues a stream after the last relayed event.
+fn continues<Adapter>(stream: &Streaming<Adapter>, last_event: Option<u64>) -> bool {
+    // A target has nothing to add if it broke off after the last event.
+    if stream.first_chunk.is_none() {
+        return true;
+    }
+    let content_type = stream.headers.get(CONTENT_TYPE);
+    let resumption = Resumption {
+        is_event_stream: content_type.map(|value| value.as_bytes().starts_with(EVENT_STREAM)),
+        first_id: stream.events.first_id(),
+    };
+    resumption.continues(last_event)
+}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use displaydoc::Display;
+use fleet::catalog::Limits;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -15,11 +16,13 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use types::Time;
 
 use crate::adapter::{List, Platform};
 use crate::answer::Body;
+use crate::caller::{Io, Link, Phase};
 use crate::clock::now;
-use crate::connection::set_socket_options;
+use crate::connection::set_caller_socket_options;
 use crate::logging::{self, Event};
 use crate::metrics::Metrics;
 use crate::serve::{self, millis};
@@ -55,9 +58,11 @@
 /// The share of the grace period in which open connections may finish; the rest is for the end of
 /// the process.
 const REQUEST_DEADLINE_SHARE: f64 = 0.93;
-/// The share of the grace period after which the process exits even if requests are in progress;
-/// the rest is for the last log lines.
-const EXIT_DEADLINE_SHARE: f64 = 0.97;
+/// The share of the grace period after which the last log lines are written even if requests are in
+/// progress.
+const FLUSH_DEADLINE_SHARE: f64 = 0.97;
+/// The share of the grace period after which the process exits even if requests are in progress.
+const EXIT_DEADLINE_SHARE: f64 = 0.985;
 /// Poll interval before exit, while waiting for a moment without a request in progress.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// Poll interval of the shutdown.
@@ -74,6 +79,8 @@
 /// Extra time for which an idle connection is kept beyond the configured timeout, so that a caller
 /// that uses the full timeout does not send a request on a connection that is being closed.
 const IDLE_SLACK: Duration = Duration::from_secs(2);
+/// How often a connection looks for changes of its limits.
+const LIMITS_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Starts an entry on the current thread's local set.
 ///
@@ -223,7 +230,7 @@
             tokio::time::sleep(ACCEPT_BACK_OFF).await;
             continue;
         };
-        set_socket_options(&socket);
+        set_caller_socket_options(&socket);
         let (shared, closing, open) = (Rc::clone(&shared), closing.clone(), Rc::clone(&open));
         tokio::task::spawn_local(async move {
             serve_connection(shared, socket, closing).await;
@@ -242,59 +249,135 @@
 {
     let accepted = now();
     let config = shared.config_version();
-    let limits = shared.catalog().map(|catalog| catalog.limits);
-    let limits = limits.unwrap_or_default();
     let mut builder = http1::Builder::new();
+    // `await_close` applies the timeouts in force, which may change while the connection is open.
     builder
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout + IDLE_SLACK)
-        .max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES));
+        .header_read_timeout(None)
+        .max_buf_size(limits(&shared).head_bytes.max(MIN_HEAD_BYTES));
+    let link = Rc::new(Link::new(socket));
     let requests = Cell::new(0_u64);
     let service = service_fn(|request: Request<Incoming>| {
         requests.set(requests.get() + 1);
-        let shared = Rc::clone(&shared);
-        async move { Ok::<_, Infallible>(serve::serve(shared, request).await) }
+        let (shared, link) = (Rc::clone(&shared), Rc::clone(&link));
+        async move { Ok::<_, Infallible>(serve::serve(shared, link, request).await) }
     });
-    let connection = builder.serve_connection(TokioIo::new(socket), service);
+    let connection = builder.serve_connection(TokioIo::new(Io::new(Rc::clone(&link))), service);
     tokio::pin!(connection);
     // A connection that is accepted after this point has a request on its way. It gets a response,
     // which asks for the connection to be closed.
     let accepted_after_close = *closing.borrow();
+    let closing = (!accepted_after_close).then_some(&mut closing);
     let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        _ = closing.wait_for(|&closing| closing), if !accepted_after_close => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+        // The connection comes first, so that it takes notice of bytes that have arrived.
+        biased;
+        ended = connection.as_mut() => ended.map_err(Failure::from),
+        close = await_close(&shared, &link, closing) => match close {
+            Close::Gracefully => {
+                connection.as_mut().graceful_shutdown();
+                connection.await.map_err(Failure::from)
+            }
+            Close::HeadTimedOut => Err(Failure {
+                cause: "head_timeout",
+                why: "the head of a request did not end in time".to_owned(),
+            }),
         }
     };
-    if let Err(error) = ended {
-        let cause = failure_cause(&error);
+    if let Err(Failure { cause, why }) = ended {
         let failures = &shared.metrics.failed_connections;
         failures.with_label_values(&[cause]).inc();
         Event::new("connection_failed")
             .with("cause", cause)
-            .with("why", error.to_string())
+            .with("why", why)
             .with("requests", requests.get())
             .with("after_ms", millis(now().since(accepted)))
-            .with("idle_limit_ms", millis(limits.idle_timeout))
             .with("accepted_config", config)
             .with("config", shared.config_version())
             .info();
     }
 }
 
-/// Returns the metric label of a failure of a caller's connection.
-fn failure_cause(error: &hyper::Error) -> &'static str {
-    if error.is_timeout() {
-        "idle"
-    } else if error.is_parse() {
-        "malformed"
-    } else if error.is_incomplete_message() {
-        "closed_by_caller"
-    } else if error.is_user() {
-        "truncated_stream"
-    } else {
-        "io"
+/// How the entry closes a connection.
+#[derive(Debug)]
+enum Close {
+    /// It is idle, or ends after the request in progress.
+    Gracefully,
+    /// A head began to arrive and did not end in time.
+    HeadTimedOut,
+}
+
+/// Waits until a connection must be closed by the limits in force, which may change meanwhile, or
+/// because of `closing`.
+async fn await_close<Adapter>(
+    shared: &Shared<Adapter>,
+    link: &Link,
+    mut closing: Option<&mut watch::Receiver<bool>>,
+) -> Close {
+    loop {
+        let limits = limits(shared);
+        let is_closing = closing.as_ref().is_some_and(|closing| *closing.borrow());
+        let remaining = match link.phase() {
+            Phase::Request if is_closing => return Close::Gracefully,
+            Phase::Request => LIMITS_INTERVAL,
+            Phase::Head(since) => {
+                let remaining = limits.head_timeout.saturating_sub(now().since(since));
+                match (remaining.is_zero(), link.has_unread_bytes()) {
+                    (false, _) => remaining,
+                    // The process was suspended, and has yet to read what arrived meanwhile.
+                    (true, true) => POLL_INTERVAL,
+                    (true, false) => return Close::HeadTimedOut,
+                }
+            }
+            Phase::Idle(_) if link.has_unread_bytes() => POLL_INTERVAL,
+            Phase::Idle(since) => {
+                let limit = limits.idle_timeout + IDLE_SLACK;
+                let remaining = limit.saturating_sub(now().since(since));
+                if is_closing || remaining.is_zero() {
+                    return Close::Gracefully;
+                }
+                remaining
+            }
+        };
+        let remaining = remaining.min(LIMITS_INTERVAL);
+        match &mut closing {
+            // The wait also ends if the sender is dropped, which ends the process.
+            Some(closing) if !is_closing => {
+                let _ = tokio::time::timeout(remaining, closing.changed()).await;
+            }
+            _ => tokio::time::sleep(remaining).await,
+        }
+    }
+}
+
+/// Returns the limits on callers in force.
+fn limits<Adapter>(shared: &Shared<Adapter>) -> Limits {
+    let limits = shared.catalog().map(|catalog| catalog.limits);
+    limits.unwrap_or_default()
+}
+
+/// Why a caller's connection failed.
+#[derive(Debug)]
+struct Failure {
+    /// The metric label.
+    cause: &'static str,
+    why: String,
+}
+
+impl From<hyper::Error> for Failure {
+    fn from(error: hyper::Error) -> Self {
+        let cause = if error.is_parse() {
+            "malformed"
+        } else if error.is_incomplete_message() {
+            "closed_by_caller"
+        } else if error.is_user() {
+            "truncated_stream"
+        } else {
+            "io"
+        };
+        Self {
+            cause,
+            why: error.to_string(),
+        }
     }
 }
 
@@ -392,15 +475,28 @@
     // New requests are refused immediately by now, so there are moments without a request in
     // progress.
     let unanswered = || Rc::strong_count(&shared.unanswered) - 1;
-    while unanswered() > 0 && now().since(started) < grace.mul_f64(EXIT_DEADLINE_SHARE) {
-        tokio::time::sleep(EXIT_POLL_INTERVAL).await;
-    }
+    wait_until_answered(unanswered, started + grace.mul_f64(FLUSH_DEADLINE_SHARE)).await;
     gossip::send_leaving(&shared);
-    // No other task runs from here on: a request that is read now would be aborted.
     Event::new("stop")
         .with("open", open_connections())
         .with("unanswered", unanswered())
         .with("after_ms", millis(now().since(started)))
         .info();
-    logging::flush();
+    // Callers are served while the lines are written, so the exit needs another such moment.
+    logging::flush().await;
+    wait_until_answered(unanswered, started + grace.mul_f64(EXIT_DEADLINE_SHARE)).await;
+}
+
+/// Waits for a moment without a request in progress, or for the deadline.
+async fn wait_until_answered<Unanswered>(unanswered: Unanswered, deadline: Time)
+where
+    Unanswered: Fn() -> usize,
+{
+    // The first poll comes after a wait as well: requests that have arrived are read meanwhile.
+    loop {
+        tokio::time::sleep(EXIT_POLL_INTERVAL).await;
+        if unanswered() == 0 || now() >= deadline {
+            return;
+        }
+    }
 }
