gateway: keep segments that crash targets away from them

One segment of a prompt made each engine crash that began to respond to it.

Cause: nothing connected a crash with the prompts that the engine had not begun to answer, so every request with the segment was sent on, and again after the crash, by each entry for itself.

Change: requests lost before the first event, at a target that refuses connections afterwards, are evidence against the shared segments of their prompts; a response acquits them; two successive crashes convict a segment, four if responses with it began in the last minute, and never one whose crashes another segment explains. Entries broadcast the evidence and merge it, so they stop together. Requests with a convicted segment are refused with 503 and the rest of the quarantine, those in flight are withdrawn, and single trials follow after 10 s, 40 s and so on.

Ruled out: refusing the caller's key or the first segment, which sound requests share; a verdict on one crash, or on crashes at the same moment, which convicts bystanders of ordinary outages.

No test covers the broadcast of acquittals and the withdrawal after a changed attribution.

--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -11,6 +11,7 @@
 use crate::cache::{Key, Lateness, Report};
 use crate::cell::Cell;
 use crate::placement::Load;
+use crate::quarantine::Evidence;
 
 /// The periodic gossip message of an entry: its state as far as other entries need it.
 #[derive(Debug, Clone, PartialEq, Default)]
@@ -57,6 +58,8 @@
     /// Entries that the sender no longer receives messages from and that have not announced their
     /// shutdown.
     pub suspected: Vec<String>,
+    /// What the sender knows of segments that crash targets.
+    pub crashes: Vec<Evidence>,
     /// Whether the sender is shutting down and no longer uses anything.
     pub leaving: bool,
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod gossip;
 pub mod placement;
 pub mod prefill;
+pub mod quarantine;
 pub mod queue;
 pub mod quota;
 pub mod reachability;
--- /dev/null
+++ b/crates/fleet/src/quarantine.rs
@@ -0,0 +1,468 @@
+//! Quarantine of prompt segments that crash the targets which begin to respond to them.
+//!
+//! Load pattern: one segment, shared by a few prompts in a hundred, makes each engine crash that
+//! begins a response. Every request with it costs as many engines as its route allows attempts,
+//! together with all other work there, until none is left. The other segments of these prompts, and
+//! their callers, are shared with sound requests.
+//!
+//! A crash is evidence against the segments of all requests that the target had not begun to answer.
+//! The first event of a response acquits all segments of its request. Entries share the evidence, so
+//! that all of them together lose no more targets than one entry would.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use types::Time;
+
+/// The identifier of a segment of a prompt.
+pub type Segment = Arc<str>;
+
+/// The crashes that are evidence against each segment, as one entry knows them.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    records: HashMap<Segment, Record>,
+    begun: Begun,
+}
+
+/// The loss of a request whose target crashed before the first event of the response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Crash {
+    /// Identifies the target and its start; requests lost in the same crash have the same number.
+    pub target: u64,
+    /// When the connection to the target was lost.
+    pub lost: Time,
+    /// How long before that the request was sent.
+    pub in_flight: Duration,
+}
+
+/// What one entry tells the others about a segment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Evidence {
+    /// The segment.
+    pub segment: Segment,
+    /// The crashes, each with the target's number, the time since the request was lost, and how long
+    /// it had been in flight.
+    pub crashes: Vec<(u64, Duration, Duration)>,
+    /// The time since a response to a prompt with this segment last began.
+    pub begun: Option<Duration>,
+}
+
+/// Whether a request may be sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Decision {
+    /// It may be sent.
+    Send,
+    /// It may be sent, as the only one that tests whether these segments still crash targets.
+    Trial(Vec<Segment>),
+    /// It must not be sent, because of this segment. The quarantine lasts for at least this long.
+    Refuse(Segment, Duration),
+}
+
+/// The evidence about one segment.
+#[derive(Debug, Default)]
+struct Record {
+    /// The crashes since a response with the segment last began, in the order in which they were
+    /// learned.
+    crashes: Vec<Crash>,
+    begun: Option<Time>,
+    /// When this entry last sent a request to test the segment.
+    trial: Option<Time>,
+    /// When the newest evidence in the record was observed, by any entry.
+    changed: Time,
+}
+
+/// The segments with which responses have recently begun, in two generations of bounded size.
+#[derive(Debug, Default)]
+struct Begun {
+    recent: HashMap<Segment, Time>,
+    previous: HashMap<Segment, Time>,
+}
+
+/// Successive crashes from which a segment is quarantined with which no response has begun.
+const MIN_CRASHES: usize = 2;
+/// Successive crashes from which a segment is quarantined with which responses began shortly before:
+/// such a segment is probably only present when targets crash for other reasons.
+const MIN_CRASHES_IF_BEGUN: usize = 4;
+/// How long a response speaks for the segments of its prompt.
+const BEGUN_WINDOW: Duration = Duration::from_secs(60);
+/// How long the first quarantine of a segment lasts.
+const BASE_TERM: Duration = Duration::from_secs(10);
+/// By how much each further crash prolongs the quarantine; each trial of a deadly segment costs a
+/// target.
+const TERM_FACTOR: u32 = 4;
+/// The maximum duration of a quarantine.
+const MAX_TERM: Duration = Duration::from_secs(3600);
+/// How long a request that tests a segment may take until another one may be sent.
+const TRIAL_TIMEOUT: Duration = Duration::from_secs(30);
+/// When a caller may retry if the quarantine is over, but another request tests the segment.
+const TRIAL_RETRY: Duration = Duration::from_secs(5);
+/// How long a record without crashes is kept, so that other entries learn of the acquittal.
+const ACQUITTED_TTL: Duration = Duration::from_secs(10);
+/// How long a record that leads to no quarantine is kept.
+const SUSPECTED_TTL: Duration = Duration::from_secs(120);
+/// How long a quarantined segment is remembered, in durations of its last quarantine.
+const REMEMBERED_TERMS: u32 = 4;
+/// Maximum number of crashes in a record.
+const MAX_CRASHES: usize = 8;
+/// Maximum number of records. A crash adds one for each segment of the requests that it lost, up to
+/// a thousand for each prompt.
+const MAX_RECORDS: usize = 4096;
+/// Maximum number of segments in one message.
+const MAX_EVIDENCE: usize = 16;
+/// Maximum number of segments in one generation of [`Begun`].
+const MAX_BEGUN: usize = 4096;
+
+impl Quarantine {
+    /// Records that a target crashed while it had a request with these segments and had not begun
+    /// to respond. Returns whether this is new evidence against any of them.
+    pub fn on_crash(&mut self, segments: &[Segment], crash: Crash) -> bool {
+        let mut is_new = false;
+        for segment in segments {
+            let begun = self.begun.last(segment);
+            if !self.records.contains_key(segment) && !self.make_room() {
+                continue;
+            }
+            let record = self.records.entry(Arc::clone(segment)).or_default();
+            record.recall(begun);
+            is_new |= record.add(crash);
+        }
+        is_new
+    }
+
+    /// Records the first event of a response to a prompt with these segments. Returns the segments
+    /// against which there was evidence, which is void now.
+    pub fn on_begun(&mut self, segments: &[Segment], now: Time) -> Vec<Segment> {
+        let mut acquitted = Vec::new();
+        for segment in segments {
+            self.begun.insert(segment, now);
+            if let Some(record) = self.records.get_mut(segment)
+                && record.on_begun(now)
+            {
+                acquitted.push(Arc::clone(segment));
+            }
+        }
+        acquitted
+    }
+
+    /// Returns whether a request with these segments may be sent. `rank` is the place of this entry
+    /// in the order in which entries may test a segment after its quarantine.
+    pub fn decide<Rank>(&mut self, segments: &[Segment], rank: Rank, now: Time) -> Decision
+    where
+        Rank: Fn(&str) -> usize,
+    {
+        let causes: Vec<&Segment> = segments
+            .iter()
+            .filter(|segment| self.is_cause(segment, segments, now))
+            .collect();
+        let remaining = |segment: &Segment| {
+            let record = self.records.get(segment);
+            record.map_or(Duration::ZERO, |record| {
+                record.quarantined_until().since(now)
+            })
+        };
+        let Some(longest) = causes
+            .iter()
+            .copied()
+            .max_by_key(|segment| remaining(segment))
+        else {
+            return Decision::Send;
+        };
+        let remaining = remaining(longest);
+        if !remaining.is_zero() {
+            return Decision::Refuse(Arc::clone(longest), remaining);
+        }
+        let may_test = |segment: &&Segment| {
+            self.records.get(*segment).is_some_and(|record| {
+                let is_tested = record
+                    .trial
+                    .is_some_and(|trial| now.since(trial) < TRIAL_TIMEOUT);
+                // Entries take turns, since the one whose turn it is may get no such request.
+                let overdue = now.since(record.quarantined_until());
+                let turn = overdue.as_millis() / TRIAL_TIMEOUT.as_millis();
+                !is_tested && rank(segment) as u128 <= turn
+            })
+        };
+        if let Some(untestable) = causes.iter().find(|segment| !may_test(segment)) {
+            return Decision::Refuse(Arc::clone(untestable), TRIAL_RETRY);
+        }
+        let causes: Vec<Segment> = causes.into_iter().cloned().collect();
+        for segment in &causes {
+            if let Some(record) = self.records.get_mut(segment) {
+                record.trial = Some(now);
+            }
+        }
+        Decision::Trial(causes)
+    }
+
+    /// Records that a request which was to test these segments was not sent.
+    pub fn on_trial_unsent(&mut self, segments: &[Segment]) {
+        for segment in segments {
+            if let Some(record) = self.records.get_mut(segment) {
+                record.trial = None;
+            }
+        }
+    }
+
+    /// Returns whether a segment is held to be the cause of crashes in a request with these
+    /// segments. It is not if another segment was present in the same crashes and in further ones.
+    /// If other segments were present in exactly the same crashes, any of them may be the cause, so
+    /// only requests with all of them are affected.
+    fn is_cause(&self, segment: &Segment, request: &[Segment], now: Time) -> bool {
+        let Some(record) = self.records.get(segment) else {
+            return false;
+        };
+        if !record.is_sufficient(now) {
+            return false;
+        }
+        self.records.iter().all(|(other, other_record)| {
+            let explains_all = record
+                .crashes
+                .iter()
+                .filter(|crash| !other_record.is_truncated_before(crash.lost))
+                .all(|crash| other_record.has(crash.target));
+            if other == segment || !explains_all {
+                return true;
+            }
+            let explains_more = other_record.crashes.len() > record.crashes.len();
+            !explains_more && request.contains(other)
+        })
+    }
+
+    /// Returns the segments that are quarantined or suspected, with the number of their crashes.
+    pub fn suspects(&self) -> impl Iterator<Item = (&Segment, usize)> {
+        let suspects = self.records.iter();
+        suspects
+            .map(|(segment, record)| (segment, record.chain()))
+            .filter(|(_, crashes)| *crashes > 0)
+    }
+
+    /// Returns the number of segments with enough evidence for a quarantine.
+    #[must_use]
+    pub fn quarantined(&self, now: Time) -> usize {
+        let records = self.records.values();
+        records.filter(|record| record.is_sufficient(now)).count()
+    }
+
+    /// Returns what to tell other entries, the segments with the most crashes first.
+    #[must_use]
+    pub fn evidence(&self, now: Time) -> Vec<Evidence> {
+        let mut records: Vec<_> = self.records.iter().collect();
+        records.sort_by(|(left, left_record), (right, right_record)| {
+            let by_crashes = right_record.chain().cmp(&left_record.chain());
+            let by_age = right_record.changed.cmp(&left_record.changed);
+            by_crashes.then(by_age).then(left.cmp(right))
+        });
+        let records = records.into_iter().take(MAX_EVIDENCE);
+        records
+            .map(|(segment, record)| record.evidence(segment, now))
+            .collect()
+    }
+
+    /// Returns what to tell other entries about these segments.
+    #[must_use]
+    pub fn evidence_of(&self, segments: &[Segment], now: Time) -> Vec<Evidence> {
+        let records = segments
+            .iter()
+            .filter_map(|segment| self.records.get_key_value(segment));
+        let mut records: Vec<_> = records.collect();
+        records.sort_by_key(|(_, record)| std::cmp::Reverse(record.chain()));
+        let records = records.into_iter().take(MAX_EVIDENCE);
+        records
+            .map(|(segment, record)| record.evidence(segment, now))
+            .collect()
+    }
+
+    /// Merges what another entry has told; returns whether this changes anything.
+    pub fn on_evidence(&mut self, evidence: &Evidence, now: Time) -> bool {
+        let segment = &evidence.segment;
+        let is_known = self.records.contains_key(segment);
+        if !is_known && (evidence.crashes.is_empty() || !self.make_room()) {
+            return false;
+        }
+        let own_begun = self.begun.last(segment);
+        let record = self.records.entry(Arc::clone(segment)).or_default();
+        record.recall(own_begun);
+        let mut is_changed = false;
+        if let Some(elapsed) = evidence.begun {
+            is_changed |= record.on_begun(now - elapsed);
+        }
+        for (target, elapsed, in_flight) in evidence.crashes.iter().take(MAX_CRASHES) {
+            let crash = Crash {
+                target: *target,
+                lost: now - *elapsed,
+                in_flight: *in_flight,
+            };
+            is_changed |= record.add(crash);
+        }
+        // An expired record would be passed on between entries for ever.
+        if record.is_expired(now) {
+            self.records.remove(segment);
+            return false;
+        }
+        is_changed
+    }
+
+    /// Drops records that are no longer of use.
+    pub fn expire(&mut self, now: Time) {
+        self.records.retain(|_, record| !record.is_expired(now));
+    }
+
+    /// Makes room for another record by dropping the weakest one; returns whether there is room.
+    fn make_room(&mut self) -> bool {
+        if self.records.len() < MAX_RECORDS {
+            return true;
+        }
+        let weakest = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.chain() < MIN_CRASHES)
+            .min_by_key(|(segment, record)| (record.chain(), record.changed, Arc::clone(segment)))
+            .map(|(segment, _)| Arc::clone(segment));
+        weakest.is_some_and(|segment| self.records.remove(&segment).is_some())
+    }
+}
+
+impl Record {
+    /// Adds what this entry knew of the segment before the record.
+    fn recall(&mut self, begun: Option<Time>) {
+        self.begun = self.begun.max(begun);
+        self.changed = self.changed.max(begun.unwrap_or_default());
+    }
+
+    /// Adds a crash; returns whether it is new.
+    fn add(&mut self, crash: Crash) -> bool {
+        if self.begun.is_some_and(|begun| crash.lost <= begun) {
+            return false;
+        }
+        self.changed = self.changed.max(crash.lost);
+        let known = self
+            .crashes
+            .iter_mut()
+            .find(|known| known.target == crash.target);
+        let is_new = known.is_none();
+        match known {
+            Some(known) => {
+                // Gossip arrives late by varying times; the earliest one is the most exact.
+                known.lost = known.lost.min(crash.lost);
+                known.in_flight = known.in_flight.min(crash.in_flight);
+            }
+            None => self.crashes.push(crash),
+        }
+        self.crashes.sort_by_key(|crash| (crash.lost, crash.target));
+        if self.crashes.len() > MAX_CRASHES {
+            return self.crashes.remove(0).target != crash.target;
+        }
+        is_new
+    }
+
+    /// Records that a response began at `begun`; returns whether this voids any evidence.
+    fn on_begun(&mut self, begun: Time) -> bool {
+        if self.begun.is_none_or(|known| known < begun) {
+            self.begun = Some(begun);
+        }
+        let count = self.crashes.len();
+        self.crashes.retain(|crash| crash.lost > begun);
+        let changed = self.crashes.len() < count;
+        self.changed = self.changed.max(begun);
+        if changed {
+            self.trial = None;
+        }
+        changed
+    }
+
+    fn evidence(&self, segment: &Segment, now: Time) -> Evidence {
+        let crashes = self.crashes.iter();
+        Evidence {
+            segment: Arc::clone(segment),
+            crashes: crashes
+                .map(|crash| (crash.target, now.since(crash.lost), crash.in_flight))
+                .collect(),
+            begun: self.begun.map(|begun| now.since(begun)),
+        }
+    }
+
+    /// Returns whether crashes at this time may have been dropped from a full record.
+    fn is_truncated_before(&self, lost: Time) -> bool {
+        let oldest = self.crashes.first().map(|crash| crash.lost);
+        self.crashes.len() >= MAX_CRASHES && oldest.is_some_and(|oldest| lost < oldest)
+    }
+
+    fn has(&self, target: u64) -> bool {
+        self.crashes.iter().any(|crash| crash.target == target)
+    }
+
+    /// Returns the number of successive crashes: each lost a request that was sent after the
+    /// previous crash. Targets that crash together, as in the loss of a failure domain, count once.
+    fn chain(&self) -> usize {
+        let mut count = 0;
+        let mut last = None;
+        for crash in &self.crashes {
+            if last.is_none_or(|last| crash.lost - crash.in_flight >= last) {
+                count += 1;
+                last = Some(crash.lost);
+            }
+        }
+        count
+    }
+
+    fn is_sufficient(&self, now: Time) -> bool {
+        self.chain() >= self.min_crashes(now)
+    }
+
+    fn min_crashes(&self, now: Time) -> usize {
+        let first = self.crashes.first().map_or(now, |crash| crash.lost);
+        let has_begun = self
+            .begun
+            .is_some_and(|begun| first.since(begun) < BEGUN_WINDOW);
+        if has_begun {
+            MIN_CRASHES_IF_BEGUN
+        } else {
+            MIN_CRASHES
+        }
+    }
+
+    fn is_expired(&self, now: Time) -> bool {
+        let ttl = if self.crashes.is_empty() {
+            ACQUITTED_TTL
+        } else if self.is_sufficient(now) {
+            self.term().saturating_mul(REMEMBERED_TERMS)
+        } else {
+            SUSPECTED_TTL
+        };
+        now.since(self.changed) >= ttl
+    }
+
+    fn quarantined_until(&self) -> Time {
+        let last = self
+            .crashes
+            .last()
+            .map_or(Time::default(), |crash| crash.lost);
+        last + self.term()
+    }
+
+    fn term(&self) -> Duration {
+        let further = self.chain().saturating_sub(MIN_CRASHES);
+        let further = u32::try_from(further).unwrap_or(u32::MAX);
+        let factor = TERM_FACTOR.saturating_pow(further);
+        BASE_TERM.saturating_mul(factor).min(MAX_TERM)
+    }
+}
+
+impl Begun {
+    fn insert(&mut self, segment: &Segment, now: Time) {
+        if let Some(time) = self.recent.get_mut(segment) {
+            *time = now;
+            return;
+        }
+        if self.recent.len() >= MAX_BEGUN {
+            self.previous = std::mem::take(&mut self.recent);
+        }
+        self.recent.insert(Arc::clone(segment), now);
+    }
+
+    fn last(&self, segment: &str) -> Option<Time> {
+        let recent = self.recent.get(segment);
+        recent.or_else(|| self.previous.get(segment)).copied()
+    }
+}
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -91,6 +91,8 @@
     Busy,
     /// all targets refused the request
     Refused,
+    /// a segment of the prompt crashes targets
+    Quarantined,
     /// the entry is stopping
     Stopping,
     /// the target failed after it may have run the request
@@ -220,6 +222,7 @@
             | Self::NoTarget
             | Self::Busy
             | Self::Refused
+            | Self::Quarantined
             | Self::Stopping
             | Self::TimedOutUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -243,6 +246,7 @@
             Self::NoTarget => "no_target",
             Self::Busy => "busy",
             Self::Refused => "refused",
+            Self::Quarantined => "quarantined",
             Self::Stopping => "stopping",
             Self::Failed => "failed",
             Self::Panicked => "panicked",
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,8 +7,10 @@
 use bytes::Bytes;
 use fleet::cache::{self, Key};
 use fleet::catalog::{Delivery, Pool, Route};
+use fleet::quarantine;
 use fleet::roster::Member;
 use fleet::stream::Limit;
+use http::header::CONTENT_LENGTH;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Request, Response, StatusCode, request};
 use http_body_util::Full;
@@ -34,6 +36,8 @@
     /// Reserves memory for the body while the request is in progress.
     pub(crate) _reservation: Reservation,
     pub(crate) head: Head,
+    /// The segments of the prompt that other prompts may share.
+    pub(crate) segments: Vec<quarantine::Segment>,
     pub(crate) route: Arc<Route>,
     pub(crate) owner: Option<Arc<fleet::catalog::Owner>>,
     pub(crate) arrived: Time,
@@ -93,6 +97,13 @@
         /// The cause, for logs.
         cause: String,
     },
+    /// The connection was lost before the first event of the response. The request may have run.
+    Lost {
+        /// The cause, for logs.
+        cause: String,
+    },
+    /// The entry withdrew the request before its response began. It may have run.
+    Withdrawn,
 }
 
 /// A complete response.
@@ -521,7 +532,10 @@
                     .inc();
             }
             let cause = error.to_string();
-            return Outcome::Failed { cause };
+            return match error.is_parse() {
+                true => Outcome::Failed { cause },
+                false => Outcome::Lost { cause },
+            };
         }
         Err(cause) => return Outcome::Failed { cause },
     };
@@ -607,7 +621,12 @@
                     .inc();
             }
             let cause = format!("invalid response body: {problem}");
-            return Outcome::Failed { cause };
+            return match problem {
+                buffer::Problem::Interrupted(_) => Outcome::Lost { cause },
+                buffer::Problem::TooLong(_) | buffer::Problem::NoMemory => {
+                    Outcome::Failed { cause }
+                }
+            };
         }
         Err(_) => {
             let cause = "the response did not end in time".to_owned();
@@ -645,8 +664,9 @@
     let last_event = choice.envelope.last_event;
     let reading = next_chunk(shared, target, &mut stream.events, &mut stream.body);
     let waiting = await_target(shared, admitted, progress, target, last_event, reading);
-    stream.first_chunk = match waiting.await.and_then(|chunk| chunk) {
-        Ok(chunk) => chunk,
+    stream.first_chunk = match waiting.await {
+        Ok(Ok(chunk)) => chunk,
+        Ok(Err(cause)) => return Outcome::Lost { cause },
         Err(cause) => return Outcome::Failed { cause },
     };
     stream.in_flight.on_first_event();
@@ -690,9 +710,7 @@
     *request.headers_mut() = shared.adapter.upstream_headers(&admitted.parts, &envelope);
     if admitted.parts.method != Method::GET || !admitted.body.is_empty() {
         let length = http::HeaderValue::from(admitted.body.len());
-        request
-            .headers_mut()
-            .insert(http::header::CONTENT_LENGTH, length);
+        request.headers_mut().insert(CONTENT_LENGTH, length);
     }
     Ok(request)
 }
--- a/crates/gateway/src/dispatch/acquire.rs
+++ b/crates/gateway/src/dispatch/acquire.rs
@@ -40,6 +40,12 @@
 where
     Adapter: Platform,
 {
+    if let Some(step) = progress.quarantined(shared, admitted) {
+        if let Some(choice) = progress.take_takeover() {
+            release(shared, choice.grant.as_ref());
+        }
+        return step;
+    }
     if let Some(choice) = progress.take_takeover() {
         return Step::Send(choice);
     }
@@ -61,6 +67,11 @@
     };
     match acquired {
         Acquired::Granted(choice) => {
+            // It may have been quarantined while it was queued.
+            if let Some(step) = progress.quarantined(shared, admitted) {
+                release(shared, choice.grant.as_ref());
+                return step;
+            }
             if !progress.may_send(shared, &choice) {
                 release(shared, choice.grant.as_ref());
                 return progress.no_target_left();
--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -56,7 +56,11 @@
         }
         Message::Cancel(id) => dispatch.dispatcher.borrow_mut().on_cancel(&id, time),
         Message::Update(update) => on_update(shared, &update, time),
-        Message::State(_) | Message::Notice(_) | Message::Fetch(..) | Message::Page(_) => {}
+        Message::State(_)
+        | Message::Notice(_)
+        | Message::Fetch(..)
+        | Message::Page(_)
+        | Message::Crashes(_) => {}
     }
 }
 
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -10,6 +10,7 @@
 use crate::discovery::{self, Fetched};
 use crate::leader;
 use crate::logging::{self, Event};
+use crate::quarantine;
 use crate::serve::millis;
 use crate::shared::Shared;
 
@@ -401,6 +402,7 @@
         let buffered = shared.buffers.borrow().used();
         let buffered = i64::try_from(buffered).unwrap_or(i64::MAX);
         shared.metrics.buffered.set(buffered);
+        quarantine::sweep(&shared, time);
         let dropped = i64::try_from(logging::dropped()).unwrap_or(i64::MAX);
         shared.metrics.log_dropped.set(dropped);
     }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -13,6 +13,7 @@
 use crate::discovery;
 use crate::dispatch::{self, Transport};
 use crate::packet::{self, Message};
+use crate::quarantine;
 use crate::shared::Shared;
 
 /// Row of the secret with which entries authenticate their messages.
@@ -113,6 +114,7 @@
         reports: shared.peers.borrow().reports(),
         queue_delays: shared.dispatch.dispatcher.borrow().queue_delays(),
         suspected: shared.peers.borrow().suspected(),
+        crashes: shared.quarantine.borrow().evidence(now()),
         leaving: false,
     }
 }
@@ -135,6 +137,7 @@
                 discovery::on_fetch(shared, request, after.as_ref(), sender);
             }
             Ok(Message::Page(page)) => discovery::on_page(shared, page),
+            Ok(Message::Crashes(evidence)) => quarantine::on_evidence(shared, &evidence),
             Ok(message) => dispatch::on_message(shared, message, Some(sender)),
             Err(problem) => log::warn!("discarded a datagram from {sender}: {problem}"),
         }
@@ -155,6 +158,7 @@
     if !shared.peers.borrow_mut().on_state(state, time) {
         return;
     }
+    quarantine::on_evidence(shared, &state.crashes);
     let config_version = shared.catalog().map(|catalog| catalog.version.0);
     if let Some(confirmed_at) = state.evidence
         && config_version == Some(state.config_version)
@@ -201,14 +205,18 @@
 
 /// Informs all other entries that this one is shutting down and uses no segments any more.
 pub(crate) fn send_leaving<Adapter>(shared: &Shared<Adapter>) {
+    let mut state = build_state(shared, shared.registered.borrow().len());
+    state.leaving = true;
+    broadcast(shared, &Message::State(state));
+}
+
+/// Sends a message to all other entries.
+pub(crate) fn broadcast<Adapter>(shared: &Shared<Adapter>, message: &Message) {
     let names = shared.registered.borrow();
     let own = &shared.settings.name;
-    let mut state = build_state(shared, names.len());
-    state.leaving = true;
-    let message = Message::State(state);
     for (_, peer) in names.iter().filter(|(name, _)| *name != own) {
         let to = SocketAddr::new(peer.ip, shared.settings.peer_port);
-        shared.dispatch.send_to(&message, to);
+        shared.dispatch.send_to(message, to);
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod metrics;
 mod orders;
 pub mod packet;
+mod quarantine;
 mod reachability;
 mod relay;
 mod retry;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -25,6 +25,10 @@
     pub(crate) connections: IntCounter,
     /// Callers' connections that failed, by cause.
     pub(crate) failed_connections: IntCounterVec,
+    /// Requests lost to crashes of targets before their responses began.
+    pub(crate) lost_to_crashes: IntCounter,
+    /// Segments that are kept away from targets because they crash them.
+    pub(crate) quarantined: IntGauge,
     /// Calls to the platform's table store by outcome.
     pub(crate) store_calls: IntCounterVec,
     /// Weight update orders by the target's answer.
@@ -124,6 +128,14 @@
                 "callers' connections that failed, by cause",
                 "cause",
             )?,
+            lost_to_crashes: counter(
+                "boragereel_lost_to_crashes_total",
+                "requests whose targets crashed before a response began",
+            )?,
+            quarantined: gauge(
+                "boragereel_quarantined_segments",
+                "segments of prompts that are not sent because they crash targets",
+            )?,
             store_calls: counters(
                 "boragereel_store_calls_total",
                 "store calls by outcome",
--- a/crates/gateway/src/packet/layout.rs
+++ b/crates/gateway/src/packet/layout.rs
@@ -5,6 +5,7 @@
 
 use fleet::cache::{Key, Lateness, Report};
 use fleet::dispatcher::Demand;
+use fleet::quarantine::Evidence;
 use fleet::roster::Member;
 use fleet::{cell, discovery, dispatcher, gossip, placement};
 use serde::{Deserialize, Serialize};
@@ -27,6 +28,7 @@
     Notice(Notice),
     Fetch(u64, Option<Target>),
     Page(Page),
+    Crashes(Vec<CrashFields>),
 }
 
 #[derive(Serialize, Deserialize)]
@@ -91,6 +93,7 @@
     /// Each in milliseconds.
     queue_delays: Vec<(CellFields, u32)>,
     suspected: Vec<String>,
+    crashes: Vec<CrashFields>,
     leaving: bool,
 }
 
@@ -144,6 +147,12 @@
 /// The sender, its incarnation and the sequence number.
 pub(super) type IdFields = (String, u64, u64);
 
+/// A segment, its crashes, and the time since a response with it last began. Each crash has the
+/// number of the target, the time since the request was lost, and how long it had been in flight.
+/// Times are in microseconds: a lost request is sent again less than a millisecond later, and the
+/// order of the two counts.
+pub(super) type CrashFields = (String, Vec<(u64, u64, u64)>, Option<u64>);
+
 #[derive(Serialize, Deserialize)]
 pub(super) struct Segment {
     store: Store,
@@ -162,6 +171,9 @@
             Message::Notice(notice) => Self::Notice(Notice::from(notice)),
             Message::Fetch(request, after) => Self::Fetch(*request, after.clone()),
             Message::Page(page) => Self::Page(Page::from(page)),
+            Message::Crashes(evidence) => {
+                Self::Crashes(evidence.iter().map(encode_evidence).collect())
+            }
         }
     }
 }
@@ -177,6 +189,9 @@
             Packet::Notice(notice) => Self::Notice(notice.into()),
             Packet::Fetch(request, after) => Self::Fetch(request, after),
             Packet::Page(page) => Self::Page(page.into()),
+            Packet::Crashes(evidence) => {
+                Self::Crashes(evidence.into_iter().map(decode_evidence).collect())
+            }
         }
     }
 }
@@ -226,6 +241,7 @@
                 .map(|(cell, delay)| (encode_cell(cell), millis(*delay)))
                 .collect(),
             suspected: state.suspected.clone(),
+            crashes: state.crashes.iter().map(encode_evidence).collect(),
             leaving: state.leaving,
         }
     }
@@ -276,6 +292,7 @@
                 .map(|(cell, delay)| (decode_cell(cell), duration(delay)))
                 .collect(),
             suspected: state.suspected,
+            crashes: state.crashes.into_iter().map(decode_evidence).collect(),
             leaving: state.leaving,
         }
     }
@@ -515,6 +532,33 @@
     (target, load)
 }
 
+fn encode_evidence(evidence: &Evidence) -> CrashFields {
+    let crashes = evidence.crashes.iter();
+    let crashes =
+        crashes.map(|(target, lost, in_flight)| (*target, micros(*lost), micros(*in_flight)));
+    (
+        evidence.segment.to_string(),
+        crashes.collect(),
+        evidence.begun.map(micros),
+    )
+}
+
+fn decode_evidence((segment, crashes, begun): CrashFields) -> Evidence {
+    let crashes = crashes.into_iter();
+    let crashes = crashes.map(|(target, lost, in_flight)| {
+        let (lost, in_flight) = (
+            Duration::from_micros(lost),
+            Duration::from_micros(in_flight),
+        );
+        (target, lost, in_flight)
+    });
+    Evidence {
+        segment: segment.into(),
+        crashes: crashes.collect(),
+        begun: begun.map(Duration::from_micros),
+    }
+}
+
 fn encode_cell(cell: &cell::Cell) -> CellFields {
     let (service, domain) = (cell.service.clone(), cell.domain.clone());
     (service, domain, cell.shard, cell.shards)
@@ -545,6 +589,10 @@
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
 fn duration(millis: u32) -> Duration {
     Duration::from_millis(u64::from(millis))
 }
--- a/crates/gateway/src/packet/mod.rs
+++ b/crates/gateway/src/packet/mod.rs
@@ -6,6 +6,7 @@
 use fleet::discovery::{Notice, Page};
 use fleet::dispatcher::{Id, Reply, Request};
 use fleet::gossip::{State, Update};
+use fleet::quarantine::Evidence;
 use types::Target;
 
 use layout::Packet;
@@ -16,7 +17,7 @@
 const MAC_BYTES: usize = 32;
 /// Version of the layout of [`Packet`]. Entries of two versions communicate during an upgrade, and
 /// bytes of another layout may decode to anything.
-pub const FORMAT: u8 = 8;
+pub const FORMAT: u8 = 9;
 
 /// A message from one entry to another.
 #[derive(Debug, Clone, PartialEq)]
@@ -37,6 +38,8 @@
     Fetch(u64, Option<Target>),
     /// The reply to [`Message::Fetch`].
     Page(Page),
+    /// New evidence about segments that crash targets, sent to all other entries at once.
+    Crashes(Vec<Evidence>),
 }
 
 /// Why a datagram cannot be encoded or is discarded.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -219,7 +219,10 @@
                     choice.member.id, response.status
                 ));
             }
-            Outcome::NotRun { cause, .. } | Outcome::Failed { cause } => failure = Some(cause),
+            Outcome::NotRun { cause, .. } | Outcome::Failed { cause } | Outcome::Lost { cause } => {
+                failure = Some(cause);
+            }
+            Outcome::Withdrawn => {}
         }
     }
 }
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use fleet::catalog::Route;
-use fleet::queue::{self, Decision, Ticket};
+use fleet::quarantine::Decision;
+use fleet::queue::{self, Ticket};
 use types::{Service, Target, Time, Version};
 
 use crate::adapter::Platform;
@@ -14,6 +15,7 @@
 use crate::choose;
 use crate::clock::now;
 use crate::dispatch;
+use crate::quarantine::{self, Trial};
 use crate::serve::{self, DEFAULT_RETRY_AFTER};
 use crate::shared::Shared;
 
@@ -31,6 +33,8 @@
     pub(crate) deliveries: u32,
     /// Number of targets at which it may have run.
     pub(crate) runs: u32,
+    /// Set if the request tests whether quarantined segments still crash targets.
+    pub(crate) trial: Option<Trial<Adapter>>,
     /// Whether a target may be running it.
     pub(crate) in_flight: bool,
     /// The attempt that takes the request over from a silent target.
@@ -76,6 +80,7 @@
             excluded: Vec::new(),
             deliveries: 0,
             runs: 0,
+            trial: None,
             in_flight: false,
             takeover: None,
             queued: None,
@@ -172,6 +177,30 @@
         out_of_attempts.then_some(Step::Fail(Reason::Failed, DEFAULT_RETRY_AFTER))
     }
 
+    /// Returns the final step if a segment of the prompt is quarantined.
+    pub(crate) fn quarantined(
+        &mut self,
+        shared: &Rc<Shared<Adapter>>,
+        admitted: &Admitted,
+    ) -> Option<Step> {
+        if self.trial.is_some() {
+            return None;
+        }
+        let retry_after = match quarantine::decide(shared, admitted) {
+            Decision::Send => return None,
+            Decision::Trial(segments) => {
+                self.trial = Some(Trial::new(shared, segments));
+                return None;
+            }
+            Decision::Refuse(_, retry_after) => retry_after,
+        };
+        let reason = match self.runs {
+            0 => Reason::Quarantined,
+            _ => Reason::Failed,
+        };
+        Some(Step::Fail(reason, retry_after))
+    }
+
     /// Returns the final step of a request that cannot be sent to another target.
     pub(crate) fn no_target_left(&self) -> Step {
         let reason = match self.runs {
@@ -288,9 +317,9 @@
             queue::max_wait(admitted.route.objective),
             random,
         ) {
-            Decision::Try => None,
-            Decision::Wait => Some(Step::Wait),
-            Decision::Refuse(retry_after) => {
+            queue::Decision::Try => None,
+            queue::Decision::Wait => Some(Step::Wait),
+            queue::Decision::Refuse(retry_after) => {
                 let has_no_target = self.excluded.is_empty() && !has_targets(shared, service);
                 let reason = if has_no_target {
                     Reason::NoTarget
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -23,6 +23,7 @@
 use crate::clock::now;
 use crate::dispatch::{self, Failure};
 use crate::logging::Event;
+use crate::quarantine;
 use crate::reachability;
 use crate::relay;
 use crate::retry::{Progress, Step};
@@ -210,11 +211,13 @@
     let mut reservation = Reservation::new(&shared.buffers);
     let body = read_body(body, &catalog.limits, timeout, &mut reservation).await?;
     let route = Arc::clone(route);
+    let segments = quarantine::shared_segments(head.prompt.as_ref());
     Ok(Admitted {
         parts,
         body,
         _reservation: reservation,
         head,
+        segments,
         route,
         owner,
         arrived,
@@ -313,7 +316,7 @@
                 return relay::respond(Rc::clone(shared), admitted, progress, *stream);
             }
             Outcome::NotRun { .. } => {}
-            Outcome::Failed { .. } => {
+            Outcome::Failed { .. } | Outcome::Lost { .. } | Outcome::Withdrawn => {
                 if !admitted.route.is_retryable() || !progress.may_run_again(&admitted) {
                     let timed_out = admitted.remaining(now()).is_zero();
                     let reason = if timed_out {
@@ -351,19 +354,39 @@
     progress.deliveries += 1;
     progress.runs += 1;
     progress.in_flight = true;
-    let outcome = attempt::run(shared, admitted, progress, choice).await;
+    let is_trial = progress.trial.is_some();
+    if let Some(trial) = &mut progress.trial {
+        trial.on_sent();
+    }
+    let withdrawn = async {
+        match is_trial {
+            true => std::future::pending().await,
+            false => quarantine::quarantined(shared, admitted).await,
+        }
+    };
+    let outcome = tokio::select! {
+        outcome = attempt::run(shared, admitted, progress, choice) => outcome,
+        () = withdrawn => Outcome::Withdrawn,
+    };
     progress.in_flight = matches!(outcome, Outcome::Streaming(_));
     match outcome {
         Outcome::NotRun { sent, .. } => {
             progress.runs -= 1;
             progress.deliveries -= u32::from(!sent);
         }
-        Outcome::Buffered(_) | Outcome::Streaming(_) | Outcome::Failed { .. } => {}
+        Outcome::Buffered(_)
+        | Outcome::Streaming(_)
+        | Outcome::Failed { .. }
+        | Outcome::Lost { .. }
+        | Outcome::Withdrawn => {}
     }
     let time = now();
     if !matches!(
         outcome,
-        Outcome::NotRun { sent: false, .. } | Outcome::Failed { .. }
+        Outcome::NotRun { sent: false, .. }
+            | Outcome::Failed { .. }
+            | Outcome::Lost { .. }
+            | Outcome::Withdrawn
     ) {
         reachability::on_reached(shared, &choice.member.domain);
     }
@@ -373,10 +396,14 @@
             ("error", response.status.as_u16().to_string())
         }
         Outcome::Buffered(response) => {
+            quarantine::on_begun(shared, admitted);
             shared.tracker.borrow_mut().on_success(target);
             ("answered", response.status.as_u16().to_string())
         }
-        Outcome::Streaming(_) => ("started", String::new()),
+        Outcome::Streaming(_) => {
+            quarantine::on_begun(shared, admitted);
+            ("started", String::new())
+        }
         Outcome::NotRun { sent: true, cause } => {
             let model = admitted.head.prompt.as_ref().map(|prompt| &prompt.model);
             let outdated = choose::is_outdated(shared, model, &choice.member);
@@ -403,7 +430,8 @@
             }
             ("unsent", cause.clone())
         }
-        Outcome::Failed { cause } => {
+        Outcome::Withdrawn => ("withdrawn", String::new()),
+        Outcome::Failed { cause } | Outcome::Lost { cause } => {
             // A target that was only slow is not recorded as failed: its load would move to the
             // others.
             let mut tracker = shared.tracker.borrow_mut();
@@ -414,6 +442,17 @@
             ("failed", cause.clone())
         }
     };
+    // A trial is one attempt, whatever the route allows.
+    match outcome {
+        Outcome::NotRun { .. } | Outcome::Streaming(_) => {}
+        Outcome::Buffered(_)
+        | Outcome::Failed { .. }
+        | Outcome::Lost { .. }
+        | Outcome::Withdrawn => progress.trial = None,
+    }
+    if let Outcome::Lost { .. } = outcome {
+        quarantine::on_lost(shared, admitted, &choice.member, sent_at).await;
+    }
     progress.exclude(target);
     shared.metrics.attempts.with_label_values(&[label]).inc();
     Event::new("attempt")
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -12,6 +12,7 @@
 use fleet::gossip::Peers;
 use fleet::placement::{Load, Tracker};
 use fleet::prefill::Rate;
+use fleet::quarantine::Quarantine;
 use fleet::queue::Queues;
 use fleet::quota::{Policy, Ramp, Retries};
 use fleet::reachability::Reachability;
@@ -66,6 +67,10 @@
     pub(crate) queues: RefCell<Queues<Service>>,
     pub(crate) dispatch: Dispatch,
     pub(crate) discovery: Discovery,
+    /// Which segments of prompts crash targets.
+    pub(crate) quarantine: RefCell<Quarantine>,
+    /// Notified when further segments may be quarantined.
+    pub(crate) quarantine_changed: Notify,
     /// Which failure domains are reachable from this entry.
     pub(crate) reachability: RefCell<Reachability>,
     /// Notified when a target may have free capacity.
@@ -133,6 +138,8 @@
             queues: RefCell::default(),
             dispatch: Dispatch::new(),
             discovery: Discovery::default(),
+            quarantine: RefCell::default(),
+            quarantine_changed: Notify::new(),
             reachability: RefCell::default(),
             capacity_freed: Notify::new(),
             operator_progress: Cell::default(),
--- a/crates/gateway/tests/packet.rs
+++ b/crates/gateway/tests/packet.rs
@@ -7,6 +7,7 @@
 use fleet::dispatcher::{Demand, Id, Reply, Request};
 use fleet::gossip::{State, Update};
 use fleet::placement::Load;
+use fleet::quarantine::Evidence;
 use gateway::packet::{FORMAT, MAX_DATAGRAM_BYTES, Message, Problem, open, seal};
 use proptest::prelude::*;
 
@@ -49,6 +50,7 @@
         )],
         queue_delays: vec![(cell(), Duration::from_millis(70))],
         suspected: vec!["entry-9".into()],
+        crashes: vec![evidence()],
         pinned: vec![(
             "big".into(),
             Key {
@@ -69,6 +71,18 @@
     }
 }
 
+fn evidence() -> Evidence {
+    Evidence {
+        segment: "12ca9047".into(),
+        crashes: vec![(
+            u64::MAX,
+            Duration::from_millis(300),
+            Duration::from_millis(20),
+        )],
+        begun: Some(Duration::from_secs(3)),
+    }
+}
+
 fn id() -> Id {
     Id {
         sender: "entry-1".into(),
@@ -120,6 +134,7 @@
         Message::Update(update),
         Message::Request(request),
         Message::Cancel(id()),
+        Message::Crashes(vec![evidence()]),
     ];
     others.into_iter().chain(replies).collect()
 }
