gateway: do not take an empty response without a length for a complete one

A stream that broke off was resumed by a target that ended its connection after the head, in a response with neither a length nor chunks: the caller got a cut stream that seemed complete. The same response as the first one was passed on as an empty, complete stream, and would acquit the segments of its prompt.

Cause: the end of the connection is the regular end of such a response, and nothing required an event before it. Now such a response without any event counts as a lost request.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,7 +10,7 @@
 use fleet::quarantine;
 use fleet::roster::Member;
 use fleet::stream::Limit;
-use http::header::CONTENT_LENGTH;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Request, Response, StatusCode, request};
 use http_body_util::Full;
@@ -128,6 +128,9 @@
     pub(crate) in_flight: InFlight<Adapter>,
     pub(crate) keep_alive: Option<Duration>,
     pub(crate) closes: bool,
+    /// Whether the response has a length or chunks. Without them a target that crashed may seem to
+    /// have ended its response.
+    pub(crate) is_delimited: bool,
 }
 
 /// Counts a request in its target's load while it is in flight.
@@ -593,6 +596,9 @@
             .on_first_token(&choice.plan, domain, excess, now());
         let prompt = admitted.head.prompt.as_ref();
         let limit = Limit::new(prompt.map(|prompt| prompt.max_output));
+        let is_delimited = [CONTENT_LENGTH, TRANSFER_ENCODING]
+            .iter()
+            .any(|name| head.headers.contains_key(name));
         let stream = Streaming {
             headers: shared.adapter.downstream_headers(&head.headers),
             status: head.status,
@@ -603,6 +609,7 @@
             in_flight,
             keep_alive: response.keep_alive,
             closes: response.closes,
+            is_delimited,
         };
         return start_stream(shared, admitted, progress, choice, stream).await;
     }
@@ -665,6 +672,10 @@
     let reading = next_chunk(shared, target, &mut stream.events, &mut stream.body);
     let waiting = await_target(shared, admitted, progress, target, last_event, reading);
     stream.first_chunk = match waiting.await {
+        Ok(Ok(None)) if !stream.is_delimited => {
+            let cause = "the connection ended before the first event".to_owned();
+            return Outcome::Lost { cause };
+        }
         Ok(Ok(chunk)) => chunk,
         Ok(Err(cause)) => return Outcome::Lost { cause },
         Err(cause) => return Outcome::Failed { cause },
