--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -92,6 +92,7 @@
             }
         };
         if sender.is_closed() {
+            serve::record_end(shared, admitted, "gone", Some("the caller disconnected"));
             return;
         }
         shared.tracker.borrow_mut().on_failure(&target, now());
