--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -79,10 +79,10 @@
     previous: HashMap<Segment, Time>,
 }
 
-/// Successive crashes from which a segment is quarantined with which no response has begun.
+/// The number of successive crashes that quarantine a segment.
 const MIN_CRASHES: usize = 2;
-/// Successive crashes from which a segment is quarantined with which responses began shortly before:
-/// such a segment is probably only present when targets crash for other reasons.
+/// The number of successive crashes that quarantine a segment with which responses began shortly
+/// before them: it was probably only present when targets crashed for other reasons.
 const MIN_CRASHES_IF_BEGUN: usize = 4;
 /// How long a response speaks for the segments of its prompt.
 const BEGUN_WINDOW: Duration = Duration::from_secs(60);
@@ -151,42 +151,28 @@
     where
         Rank: Fn(&str) -> usize,
     {
-        let causes: Vec<&Segment> = segments
-            .iter()
-            .filter(|segment| self.is_cause(segment, segments, now))
-            .collect();
+        let is_cause = |segment: &&Segment| self.is_cause(segment, segments, now);
+        let causes: Vec<Segment> = segments.iter().filter(is_cause).cloned().collect();
         let remaining = |segment: &Segment| {
             let record = self.records.get(segment);
             record.map_or(Duration::ZERO, |record| {
                 record.quarantined_until().since(now)
             })
         };
-        let Some(longest) = causes
-            .iter()
-            .copied()
-            .max_by_key(|segment| remaining(segment))
-        else {
+        let Some(longest) = causes.iter().max_by_key(|segment| remaining(segment)) else {
             return Decision::Send;
         };
         let remaining = remaining(longest);
         if !remaining.is_zero() {
             return Decision::Refuse(Arc::clone(longest), remaining);
         }
-        let may_test = |segment: &&Segment| {
-            self.records.get(*segment).is_some_and(|record| {
-                let is_tested = record
-                    .trial
-                    .is_some_and(|trial| now.since(trial) < TRIAL_TIMEOUT);
-                // Entries take turns, since the one whose turn it is may get no such request.
-                let overdue = now.since(record.quarantined_until());
-                let turn = overdue.as_millis() / TRIAL_TIMEOUT.as_millis();
-                !is_tested && rank(segment) as u128 <= turn
-            })
+        let may_test = |segment: &Segment| {
+            let record = self.records.get(segment);
+            record.is_some_and(|record| record.may_be_tested(rank(segment), now))
         };
         if let Some(untestable) = causes.iter().find(|segment| !may_test(segment)) {
             return Decision::Refuse(Arc::clone(untestable), TRIAL_RETRY);
         }
-        let causes: Vec<Segment> = causes.into_iter().cloned().collect();
         for segment in &causes {
             if let Some(record) = self.records.get_mut(segment) {
                 record.trial = Some(now);
@@ -422,6 +408,17 @@
         }
     }
 
+    /// Returns whether the entry with this rank may test the segment. One more entry may after each
+    /// [`TRIAL_TIMEOUT`], since those before it may get no request with the segment.
+    fn may_be_tested(&self, rank: usize, now: Time) -> bool {
+        let is_tested = self
+            .trial
+            .is_some_and(|trial| now.since(trial) < TRIAL_TIMEOUT);
+        let overdue = now.since(self.quarantined_until());
+        let turn = overdue.as_millis() / TRIAL_TIMEOUT.as_millis();
+        !is_tested && rank as u128 <= turn
+    }
+
     fn is_expired(&self, now: Time) -> bool {
         let ttl = if self.crashes.is_empty() {
             ACQUITTED_TTL
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -304,6 +304,14 @@
         }
     }
 
+    /// Returns how many deadly prompts were sent later than 3 s after the fifth crash.
+    fn sent_late(&self) -> usize {
+        let sent = self.sent.iter();
+        self.crashes
+            .get(4)
+            .map_or(0, |fifth| sent.filter(|&&sent| sent > fifth + 3000).count())
+    }
+
     /// Exchanges evidence between all entries.
     fn gossip(&mut self, now: u64) {
         let told: Vec<_> = self
@@ -349,10 +357,7 @@
     for seed in 0..20 {
         let mut simulation = Simulation::new(5, 9, seed);
         simulation.play(30_000, 36, 2, 700);
-        let late = simulation.crashes.get(4).map_or(0, |fifth| {
-            let sent = simulation.sent.iter();
-            sent.filter(|&&sent| sent > fifth + 3000).count()
-        });
+        let late = simulation.sent_late();
         assert!(late <= 3, "seed {seed}: {late} sent late");
         let refused = f64::from(simulation.sound_refused) / f64::from(simulation.sound);
         assert!(
@@ -370,10 +375,7 @@
     for seed in 0..5 {
         let mut simulation = Simulation::new(33, 60, seed);
         simulation.play(20_000, 250, 13, 700);
-        let late = simulation.crashes.get(4).map_or(0, |fifth| {
-            let sent = simulation.sent.iter();
-            sent.filter(|&&sent| sent > fifth + 3000).count()
-        });
+        let late = simulation.sent_late();
         assert!(late <= 3, "seed {seed}: {late} sent late");
         let refused = f64::from(simulation.sound_refused) / f64::from(simulation.sound);
         assert!(
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -195,45 +195,42 @@
     }
 }
 
-impl AsyncWrite for Io {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<Result<usize>> {
-        let socket = &self.link.socket;
+impl Io {
+    fn poll_write_with<Write>(&self, context: &mut Context<'_>, write: Write) -> Poll<Result<usize>>
+    where
+        Write: Fn(&TcpStream) -> Result<usize>,
+    {
+        let link = &self.link;
         loop {
-            self.link.is_write_blocked.set(true);
-            ready!(socket.poll_write_ready(context))?;
-            self.link.is_write_blocked.set(false);
-            match socket.try_write(bytes) {
+            link.is_write_blocked.set(true);
+            ready!(link.socket.poll_write_ready(context))?;
+            link.is_write_blocked.set(false);
+            match write(&link.socket) {
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
                 written => {
-                    self.link.idle_since.set(now());
+                    link.idle_since.set(now());
                     return Poll::Ready(written);
                 }
             }
         }
     }
+}
+
+impl AsyncWrite for Io {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<Result<usize>> {
+        self.poll_write_with(context, |socket| socket.try_write(bytes))
+    }
 
     fn poll_write_vectored(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
         slices: &[std::io::IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        let socket = &self.link.socket;
-        loop {
-            self.link.is_write_blocked.set(true);
-            ready!(socket.poll_write_ready(context))?;
-            self.link.is_write_blocked.set(false);
-            match socket.try_write_vectored(slices) {
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                written => {
-                    self.link.idle_since.set(now());
-                    return Poll::Ready(written);
-                }
-            }
-        }
+        self.poll_write_with(context, |socket| socket.try_write_vectored(slices))
     }
 
     fn is_write_vectored(&self) -> bool {
