--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,11 +1,10 @@
 use std::cell::{Cell, RefCell};
-use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use fleet::cache::{self, Key};
+use fleet::cache;
 use fleet::catalog::{Delivery, Pool, Route};
 use fleet::quarantine;
 use fleet::roster::Member;
@@ -15,18 +14,19 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode, request};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use types::{Store, Target, Time, Version};
+use types::{Target, Time, Version};
 
 use crate::adapter::{Envelope, Head, Platform};
 use crate::buffer::{self, Reservation};
 use crate::clock::now;
 use crate::connection::{self, Checkout, Connection, Error};
-use crate::logging::Event;
+use crate::in_flight::InFlight;
 use crate::reachability;
-use crate::retry::{self, Progress};
+use crate::retry::Progress;
 use crate::serve::DEFAULT_TIMEOUT;
 use crate::shared::Shared;
 use crate::sse::{Chunk, Splitter, Step};
+use crate::wait::await_target;
 
 /// A caller's request that passed admission, with its complete body.
 #[derive(Debug)]
@@ -133,20 +133,6 @@
     pub(crate) is_delimited: bool,
 }
 
-/// Counts a request in its target's load while it is in flight.
-#[derive(Debug)]
-pub(crate) struct InFlight<Adapter> {
-    shared: Rc<Shared<Adapter>>,
-    target: Target,
-    prefill_tokens: u64,
-    kv_tokens: u64,
-    prefilling: bool,
-    /// Segments that the target fetches for the request.
-    fetches: Vec<(Store, Key)>,
-}
-
-/// How often a request that waits for a response checks whether its target is still responsive.
-const POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Callers abandon a stream after the longest of this many latency objectives, [`GAP_INTERVALS`]
 /// inter-event gap objectives, and [`MIN_GAP`].
 const GAP_OBJECTIVES: u32 = 4;
@@ -158,87 +144,6 @@
 /// closing connections use the rest.
 const CONNECTION_SHARE: f64 = 0.8;
 
-impl<Adapter> InFlight<Adapter> {
-    fn start(shared: &Rc<Shared<Adapter>>, choice: &Choice) -> Self {
-        let target = choice.member.id.clone();
-        shared.tracker.borrow_mut().on_sent(
-            &target,
-            choice.prefill_tokens,
-            choice.kv_tokens,
-            now(),
-        );
-        let time = now();
-        shared.cache_index.borrow_mut().on_sent(
-            &choice.segments,
-            &choice.plan,
-            &crate::choose::location(&choice.member, choice.pool_size),
-            shared.entry_count.get(),
-            time,
-        );
-        let mut fetches = Vec::new();
-        for (segment, action) in choice.segments.iter().zip(&choice.plan.actions) {
-            if let cache::Action::Fetch(store) = action {
-                fetches.push((store.clone(), segment.key.clone()));
-            }
-        }
-        let mut peers = shared.peers.borrow_mut();
-        for (store, key) in &fetches {
-            peers.on_used(store.clone(), key.clone(), time);
-        }
-        drop(peers);
-        let tokens = &shared.metrics.prompt_tokens;
-        tokens
-            .with_label_values(&["read"])
-            .inc_by(choice.prefill_tokens);
-        let input = choice.kv_tokens.saturating_sub(choice.prefill_tokens);
-        tokens.with_label_values(&["kept"]).inc_by(input);
-        if let Some(grant) = &choice.grant {
-            shared.dispatch.acknowledge_grant(shared, grant);
-        }
-        shared.dispatch.on_load(&target);
-        Self {
-            shared: Rc::clone(shared),
-            target,
-            prefill_tokens: choice.prefill_tokens,
-            kv_tokens: choice.kv_tokens,
-            prefilling: true,
-            fetches,
-        }
-    }
-
-    fn finish_fetches(&mut self) {
-        let mut index = self.shared.cache_index.borrow_mut();
-        for (store, key) in self.fetches.drain(..) {
-            index.on_fetch_done(&store, &key);
-        }
-    }
-
-    /// Records the first event of the response.
-    pub(crate) fn on_first_event(&mut self) {
-        if std::mem::take(&mut self.prefilling) {
-            let mut tracker = self.shared.tracker.borrow_mut();
-            tracker.on_first_token(&self.target, self.prefill_tokens);
-            self.shared.dispatch.on_first_event(&self.target);
-            drop(tracker);
-            self.finish_fetches();
-        }
-    }
-
-    pub(crate) fn target(&self) -> &Target {
-        &self.target
-    }
-}
-
-impl<Adapter> Drop for InFlight<Adapter> {
-    fn drop(&mut self) {
-        self.on_first_event();
-        let mut tracker = self.shared.tracker.borrow_mut();
-        tracker.on_end(&self.target, self.kv_tokens);
-        self.shared.dispatch.on_load(&self.target);
-        self.shared.capacity_freed.notify_waiters();
-    }
-}
-
 impl Choice {
     /// Describes for logs how each shared segment is handled.
     pub(crate) fn describe_segments(&self) -> String {
@@ -286,157 +191,6 @@
     }
 }
 
-/// Waits for a response, or the next events of one, until the caller's timeout or, if the request
-/// can be retried, until another target takes it over from an unresponsive one.
-///
-/// A slow but responsive target is not abandoned, because its prefill work would be lost. Nor is an
-/// unresponsive one as long as no other target takes the request: it may have been suspended and go
-/// on.
-pub(crate) async fn await_target<Adapter, Operation>(
-    shared: &Rc<Shared<Adapter>>,
-    admitted: &Admitted,
-    progress: &mut Progress<Adapter>,
-    target: &Target,
-    last_event: Option<u64>,
-    operation: Operation,
-) -> Result<Operation::Output, String>
-where
-    Adapter: Platform,
-    Operation: Future,
-{
-    let watch = Watch::start(shared, admitted, target);
-    let mut operation = pin!(async {
-        let output = operation.await;
-        shared.tracker.borrow_mut().on_heard(target, now());
-        output
-    });
-    loop {
-        tokio::select! {
-            biased;
-            output = operation.as_mut() => return Ok(output),
-            silent = watch.until(Silence::Unresponsive) => silent?,
-        }
-        if !admitted.route.is_retryable() {
-            continue;
-        }
-        tokio::select! {
-            biased;
-            output = operation.as_mut() => return Ok(output),
-            placed = retry::take_over(shared, admitted, progress, target, last_event) => {
-                if placed {
-                    return Err("the target is unresponsive".to_owned());
-                }
-            }
-            heard = watch.until(Silence::Heard) => heard?,
-        }
-    }
-}
-
-/// Watches the target of a request that waits for its data.
-struct Watch<'wait, Adapter> {
-    shared: &'wait Rc<Shared<Adapter>>,
-    target: &'wait Target,
-    started: Time,
-    max_wait: Duration,
-}
-
-/// Whether a target has sent nothing for too long.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Silence {
-    Heard,
-    Unresponsive,
-}
-
-impl<'wait, Adapter> Watch<'wait, Adapter>
-where
-    Adapter: Platform,
-{
-    fn start(
-        shared: &'wait Rc<Shared<Adapter>>,
-        admitted: &Admitted,
-        target: &'wait Target,
-    ) -> Self {
-        let started = now();
-        let max_wait = admitted.stall_timeout().min(admitted.remaining(started));
-        Self {
-            shared,
-            target,
-            started,
-            max_wait,
-        }
-    }
-
-    /// Waits until the target is in a state, and probes it meanwhile.
-    ///
-    /// # Errors
-    /// Fails with the cause when the caller waits no longer.
-    async fn until(&self, state: Silence) -> Result<(), String> {
-        loop {
-            let waited = now().since(self.started);
-            let remaining = self.max_wait.saturating_sub(waited);
-            let pause = match remaining {
-                Duration::ZERO => POLL_INTERVAL,
-                remaining => remaining.min(POLL_INTERVAL),
-            };
-            tokio::time::sleep(pause).await;
-            let time = now();
-            let (unresponsive, should_probe, stalled) = {
-                let mut tracker = self.shared.tracker.borrow_mut();
-                tracker.on_tick(time);
-                let stalled = time.since(tracker.awake_since()) < POLL_INTERVAL;
-                (
-                    tracker.is_unresponsive(self.target, time),
-                    tracker.should_probe(self.target, time),
-                    stalled,
-                )
-            };
-            // If the entry itself was suspended, data that arrived meanwhile has not been read yet.
-            if remaining <= POLL_INTERVAL && !stalled {
-                return Err(format!(
-                    "the target sent nothing within {:?}",
-                    self.max_wait
-                ));
-            }
-            if should_probe {
-                tokio::task::spawn_local(probe(Rc::clone(self.shared), self.target.clone()));
-            }
-            let reached = match state {
-                Silence::Unresponsive => unresponsive,
-                Silence::Heard => !unresponsive,
-            };
-            if reached {
-                return Ok(());
-            }
-        }
-    }
-}
-
-/// Probes a target that has sent nothing for a while. A target that responds is only slow, so its
-/// request continues.
-async fn probe<Adapter>(shared: Rc<Shared<Adapter>>, target: Target)
-where
-    Adapter: Platform,
-{
-    let engine = {
-        let (roster, catalog) = (shared.roster.borrow(), shared.catalog());
-        let member = roster.get(&target).map(|record| Arc::clone(&record.member));
-        let pool = |member: &Member| catalog?.pool(&member.service).cloned();
-        member.filter(|member| pool(member).is_some_and(|pool| pool.engine.is_some()))
-    };
-    // Plain services respond within tens of milliseconds and have no status call.
-    let Some(member) = engine else {
-        return;
-    };
-    let responsive = shared.adapter.status(member.address).await.is_some();
-    if responsive {
-        shared.tracker.borrow_mut().on_heard(&target, now());
-    }
-    Event::new("target_asked")
-        .with("target", &*target)
-        .with("answers", responsive)
-        .info();
-}
-
 /// Sends a request to a target and waits for the complete response, or for the first event of a
 /// stream.
 ///
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod dispatch;
 mod feed;
 mod gossip;
+mod in_flight;
 mod leader;
 mod logging;
 mod metrics;
@@ -32,6 +33,7 @@
 mod shared;
 pub mod sse;
 mod supervisor;
+mod wait;
 
 pub use adapter::{
     Batch, Cache, Change, Codec, Envelope, Fetch, Head, List, Orders, Platform, Prompt, Rejection,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,6 +16,7 @@
 use crate::retry::{Progress, Step};
 use crate::serve;
 use crate::shared::Shared;
+use crate::wait::await_target;
 
 /// Chunks of events that are buffered for a slow caller; beyond that, reading from the target stops
 /// as well.
@@ -150,8 +151,7 @@
         *last_event = stream.events.last_id().or(*last_event);
         let target = stream.in_flight.target().clone();
         let reading = attempt::next_chunk(shared, &target, &mut stream.events, &mut stream.body);
-        let waiting =
-            attempt::await_target(shared, admitted, progress, &target, *last_event, reading);
+        let waiting = await_target(shared, admitted, progress, &target, *last_event, reading);
         next_chunk = match waiting.await {
             Ok(Ok(chunk)) => chunk,
             Ok(Err(cause)) | Err(cause) => return End::Truncated(cause),
