gateway: a stream's response that can have no body is complete

What callers saw: 502 for a HEAD request, or for a target's 204, on a route of streams, when the response had neither a length nor chunks. The request had run, and the target counted as failed.

Cause: `start_stream` takes the end of an undelimited response before the first event for a lost connection, and `is_delimited` looked at the headers only. Responses to HEAD and with status 204 end with their head.

Evidence: `cut_heads.rs`, a_response_without_a_body_is_complete, against the former `attempt.rs`: HEAD on /stream/1 without a length got 502, where 200 is due. A probe before it showed the same for 204.

Ruled out: HEAD, 204 and 304 on plain routes, and with a length or chunks (in the same test; they passed before).

Why the fix works: hyper knows from the method, the status and the length that no body follows, and such a body is at its end from the start.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,6 +12,7 @@
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Request, Response, StatusCode, request};
+use http_body::Body as _;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use types::{Target, Time, Version};
@@ -128,8 +129,8 @@
     pub(crate) in_flight: InFlight<Adapter>,
     pub(crate) keep_alive: Option<Duration>,
     pub(crate) closes: bool,
-    /// Whether the response has a length or chunks. Without them a target that crashed may seem to
-    /// have ended its response.
+    /// Whether the response has a length or chunks, or can have no body. Otherwise a target that
+    /// crashed may seem to have ended its response.
     pub(crate) is_delimited: bool,
 }
 
@@ -350,9 +351,10 @@
             .on_first_token(&choice.plan, domain, excess, now());
         let prompt = admitted.head.prompt.as_ref();
         let limit = Limit::new(prompt.map(|prompt| prompt.max_output));
-        let is_delimited = [CONTENT_LENGTH, TRANSFER_ENCODING]
-            .iter()
-            .any(|name| head.headers.contains_key(name));
+        let is_delimited = body.is_end_stream()
+            || [CONTENT_LENGTH, TRANSFER_ENCODING]
+                .iter()
+                .any(|name| head.headers.contains_key(name));
         let stream = Streaming {
             headers: shared.adapter.downstream_headers(&head.headers),
             status: head.status,
