gateway: a response in an unknown transfer coding is not relayed

What callers saw: a 200 with an empty or a short body, with a length or a last chunk of the entry's own, after a target had closed its connection in the middle of a response with a Content-Length and a transfer coding other than chunks; an empty stream that looked complete after a target had closed it before the first event; or bytes in a coding that the head no longer named.

Cause: with `Transfer-Encoding: identity`, `gzip` and so on, hyper reads until the connection ends and removes Content-Length. `attempt` took any Transfer-Encoding header for chunks, and `downstream_headers` removes it.

That hyper removes the length was seen by printing the headers.

Ruled out: decoding the codings (callers and entry ask for none); passing `identity` on as a body that ends with its connection, since its length, if it had one, is not known any more.

Why the fix works: only chunks, a length, or neither leave `Framing::of`; anything else fails its attempt and counts as an invalid head.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,7 +9,7 @@
 use fleet::quarantine;
 use fleet::roster::Member;
 use fleet::stream::Limit;
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::header::CONTENT_LENGTH;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Request, Response, StatusCode, request};
 use http_body::Body as _;
@@ -21,6 +21,7 @@
 use crate::buffer::{self, Reservation};
 use crate::clock::now;
 use crate::connection::{self, Checkout, Connection, Error};
+use crate::framing::Framing;
 use crate::in_flight::InFlight;
 use crate::reachability;
 use crate::retry::Progress;
@@ -339,6 +340,19 @@
         );
         return Outcome::Failed { cause };
     }
+    let framing = match body.is_end_stream() {
+        true => Framing::Delimited,
+        false => Framing::of(&head.headers),
+    };
+    if framing == Framing::Unsupported {
+        shared
+            .metrics
+            .invalid_responses
+            .with_label_values(&["head"])
+            .inc();
+        let cause = "the end of the response's body is unclear".to_owned();
+        return Outcome::Failed { cause };
+    }
     let remaining = admitted.remaining(now());
     if admitted.route.delivery == Delivery::Stream && head.status.is_success() {
         let waited = responded_at.since(sent_at);
@@ -351,10 +365,6 @@
             .on_first_token(&choice.plan, domain, excess, now());
         let prompt = admitted.head.prompt.as_ref();
         let limit = Limit::new(prompt.map(|prompt| prompt.max_output));
-        let is_delimited = body.is_end_stream()
-            || [CONTENT_LENGTH, TRANSFER_ENCODING]
-                .iter()
-                .any(|name| head.headers.contains_key(name));
         let stream = Streaming {
             headers: shared.adapter.downstream_headers(&head.headers),
             status: head.status,
@@ -365,7 +375,7 @@
             in_flight,
             keep_alive: response.keep_alive,
             closes: response.closes,
-            is_delimited,
+            is_delimited: framing == Framing::Delimited,
         };
         return start_stream(shared, admitted, progress, choice, stream).await;
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod discovery;
 mod dispatch;
 mod feed;
+mod framing;
 mod gossip;
 mod in_flight;
 mod leader;
