gateway: a truncated stream resets the connection of an HTTP/1.0 caller

What callers saw: a caller of HTTP/1.0 got a 200 and the first events of a stream whose target had broken off, and then the regular end of its connection, which is how a stream without a length ends in HTTP/1.0.

Cause: the entry shows a truncated stream by leaving out the last chunk, and HTTP/1.0 has no chunks.

Evidence: `cut_heads.rs`, a_truncated_stream_to_a_caller_of_http_1_0_is_reset, against the former sources: the connection ended without an error.

Ruled out: a reset only where the truncation is found, which leaves the exit of the process and a lost relay; and linger from the head on, since hyper never polls the body of a response to HEAD, which would be reset.

Why the fix works: from the first event to the last, SO_LINGER of zero makes any close of the socket a reset, also the kernel's at the exit (not tested). A complete stream, and a complete body with its length, close regularly (the first is in the test).

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -156,7 +156,15 @@
             Content::Buffered { bytes, .. } => {
                 Poll::Ready(next_piece(bytes).map(|piece| Ok(Frame::data(piece))))
             }
-            Content::Stream { parts, progress } => progress.poll_part(parts, context),
+            Content::Stream { parts, progress } => {
+                let part = ready!(progress.poll_part(parts, context));
+                if let Some((_, exchange)) = &self.request
+                    && !matches!(part, Some(Err(Truncated::Early)))
+                {
+                    exchange.set_streaming(part.is_some());
+                }
+                Poll::Ready(part)
+            }
         }
     }
 
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Version;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use socket2::SockRef;
@@ -46,7 +47,10 @@
 
 /// A request in progress on a link.
 #[derive(Debug)]
-pub(crate) struct Exchange(Rc<Link>);
+pub(crate) struct Exchange {
+    link: Rc<Link>,
+    version: Version,
+}
 
 /// The I/O of a link for hyper.
 #[derive(Debug)]
@@ -147,23 +151,38 @@
 }
 
 impl Exchange {
-    pub(crate) fn new(link: Rc<Link>) -> Self {
+    pub(crate) fn new(link: Rc<Link>, version: Version) -> Self {
         link.requests.set(link.requests.get() + 1);
         link.head_since.set(None);
-        Self(link)
+        Self { link, version }
     }
 
     /// Returns the link of the request.
     pub(crate) fn link(&self) -> &Link {
-        &self.0
+        &self.link
+    }
+
+    /// Records that a stream continues or is complete.
+    ///
+    /// HTTP/1.0 has no chunks, so the end of the connection is the end of a stream. Until the stream
+    /// is complete, whatever ends the connection resets it, also the exit of the process.
+    pub(crate) fn set_streaming(&self, is_streaming: bool) {
+        if self.version >= Version::HTTP_11 {
+            return;
+        }
+        let linger = is_streaming.then_some(Duration::ZERO);
+        if let Err(error) = SockRef::from(&self.link.socket).set_linger(linger) {
+            log::warn!("a truncated stream may look complete: {error}");
+        }
     }
 }
 
 impl Drop for Exchange {
     fn drop(&mut self) {
-        self.0.requests.set(self.0.requests.get().saturating_sub(1));
-        self.0.head_since.set(None);
-        self.0.idle_since.set(now());
+        let link = &self.link;
+        link.requests.set(link.requests.get().saturating_sub(1));
+        link.head_since.set(None);
+        link.idle_since.set(now());
     }
 }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -49,7 +49,7 @@
 {
     let arrived = now();
     let unanswered = Rc::clone(&shared.unanswered);
-    let exchange = Rc::new(Exchange::new(link));
+    let exchange = Rc::new(Exchange::new(link, request.version()));
     let (parts, body) = request.into_parts();
     let expects_continue = parts.headers.contains_key(EXPECT);
     let mut body = Some(body);
