gateway, platform: follow the lists of a table store that was restored from a copy

Cause: versions of rows were compared across the restoration. `feed::watch` refused each batch whose cursor was below the newest one that it had read, for the life of the process, and the roster dropped rows written again, since their versions had become smaller. A feed that went on after the counter had passed the old cursor would have missed the rows in between. The class of fault: numbers that another system gives out were taken to increase for ever.

Change: `types::Revision` combines the era of the store, which its responses carry in a header, with the version, in one integer that orders across restorations, so that cursors, tombstones, notices and gossip compare as before. A batch of a later era than the cursor is not applied; the list is loaded again.

Ruled out: accepting any smaller cursor after an outage (a late response of the old store would bring back removed targets); a field for the era beside each version (each comparison and message would need both).

--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -27,8 +27,8 @@
     /// When the sender's newest evidence for that configuration was given, on the table store's
     /// monotonic clock in milliseconds.
     pub evidence: Option<u64>,
-    /// The version of the table store's rows at which the sender last read a change made by the
-    /// operator.
+    /// The [`types::Revision`] of the table store at which the sender last read a change made by the
+    /// operator. Its era is that of the evidence.
     pub operator_version: u64,
     /// Whether the sender has run long enough to know the loads of the other entries.
     pub warm: bool,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod queue;
 pub mod quota;
 pub mod reachability;
+pub mod restoration;
 pub mod rollout;
 pub mod roster;
 pub mod shutdown;
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -29,8 +29,8 @@
     pub started_ms: Option<u64>,
     /// The weight versions of its models.
     pub weights: Vec<(Model, u64)>,
-    /// The version of its row in the platform's table store; of two reports, the one with the
-    /// greater revision is newer.
+    /// The [`types::Revision`] of its row in the platform's table store; of two reports, the one
+    /// with the greater revision is newer.
     pub revision: u64,
 }
 
@@ -227,6 +227,33 @@
         }
     }
 
+    /// Merges the list of a table store that was restored from an older copy.
+    ///
+    /// Until the targets have written their rows again, the copy may list a target that has left,
+    /// or that drains, and lack one that has started.
+    pub fn merge_restored(&mut self, members: Vec<Member>, revision: u64, now: Time) {
+        let members = members.into_iter().filter_map(|mut member| {
+            if self.tombstones.contains_key(&member.id) {
+                return None;
+            }
+            let Some(known) = self.records.get(&member.id) else {
+                return Some(member);
+            };
+            if member.started_ms < known.member.started_ms {
+                let revision = member.revision;
+                member = Member::clone(&known.member);
+                member.revision = revision;
+            }
+            if member.started_ms == known.member.started_ms {
+                member.draining |= known.member.draining;
+            }
+            Some(member)
+        });
+        let members = members.collect();
+        self.on_store_outage(now);
+        self.replace(members, revision, now);
+    }
+
     /// Drops targets that have been missing for longer than the grace period, and expired
     /// tombstones.
     pub fn expire(&mut self, now: Time) {
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -172,7 +172,7 @@
 pub struct Batch {
     /// The changes; for a snapshot, one change per row of the list.
     pub changes: Vec<Change>,
-    /// The cursor after the last change.
+    /// The cursor after the last change, which is a [`types::Revision`].
     pub cursor: u64,
     /// The time of the reply on the table store's monotonic clock, in milliseconds.
     pub store_time: u64,
@@ -183,13 +183,18 @@
     /// The error when a list cannot be read.
     type Failure: Display;
 
+    /// Returns the newest era of the table store that any response has shown. The era rises by one
+    /// each time the store is restored from an older copy.
+    fn era(&self) -> u64;
+
     /// Reads a snapshot of a list.
     fn load(&self, list: List) -> impl Future<Output = Result<Batch, Self::Failure>>;
 
     /// Waits up to `wait` for changes after a cursor.
     ///
     /// Returns `None` if the store no longer has the history after the cursor; the list has to be
-    /// loaded again.
+    /// loaded again. The same holds for a batch of a later era than that of the cursor, which may
+    /// lack changes.
     fn watch(
         &self,
         list: List,
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -268,8 +268,13 @@
     };
     neighbours.on_fetched();
     drop(neighbours);
+    let time = now();
     let mut roster = shared.roster.borrow_mut();
-    roster.replace(members, cursor, now());
+    // The neighbour may have started after a restoration of the store, and know only the copy.
+    match shared.restoration.borrow().is_settling(time) {
+        true => roster.merge_restored(members, cursor, time),
+        false => roster.replace(members, cursor, time),
+    }
     drop(roster);
     feed::notify_lag(shared);
     fetched
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -2,8 +2,9 @@
 use std::time::Duration;
 
 use fleet::discovery::Action;
+use fleet::restoration::LIST_SETTLE_TIME;
 use fleet::roster::Member;
-use types::{Target, Time};
+use types::{Revision, Target, Time};
 
 use crate::adapter::{Batch, Change, List, Platform};
 use crate::clock::now;
@@ -11,6 +12,7 @@
 use crate::leader;
 use crate::logging::{self, Event};
 use crate::quarantine;
+use crate::restoration;
 use crate::serve::millis;
 use crate::shared::Shared;
 
@@ -55,6 +57,17 @@
 /// The interval at which expired state is dropped and gauges are updated.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
+/// How much of a list a batch contains.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Extent {
+    /// The changes since the known state.
+    Changes,
+    /// The whole list.
+    Whole,
+    /// The whole list of a store that was just restored from a copy, which may lack changes.
+    Copy,
+}
+
 /// Watches a list of the table store for the lifetime of the process.
 pub(crate) async fn watch<Adapter>(shared: Rc<Shared<Adapter>>, list: List)
 where
@@ -64,9 +77,11 @@
         List::Targets => discovery::bootstrap(&shared).await,
         List::Operator => None,
     };
-    // The newest version that was ever read. A store that has lost state may reply with an older
-    // version, which would bring back removed targets and evacuations.
+    // The newest revision that was ever read. A store that has lost state may reply with an older
+    // one, which would bring back removed targets and evacuations.
     let mut newest = cursor.unwrap_or(0);
+    // After a restoration of the store, when the list is loaded again.
+    let mut reload_at: Option<Time> = None;
     let mut failures: u32 = 0;
     // The number of successive calls without a wait.
     let mut immediate: u32 = 0;
@@ -88,12 +103,16 @@
             }
         }
         let sent_at = now();
+        if reload_at.is_some_and(|reload_at| reload_at <= sent_at) {
+            cursor = None;
+        }
         let reply = match cursor {
             Some(cursor) => {
                 let wait = match immediate {
                     0 => wait(&shared, list),
                     _ => Duration::ZERO,
                 };
+                let wait = reload_at.map_or(wait, |reload_at| wait.min(reload_at.since(sent_at)));
                 let call = shared.adapter.watch(list, cursor, wait);
                 tokio::select! {
                     reply = call => reply,
@@ -106,7 +125,13 @@
             None => shared.adapter.load(list).await.map(Some),
         };
         let time = now();
+        restoration::check(&shared);
         match reply {
+            Ok(Some(batch)) if cursor.is_some_and(|cursor| is_restored(cursor, batch.cursor)) => {
+                // The batch lacks the changes between the copy and the cursor.
+                count(&shared, "restored");
+                cursor = None;
+            }
             Ok(Some(batch)) if batch.cursor < newest => {
                 count(&shared, "old");
                 Event::new("store_old")
@@ -118,6 +143,19 @@
                 tokio::time::sleep(MAX_BACK_OFF).await;
             }
             Ok(Some(batch)) => {
+                let extent = match cursor {
+                    Some(_) => Extent::Changes,
+                    None if newest != 0 && is_restored(newest, batch.cursor) => {
+                        reload_at = Some(time + LIST_SETTLE_TIME);
+                        Extent::Copy
+                    }
+                    // The first list after a restoration may have been read from another entry.
+                    None if reload_at.is_some_and(|reload_at| sent_at < reload_at) => Extent::Copy,
+                    None => {
+                        reload_at = None;
+                        Extent::Whole
+                    }
+                };
                 newest = batch.cursor;
                 immediate = 0;
                 if failures > 0 || cursor.is_none() {
@@ -125,21 +163,13 @@
                         .with("list", format!("{list:?}"))
                         .with("failures", failures)
                         .with("cursor", batch.cursor)
+                        .with("era", Revision::from(batch.cursor).era())
                         .info();
                 }
                 failures = 0;
                 count(&shared, "ok");
                 if list == List::Operator {
-                    let mut evidence = shared.evidence.get();
-                    evidence.on_answer(sent_at, time, batch.store_time);
-                    shared.evidence.set(evidence);
-                    let mut progress = shared.operator_progress.get();
-                    progress.cursor = batch.cursor;
-                    // A snapshot does not show when the last change was.
-                    if cursor.is_some() && !batch.changes.is_empty() {
-                        progress.last_change = batch.cursor;
-                    }
-                    shared.operator_progress.set(progress);
+                    on_operator_batch(&shared, &batch, extent, sent_at, time);
                 }
                 let snapshot = cursor.is_none();
                 let unchanged = batch.changes.is_empty();
@@ -147,7 +177,7 @@
                 if list == List::Targets {
                     shared.discovery.on_store(batch.cursor, time);
                 }
-                apply(&shared, list, batch, snapshot, time);
+                apply(&shared, list, batch, extent, time);
                 if list == List::Targets && snapshot {
                     discovery::publish(&shared, Vec::new(), Vec::new());
                 }
@@ -184,6 +214,35 @@
     }
 }
 
+/// Updates the evidence of freshness and the progress by a batch of the operator's list.
+fn on_operator_batch<Adapter>(
+    shared: &Shared<Adapter>,
+    batch: &Batch,
+    extent: Extent,
+    sent_at: Time,
+    time: Time,
+) {
+    let mut evidence = shared.evidence.get();
+    evidence.on_answer(sent_at, time, batch.store_time);
+    shared.evidence.set(evidence);
+    let mut progress = shared.operator_progress.get();
+    progress.cursor = batch.cursor;
+    let era = Revision::from(batch.cursor).era();
+    if extent == Extent::Changes && !batch.changes.is_empty() {
+        progress.last_change = batch.cursor;
+    } else {
+        // A snapshot does not show when the last change was, but it was in this era.
+        let start = u64::from(Revision::new(era, 0));
+        progress.last_change = progress.last_change.max(start);
+    }
+    shared.operator_progress.set(progress);
+}
+
+/// Returns whether the store was restored from a copy between two revisions.
+fn is_restored(before: u64, after: u64) -> bool {
+    Revision::from(before).era() < Revision::from(after).era()
+}
+
 /// Returns how long the store may hold a call. All entries share freshness evidence for the
 /// operator's list, so each of them calls less often the more entries there are.
 fn wait<Adapter>(shared: &Shared<Adapter>, list: List) -> Duration {
@@ -246,11 +305,12 @@
     shared: &Rc<Shared<Adapter>>,
     list: List,
     batch: Batch,
-    snapshot: bool,
+    extent: Extent,
     time: Time,
 ) where
     Adapter: Platform,
 {
+    let snapshot = extent != Extent::Changes;
     let mut members = Vec::new();
     let mut evacuated = Vec::new();
     let (mut updated, mut removed) = (Vec::new(), Vec::new());
@@ -295,15 +355,24 @@
             }
         }
     }
-    if snapshot && list == List::Targets {
+    if list == List::Targets {
         let mut roster = shared.roster.borrow_mut();
-        roster.replace(members, batch.cursor, time);
+        match extent {
+            Extent::Changes => {}
+            Extent::Whole => roster.replace(members, batch.cursor, time),
+            Extent::Copy => roster.merge_restored(members, batch.cursor, time),
+        }
     }
     if list == List::Targets && (!updated.is_empty() || !removed.is_empty()) {
         discovery::publish(shared, updated, removed);
     }
-    if snapshot && list == List::Operator {
-        *shared.evacuated.borrow_mut() = evacuated.into_iter().collect();
+    if list == List::Operator {
+        let mut domains = shared.evacuated.borrow_mut();
+        match extent {
+            Extent::Changes => {}
+            Extent::Whole => *domains = evacuated.into_iter().collect(),
+            Extent::Copy => domains.extend(evacuated),
+        }
     }
     notify_lag(shared);
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod quarantine;
 mod reachability;
 mod relay;
+mod restoration;
 mod retry;
 mod serve;
 mod server;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -49,6 +49,8 @@
     pub(crate) config_version: IntGauge,
     /// Age of the freshness evidence for the configuration in milliseconds.
     pub(crate) evidence_age: IntGauge,
+    /// How often the platform's table store has been restored from a copy.
+    pub(crate) store_era: IntGauge,
     /// 1 while this entry holds the lease on orders, else 0.
     pub(crate) leads: IntGauge,
     /// Dropped log lines.
@@ -160,6 +162,10 @@
                 "boragereel_proof_age_ms",
                 "age of the configuration's evidence",
             )?,
+            store_era: gauge(
+                "boragereel_store_era",
+                "restorations of the table store from a copy",
+            )?,
             leads: gauge("boragereel_leads", "1 while the lease on orders is held")?,
             log_dropped: gauge("boragereel_log_dropped", "log lines dropped")?,
             registry,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -16,6 +16,7 @@
 use fleet::queue::Queues;
 use fleet::quota::{Policy, Ramp, Retries};
 use fleet::reachability::Reachability;
+use fleet::restoration::Restoration;
 use fleet::rollout::Rollout;
 use fleet::roster::Roster;
 use rand::Rng;
@@ -41,6 +42,7 @@
     pub(crate) roster: RefCell<Roster>,
     pub(crate) evacuated: RefCell<HashSet<Domain>>,
     pub(crate) evidence: Cell<Evidence>,
+    pub(crate) restoration: RefCell<Restoration>,
     pub(crate) tracker: RefCell<Tracker>,
     pub(crate) retries: RefCell<Retries<Service>>,
     pub(crate) ramp: RefCell<Ramp<Target>>,
@@ -81,7 +83,7 @@
     pub(crate) weights_lag: Notify,
 }
 
-/// How far a list has been read, in row versions of the table store.
+/// How far a list has been read, as a [`types::Revision`] of the table store.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Progress {
     /// The version up to which the list has been read.
@@ -120,6 +122,7 @@
             roster: RefCell::default(),
             evacuated: RefCell::default(),
             evidence: Cell::default(),
+            restoration: RefCell::default(),
             tracker: RefCell::default(),
             retries: RefCell::new(Retries::new(policy)),
             ramp: RefCell::default(),
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,10 +4,12 @@
 
 mod id;
 mod name;
+mod revision;
 mod time;
 mod verdict;
 
 pub use id::{Attempt, Boot, Fence, Incarnation, Request, Version};
 pub use name::{Call, Domain, Host, Model, Name, Region, Service, Store, Target, Team, Weights};
+pub use revision::Revision;
 pub use time::Time;
 pub use verdict::Verdict;
