gateway: do not take a copy of the operator's rows as evidence of freshness

Callers could see: a withdrawn key that works again, or 404 on a route that was added, at an entry that read the configuration from a restored store before the operator had written the newest one again.

Cause: each response of the store counted as evidence that the configuration in use was the newest one. A copy is no such evidence. The clock of the store may also step back with the copy, while the smallest offset ever seen was kept.

Change: `fleet::restoration` decides. After a restoration, a response counts once the store lists the configuration in use or a newer one, and the operator has written the configuration in this era or has had two seconds to do so. The row `era/newest` tells entries that start later when the era began. The clock offset is measured anew in each era, and evidence of peers counts only within one.

Ruled out: waiting for a configuration to be written in any case (the copy may lack nothing, and the operator would have no reason to write); trusting the copy at once (an entry that was out of touch before the loss, or starts in the gap, cannot know what it lacks).

--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -26,24 +26,35 @@
 const OFFSET_ERROR_US: i64 = 10_000;
 
 impl Evidence {
-    /// Records a reply of the table store: it was requested at `sent_at`, arrived at
+    /// Records the time of a reply of the table store on its monotonic clock, in milliseconds.
+    /// Returns the latest time on this entry's clock at which it may have been given, in µs.
+    pub fn on_store_clock(&mut self, received_at: Time, store_ms: u64) -> i64 {
+        let received_us = i64::try_from(received_at.0).unwrap_or(i64::MAX);
+        let given_us = i64::try_from(store_ms.saturating_mul(1000)).unwrap_or(i64::MAX);
+        let offset = received_us.saturating_sub(given_us);
+        let min_offset = self.offset.map_or(offset, |known| known.min(offset));
+        self.offset = Some(min_offset);
+        given_us.saturating_add(min_offset)
+    }
+
+    /// Records a reply of the table store that is evidence of the configuration: it was requested at `sent_at`, arrived at
     /// `received_at`, and was given at `store_ms` on the table store's monotonic clock, in
     /// milliseconds.
     ///
     /// The reply to a long poll is younger than the request. The smallest clock difference ever
     /// seen bounds how much younger, since a reply never arrives before it is given.
     pub fn on_answer(&mut self, sent_at: Time, received_at: Time, store_ms: u64) {
-        let received_us = i64::try_from(received_at.0).unwrap_or(i64::MAX);
-        let given_us = i64::try_from(store_ms.saturating_mul(1000)).unwrap_or(i64::MAX);
-        let offset = received_us.saturating_sub(given_us);
-        let min_offset = self.offset.map_or(offset, |known| known.min(offset));
-        self.offset = Some(min_offset);
-        let latest_us = given_us.saturating_add(min_offset);
+        let latest_us = self.on_store_clock(received_at, store_ms);
         let earliest_us = u64::try_from(latest_us.saturating_sub(OFFSET_ERROR_US)).unwrap_or(0);
         let confirmed = sent_at.max(Time(earliest_us)).min(received_at);
         self.confirmed = self.confirmed.max(Some(confirmed));
     }
 
+    /// Records that the table store was restored from a copy, after which its clock may differ.
+    pub fn on_restored(&mut self) {
+        self.offset = None;
+    }
+
     /// Records that another entry had evidence of the same configuration at `store_ms` on the table
     /// store's monotonic clock, in milliseconds.
     ///
--- a/crates/fleet/src/restoration.rs
+++ b/crates/fleet/src/restoration.rs
@@ -1,7 +1,8 @@
 //! What an entry relies on after the platform's table store was restored from an older copy.
 //!
 //! A restored store lacks the changes that it acknowledged after the copy was made, until the
-//! operator and the targets write them again. An entry must not undo what it knows of them. See
+//! operator and the targets write them again. An entry must neither undo what it knows of them nor
+//! take the copy as evidence that its configuration is the newest one. See
 //! `docs/design.md`.
 
 use std::time::Duration;
@@ -15,6 +16,12 @@
     era: Option<u64>,
     /// When the era began, as far as known; `None` if that was long ago.
     began: Option<Time>,
+    /// When the era began, on the store's clock in milliseconds, as another entry has recorded it.
+    recorded_ms: Option<u64>,
+    /// The version of the configuration that the store lists.
+    listed: Option<u64>,
+    /// Whether the configuration has been written in this era.
+    rewritten: bool,
 }
 
 /// What the first response of an era says.
@@ -28,6 +35,9 @@
     Restored,
 }
 
+/// The time after which the operator has written the configuration again if the copy lacks it. The
+/// platform gives two seconds for the rows of targets and names no time for those of the operator.
+const CONFIG_SETTLE_TIME: Duration = Duration::from_secs(2);
 /// The time after which the lists are taken as they are: they contain no target any more that left
 /// after the copy was made, since the platform removes a row after three missed reports, which are
 /// 1.2 seconds apart.
@@ -42,6 +52,7 @@
                 *self = Self {
                     era: Some(era),
                     began: Some(now),
+                    ..Self::default()
                 };
                 match known {
                     Some(_) => Change::Restored,
@@ -56,6 +67,20 @@
         self.began = began;
     }
 
+    /// Records when the era began as recorded by another entry: on the store's clock in
+    /// milliseconds, or 0 if that was long ago. It applies from the next [`Self::on_store_time`].
+    pub fn on_recorded(&mut self, began_ms: u64) {
+        self.recorded_ms = Some(began_ms);
+    }
+
+    /// Records the time on the store's clock, in milliseconds.
+    pub fn on_store_time(&mut self, store_ms: u64, now: Time) {
+        if let Some(began_ms) = self.recorded_ms.take() {
+            let age = Duration::from_millis(store_ms.saturating_sub(began_ms));
+            self.began = (began_ms != 0).then(|| now - age);
+        }
+    }
+
     /// Returns the era of the newest response; 0 before the first one.
     #[must_use]
     pub fn era(&self) -> u64 {
@@ -74,4 +99,31 @@
         self.began
             .is_some_and(|began| now.since(began) < LIST_SETTLE_TIME)
     }
+
+    /// Records the version of the configuration in a snapshot, which may be that of the copy, or in
+    /// a change, which was written in this era.
+    pub fn on_config(&mut self, version: u64, is_change: bool) {
+        self.listed = Some(version);
+        self.rewritten |= is_change;
+    }
+
+    /// Returns how long the operator may still take to write the configuration again if the copy
+    /// lacks it.
+    #[must_use]
+    pub fn unsettled_for(&self, now: Time) -> Duration {
+        self.began.map_or(Duration::ZERO, |began| {
+            CONFIG_SETTLE_TIME.saturating_sub(now.since(began))
+        })
+    }
+
+    /// Returns whether a response of the store is evidence that the configuration in use, `known`,
+    /// is the newest one.
+    ///
+    /// It is not while the store lists an older configuration, or while it may lack a newer one
+    /// that was acknowledged to the operator before the restoration.
+    #[must_use]
+    pub fn confirms(&self, known: Option<u64>, now: Time) -> bool {
+        let is_listed = self.listed >= known;
+        is_listed && (self.rewritten || self.unsettled_for(now).is_zero())
+    }
 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -75,7 +75,12 @@
 {
     let mut cursor = match list {
         List::Targets => discovery::bootstrap(&shared).await,
-        List::Operator => None,
+        List::Operator => {
+            if !shared.settings.first_start {
+                restoration::read_began(&shared).await;
+            }
+            None
+        }
     };
     // The newest revision that was ever read. A store that has lost state may reply with an older
     // one, which would bring back removed targets and evacuations.
@@ -222,8 +227,22 @@
     sent_at: Time,
     time: Time,
 ) {
+    let mut restoration = shared.restoration.borrow_mut();
+    restoration.on_store_time(batch.store_time, time);
+    let mut known = shared.config_version();
+    for change in &batch.changes {
+        if let Change::Catalog(catalog) = change {
+            let version = catalog.version.0;
+            restoration.on_config(version, extent == Extent::Changes);
+            known = known.max(Some(version));
+        }
+    }
     let mut evidence = shared.evidence.get();
-    evidence.on_answer(sent_at, time, batch.store_time);
+    if restoration.confirms(known, time) {
+        evidence.on_answer(sent_at, time, batch.store_time);
+    } else {
+        evidence.on_store_clock(time, batch.store_time);
+    }
     shared.evidence.set(evidence);
     let mut progress = shared.operator_progress.get();
     progress.cursor = batch.cursor;
@@ -249,6 +268,10 @@
     if list == List::Targets {
         return TARGETS_WAIT;
     }
+    let unsettled = shared.restoration.borrow().unsettled_for(now());
+    if !unsettled.is_zero() {
+        return unsettled;
+    }
     let peers = shared.peers.borrow().count();
     let max = WAIT_PER_ENTRY.saturating_mul(u32::try_from(peers + 1).unwrap_or(u32::MAX));
     // Jitter, since a change ends the calls of all entries at the same moment.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -6,6 +6,7 @@
 use platform::{Commit, Write};
 use rand::Rng;
 use tokio::net::UdpSocket;
+use types::Revision;
 
 use crate::adapter::Platform;
 use crate::cache::RELAY_COUNT;
@@ -160,8 +161,11 @@
     }
     quarantine::on_evidence(shared, &state.crashes);
     let config_version = shared.catalog().map(|catalog| catalog.version.0);
+    // The clock of a restored store may differ from that of the era before.
+    let is_same_era = Revision::from(state.operator_version).era() == shared.era();
     if let Some(confirmed_at) = state.evidence
         && config_version == Some(state.config_version)
+        && is_same_era
     {
         let mut evidence = shared.evidence.get();
         evidence.on_peer_evidence(confirmed_at, time);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -155,6 +155,11 @@
         self.catalog.borrow().clone()
     }
 
+    /// Returns how often the table store has been restored from a copy, as far as this entry knows.
+    pub(crate) fn era(&self) -> u64 {
+        self.restoration.borrow().era()
+    }
+
     /// Returns the version of the configuration in force.
     pub(crate) fn config_version(&self) -> Option<u64> {
         let catalog = self.catalog.borrow();
