leader: give out no fencing token twice after a restoration of the table store

Callers and targets saw: orders of two holders with one fencing token.

Cause: the row of the lease came back from the copy with an older token, so that the next holder incremented it to one that had been given out in the lost seconds. The record of issued orders was older as well, so that the new holder did not keep the minimum time to orders of the one before.

Change: the rows of the lease and of the issued orders are named by the era, so that neither a copy nor a late write of the era before can bring their content back, and each era has a range of fencing tokens above those of the eras before. A holder stops as soon as any response shows a new era; others wait until no lease of the era before is relied on, and without a record of issued orders block all targets for the minimum time.

Ruled out: a token taken from the store's version alone, which goes back as well; a token from the clock, which may jump.

--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -79,6 +79,8 @@
     timing: Timing,
     requested: bool,
     last_write: u64,
+    /// New holders get greater fencing tokens than this one.
+    fence_floor: Fence,
     state: State,
     pending: Option<Pending>,
 }
@@ -128,11 +130,20 @@
             timing,
             requested: false,
             last_write: nonce,
+            fence_floor: Fence(0),
             state: State::Unknown,
             pending: None,
         }
     }
 
+    /// Makes new holders get greater fencing tokens than `floor`, for a row that was lost with the
+    /// tokens given out before.
+    #[must_use]
+    pub fn with_fence_floor(mut self, floor: Fence) -> Self {
+        self.fence_floor = floor;
+        self
+    }
+
     /// Requests the lease; it is acquired and renewed by the following steps.
     pub fn acquire(&mut self) {
         self.requested = true;
@@ -195,6 +206,7 @@
                 last_read,
             } => {
                 let fence = grant.as_ref().map_or(0, |grant| grant.fence.0);
+                let fence = fence.max(self.fence_floor.0);
                 let expiry = grant.as_ref().map_or(first_seen, |grant| {
                     first_seen + Duration::from_millis(grant.duration_ms) / 10 * 11
                 });
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -11,15 +11,16 @@
 
 use control::{Grant, Lease, Step, Timing, Written};
 use platform::{Commit, Row, Write};
-use types::{Incarnation, Model, Time};
+use types::{Fence, Incarnation, Model, Revision, Time};
 
 use crate::adapter::Platform;
 use crate::clock::now;
 use crate::logging::Event;
 use crate::orders::Issuer;
+use crate::restoration;
 use crate::shared::{Peer, Shared};
 
-/// The key of the row that holds the lease on orders.
+/// The key of the row that holds the lease on orders, in the first era of the table store.
 const LEASE_KEY: &str = "lease/orders";
 /// The key prefix of the rows that record when weight versions were released.
 const RELEASES_PREFIX: &str = "named/";
@@ -30,6 +31,9 @@
 const ENTRIES_PREFIX: &str = "entry/";
 /// The duration of the lease; a successor waits this long before it takes over.
 const LEASE_DURATION: Duration = Duration::from_millis(1200);
+/// The time after which no holder relies on a lease that was lost in a restoration of the table
+/// store, with a margin for clock drift.
+const LOST_LEASE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The interval at which an entry without the lease reads it, and checks whether orders are needed.
 const POLL_INTERVAL: Duration = Duration::from_millis(1000);
 /// The maximum random delay before an entry tries to acquire the lease. The last holder does not
@@ -63,18 +67,9 @@
 where
     Adapter: Platform,
 {
-    let timing = Timing {
-        duration: LEASE_DURATION,
-        poll_interval: POLL_INTERVAL,
-    };
-    let incarnation =
-        Incarnation(u64::from(shared.random()) << 16 | u64::from(shared.random() >> 16));
-    let nonce = u64::from(shared.random());
-    let name = shared.settings.name.clone();
-    let lease = Lease::new(name, incarnation, timing, nonce);
-    let lease = Rc::new(RefCell::new(lease));
     let mut held = false;
     let mut outdated_since: Option<Time> = None;
+    let (mut era, mut lease) = (shared.era(), new_lease(&shared));
     loop {
         let lagging = shared.weights_lag.notified();
         if !needs_orders(&shared) {
@@ -84,6 +79,15 @@
             let _ = tokio::time::timeout(POLL_INTERVAL, lagging).await;
             continue;
         }
+        if era != shared.era() {
+            (era, lease) = (shared.era(), new_lease(&shared));
+            held = false;
+        }
+        let began = shared.restoration.borrow().began();
+        if began.is_some_and(|began| now().since(began) < LOST_LEASE_TIMEOUT) {
+            tokio::time::sleep(TICK).await;
+            continue;
+        }
         let since = *outdated_since.get_or_insert_with(now);
         let rank = shared.live_rank(LEASE_KEY);
         let is_candidate = rank.is_some_and(|rank| rank < CANDIDATES);
@@ -101,42 +105,78 @@
             tokio::time::sleep(Duration::from_millis(wait)).await;
         }
         lease.borrow_mut().acquire();
-        held |= run_lease(&shared, &lease).await;
+        held |= run_lease(&shared, &lease, era).await;
         lease.borrow_mut().release();
         // If the release cannot be written, the others wait until the lease expires.
         let step = lease.borrow_mut().poll(now());
         if let Step::Write(write) = step {
-            let outcome = write_lease(&shared, write).await;
+            let outcome = write_lease(&shared, &lease_key(era), write).await;
             lease.borrow_mut().on_write(outcome);
         }
         shared.metrics.leads.set(0);
     }
 }
 
+/// Makes this entry's view of the lease on orders in the era of the table store.
+///
+/// A restoration of the store may bring back an older lease, and with it fencing tokens that were
+/// given out already. So each era has a row and a range of fencing tokens of its own.
+fn new_lease<Adapter>(shared: &Shared<Adapter>) -> Rc<RefCell<Lease>> {
+    let timing = Timing {
+        duration: LEASE_DURATION,
+        poll_interval: POLL_INTERVAL,
+    };
+    let incarnation =
+        Incarnation(u64::from(shared.random()) << 16 | u64::from(shared.random() >> 16));
+    let nonce = u64::from(shared.random());
+    let name = shared.settings.name.clone();
+    let floor = Fence(Revision::new(shared.era(), 0).into());
+    let lease = Lease::new(name, incarnation, timing, nonce).with_fence_floor(floor);
+    Rc::new(RefCell::new(lease))
+}
+
+fn lease_key(era: u64) -> String {
+    key_in_era(LEASE_KEY, era)
+}
+
+/// Returns the key of a row that must not come back with older content after a restoration of the
+/// table store.
+pub(crate) fn key_in_era(key: &str, era: u64) -> String {
+    match era {
+        0 => key.to_owned(),
+        _ => format!("{key}.{era}"),
+    }
+}
+
 fn needs_orders<Adapter>(shared: &Shared<Adapter>) -> bool {
     let rollout = shared.rollout.borrow();
     shared.stopping.get().is_none() && rollout.is_incomplete(&shared.roster.borrow())
 }
 
 /// Drives the lease until no more orders are needed; returns whether the lease is held then.
-async fn run_lease<Adapter>(shared: &Rc<Shared<Adapter>>, lease: &Rc<RefCell<Lease>>) -> bool
+async fn run_lease<Adapter>(
+    shared: &Rc<Shared<Adapter>>,
+    lease: &Rc<RefCell<Lease>>,
+    era: u64,
+) -> bool
 where
     Adapter: Platform,
 {
+    let key = lease_key(era);
     let mut issuer: Option<Rc<Issuer<Adapter>>> = None;
     let mut invalid_version = None;
     while needs_orders(shared) {
         let step = lease.borrow_mut().poll(now());
         match step {
             Step::Read => {
-                let read = shared.adapter.get(LEASE_KEY).await;
+                let read = shared.adapter.get(&key).await;
                 let version = read.as_ref().ok().and_then(Option::as_ref);
                 let version = version.map(|row| row.version);
                 match read.map(|row| row.map(parse_grant).transpose()) {
                     Ok(Ok(grant)) => lease.borrow_mut().on_read(now(), grant),
                     Ok(Err(error)) => {
                         if invalid_version != version {
-                            log::error!("invalid lease in row {LEASE_KEY}: {error}");
+                            log::error!("invalid lease in row {key}: {error}");
                             invalid_version = version;
                         }
                         tokio::time::sleep(POLL_INTERVAL).await;
@@ -148,7 +188,7 @@
                 }
             }
             Step::Write(write) => {
-                let outcome = write_lease(shared, write).await;
+                let outcome = write_lease(shared, &key, write).await;
                 lease.borrow_mut().on_write(outcome);
                 if outcome == Written::Lost {
                     tokio::time::sleep(BACK_OFF).await;
@@ -160,6 +200,14 @@
             }
             Step::Idle => tokio::time::sleep(TICK).await,
         }
+        restoration::check(shared);
+        if shared.era() != era {
+            if issuer.take().is_some() {
+                Event::new("lease_lost").with("era", era).warn();
+            }
+            shared.rollout.borrow_mut().clear();
+            return false;
+        }
         let held = lease.borrow().fence(now());
         let Some(fence) = held else {
             if issuer.take().is_some() {
@@ -172,7 +220,7 @@
         let issuer = issuer.get_or_insert_with(|| {
             Event::new("lease_taken").with("fence", fence.0).info();
             shared.metrics.leads.set(1);
-            Issuer::spawn(shared, lease, fence)
+            Issuer::spawn(shared, lease, fence, era)
         });
         issuer.issue();
     }
@@ -185,7 +233,11 @@
     serde_json::from_value(row.value).map(|grant| (row.version, grant))
 }
 
-async fn write_lease<Adapter>(shared: &Rc<Shared<Adapter>>, write: control::Write) -> Written
+async fn write_lease<Adapter>(
+    shared: &Rc<Shared<Adapter>>,
+    key: &str,
+    write: control::Write,
+) -> Written
 where
     Adapter: Platform,
 {
@@ -197,7 +249,7 @@
         }
     };
     let row = Write {
-        key: LEASE_KEY.to_owned(),
+        key: key.to_owned(),
         expect: write.expect,
         value: Some(value),
     };
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -12,6 +12,7 @@
 
 use crate::adapter::Platform;
 use crate::clock::now;
+use crate::leader::key_in_era;
 use crate::logging::Event;
 use crate::serve::millis;
 use crate::shared::Shared;
@@ -27,6 +28,8 @@
     shared: Rc<Shared<Adapter>>,
     lease: Rc<RefCell<Lease>>,
     fence: Fence,
+    /// The era of the table store in which the lease is held.
+    era: u64,
     /// Whether the record of former holders has been read and taken over.
     ready: Cell<bool>,
     /// When the targets with unfinished orders were last polled.
@@ -46,7 +49,7 @@
     targets: Vec<(Target, String, u64)>,
 }
 
-/// The key of the row with the issued orders.
+/// The key of the row with the issued orders, in the first era of the table store.
 const RECORD_KEY: &str = "orders/given";
 /// How long an order is kept in the record beyond the minimum time between orders of two holders: a
 /// holder relies on its lease for a second, and its last order may take as long.
@@ -69,11 +72,13 @@
         shared: &Rc<Shared<Adapter>>,
         lease: &Rc<RefCell<Lease>>,
         fence: Fence,
+        era: u64,
     ) -> Rc<Self> {
         let issuer = Rc::new(Self {
             shared: Rc::clone(shared),
             lease: Rc::clone(lease),
             fence,
+            era,
             ready: Cell::new(false),
             polled_at: Cell::new(now()),
             record: Mutex::default(),
@@ -112,27 +117,38 @@
 
     fn is_held(&self) -> bool {
         self.lease.borrow().fence(now()) == Some(self.fence)
+            && self.shared.adapter.era() == self.era
+    }
+
+    fn record_key(&self) -> String {
+        key_in_era(RECORD_KEY, self.era)
     }
 
     /// Takes over the record of former holders: blocks the targets that they have ordered, and
     /// writes its own fencing token, so that they cannot record more.
     async fn take_over(self: Rc<Self>) {
         let mut record = self.record.lock().await;
+        let key = self.record_key();
         while self.is_held() {
-            let read = self.shared.adapter.get(RECORD_KEY).await;
+            let read = self.shared.adapter.get(&key).await;
             let (version, known) = match read {
-                Ok(None) => (0, Record::default()),
+                Ok(None) => {
+                    if self.is_record_lost() {
+                        self.block(self.all_targets());
+                    }
+                    (0, Record::default())
+                }
                 Ok(Some(row)) => match serde_json::from_value(row.value) {
                     Ok(known) => (row.version, known),
                     Err(error) => {
                         // Without a record, any target may have been ordered.
-                        log::error!("invalid order record in row {RECORD_KEY}: {error}");
+                        log::error!("invalid order record in row {key}: {error}");
                         self.block(self.all_targets());
                         (row.version, Record::default())
                     }
                 },
                 Err(error) => {
-                    log::warn!("failed to read the row {RECORD_KEY}: {error}");
+                    log::warn!("failed to read the row {key}: {error}");
                     tokio::time::sleep(BACK_OFF).await;
                     continue;
                 }
@@ -153,6 +169,18 @@
         }
     }
 
+    /// Returns whether a missing record may have listed recent orders, before a restoration of the
+    /// table store.
+    fn is_record_lost(&self) -> bool {
+        let began = self.shared.restoration.borrow().began();
+        began.is_some_and(|began| now().since(began) < self.retention())
+    }
+
+    /// Returns how long orders are kept in the record.
+    fn retention(&self) -> Duration {
+        self.shared.settings.lease_gap() + RETENTION_MARGIN
+    }
+
     fn all_targets(&self) -> Vec<Target> {
         let roster = self.shared.roster.borrow();
         roster
@@ -176,8 +204,7 @@
         let Some(time) = self.shared.evidence.get().store_time(now()) else {
             return false;
         };
-        let retention = self.shared.settings.lease_gap() + RETENTION_MARGIN;
-        time.saturating_sub(at) > millis(retention)
+        time.saturating_sub(at) > millis(self.retention())
     }
 
     /// Records targets that are about to get orders; returns whether the write succeeded. No other
@@ -190,6 +217,7 @@
             log::warn!("the row {RECORD_KEY} is not written: the store's time is not known yet");
             return false;
         };
+        let key = self.record_key();
         let (version, known) = &mut *record;
         known.fence = self.fence.0;
         known.holder.clone_from(own);
@@ -201,12 +229,12 @@
         let value = match serde_json::to_value(&*known) {
             Ok(value) => value,
             Err(error) => {
-                log::error!("failed to serialize the row {RECORD_KEY}: {error}");
+                log::error!("failed to serialize the row {key}: {error}");
                 return false;
             }
         };
         let row = Write {
-            key: RECORD_KEY.to_owned(),
+            key: key.clone(),
             expect: *version,
             value: Some(value),
         };
@@ -222,7 +250,7 @@
                 false
             }
             Err(error) => {
-                log::warn!("failed to write the row {RECORD_KEY}: {error}");
+                log::warn!("failed to write the row {key}: {error}");
                 false
             }
         }
