leader: count entries whose registration was lost in a restoration

What could happen: entries that registered in the lost seconds are missing in the copy. The others would divide the shared quotas (retries, requests to cold targets) among fewer entries while the missing ones go on using their shares, and would send them no gossip for up to five seconds. The entry itself would register again and use no quota for six seconds. Found by reading.

Cause: each read of the registrations replaced the known ones, though rows are never deleted.

Change: known registrations are kept, the list is read at once after a restoration, and an entry that was counted before uses its share on. Replaced hosts were counted before as well, so the shares of long-running fleets do not change.

--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -5,7 +5,6 @@
 //! something else.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -336,6 +335,7 @@
 {
     let own = format!("{ENTRIES_PREFIX}{}", shared.settings.name);
     loop {
+        let restored = shared.restored.notified();
         match shared.adapter.scan(ENTRIES_PREFIX).await {
             Ok(rows) => {
                 // A restarted host may have another address or another CPU share.
@@ -344,9 +344,11 @@
                     .and_then(parse_entry)
                     .is_some_and(|(_, peer)| peer == shared.registration());
                 let version = row.map_or(0, |row| row.version);
-                let entries = rows.len().max(1);
-                let registered = rows.iter().filter_map(parse_entry);
-                let registered: BTreeMap<String, Peer> = registered.collect();
+                // A row that is missing was lost in a restoration of the table store, since none is
+                // ever deleted. Its entry still uses its share of the quotas.
+                let mut registered = shared.registered.borrow().clone();
+                registered.extend(rows.iter().filter_map(parse_entry));
+                let entries = rows.len().max(registered.len()).max(1);
                 if *shared.registered.borrow() != registered {
                     *shared.registered.borrow_mut() = registered;
                     shared.dispatch.on_entries_changed();
@@ -363,7 +365,8 @@
                     continue;
                 }
                 let wait = if known { COUNT_INTERVAL } else { RECOUNT_DELAY };
-                tokio::time::sleep(wait).await;
+                // The rows may be missing after a restoration of the table store.
+                let _ = tokio::time::timeout(wait, restored).await;
             }
             Err(error) => {
                 log::warn!("failed to read the registered entries: {error}");
@@ -398,10 +401,15 @@
         log::warn!("failed to register this entry: {error}");
         return false;
     }
+    let time = now();
+    if shared.may_use_quota(time) {
+        // The other entries have counted the registration that was lost.
+        return true;
+    }
     let wait = match shared.settings.first_start {
         true => FIRST_JOIN_DELAY,
         false => JOIN_DELAY,
     };
-    shared.quota_from.set(Some(now() + wait));
+    shared.quota_from.set(Some(time + wait));
     true
 }
--- a/crates/gateway/src/restoration.rs
+++ b/crates/gateway/src/restoration.rs
@@ -56,6 +56,7 @@
             evidence.on_restored();
             shared.evidence.set(evidence);
             shared.roster.borrow_mut().on_store_outage(time);
+            shared.restored.notify_waiters();
             tokio::task::spawn_local(record_began(Rc::clone(shared), era));
         }
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -43,6 +43,8 @@
     pub(crate) evacuated: RefCell<HashSet<Domain>>,
     pub(crate) evidence: Cell<Evidence>,
     pub(crate) restoration: RefCell<Restoration>,
+    /// Notified when the table store was restored from a copy.
+    pub(crate) restored: Notify,
     pub(crate) tracker: RefCell<Tracker>,
     pub(crate) retries: RefCell<Retries<Service>>,
     pub(crate) ramp: RefCell<Ramp<Target>>,
@@ -123,6 +125,7 @@
             evacuated: RefCell::default(),
             evidence: Cell::default(),
             restoration: RefCell::default(),
+            restored: Notify::new(),
             tracker: RefCell::default(),
             retries: RefCell::new(Retries::new(policy)),
             ramp: RefCell::default(),
