gossip: keep one secret when a restoration has lost it

What could happen: if the copy is older than the secret of the entries, an entry that starts later generates another one, and the entries form two groups that discard each other's datagrams. Found by reading.

Cause: the secret was read once, at the start of the process.

Change: after a restoration each entry reads the row again, writes the secret that it knows if there is none, and takes over the one of the row otherwise, so that all end with the same one.

--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -61,7 +61,7 @@
 #[derive(Debug)]
 pub(crate) struct Transport {
     pub(crate) socket: Rc<UdpSocket>,
-    pub(crate) secret: [u8; 32],
+    pub(crate) secret: Value<[u8; 32]>,
 }
 
 /// Back-off of an unresponsive dispatcher.
@@ -294,7 +294,7 @@
 
 impl Transport {
     fn send(&self, message: &Message, to: SocketAddr) {
-        match packet::seal(&self.secret, message) {
+        match packet::seal(&self.secret.get(), message) {
             // A datagram that cannot be sent counts as lost; it will be sent again.
             Ok(datagram) => {
                 if let Err(error) = self.socket.try_send_to(&datagram, to) {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use crate::clock::now;
 use crate::discovery;
 use crate::dispatch::{self, Transport};
+use crate::logging::Event;
 use crate::packet::{self, Message};
 use crate::quarantine;
 use crate::shared::Shared;
@@ -27,11 +29,32 @@
 where
     Adapter: Platform,
 {
-    let secret = load_secret(&shared).await;
+    let secret = Cell::new(load_secret(&shared, None).await);
     let transport = Rc::new(Transport { socket, secret });
     shared.dispatch.set_transport(&transport);
-    // If one of them panics, both end.
-    tokio::join!(receive(&shared, &transport), send(&shared, &transport));
+    // If one of them panics, all end.
+    tokio::join!(
+        receive(&shared, &transport),
+        send(&shared, &transport),
+        restore_secret(&shared, &transport)
+    );
+}
+
+/// Writes the secret again if a restoration of the table store has lost it, or takes over the one
+/// that another entry has written, so that all entries use the same.
+async fn restore_secret<Adapter>(shared: &Rc<Shared<Adapter>>, transport: &Transport)
+where
+    Adapter: Platform,
+{
+    loop {
+        shared.restored.notified().await;
+        let known = transport.secret.get();
+        let secret = load_secret(shared, Some(known)).await;
+        if secret != known {
+            Event::new("secret_replaced").warn();
+            transport.secret.set(secret);
+        }
+    }
 }
 
 async fn send<Adapter>(shared: &Rc<Shared<Adapter>>, transport: &Transport)
@@ -51,7 +74,7 @@
             continue;
         }
         let message = Message::State(build_state(shared, names.len()));
-        let datagram = match packet::seal(&transport.secret, &message) {
+        let datagram = match packet::seal(&transport.secret.get(), &message) {
             Ok(datagram) => datagram,
             Err(problem) => {
                 log::error!("cannot encode the state message: {problem}");
@@ -131,7 +154,7 @@
             // still receive.
             continue;
         };
-        match packet::open(&transport.secret, &buffer[..length]) {
+        match packet::open(&transport.secret.get(), &buffer[..length]) {
             Ok(Message::State(state)) => merge(shared, &state),
             Ok(Message::Notice(notice)) => discovery::on_notice(shared, &notice),
             Ok(Message::Fetch(request, after)) => {
@@ -224,8 +247,9 @@
     }
 }
 
-/// Reads the shared secret from the table store; the first entry generates it.
-async fn load_secret<Adapter>(shared: &Rc<Shared<Adapter>>) -> [u8; 32]
+/// Reads the shared secret from the table store. If there is none, the first entry writes the
+/// `known` one or generates it.
+async fn load_secret<Adapter>(shared: &Rc<Shared<Adapter>>, known: Option<[u8; 32]>) -> [u8; 32]
 where
     Adapter: Platform,
 {
@@ -236,11 +260,11 @@
                 Err(error) => log::error!("the row {SECRET_ROW} has no valid secret: {error}"),
             },
             Ok(None) => {
-                let random: [u8; 32] = rand::rng().random();
+                let secret: [u8; 32] = known.unwrap_or_else(|| rand::rng().random());
                 let row = Write {
                     key: SECRET_ROW.to_owned(),
                     expect: 0,
-                    value: Some(serde_json::json!(random)),
+                    value: Some(serde_json::json!(secret)),
                 };
                 // Whichever entry wrote it first, the row is read again.
                 match shared.adapter.commit(&[row]).await {
