leader: record the release times of weights again after a restoration

What could happen: an entry that starts after the restoration finds no release time of a version that was released in the lost seconds, and lets targets serve outdated weights for the full bound again. Found by reading.

Change: the recorders write the times that they know, if the rows are missing.

--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -170,6 +170,12 @@
         found.and_then(|(_, releases)| releases.last().copied())
     }
 
+    /// Returns the known releases of all models, the oldest one of each model first.
+    pub fn releases(&self) -> impl Iterator<Item = (&Model, &Release)> {
+        let models = self.releases.iter();
+        models.flat_map(|(model, releases)| releases.iter().map(move |release| (model, release)))
+    }
+
     /// Returns whether any target that is not draining serves older weights than the newest
     /// release.
     #[must_use]
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -328,6 +328,19 @@
     }
 }
 
+/// Records again when the known weight versions were released, after a restoration of the table
+/// store.
+pub(crate) fn record_releases<Adapter>(shared: &Rc<Shared<Adapter>>)
+where
+    Adapter: Platform,
+{
+    for (model, release) in shared.rollout.borrow().releases() {
+        let (version, since) = (release.version, release.since);
+        let (shared, model) = (Rc::clone(shared), model.clone());
+        tokio::task::spawn_local(record_release(shared, model, version, false, since));
+    }
+}
+
 /// Registers this entry, and counts the entries that share the quotas.
 pub(crate) async fn count_entries<Adapter>(shared: Rc<Shared<Adapter>>)
 where
--- a/crates/gateway/src/restoration.rs
+++ b/crates/gateway/src/restoration.rs
@@ -9,6 +9,7 @@
 
 use crate::adapter::Platform;
 use crate::clock::now;
+use crate::leader;
 use crate::logging::Event;
 use crate::serve::millis;
 use crate::shared::Shared;
@@ -57,6 +58,7 @@
             shared.evidence.set(evidence);
             shared.roster.borrow_mut().on_store_outage(time);
             shared.restored.notify_waiters();
+            leader::record_releases(shared);
             tokio::task::spawn_local(record_began(Rc::clone(shared), era));
         }
     }
