feed: give up a configuration that the operator does not write again

What could happen: entries have read a configuration whose write was never acknowledged to the operator, and which the copy lacks. Since the operator does not write it again, the store lists an older one than the entries use, and no response is evidence of freshness any more: all requests with keys would be refused until the operator's next change.

Change: ten seconds after the restoration the listed configuration replaces the newer one, at each entry, with the log line `config_reverted`; reports of the reverted version by other entries do not count any more. Until then entries refuse as stale rather than serve on either configuration.

--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -118,6 +118,8 @@
     queue_delays: HashMap<Cell, (Duration, Time)>,
     /// The newest configuration in use by any entry, and when it was first reported.
     config: Option<(u64, Time)>,
+    /// The newest configuration that was reverted; reports of it are outdated.
+    reverted: u64,
     /// Position of the next recipient in the list of peers.
     next_peer: usize,
 }
@@ -191,9 +193,10 @@
         for (cell, delay) in &state.queue_delays {
             self.queue_delays.insert(cell.clone(), (*delay, now));
         }
-        if self
-            .config
-            .is_none_or(|(version, _)| version < state.config_version)
+        if state.config_version > self.reverted
+            && self
+                .config
+                .is_none_or(|(version, _)| version < state.config_version)
         {
             self.config = Some((state.config_version, now));
         }
@@ -308,6 +311,13 @@
             .is_some_and(|(newest, since)| newest > version && now.since(since) >= CONFIG_DELAY)
     }
 
+    /// Records that a configuration was reverted, so that it no longer counts as newer than the
+    /// ones before it.
+    pub fn on_reverted(&mut self, version: u64) {
+        self.reverted = self.reverted.max(version);
+        self.config = self.config.filter(|(newest, _)| *newest > version);
+    }
+
     /// Returns whether another entry has read a change made by the operator that an entry at this
     /// version lacks, for longer than it takes to learn of it.
     #[must_use]
--- a/crates/fleet/src/restoration.rs
+++ b/crates/fleet/src/restoration.rs
@@ -42,6 +42,9 @@
 /// after the copy was made, since the platform removes a row after three missed reports, which are
 /// 1.2 seconds apart.
 pub const LIST_SETTLE_TIME: Duration = Duration::from_secs(4);
+/// The time after which a newer configuration than the listed one counts as never acknowledged to
+/// the operator, who would have written it again.
+const REVERSION_TIME: Duration = Duration::from_secs(10);
 
 impl Restoration {
     /// Records the era of a response of the table store.
@@ -126,4 +129,21 @@
         let is_listed = self.listed >= known;
         is_listed && (self.rewritten || self.unsettled_for(now).is_zero())
     }
+
+    /// Returns whether the listed configuration replaces a newer one in use, `known`, that was
+    /// written before the restoration but not again after it.
+    #[must_use]
+    pub fn reverts(&self, known: u64, now: Time) -> bool {
+        let is_older = self.listed.is_some_and(|listed| listed < known);
+        let is_due = self
+            .began
+            .is_some_and(|began| now.since(began) >= REVERSION_TIME);
+        is_older && is_due
+    }
+
+    /// Returns whether the store lists an older configuration than the one in use.
+    #[must_use]
+    pub fn lags(&self, known: Option<u64>) -> bool {
+        self.began.is_some() && self.listed < known
+    }
 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -183,6 +183,13 @@
                     shared.discovery.on_store(batch.cursor, time);
                 }
                 apply(&shared, list, batch, extent, time);
+                let known = shared.config_version();
+                if extent == Extent::Whole
+                    && list == List::Operator
+                    && shared.restoration.borrow().lags(known)
+                {
+                    reload_at = Some(time + LIST_SETTLE_TIME);
+                }
                 if list == List::Targets && snapshot {
                     discovery::publish(&shared, Vec::new(), Vec::new());
                 }
@@ -452,9 +459,17 @@
 }
 
 fn adopt<Adapter>(shared: &Shared<Adapter>, catalog: fleet::catalog::Catalog) {
-    let known = shared.catalog();
-    if known.is_some_and(|known| known.version >= catalog.version) {
-        return;
+    if let Some(known) = shared.config_version() {
+        if known == catalog.version.0 {
+            return;
+        }
+        if known > catalog.version.0 {
+            if !shared.restoration.borrow().reverts(known, now()) {
+                return;
+            }
+            Event::new("config_reverted").with("version", known).warn();
+            shared.peers.borrow_mut().on_reverted(known);
+        }
     }
     Event::new("config")
         .with("version", catalog.version.0)
