--- a/crates/fleet/tests/gossip.rs
+++ b/crates/fleet/tests/gossip.rs
@@ -3,7 +3,7 @@
 use fleet::cache::Key;
 use fleet::gossip::{Peers, State};
 use fleet::placement::Load;
-use types::Time;
+use types::{Revision, Time};
 
 fn at(millis: u64) -> Time {
     Time::from_millis(millis)
@@ -207,3 +207,55 @@
     peers.expire(27, at(19_100));
     assert!(peers.may_evict());
 }
+
+/// Guards against an entry that missed a restoration of the table store, whose versions are lower
+/// afterwards, and does not see that it is behind.
+#[test]
+fn an_entry_of_the_era_before_is_behind() {
+    let mut peers = Peers::default();
+    let mut report = state("a", 1, 0);
+    report.operator_version = Revision::new(1, 900).into();
+    peers.on_state(&report, at(0));
+    let later = at(60_000);
+    let own = u64::from(Revision::new(1, 900));
+    assert!(!peers.has_newer_operator_data(own, later));
+    // The peer has read a snapshot of the restored store, which shows no change yet.
+    report.sequence = 2;
+    report.operator_version = Revision::new(2, 0).into();
+    peers.on_state(&report, at(1000));
+    assert!(peers.has_newer_operator_data(own, later));
+    let snapshot = u64::from(Revision::new(2, 40));
+    assert!(!peers.has_newer_operator_data(snapshot, later));
+    // A late report of the era before does not hide the newer one.
+    let mut late = state("b", 1, 0);
+    late.operator_version = Revision::new(1, 1200).into();
+    peers.on_state(&late, at(1100));
+    assert!(peers.has_newer_operator_data(own, later));
+    assert!(!peers.has_newer_operator_data(snapshot, later));
+    report.sequence = 3;
+    report.operator_version = Revision::new(2, 41).into();
+    peers.on_state(&report, at(1200));
+    assert!(peers.has_newer_operator_data(snapshot, later));
+}
+
+/// Guards against an entry that counts as behind forever because of a configuration that was given
+/// up after a restoration of the table store.
+#[test]
+fn a_configuration_that_was_given_up_is_not_newer() {
+    let mut peers = Peers::default();
+    let mut report = state("a", 1, 0);
+    report.config_version = 6;
+    peers.on_state(&report, at(0));
+    let later = at(60_000);
+    assert!(peers.has_newer_config(5, later));
+    peers.on_reverted(6);
+    assert!(!peers.has_newer_config(5, later));
+    // Another entry still uses it.
+    report.sequence = 2;
+    peers.on_state(&report, at(100));
+    assert!(!peers.has_newer_config(5, later));
+    report.sequence = 3;
+    report.config_version = 7;
+    peers.on_state(&report, at(200));
+    assert!(peers.has_newer_config(6, later));
+}
