freshness: do not date evidence by a clock difference that it gives itself

Callers with a key were served on old evidence if an entry was suspended during its first call of the table store, after its start or after a restoration, which forgets the clock difference.

Cause: the first reply sets the difference between the two clocks, and the same reply was dated by it, so that it always seemed to have been given on arrival.

Evidence: the_first_answer_on_a_clock_is_as_old_as_its_request failed before: a reply to a request of 7.9 s ago counted as fresh. The other new tests step the store's clock back and forward in restorations; they passed before.

The first reply now proves no more than that it is younger than its request. The first call reads the whole list and is not held by the store, so that it loses no more than its transit time.

--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -37,15 +37,19 @@
         given_us.saturating_add(min_offset)
     }
 
-    /// Records a reply of the table store that is evidence of the configuration: it was requested at `sent_at`, arrived at
-    /// `received_at`, and was given at `store_ms` on the table store's monotonic clock, in
-    /// milliseconds.
+    /// Records a reply of the table store that is evidence of the configuration: it was requested
+    /// at `sent_at`, arrived at `received_at`, and was given at `store_ms` on the table store's
+    /// monotonic clock, in milliseconds.
     ///
-    /// The reply to a long poll is younger than the request. The smallest clock difference ever
-    /// seen bounds how much younger, since a reply never arrives before it is given.
+    /// The reply to a long poll is younger than the request. The smallest clock difference of the
+    /// earlier replies bounds how much younger, since a reply never arrives before it is given.
     pub fn on_answer(&mut self, sent_at: Time, received_at: Time, store_ms: u64) {
+        let is_first = self.offset.is_none();
         let latest_us = self.on_store_clock(received_at, store_ms);
-        let earliest_us = u64::try_from(latest_us.saturating_sub(OFFSET_ERROR_US)).unwrap_or(0);
+        let earliest_us = match is_first {
+            true => 0,
+            false => u64::try_from(latest_us.saturating_sub(OFFSET_ERROR_US)).unwrap_or(0),
+        };
         let confirmed = sent_at.max(Time(earliest_us)).min(received_at);
         self.confirmed = self.confirmed.max(Some(confirmed));
     }
--- a/crates/fleet/tests/staleness.rs
+++ b/crates/fleet/tests/staleness.rs
@@ -161,3 +161,71 @@
         prop_assert!(after + Duration::from_millis(400) >= true_age.min(before.unwrap_or(true_age)));
     }
 }
+
+/// Guards against an entry that is suspended during the first call after its start, or after a
+/// restoration of the table store, and takes the late answer for fresh evidence.
+#[test]
+fn the_first_answer_on_a_clock_is_as_old_as_its_request() {
+    let mut evidence = Evidence::default();
+    evidence.on_answer(at(1100), at(9000), 620);
+    assert!(!evidence.is_fresh(at(9000), REVOKE));
+    evidence.on_answer(at(9000), at(9004), 8522);
+    assert!(evidence.is_fresh(at(9004), REVOKE));
+    evidence.on_restored();
+    evidence.on_answer(at(9100), at(19_000), 300);
+    assert!(!evidence.is_fresh(at(19_000), REVOKE));
+}
+
+/// Guards against evidence that is converted by the clock of the era before, after the table store
+/// came back with an earlier or a later time.
+#[test]
+fn the_clock_of_a_restored_store_is_related_again() {
+    for restored_ms in [0, 70_000, 100_000, 5_000_000] {
+        let mut evidence = Evidence::default();
+        evidence.on_answer(at(1000), at(1004), 90_000);
+        evidence.on_restored();
+        // What was known before the restoration keeps its age on the own clock.
+        let age = evidence.age(at(1500)).expect("evidence");
+        assert_eq!(age, Duration::from_millis(500));
+        assert_eq!(evidence.store_time(at(1500)), None);
+        assert_eq!(evidence.confirmed_at(), None);
+        evidence.on_peer_evidence(restored_ms, at(1500));
+        assert_eq!(evidence.age(at(1500)), Some(age));
+        // An answer that is no evidence relates the clocks.
+        evidence.on_store_clock(at(1600), restored_ms + 100);
+        assert_eq!(evidence.age(at(1600)), Some(Duration::from_millis(600)));
+        assert_eq!(evidence.store_time(at(1600)), Some(restored_ms + 100));
+        evidence.on_peer_evidence(restored_ms + 50, at(1600));
+        let age = evidence.age(at(1600)).expect("evidence");
+        assert_eq!(age, Duration::from_millis(60));
+    }
+}
+
+proptest! {
+    /// Guards against evidence that counts as younger than the table store's answer when the
+    /// store's clock steps back or forward in restorations.
+    #[test]
+    fn a_step_of_the_clock_never_makes_evidence_younger(
+        eras in prop::collection::vec(
+            (0u64..60_000, prop::collection::vec((0u64..3000, 0u64..500, 0u64..200), 1..6)),
+            1..5,
+        ),
+    ) {
+        let mut evidence = Evidence::default();
+        let mut clock = 10_000;
+        for (store_at_start, exchanges) in eras {
+            evidence.on_restored();
+            let started = clock;
+            for (gap, to, back) in exchanges {
+                clock += gap;
+                let (sent, responded) = (clock, clock + to);
+                clock = responded + back;
+                evidence.on_answer(at(sent), at(clock), store_at_start + responded - started);
+                let age = evidence.age(at(clock)).expect("there was an answer");
+                let true_age = Duration::from_millis(clock - responded);
+                // The fastest answer of the era bounds the error.
+                prop_assert!(age + Duration::from_millis(200) >= true_age);
+            }
+        }
+    }
+}
