roster: keep targets that are listed again after a restoration of the table store

A target that started in the lost seconds, or vanished in the outage, got no requests after it had written its row again, for up to 30 s, the lifetime of a tombstone.

Cause: the merge of a copy dropped each target with a tombstone from the list, and the replacement of the list then took it for missing, and moved its tombstone to the cursor of the list. The row that the target had written before is below that cursor, so that all later reports of it were refused. This hit tombstones that the merge of an earlier list of the same era had made, and targets that were only suspected.

Only a tombstone of an earlier era hides a row of the copy, and a listed target is not missing; of two reports of the same era, the revisions decide as always.

--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use types::{Domain, Model, Service, Target, Time};
+use types::{Domain, Model, Revision, Service, Target, Time};
 
 /// One incarnation of a target, that is, one run of its process.
 #[derive(Debug, Clone, PartialEq)]
@@ -213,6 +213,14 @@
 
     /// Replaces the whole list by that of a revision.
     pub fn replace(&mut self, members: Vec<Member>, revision: u64, now: Time) {
+        self.remove_missing(&members, revision, now);
+        for member in members {
+            self.upsert(member, now);
+        }
+    }
+
+    /// Removes the targets that a list of a revision lacks.
+    fn remove_missing(&mut self, members: &[Member], revision: u64, now: Time) {
         let missing: Vec<Target> = self
             .records
             .keys()
@@ -222,9 +230,6 @@
         for id in missing {
             self.remove(&id, revision, now);
         }
-        for member in members {
-            self.upsert(member, now);
-        }
     }
 
     /// Merges the list of a table store that was restored from an older copy.
@@ -232,26 +237,35 @@
     /// Until the targets have written their rows again, the copy may list a target that has left,
     /// or that drains, and lack one that has started.
     pub fn merge_restored(&mut self, members: Vec<Member>, revision: u64, now: Time) {
-        let members = members.into_iter().filter_map(|mut member| {
-            if self.tombstones.contains_key(&member.id) {
-                return None;
-            }
-            let Some(known) = self.records.get(&member.id) else {
-                return Some(member);
-            };
-            if member.started_ms < known.member.started_ms {
-                let revision = member.revision;
-                member = Member::clone(&known.member);
-                member.revision = revision;
-            }
-            if member.started_ms == known.member.started_ms {
-                member.draining |= known.member.draining;
-            }
-            Some(member)
-        });
-        let members = members.collect();
         self.on_store_outage(now);
-        self.replace(members, revision, now);
+        self.remove_missing(&members, revision, now);
+        for member in members {
+            if let Some(member) = self.correct_copied(member) {
+                self.upsert(member, now);
+            }
+        }
+    }
+
+    /// Corrects a row that may be that of a copy by what was known before the restoration; `None` if
+    /// the target had been removed.
+    fn correct_copied(&self, mut member: Member) -> Option<Member> {
+        let era = Revision::from(member.revision).era();
+        let tombstone = self.tombstones.get(&member.id);
+        if tombstone.is_some_and(|(removed_at, _)| Revision::from(*removed_at).era() < era) {
+            return None;
+        }
+        let Some(known) = self.records.get(&member.id) else {
+            return Some(member);
+        };
+        if member.started_ms < known.member.started_ms {
+            let revision = member.revision;
+            member = Member::clone(&known.member);
+            member.revision = revision;
+        }
+        if member.started_ms == known.member.started_ms {
+            member.draining |= known.member.draining;
+        }
+        Some(member)
     }
 
     /// Drops targets that have been missing for longer than the grace period, and expired
