discovery: adopt a neighbour's list of a restored table store like the copy itself

After a restoration of the table store, an entry sent requests to targets that it knew to drain or to have left.

Cause: an entry whose list differs from that of its leader reads the leader's list and replaced its own by it. A leader that has started after the restoration has read the copy, whose rows have greater revisions than all that was known before, so that they won. An entry that watches no list of targets learns of a restoration by its next call for the operator's list, which may be later than the fetch.

Evidence: the_list_of_a_neighbour_that_read_the_copy_brings_nothing_back and rows_of_the_copy_undo_nothing with lists of neighbours failed with the replacement.

The roster now takes notice of the first report of a new era, and merges the lists of neighbours like the copy until the settle time is over; this replaces the check of the entry's own era. A roster without reports, of an entry that starts, replaces its list as before. Ruled out: to compare the revisions of single rows, since a row of the copy cannot be told from one that was written again.

--- a/crates/fleet/src/restoration.rs
+++ b/crates/fleet/src/restoration.rs
@@ -96,13 +96,6 @@
         self.began
     }
 
-    /// Returns whether the lists may still be those of a copy.
-    #[must_use]
-    pub fn is_settling(&self, now: Time) -> bool {
-        self.began
-            .is_some_and(|began| now.since(began) < LIST_SETTLE_TIME)
-    }
-
     /// Records the version of the configuration in a snapshot, which may be that of the copy, or in
     /// a change, which was written in this era.
     pub fn on_config(&mut self, version: u64, is_change: bool) {
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -7,6 +7,8 @@
 
 use types::{Domain, Model, Revision, Service, Target, Time};
 
+use crate::restoration::LIST_SETTLE_TIME;
+
 /// One incarnation of a target, that is, one run of its process.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Member {
@@ -56,6 +58,10 @@
     tombstones: HashMap<Target, (u64, Time)>,
     /// When the table store was last unavailable.
     store_outage: Option<Time>,
+    /// The era of the newest report.
+    era: u64,
+    /// When the first report of that era arrived, unless there was none of an earlier era.
+    restored_at: Option<Time>,
     /// Changes with the set of targets, their services, domains and weights.
     generation: u64,
 }
@@ -101,6 +107,17 @@
 }
 
 impl Roster {
+    /// Takes notice of the era of a report or a list.
+    fn on_revision(&mut self, revision: u64, now: Time) {
+        let era = Revision::from(revision).era();
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        let has_reports = !self.records.is_empty() || !self.tombstones.is_empty();
+        self.restored_at = has_reports.then_some(now);
+    }
+
     /// Records an outage of the table store; targets that vanish soon after may still be live.
     pub fn on_store_outage(&mut self, now: Time) {
         self.store_outage = Some(now);
@@ -116,6 +133,7 @@
     /// Records a report of the list. Returns whether it contains anything new. A report older than
     /// the known state is ignored, and weight versions never decrease within an incarnation.
     pub fn upsert(&mut self, mut member: Member, now: Time) -> bool {
+        self.on_revision(member.revision, now);
         let known = self.records.get(&member.id);
         let removed_at = self
             .tombstones
@@ -191,6 +209,7 @@
 
     /// Records that a target was removed from the list at a revision. Returns whether that is new.
     pub fn remove(&mut self, id: &Target, revision: u64, now: Time) -> bool {
+        self.on_revision(revision, now);
         let known = self.records.get(id);
         if known.is_some_and(|known| known.member.revision > revision) {
             return false;
@@ -213,12 +232,26 @@
 
     /// Replaces the whole list by that of a revision.
     pub fn replace(&mut self, members: Vec<Member>, revision: u64, now: Time) {
+        self.on_revision(revision, now);
         self.remove_missing(&members, revision, now);
         for member in members {
             self.upsert(member, now);
         }
     }
 
+    /// Replaces the whole list by that of a neighbour, which may have read it from a table store
+    /// that was just restored from an older copy.
+    pub fn adopt(&mut self, members: Vec<Member>, revision: u64, now: Time) {
+        self.on_revision(revision, now);
+        let is_restored = self
+            .restored_at
+            .is_some_and(|restored_at| now.since(restored_at) < LIST_SETTLE_TIME);
+        match is_restored {
+            true => self.merge_restored(members, revision, now),
+            false => self.replace(members, revision, now),
+        }
+    }
+
     /// Removes the targets that a list of a revision lacks.
     fn remove_missing(&mut self, members: &[Member], revision: u64, now: Time) {
         let missing: Vec<Target> = self
@@ -237,6 +270,7 @@
     /// Until the targets have written their rows again, the copy may list a target that has left,
     /// or that drains, and lack one that has started.
     pub fn merge_restored(&mut self, members: Vec<Member>, revision: u64, now: Time) {
+        self.on_revision(revision, now);
         self.on_store_outage(now);
         self.remove_missing(&members, revision, now);
         for member in members {
--- a/crates/fleet/tests/restored_list.rs
+++ b/crates/fleet/tests/restored_list.rs
@@ -69,6 +69,36 @@
     assert!(is_used(&roster, "back"));
 }
 
+/// Guards against a neighbour that started from the copy, and whose list brings back a target that
+/// has left or drains.
+#[test]
+fn the_list_of_a_neighbour_that_read_the_copy_brings_nothing_back() {
+    let mut roster = Roster::default();
+    roster.upsert(member("gone", 0, 5, 1, false), at(0));
+    roster.remove(&"gone".into(), revision(0, 21), at(10));
+    roster.upsert(member("drains", 0, 22, 1, true), at(20));
+    roster.upsert(member("stays", 0, 7, 1, false), at(20));
+    let copy = vec![
+        member("gone", 1, 5, 1, false),
+        member("drains", 1, 6, 1, false),
+        member("stays", 1, 7, 1, false),
+    ];
+    for now in [1000, 1800, 2600] {
+        roster.adopt(copy.clone(), revision(1, 12), at(now));
+        assert!(!is_used(&roster, "gone"));
+        assert!(!is_used(&roster, "drains"));
+        assert!(is_used(&roster, "stays"));
+    }
+    // After the settle time the neighbour's list is taken as it is.
+    let list = vec![member("stays", 1, 31, 1, false)];
+    let settled = at(1000) + LIST_SETTLE_TIME;
+    roster.adopt(list.clone(), revision(1, 40), settled);
+    roster.expire(settled + OUTAGE_GRACE);
+    let mut neighbour = Roster::default();
+    neighbour.replace(list, revision(1, 40), settled);
+    assert_eq!(roster.digest(), neighbour.digest());
+}
+
 /// The state of a target, as it would write it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Truth {
@@ -88,8 +118,8 @@
 /// What happens after the restoration.
 #[derive(Debug, Clone, Copy)]
 enum Event {
-    /// The entry reads the list of the store.
-    List,
+    /// The entry reads the list of the store, itself or through a neighbour.
+    List { by_neighbour: bool },
     /// The target writes its row again; the entry learns of it if the change reaches it.
     Rewrite { target: usize, reaches: bool },
     /// A report of the time before arrives late, for the second time.
@@ -160,7 +190,7 @@
 
 fn event() -> impl Strategy<Value = Event> {
     prop_oneof![
-        3 => Just(Event::List),
+        3 => any::<bool>().prop_map(|by_neighbour| Event::List { by_neighbour }),
         3 => (0..TARGETS, any::<bool>())
             .prop_map(|(target, reaches)| Event::Rewrite { target, reaches }),
         1 => (0..20usize).prop_map(Event::Late),
@@ -238,7 +268,10 @@
         roster.merge_restored(store.list(), store.cursor(), at(clock));
         for event in events {
             match event {
-                Event::List => {
+                Event::List { by_neighbour: true } => {
+                    roster.adopt(store.list(), store.cursor(), at(clock));
+                }
+                Event::List { by_neighbour: false } => {
                     roster.merge_restored(store.list(), store.cursor(), at(clock));
                 }
                 Event::Rewrite { target, reaches } => {
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -244,7 +244,7 @@
     None
 }
 
-/// Fetches the whole list from a neighbour, and replaces the roster by it.
+/// Fetches the whole list from a neighbour, and adopts it.
 pub(crate) async fn fetch<Adapter>(shared: &Rc<Shared<Adapter>>, neighbour: &str) -> Fetched
 where
     Adapter: Platform,
@@ -268,13 +268,8 @@
     };
     neighbours.on_fetched();
     drop(neighbours);
-    let time = now();
     let mut roster = shared.roster.borrow_mut();
-    // The neighbour may have started after a restoration of the store, and know only the copy.
-    match shared.restoration.borrow().is_settling(time) {
-        true => roster.merge_restored(members, cursor, time),
-        false => roster.replace(members, cursor, time),
-    }
+    roster.adopt(members, cursor, now());
     drop(roster);
     feed::notify_lag(shared);
     fetched
