--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use types::{Domain, Model, Service, Target, Time};
+use types::{Domain, Model, Revision, Service, Target, Time};
+
+use crate::restoration::LIST_SETTLE_TIME;
 
 /// One incarnation of a target, that is, one run of its process.
 #[derive(Debug, Clone, PartialEq)]
@@ -29,8 +31,8 @@
     pub started_ms: Option<u64>,
     /// The weight versions of its models.
     pub weights: Vec<(Model, u64)>,
-    /// The version of its row in the platform's table store; of two reports, the one with the
-    /// greater revision is newer.
+    /// The [`types::Revision`] of its row in the platform's table store; of two reports, the one
+    /// with the greater revision is newer.
     pub revision: u64,
 }
 
@@ -56,6 +58,10 @@
     tombstones: HashMap<Target, (u64, Time)>,
     /// When the table store was last unavailable.
     store_outage: Option<Time>,
+    /// The era of the newest report.
+    era: u64,
+    /// When the first report of that era arrived, unless there was none of an earlier era.
+    restored_at: Option<Time>,
     /// Changes with the set of targets, their services, domains and weights.
     generation: u64,
 }
@@ -101,6 +107,17 @@
 }
 
 impl Roster {
+    /// Takes notice of the era of a report or a list.
+    fn on_revision(&mut self, revision: u64, now: Time) {
+        let era = Revision::from(revision).era();
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        let has_reports = !self.records.is_empty() || !self.tombstones.is_empty();
+        self.restored_at = has_reports.then_some(now);
+    }
+
     /// Records an outage of the table store; targets that vanish soon after may still be live.
     pub fn on_store_outage(&mut self, now: Time) {
         self.store_outage = Some(now);
@@ -116,6 +133,7 @@
     /// Records a report of the list. Returns whether it contains anything new. A report older than
     /// the known state is ignored, and weight versions never decrease within an incarnation.
     pub fn upsert(&mut self, mut member: Member, now: Time) -> bool {
+        self.on_revision(member.revision, now);
         let known = self.records.get(&member.id);
         let removed_at = self
             .tombstones
@@ -191,6 +209,7 @@
 
     /// Records that a target was removed from the list at a revision. Returns whether that is new.
     pub fn remove(&mut self, id: &Target, revision: u64, now: Time) -> bool {
+        self.on_revision(revision, now);
         let known = self.records.get(id);
         if known.is_some_and(|known| known.member.revision > revision) {
             return false;
@@ -213,6 +232,28 @@
 
     /// Replaces the whole list by that of a revision.
     pub fn replace(&mut self, members: Vec<Member>, revision: u64, now: Time) {
+        self.on_revision(revision, now);
+        self.remove_missing(&members, revision, now);
+        for member in members {
+            self.upsert(member, now);
+        }
+    }
+
+    /// Replaces the whole list by that of a neighbour, which may have read it from a table store
+    /// that was just restored from an older copy.
+    pub fn adopt(&mut self, members: Vec<Member>, revision: u64, now: Time) {
+        self.on_revision(revision, now);
+        let is_restored = self
+            .restored_at
+            .is_some_and(|restored_at| now.since(restored_at) < LIST_SETTLE_TIME);
+        match is_restored {
+            true => self.merge_restored(members, revision, now),
+            false => self.replace(members, revision, now),
+        }
+    }
+
+    /// Removes the targets that a list of a revision lacks.
+    fn remove_missing(&mut self, members: &[Member], revision: u64, now: Time) {
         let missing: Vec<Target> = self
             .records
             .keys()
@@ -222,9 +263,43 @@
         for id in missing {
             self.remove(&id, revision, now);
         }
+    }
+
+    /// Merges the list of a table store that was restored from an older copy.
+    ///
+    /// Until the targets have written their rows again, the copy may list a target that has left,
+    /// or that drains, and lack one that has started.
+    pub fn merge_restored(&mut self, members: Vec<Member>, revision: u64, now: Time) {
+        self.on_revision(revision, now);
+        self.on_store_outage(now);
+        self.remove_missing(&members, revision, now);
         for member in members {
-            self.upsert(member, now);
+            if let Some(member) = self.correct_copied(member) {
+                self.upsert(member, now);
+            }
+        }
+    }
+
+    /// Corrects a row that may be that of a copy by what was known before the restoration; `None` if
+    /// the target had been removed.
+    fn correct_copied(&self, mut member: Member) -> Option<Member> {
+        let era = Revision::from(member.revision).era();
+        let tombstone = self.tombstones.get(&member.id);
+        if tombstone.is_some_and(|(removed_at, _)| Revision::from(*removed_at).era() < era) {
+            return None;
+        }
+        let Some(known) = self.records.get(&member.id) else {
+            return Some(member);
+        };
+        if member.started_ms < known.member.started_ms {
+            let revision = member.revision;
+            member = Member::clone(&known.member);
+            member.revision = revision;
+        }
+        if member.started_ms == known.member.started_ms {
+            member.draining |= known.member.draining;
         }
+        Some(member)
     }
 
     /// Drops targets that have been missing for longer than the grace period, and expired
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -244,7 +244,7 @@
     None
 }
 
-/// Fetches the whole list from a neighbour, and replaces the roster by it.
+/// Fetches the whole list from a neighbour, and adopts it.
 pub(crate) async fn fetch<Adapter>(shared: &Rc<Shared<Adapter>>, neighbour: &str) -> Fetched
 where
     Adapter: Platform,
@@ -269,7 +269,7 @@
     neighbours.on_fetched();
     drop(neighbours);
     let mut roster = shared.roster.borrow_mut();
-    roster.replace(members, cursor, now());
+    roster.adopt(members, cursor, now());
     drop(roster);
     feed::notify_lag(shared);
     fetched
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -16,6 +16,7 @@
 use fleet::queue::Queues;
 use fleet::quota::{Policy, Ramp, Retries};
 use fleet::reachability::Reachability;
+use fleet::restoration::Restoration;
 use fleet::rollout::Rollout;
 use fleet::roster::Roster;
 use rand::Rng;
@@ -41,6 +42,9 @@
     pub(crate) roster: RefCell<Roster>,
     pub(crate) evacuated: RefCell<HashSet<Domain>>,
     pub(crate) evidence: Cell<Evidence>,
+    pub(crate) restoration: RefCell<Restoration>,
+    /// Notified when the table store was restored from a copy.
+    pub(crate) restored: Notify,
     pub(crate) tracker: RefCell<Tracker>,
     pub(crate) retries: RefCell<Retries<Service>>,
     pub(crate) ramp: RefCell<Ramp<Target>>,
@@ -81,7 +85,7 @@
     pub(crate) weights_lag: Notify,
 }
 
-/// How far a list has been read, in row versions of the table store.
+/// How far a list has been read, as a [`types::Revision`] of the table store.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Progress {
     /// The version up to which the list has been read.
@@ -120,6 +124,8 @@
             roster: RefCell::default(),
             evacuated: RefCell::default(),
             evidence: Cell::default(),
+            restoration: RefCell::default(),
+            restored: Notify::new(),
             tracker: RefCell::default(),
             retries: RefCell::new(Retries::new(policy)),
             ramp: RefCell::default(),
@@ -152,6 +158,11 @@
         self.catalog.borrow().clone()
     }
 
+    /// Returns how often the table store has been restored from a copy, as far as this entry knows.
+    pub(crate) fn era(&self) -> u64 {
+        self.restoration.borrow().era()
+    }
+
     /// Returns the version of the configuration in force.
     pub(crate) fn config_version(&self) -> Option<u64> {
         let catalog = self.catalog.borrow();
