gateway: respond to callers that close their sending side

A caller that closed its sending side after a complete request got neither a response nor a refusal: its connection ended without a byte. Of three pipelined requests in front of the end of the data, the last got no response.

hyper's server treats the end of the data during a response as an incomplete message, drops the service's future and closes the connection; the request is dropped with it, and its target's connection closed. The end arrives before the service has been polled, so the entry had no chance to respond.

The connection now withholds the end of the data from hyper while a request is in progress. What a caller that has left and one that reads on have in common is that nothing else arrives; they differ once something is written, since a closed socket answers with a reset. A stream therefore continues as long as its events are written, and fails with the first write after the reset. A request without a response is ended with 504 after 0.3 s, which a caller that reads on receives; 504 promises nothing about the target.

Ruled out: hyper's own half_close option, which no longer notices a caller that has left before the response is written, so that targets would work for it until the deadline; and an interim response as a probe, which some callers take for bytes that are no response.

What remains: a plain request that takes longer than 0.3 s at its target is ended with 504 for a caller that has closed its sending side.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -99,6 +99,8 @@
     Failed,
     /// the entry failed, and a target may have run the request
     Panicked,
+    /// the caller has closed its side of the connection, and a target may have run the request
+    Abandoned,
     /// the time is over, and a target may have run the request
     TimedOut,
     /// the time is over before the request was sent
@@ -230,7 +232,7 @@
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Failed | Self::Panicked => StatusCode::BAD_GATEWAY,
-            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::Abandoned | Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
@@ -250,6 +252,7 @@
             Self::Stopping => "stopping",
             Self::Failed => "failed",
             Self::Panicked => "panicked",
+            Self::Abandoned => "abandoned",
             Self::TimedOut => "late",
             Self::TimedOutUnsent => "too_late",
         }
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -1,9 +1,9 @@
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::{ErrorKind, Result};
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,7 +12,8 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::Sleep;
+use tokio::sync::Notify;
+use tokio::time::{Instant, Sleep};
 use types::Time;
 
 use crate::clock::now;
@@ -31,6 +32,14 @@
     idle_since: Cell<Time>,
     /// When the head of the next request began to arrive.
     head_since: Cell<Option<Time>>,
+    /// Whether the response to the request in progress has been passed to hyper.
+    is_responding: Cell<bool>,
+    /// Whether the caller was taken for gone before there was a response.
+    is_abandoned: Cell<bool>,
+    /// Signals a change of `is_abandoned`.
+    abandoned: Notify,
+    /// The task that waits for the end of the requests of a caller that sends nothing else.
+    half_closed: RefCell<Option<Waker>>,
 }
 
 /// What a connection waits for.
@@ -54,6 +63,16 @@
     link: Rc<Link>,
     /// Ends the wait for the caller's end of the connection.
     linger: Option<Pin<Box<Sleep>>>,
+    /// Present once the caller has closed its sending side during a request.
+    half_close: Option<HalfClose>,
+}
+
+/// The wait for signs that a caller which has closed its sending side still reads.
+#[derive(Debug)]
+struct HalfClose {
+    timer: Pin<Box<Sleep>>,
+    /// When the timer was started.
+    since: Time,
 }
 
 /// The maximum number of bytes that are read and dropped after a refusal, to keep the connection.
@@ -63,6 +82,10 @@
 /// How long a connection is read after its last response if the caller may still be sending. Bytes
 /// that arrive on a closed socket reset the connection, and some callers lose the response by that.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a request continues after its caller has closed its sending side. A caller that only
+/// sends no further requests cannot be told from one that has left before something is written to
+/// it, and the work for a caller that has left should end soon.
+const HALF_CLOSE_GRACE: Duration = Duration::from_millis(300);
 /// The size of the buffer for bytes that are dropped.
 const DISCARD_BUFFER_BYTES: usize = 8 << 10;
 
@@ -75,6 +98,10 @@
             is_write_blocked: Cell::new(false),
             idle_since: Cell::new(now()),
             head_since: Cell::new(None),
+            is_responding: Cell::new(false),
+            is_abandoned: Cell::new(false),
+            abandoned: Notify::new(),
+            half_closed: RefCell::default(),
         }
     }
 
@@ -150,9 +177,23 @@
     pub(crate) fn new(link: Rc<Link>) -> Self {
         link.requests.set(link.requests.get() + 1);
         link.head_since.set(None);
+        link.is_responding.set(false);
+        link.is_abandoned.set(false);
         Self(link)
     }
 
+    /// Waits until the caller is taken for gone.
+    pub(crate) async fn abandoned(&self) {
+        while !self.0.is_abandoned.get() {
+            self.0.abandoned.notified().await;
+        }
+    }
+
+    /// Records that hyper gets the response next.
+    pub(crate) fn start_response(&self) {
+        self.0.is_responding.set(true);
+    }
+
     /// Returns the link of the request.
     pub(crate) fn link(&self) -> &Link {
         &self.0
@@ -164,27 +205,34 @@
         self.0.requests.set(self.0.requests.get().saturating_sub(1));
         self.0.head_since.set(None);
         self.0.idle_since.set(now());
+        if let Some(waker) = self.0.half_closed.take() {
+            waker.wake();
+        }
     }
 }
 
 impl Io {
     pub(crate) fn new(link: Rc<Link>) -> Self {
-        Self { link, linger: None }
+        Self {
+            link,
+            linger: None,
+            half_close: None,
+        }
     }
 }
 
 impl AsyncRead for Io {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
-        let socket = &self.link.socket;
         let filled = buffer.filled().len();
         loop {
-            ready!(socket.poll_read_ready(context))?;
-            match socket.try_read_buf(buffer) {
+            ready!(self.link.socket.poll_read_ready(context))?;
+            match self.link.socket.try_read_buf(buffer) {
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Ok(0) => return self.poll_half_closed(context).map(Ok),
                 Ok(_) => {
                     self.link.on_read(&buffer.filled()[filled..]);
                     return Poll::Ready(Ok(()));
@@ -196,6 +244,40 @@
 }
 
 impl Io {
+    /// Delays the end of the caller's data for hyper, which would drop the requests in progress,
+    /// until they have ended or the caller seems to have left.
+    ///
+    /// What is written to a caller that has left fails soon. One that does not read can only be
+    /// recognised by a write, so a request without a response is ended with one.
+    fn poll_half_closed(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let link = &self.link;
+        if link.requests.get() == 0 {
+            return Poll::Ready(());
+        }
+        link.half_closed.replace(Some(context.waker().clone()));
+        let half_close = self.half_close.get_or_insert_with(|| HalfClose {
+            timer: Box::pin(tokio::time::sleep(HALF_CLOSE_GRACE)),
+            since: now(),
+        });
+        loop {
+            ready!(half_close.timer.as_mut().poll(context));
+            let has_failed = !matches!(link.socket.take_error(), Ok(None));
+            let has_written = link.idle_since.get() > half_close.since;
+            match link.is_responding.get() {
+                _ if has_failed => return Poll::Ready(()),
+                _ if has_written => {}
+                true => return Poll::Ready(()),
+                false => {
+                    link.is_abandoned.set(true);
+                    link.abandoned.notify_waiters();
+                }
+            }
+            half_close.since = now();
+            let deadline = Instant::now() + HALF_CLOSE_GRACE;
+            half_close.timer.as_mut().reset(deadline);
+        }
+    }
+
     fn poll_write_with<Write>(&self, context: &mut Context<'_>, write: Write) -> Poll<Result<usize>>
     where
         Write: Fn(&TcpStream) -> Result<usize>,
@@ -242,7 +324,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        let Self { link, linger } = &mut *self;
+        let Self { link, linger, .. } = &mut *self;
         let linger = match linger {
             Some(linger) => linger,
             None => {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -18,7 +18,7 @@
 use crate::answer::{Body, Reason, close};
 use crate::attempt::{self, Admitted, Buffered, Choice, Grant, Outcome};
 use crate::buffer::{self, Reservation};
-use crate::caller::{Exchange, Link, MAX_DRAIN_BYTES};
+use crate::caller::{Exchange, MAX_DRAIN_BYTES};
 use crate::choose;
 use crate::clock::now;
 use crate::dispatch::{self, Failure};
@@ -41,7 +41,7 @@
 /// Serves a caller's request.
 pub(crate) async fn serve<Adapter>(
     shared: Rc<Shared<Adapter>>,
-    link: Rc<Link>,
+    exchange: Rc<Exchange>,
     request: Request<Incoming>,
 ) -> Response<Body>
 where
@@ -49,7 +49,6 @@
 {
     let arrived = now();
     let unanswered = Rc::clone(&shared.unanswered);
-    let exchange = Rc::new(Exchange::new(link));
     let (parts, body) = request.into_parts();
     let expects_continue = parts.headers.contains_key(EXPECT);
     let mut body = Some(body);
@@ -61,9 +60,14 @@
         answered: false,
     };
     let responding = respond(Rc::clone(&shared), parts, &mut body, pending);
-    let mut response = catch_panic(responding)
-        .await
-        .unwrap_or_else(|Panicked| Reason::Panicked.response(None));
+    let mut response = tokio::select! {
+        biased;
+        response = catch_panic(responding) => {
+            response.unwrap_or_else(|Panicked| Reason::Panicked.response(None))
+        }
+        () = exchange.abandoned() => Reason::Abandoned.response(None),
+    };
+    exchange.start_response();
     if shared.stopping.get().is_some() {
         close(response.headers_mut());
     }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -20,7 +20,7 @@
 
 use crate::adapter::{List, Platform};
 use crate::answer::Body;
-use crate::caller::{Io, Link, Phase};
+use crate::caller::{Exchange, Io, Link, Phase};
 use crate::clock::now;
 use crate::connection::set_caller_socket_options;
 use crate::logging::{self, Event};
@@ -259,8 +259,10 @@
     let requests = Cell::new(0_u64);
     let service = service_fn(|request: Request<Incoming>| {
         requests.set(requests.get() + 1);
-        let (shared, link) = (Rc::clone(&shared), Rc::clone(&link));
-        async move { Ok::<_, Infallible>(serve::serve(shared, link, request).await) }
+        let shared = Rc::clone(&shared);
+        // hyper polls the future only after it has looked for the end of the caller's data.
+        let exchange = Rc::new(Exchange::new(Rc::clone(&link)));
+        async move { Ok::<_, Infallible>(serve::serve(shared, exchange, request).await) }
     });
     let connection = builder.serve_connection(TokioIo::new(Io::new(Rc::clone(&link))), service);
     tokio::pin!(connection);
