gateway: tell cut responses apart in logs and metrics

What operators saw: `connection closed before message completed` for a connection that ended without a byte as well as for one that ended within the head of a response, and `error reading a body from connection` for each of a body that is too short, an unfinished chunk and a reset. No metric counted them.

Cause: hyper's errors name their cause only as their source, which was not logged, and hyper does not say whether bytes of a head had arrived.

Change: the bytes that arrive on a target's connection are counted; the `why` of an attempt names them and all causes of an error; and `boragereel_spoilt_answers_total` has the faults `cut_head` and `cut_body`. A stream that breaks off is in `stream_cut`, with its causes now; it is not counted as `cut_body`.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -23,6 +23,7 @@
 use crate::connection::{self, Checkout, Connection, Error};
 use crate::framing::Framing;
 use crate::in_flight::InFlight;
+use crate::logging::describe;
 use crate::reachability;
 use crate::retry::Progress;
 use crate::serve::DEFAULT_TIMEOUT;
@@ -271,6 +272,7 @@
     };
     let sent_at = now();
     let mut in_flight = InFlight::start(shared, choice);
+    let received = connection.received();
     let sending = connection.sender.try_send_request(request);
     let last_event = choice.envelope.last_event;
     let target = in_flight.target();
@@ -279,22 +281,14 @@
         Ok(Ok(response)) => response,
         Ok(Err(mut error)) => {
             if error.take_message().is_some() {
-                let cause = error.into_error().to_string();
+                let cause = describe(&error.into_error());
                 return Outcome::NotRun { sent: false, cause };
             }
-            let error = error.into_error();
-            if error.is_parse() {
-                shared
-                    .metrics
-                    .invalid_responses
-                    .with_label_values(&["head"])
-                    .inc();
-            }
-            let cause = error.to_string();
-            return match error.is_parse() {
-                true => Outcome::Failed { cause },
-                false => Outcome::Lost { cause },
-            };
+            return no_head(
+                shared,
+                &error.into_error(),
+                connection.received() - received,
+            );
         }
         Err(cause) => return Outcome::Failed { cause },
     };
@@ -386,13 +380,15 @@
     let body = match collected {
         Ok(Ok(collected)) => collected,
         Ok(Err(problem)) => {
-            if !matches!(problem, buffer::Problem::Interrupted(_)) {
-                shared
-                    .metrics
-                    .invalid_responses
-                    .with_label_values(&["long"])
-                    .inc();
-            }
+            let fault = match problem {
+                buffer::Problem::Interrupted(_) => "cut_body",
+                buffer::Problem::TooLong(_) | buffer::Problem::NoMemory => "long",
+            };
+            shared
+                .metrics
+                .invalid_responses
+                .with_label_values(&[fault])
+                .inc();
             let cause = format!("invalid response body: {problem}");
             return match problem {
                 buffer::Problem::Interrupted(_) => Outcome::Lost { cause },
@@ -417,6 +413,26 @@
     }))
 }
 
+/// Returns the outcome of an attempt whose connection failed before a complete response head, of
+/// which `received` bytes had arrived.
+fn no_head<Adapter>(
+    shared: &Shared<Adapter>,
+    error: &hyper::Error,
+    received: u64,
+) -> Outcome<Adapter> {
+    let cause = format!("{}, after {received} bytes", describe(error));
+    let (fault, outcome) = match (error.is_parse(), received) {
+        (true, _) => (Some("head"), Outcome::Failed { cause }),
+        (false, 0) => (None, Outcome::Lost { cause }),
+        (false, _) => (Some("cut_head"), Outcome::Lost { cause }),
+    };
+    if let Some(fault) = fault {
+        let faults = &shared.metrics.invalid_responses;
+        faults.with_label_values(&[fault]).inc();
+    }
+    outcome
+}
+
 /// How long reading the rest of a refusal may take.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(200);
 /// The maximum size of the body of a refusal; refusals are short.
--- a/crates/gateway/src/buffer.rs
+++ b/crates/gateway/src/buffer.rs
@@ -8,6 +8,8 @@
 use fleet::buffers::{Buffers, Reservation as Outcome};
 use http_body_util::BodyExt;
 
+use crate::logging::describe;
+
 /// Memory that a request has reserved from the budget; released on drop.
 #[derive(Debug)]
 pub struct Reservation {
@@ -79,7 +81,7 @@
 ) -> Result<Bytes, Problem>
 where
     Source: http_body::Body<Data = Bytes> + Unpin,
-    Source::Error: std::fmt::Display,
+    Source::Error: std::error::Error,
 {
     if body.size_hint().lower() > limit as u64 {
         return Err(Problem::TooLong(limit));
@@ -88,7 +90,7 @@
     while let Some(frame) = body.frame().await {
         // A body that is always ready must not starve the timers.
         tokio::task::coop::consume_budget().await;
-        let frame = frame.map_err(|error| Problem::Interrupted(error.to_string()))?;
+        let frame = frame.map_err(|error| Problem::Interrupted(describe(&error)))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,7 +1,9 @@
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,6 +12,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use types::{Target, Time};
 
@@ -41,6 +44,8 @@
     pub(crate) sender: SendRequest<Full<Bytes>>,
     /// Whether it has carried a request before.
     pub(crate) reused: bool,
+    /// The bytes that have arrived.
+    received: Rc<Cell<u64>>,
     _socket: Socket,
     _open: OpenCount,
 }
@@ -50,6 +55,13 @@
 #[derive(Debug)]
 struct Socket(socket2::Socket);
 
+/// The I/O of a connection for hyper; counts the bytes that arrive.
+#[derive(Debug)]
+struct Io {
+    stream: TcpStream,
+    received: Rc<Cell<u64>>,
+}
+
 /// Counts a connection towards the target's limit while it is open.
 #[derive(Debug)]
 struct OpenCount(Rc<Cell<u32>>);
@@ -155,6 +167,63 @@
     }
 }
 
+impl Connection {
+    /// Returns the number of bytes that have arrived.
+    pub(crate) fn received(&self) -> u64 {
+        self.received.get()
+    }
+}
+
+impl AsyncRead for Io {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let filled = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let count = (buffer.filled().len() - filled) as u64;
+        self.received.set(self.received.get() + count);
+        read
+    }
+}
+
+impl AsyncWrite for Io {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[std::io::IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
 impl Drop for Socket {
     fn drop(&mut self) {
         log_socket_error(self.0.set_tcp_user_timeout(Some(CLOSED_USER_TIMEOUT)));
@@ -192,9 +261,14 @@
     let socket = SockRef::from(&stream)
         .try_clone()
         .map_err(|error| Error::Failed(error.to_string()))?;
+    let received = Rc::new(Cell::new(0));
+    let io = Io {
+        stream,
+        received: Rc::clone(&received),
+    };
     let (sender, driver) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(io))
         .await
         .map_err(|error| Error::Failed(error.to_string()))?;
     tokio::task::spawn_local(async move {
@@ -206,6 +280,7 @@
     Ok(Connection {
         sender,
         reused: false,
+        received,
         _socket: Socket(socket),
         _open: permit.0,
     })
--- a/crates/gateway/src/logging.rs
+++ b/crates/gateway/src/logging.rs
@@ -128,6 +128,20 @@
     Ok(())
 }
 
+/// Returns the text of an error with those of its causes.
+pub(crate) fn describe<Failure>(error: &Failure) -> String
+where
+    Failure: std::error::Error,
+{
+    let mut text = error.to_string();
+    let causes = std::iter::successors(error.source(), |cause| cause.source());
+    for cause in causes {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+    }
+    text
+}
+
 /// Waits until the queued lines have had time to be written, at the end of the process.
 pub(crate) async fn flush() {
     tokio::time::sleep(BATCHING_DELAY + Duration::from_millis(10)).await;
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -5,6 +5,7 @@
 use http_body_util::BodyExt;
 
 use crate::buffer::{Problem, Reservation};
+use crate::logging::describe;
 
 /// Splits a stream into complete events.
 ///
@@ -67,7 +68,7 @@
     pub async fn read<Source>(&mut self, body: &mut Source) -> Result<Step, String>
     where
         Source: http_body::Body<Data = Bytes> + Unpin,
-        Source::Error: std::fmt::Display,
+        Source::Error: std::error::Error,
     {
         // A body that is always ready must not starve the timers.
         tokio::task::coop::consume_budget().await;
@@ -79,7 +80,10 @@
                 self.push(&data).map_err(|problem| problem.to_string())?;
                 self.take_events()
             }
-            Some(Err(error)) => Err(format!("the stream was interrupted: {error}")),
+            Some(Err(error)) => {
+                let cause = describe(&error);
+                Err(format!("the stream was interrupted: {cause}"))
+            }
             None if self.buffer.is_empty() => Ok(Step::End),
             // Without a content length, a target that stops early may still close the connection
             // regularly.
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -3,12 +3,14 @@
 
 use std::cell::RefCell;
 use std::convert::Infallible;
+use std::io::ErrorKind;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
+use displaydoc::Display;
 use fleet::buffers::Buffers;
 use fleet::stream::Limit;
 use gateway::buffer::{Problem, Reservation, collect};
@@ -30,6 +32,26 @@
     }
 }
 
+/// A body whose connection is reset.
+struct Reset;
+
+impl http_body::Body for Reset {
+    type Data = Bytes;
+    type Error = Interrupted;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Interrupted>>> {
+        let cause = ErrorKind::ConnectionReset.into();
+        Poll::Ready(Some(Err(Interrupted(cause))))
+    }
+}
+
+/// The body failed
+#[derive(Debug, Display, thiserror::Error)]
+struct Interrupted(#[source] std::io::Error);
+
 fn buffers() -> Rc<RefCell<Buffers>> {
     Rc::new(RefCell::new(Buffers::new(1 << 20)))
 }
@@ -132,3 +154,16 @@
         assert_eq!(splitter.last_id(), Some(3));
     }
 }
+
+/// Guards against logs that do not say why a transfer was interrupted.
+#[test]
+fn an_interruption_names_its_cause() {
+    let cause = "The body failed: connection reset";
+    let buffers = buffers();
+    let mut splitter = Splitter::new(Limit::new(None), Reservation::new(&buffers));
+    let error = block_on(splitter.read(&mut Reset)).expect_err("an interruption");
+    assert!(error.ends_with(cause), "{error}");
+    let mut reservation = Reservation::new(&buffers);
+    let collected = block_on(collect(&mut Reset, 1, &mut reservation));
+    assert_eq!(collected, Err(Problem::Interrupted(cause.to_owned())));
+}
