gateway: a responsive target's silence ends no stream before its caller does

A stream whose target sent nothing for the time after which callers give up (two seconds, four objectives or eight gaps) was ended by the entry: with 502 before the first event, by an aborted connection after it, though the target answered probes and had the time that its caller gave. A caller that waits longer lost a stream that would have gone on.

The entry's wait and the caller's are equally long. After the first event the entry's wait begins first, so that the entry is the one that cuts the stream.

The limit now holds only for a target that is unresponsive, and is one second longer than that of the callers. For one that answers probes, and for all others at the latest, the wait ends at the request's deadline.

--- a/crates/gateway/src/wait.rs
+++ b/crates/gateway/src/wait.rs
@@ -17,6 +17,10 @@
 
 /// How often a request that waits for a response checks whether its target is still responsive.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// How much longer than the callers of a stream an entry waits for an unresponsive target. The
+/// caller's wait for the next event begins later than that of the entry.
+const STALL_SLACK: Duration = Duration::from_secs(1);
+
 /// Waits for a response, or the next events of one, until the caller's timeout or, if the request
 /// can be retried, until another target takes it over from an unresponsive one.
 ///
@@ -68,7 +72,10 @@
     shared: &'wait Rc<Shared<Adapter>>,
     target: &'wait Target,
     started: Time,
-    max_wait: Duration,
+    /// The time until the caller's timeout.
+    timeout: Duration,
+    /// The limit for a target that responds to nothing.
+    stall_timeout: Duration,
 }
 
 /// Whether a target has sent nothing for too long.
@@ -88,12 +95,14 @@
         target: &'wait Target,
     ) -> Self {
         let started = now();
-        let max_wait = admitted.stall_timeout().min(admitted.remaining(started));
+        let timeout = admitted.remaining(started);
+        let stall_timeout = admitted.stall_timeout().saturating_add(STALL_SLACK);
         Self {
             shared,
             target,
             started,
-            max_wait,
+            timeout,
+            stall_timeout: stall_timeout.min(timeout),
         }
     }
 
@@ -103,8 +112,7 @@
     /// Fails with the cause when the caller waits no longer.
     async fn until(&self, state: Silence) -> Result<(), String> {
         loop {
-            let waited = now().since(self.started);
-            let remaining = self.max_wait.saturating_sub(waited);
+            let remaining = self.timeout.saturating_sub(now().since(self.started));
             let pause = match remaining {
                 Duration::ZERO => POLL_INTERVAL,
                 remaining => remaining.min(POLL_INTERVAL),
@@ -121,12 +129,13 @@
                     stalled,
                 )
             };
+            let limit = match unresponsive {
+                true => self.stall_timeout,
+                false => self.timeout,
+            };
             // If the entry itself was suspended, data that arrived meanwhile has not been read yet.
-            if remaining <= POLL_INTERVAL && !stalled {
-                return Err(format!(
-                    "the target sent nothing within {:?}",
-                    self.max_wait
-                ));
+            if time.since(self.started) >= limit && !stalled {
+                return Err(format!("the target sent nothing within {limit:?}"));
             }
             if should_probe {
                 tokio::task::spawn_local(probe(Rc::clone(self.shared), self.target.clone()));
