gateway: decide at each dispatch what a stopping entry can still serve

What callers saw: in a planned stop, requests that an entry had accepted during the grace period, and sent to a target that was slow, were cut at the exit without a response, among them requests that may run only once. Requests that waited for their body or for a target were cut as well. Streams were cut without a line in the log.

Cause: whether a request was accepted depended on the kind of its route and the time since SIGTERM alone, and was decided once, before the body was read and before the request waited in a queue. Its deadline, and that of requests that were accepted before SIGTERM, could lie after the exit, and nothing ended what was still in progress then.

Fix: `fleet::shutdown` states until when a request may be sent, by the time that it may take: its own deadline if that is before the exit, else several latency objectives (plain requests, resumptions) or a share of the grace period (streams). The gateway asks on arrival, while the body arrives, while the request waits for a target, when a target is granted, and before another attempt. A request that is too late and was not sent is refused as `stopping` (503). One that was sent gets the last error response of a target, or 504, at 0.95 of the grace period; a stream that has begun is ended and logged as `cut` at 0.965. Targets are given no deadline after that. Streams of a long grace period are no longer accepted after the balancer has noticed the shutdown.

Why it works: every wait of a request ends at the limit, because `forward` and the relay of streams run beside a timer to it. What has not been sent can be refused truthfully; for what may have run 504 promises nothing.

Ruled out: a different order of exit (`server::shut_down` waits for responses, which never came), and the listener, which stays open.

--- a/crates/fleet/src/shutdown.rs
+++ b/crates/fleet/src/shutdown.rs
@@ -1,4 +1,4 @@
-//! Graceful shutdown: which requests a stopping process still accepts.
+//! Graceful shutdown: which requests a stopping process may still send to a target.
 
 use std::time::Duration;
 
@@ -11,25 +11,88 @@
     pub grace: Duration,
 }
 
-/// The fraction of the grace period in which all requests are accepted. The balancer sends new
-/// connections until it notices the shutdown, after two failed health checks one second apart.
-const ALL_FRACTION: f64 = 0.3;
-/// The fraction of the grace period in which plain requests are accepted; they take some tens of
-/// milliseconds.
-const PLAIN_FRACTION: f64 = 0.7;
+/// How far a request has come when it would be sent to a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// It is arriving: its body may still be on its way, and it may have to wait for a target.
+    Arriving,
+    /// It waits for a target, or has been granted one.
+    Waiting,
+    /// A target has received it, and another one would run it again or resume its stream.
+    Repeating,
+}
+
+/// The fraction of the grace period in which responses may be completed; the rest is for writing
+/// them to the callers, the last log lines, and the end of the process.
+const RESPONSE_FRACTION: f64 = 0.95;
+/// The fraction of the grace period in which streams may go on. Nothing has to be written after
+/// their end.
+const STREAM_FRACTION: f64 = 0.965;
+/// The time in which the balancer notices the shutdown: two health checks one second apart have to
+/// fail. Until then it sends new connections.
+const NOTICE_TIME: Duration = Duration::from_millis(2500);
+/// The fraction of the grace period that is left for a stream from its arrival on, and for any
+/// request whose own deadline is later than the exit.
+const ARRIVING_FRACTION: f64 = 0.65;
+/// The fraction of the grace period that is left for a stream once it has a target.
+const WAITING_FRACTION: f64 = 0.5;
+/// Latency objectives within which plain requests and resumed streams are usually served, also by a
+/// slow target.
+const OBJECTIVES: u32 = 4;
 
 impl Shutdown {
-    /// Returns whether a request that arrives `since` the shutdown began is accepted.
+    /// Returns the time since the shutdown began at which a request must have a response, or the
+    /// end of its stream.
+    #[must_use]
+    pub fn response_limit(&self, delivery: Delivery) -> Duration {
+        self.grace.mul_f64(match delivery {
+            Delivery::Idempotent | Delivery::AtMostOnce => RESPONSE_FRACTION,
+            Delivery::Stream => STREAM_FRACTION,
+        })
+    }
+
+    /// Returns the time since the shutdown began after which a request is not sent to a target any
+    /// more. `deadline` is the request's own, also since the shutdown began.
     ///
-    /// If all entries of a failure domain shut down at the same time, the balancer sends callers to
-    /// them until they are gone. A stream that begins late would be cut off at the end, so its
-    /// caller is redirected to another entry at once.
+    /// Load pattern: if all entries of a failure domain shut down at the same time, the balancer
+    /// sends callers to them until they are gone. A request that is sent too late to be served
+    /// before the exit ends without a result, and one that may run only once cannot be repeated.
+    /// Refused in time, it is served by another entry. One that ends before the exit in any case is
+    /// accepted.
     #[must_use]
-    pub fn accepts(&self, route: &Route, since: Duration) -> bool {
-        let fraction = match route.delivery {
-            Delivery::Stream => ALL_FRACTION,
-            Delivery::Idempotent | Delivery::AtMostOnce => PLAIN_FRACTION,
+    pub fn last_start(&self, route: &Route, stage: Stage, deadline: Duration) -> Duration {
+        let limit = self.response_limit(route.delivery);
+        if deadline <= limit {
+            return deadline;
+        }
+        let plain = route.objective.saturating_mul(OBJECTIVES);
+        let longest = self.grace.mul_f64(match stage {
+            Stage::Arriving => ARRIVING_FRACTION,
+            Stage::Waiting | Stage::Repeating => WAITING_FRACTION,
+        });
+        let needed = match (route.delivery, stage) {
+            (Delivery::Stream, Stage::Arriving | Stage::Waiting) => longest,
+            (Delivery::Stream, Stage::Repeating)
+            | (Delivery::Idempotent | Delivery::AtMostOnce, _) => plain.min(longest),
         };
-        since < self.grace.mul_f64(fraction)
+        let last_start = limit.saturating_sub(needed);
+        match (route.delivery, stage) {
+            // It may outlast the grace period, and cannot be answered otherwise once it has begun.
+            (Delivery::Stream, Stage::Arriving) => last_start.min(NOTICE_TIME),
+            _ => last_start,
+        }
+    }
+
+    /// Returns whether a request may be sent `since` the shutdown began; see
+    /// [`Shutdown::last_start`].
+    #[must_use]
+    pub fn accepts(
+        &self,
+        route: &Route,
+        stage: Stage,
+        deadline: Duration,
+        since: Duration,
+    ) -> bool {
+        since < self.last_start(route, stage, deadline)
     }
 }
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -4,7 +4,7 @@
 
 use fleet::catalog::{Delivery, Route};
 use fleet::placement::{Candidate, Load, Tracker, best};
-use fleet::shutdown::Shutdown;
+use fleet::shutdown::{Shutdown, Stage};
 use proptest::prelude::*;
 use types::{Target, Time};
 
@@ -156,12 +156,16 @@
     let shutdown = Shutdown {
         grace: Duration::from_secs(8),
     };
+    let accepts = |route: &Route, since_ms| {
+        let since = Duration::from_millis(since_ms);
+        shutdown.accepts(route, Stage::Arriving, since + route.timeout, since)
+    };
     // The balancer sends callers for two seconds; streams that begin after three may be cut off.
-    assert!(shutdown.accepts(&route, Duration::from_millis(2100)));
-    assert!(!shutdown.accepts(&route, Duration::from_millis(3000)));
+    assert!(accepts(&route, 2100));
+    assert!(!accepts(&route, 3000));
     route.delivery = Delivery::AtMostOnce;
-    assert!(shutdown.accepts(&route, Duration::from_millis(3000)));
-    assert!(!shutdown.accepts(&route, Duration::from_millis(6600)));
+    assert!(accepts(&route, 3000));
+    assert!(!accepts(&route, 6600));
 }
 
 proptest! {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -25,6 +25,7 @@
 use crate::retry::Progress;
 use crate::serve::DEFAULT_TIMEOUT;
 use crate::shared::Shared;
+use crate::shutdown;
 use crate::sse::{Chunk, Splitter, Step};
 use crate::wait::await_target;
 
@@ -162,9 +163,14 @@
 }
 
 impl Admitted {
-    /// Returns the time until the deadline.
-    pub(crate) fn remaining(&self, now: Time) -> Duration {
-        self.deadline.get().since(now)
+    /// Returns the time until the deadline, or until a stopping entry must respond if that is
+    /// earlier.
+    pub(crate) fn remaining<Adapter>(&self, shared: &Shared<Adapter>, now: Time) -> Duration {
+        let deadline = self.deadline.get();
+        let limit = shutdown::response_limit(shared, &self.route);
+        limit
+            .map_or(deadline, |limit| limit.min(deadline))
+            .since(now)
     }
 
     /// Applies the timeout of the route in a newer configuration if it is longer.
@@ -338,7 +344,7 @@
         );
         return Outcome::Failed { cause };
     }
-    let remaining = admitted.remaining(now());
+    let remaining = admitted.remaining(shared, now());
     if admitted.route.delivery == Delivery::Stream && head.status.is_success() {
         let waited = responded_at.since(sent_at);
         let prefill_rate = shared.on_first_event(choice.prefill_tokens, waited);
@@ -464,7 +470,7 @@
     Adapter: Platform,
 {
     let mut envelope = choice.envelope.clone();
-    envelope.remaining = admitted.remaining(now());
+    envelope.remaining = admitted.remaining(shared, now());
     let path = admitted.parts.uri.path_and_query();
     let path = path.map_or("/", PathAndQuery::as_str);
     let mut request = Request::builder()
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -342,7 +342,7 @@
     Choice {
         envelope: Envelope {
             target: evaluated.member.id.clone(),
-            remaining: admitted.remaining(now()),
+            remaining: admitted.remaining(shared, now()),
             team: owner.map(|owner| owner.team.clone()),
             last_event,
             namespace: prompt.map(|prompt| namespace(&prompt.model, version, team)),
--- a/crates/gateway/src/dispatch/acquire.rs
+++ b/crates/gateway/src/dispatch/acquire.rs
@@ -56,19 +56,21 @@
         if pool.is_none_or(|pool| pool.engine.is_none()) {
             break Acquired::NoDispatcher;
         }
-        if let Some(step) = progress.exhausted(admitted) {
+        if let Some(step) = progress.exhausted(shared, admitted) {
             return step;
         }
         tokio::select! {
             biased;
             acquired = acquire(shared, admitted, progress, last_event) => break acquired,
             () = until_moved(shared, admitted, progress) => {}
+            () = progress.until_last_start(shared, admitted) => {}
         }
     };
     match acquired {
         Acquired::Granted(choice) => {
-            // It may have been quarantined while it was queued.
-            if let Some(step) = progress.quarantined(shared, admitted) {
+            // It may have been quarantined while it was queued, or the entry may be stopping.
+            let quarantined = progress.quarantined(shared, admitted);
+            if let Some(step) = quarantined.or_else(|| progress.exhausted(shared, admitted)) {
                 release(shared, choice.grant.as_ref());
                 return step;
             }
--- a/crates/gateway/src/dispatch/request.rs
+++ b/crates/gateway/src/dispatch/request.rs
@@ -61,7 +61,7 @@
             sequence,
             open: true,
         };
-        let (rank, max_wait) = rank_and_max_wait(admitted, progress);
+        let (rank, max_wait) = rank_and_max_wait(shared, admitted, progress);
         let request = Request {
             id: request_id(shared, sequence),
             cell: cell.clone(),
@@ -95,9 +95,13 @@
 /// highest rank, because its caller has waited longest; it may wait until its stream counts as
 /// stalled. A request that lost time at an unreachable target gets the highest rank as well, for as
 /// long as it can meet the latency objective.
-fn rank_and_max_wait<Adapter>(admitted: &Admitted, progress: &Progress<Adapter>) -> (u8, Duration) {
+fn rank_and_max_wait<Adapter>(
+    shared: &Shared<Adapter>,
+    admitted: &Admitted,
+    progress: &Progress<Adapter>,
+) -> (u8, Duration) {
     let time = now();
-    let remaining = admitted.remaining(time);
+    let remaining = admitted.remaining(shared, time);
     if progress.deliveries > 0 {
         return (
             0,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod server;
 mod settings;
 mod shared;
+mod shutdown;
 pub mod sse;
 mod supervisor;
 mod wait;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,6 +16,7 @@
 use crate::retry::{Progress, Step};
 use crate::serve;
 use crate::shared::Shared;
+use crate::shutdown;
 use crate::wait::await_target;
 
 /// Chunks of events that are buffered for a slow caller; beyond that, reading from the target stops
@@ -41,10 +42,16 @@
     tokio::task::spawn_local(async move {
         let closed = sender.clone();
         tokio::select! {
+            // The relay fails for want of time at the moment of the limit.
+            biased;
             // The caller disconnected: dropping the relay closes the target's connection.
             () = closed.closed() => {
                 serve::record_end(&shared, &admitted, "gone", Some("the caller disconnected"));
             }
+            // The caller may resume the stream at another entry.
+            () = shutdown::until_response_limit(&shared, &admitted.route) => {
+                serve::record_end(&shared, &admitted, "cut", Some("the entry is stopping"));
+            }
             () = relay(&shared, &admitted, progress, stream, sender) => {}
         }
     });
@@ -84,7 +91,7 @@
                     connection::release(shared, &target, stream.connection, stream.keep_alive);
                 }
                 // Without this the response would look truncated.
-                let (outcome, why) = match send(admitted, &sender, Part::End).await {
+                let (outcome, why) = match send(shared, admitted, &sender, Part::End).await {
                     Ok(()) => ("served", None),
                     Err(why) => ("gone", Some(why)),
                 };
@@ -145,7 +152,7 @@
         let Some(chunk) = next_chunk.take() else {
             return End::Complete;
         };
-        if let Err(why) = send(admitted, sender, Part::Chunk(chunk)).await {
+        if let Err(why) = send(shared, admitted, sender, Part::Chunk(chunk)).await {
             return End::CallerGone(why);
         }
         *last_event = stream.events.last_id().or(*last_event);
@@ -163,12 +170,13 @@
 ///
 /// # Errors
 /// Returns for logs why the caller will not read it.
-async fn send(
+async fn send<Adapter>(
+    shared: &Shared<Adapter>,
     admitted: &Admitted,
     sender: &mpsc::Sender<Part>,
     part: Part,
 ) -> Result<(), &'static str> {
-    let remaining = admitted.remaining(now());
+    let remaining = admitted.remaining(shared, now());
     match tokio::time::timeout(remaining, sender.send(part)).await {
         Ok(Ok(())) => Ok(()),
         Ok(Err(_)) => Err("the caller disconnected"),
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -7,6 +7,7 @@
 use fleet::catalog::Route;
 use fleet::quarantine::Decision;
 use fleet::queue::{self, Ticket};
+use fleet::shutdown::Stage;
 use types::{Service, Target, Time, Version};
 
 use crate::adapter::Platform;
@@ -18,6 +19,7 @@
 use crate::quarantine::{self, Trial};
 use crate::serve::{self, DEFAULT_RETRY_AFTER};
 use crate::shared::Shared;
+use crate::shutdown;
 
 /// A request with less time left than this is not sent.
 const MIN_REMAINING: Duration = Duration::from_millis(15);
@@ -163,18 +165,46 @@
     }
 
     /// Returns the final step if the request has too little time left, or no attempts left.
-    pub(crate) fn exhausted(&self, admitted: &Admitted) -> Option<Step> {
-        if admitted.remaining(now()) < MIN_REMAINING {
-            let may_have_run = self.runs > 0;
-            let reason = if may_have_run {
-                Reason::TimedOut
-            } else {
-                Reason::TimedOutUnsent
-            };
-            return Some(Step::Fail(reason, DEFAULT_RETRY_AFTER));
+    pub(crate) fn exhausted(&self, shared: &Shared<Adapter>, admitted: &Admitted) -> Option<Step> {
+        let may_have_run = self.runs > 0;
+        let is_stopping = !shutdown::accepts(
+            shared,
+            &admitted.route,
+            self.stage(),
+            admitted.deadline.get(),
+        );
+        let is_late = admitted.remaining(shared, now()) < MIN_REMAINING;
+        let reason = match (may_have_run, is_stopping, is_late) {
+            (false, true, _) => Reason::Stopping,
+            (false, false, true) => Reason::TimedOutUnsent,
+            (true, _, true) => Reason::TimedOut,
+            (true, true, false) => Reason::Failed,
+            (true, false, false) if !self.may_run_again(admitted) => Reason::Failed,
+            (_, false, false) => return None,
+        };
+        Some(Step::Fail(reason, DEFAULT_RETRY_AFTER))
+    }
+
+    /// Returns the reason of the failure of a request that has no response when a stopping entry
+    /// must respond.
+    pub(crate) fn cut_off(&self) -> Reason {
+        match self.runs {
+            0 => Reason::Stopping,
+            _ => Reason::TimedOut,
+        }
+    }
+
+    /// Waits until the entry is stopping and has too little time left to send the request.
+    pub(crate) async fn until_last_start(&self, shared: &Shared<Adapter>, admitted: &Admitted) {
+        let deadline = admitted.deadline.get();
+        shutdown::until_last_start(shared, &admitted.route, self.stage(), deadline).await;
+    }
+
+    fn stage(&self) -> Stage {
+        match self.runs {
+            0 => Stage::Waiting,
+            _ => Stage::Repeating,
         }
-        let out_of_attempts = self.runs > 0 && !self.may_run_again(admitted);
-        out_of_attempts.then_some(Step::Fail(Reason::Failed, DEFAULT_RETRY_AFTER))
     }
 
     /// Returns the final step if a segment of the prompt is quarantined.
@@ -248,7 +278,7 @@
         admitted: &Admitted,
         last_event: Option<u64>,
     ) -> Step {
-        if let Some(step) = self.exhausted(admitted) {
+        if let Some(step) = self.exhausted(shared, admitted) {
             return step;
         }
         let time = now();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use fleet::catalog::{Caller, Limits};
-use fleet::shutdown::Shutdown;
+use fleet::shutdown::Stage;
 use http::header::{EXPECT, HOST};
 use http::{Request, Response, request};
 use http_body::Body as _;
@@ -16,7 +16,7 @@
 
 use crate::adapter::Platform;
 use crate::answer::{Body, Reason, close};
-use crate::attempt::{self, Admitted, Buffered, Choice, Grant, Outcome};
+use crate::attempt::{self, Admitted, Buffered, Choice, Grant, Outcome, Streaming};
 use crate::buffer::{self, Reservation};
 use crate::caller::{Exchange, Link, MAX_DRAIN_BYTES};
 use crate::choose;
@@ -28,6 +28,7 @@
 use crate::relay;
 use crate::retry::{Progress, Step};
 use crate::shared::Shared;
+use crate::shutdown;
 
 /// The timeout of a request without a deadline.
 pub(crate) const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -198,18 +199,19 @@
         Caller::Authenticated(_) if !is_fresh => return Err(Reason::Stale),
         Caller::Authenticated(owner) => Some(owner),
     };
-    if let Some(stopping_since) = shared.stopping.get() {
-        let shutdown = Shutdown {
-            grace: shared.settings.grace(),
-        };
-        if !shutdown.accepts(route, arrived.since(stopping_since)) {
-            return Err(Reason::Stopping);
-        }
-    }
     let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = arrived + timeout;
+    if !shutdown::accepts(shared, route, Stage::Arriving, deadline) {
+        return Err(Reason::Stopping);
+    }
     let mut reservation = Reservation::new(&shared.buffers);
-    let body = read_body(body, &catalog.limits, timeout, &mut reservation).await?;
+    let body = tokio::select! {
+        biased;
+        body = read_body(body, &catalog.limits, timeout, &mut reservation) => body?,
+        () = shutdown::until_last_start(shared, route, Stage::Waiting, deadline) => {
+            return Err(Reason::Stopping);
+        }
+    };
     let route = Arc::clone(route);
     let segments = quarantine::shared_segments(head.prompt.as_ref());
     Ok(Admitted {
@@ -254,7 +256,22 @@
     header.or_else(|| parts.uri.host()).unwrap_or("")
 }
 
-/// Sends a request to targets until one responds, or until no further attempt is possible.
+/// How the attempts of a request ended.
+#[derive(Debug)]
+enum Answer<Adapter> {
+    /// A target sent this complete response.
+    Served(Box<Buffered>),
+    /// A target started this streaming response.
+    Streaming(Box<Streaming<Adapter>>),
+    /// No target served it; the error response of a target is more informative than one of this
+    /// entry.
+    Error(Box<Buffered>),
+    /// No target served it, for this reason; the caller may retry after the delay.
+    Failed(Reason, Duration),
+}
+
+/// Sends a request to targets until one responds, until no further attempt is possible, or until a
+/// stopping entry must respond.
 async fn forward<Adapter>(
     shared: &Rc<Shared<Adapter>>,
     admitted: Rc<Admitted>,
@@ -272,59 +289,86 @@
         .on_request(&service, admitted.arrived);
     let mut progress = Progress::new(service, admitted.config);
     let mut fallback: Option<Box<Buffered>> = None;
+    let answer = tokio::select! {
+        biased;
+        answer = try_targets(shared, &admitted, &mut progress, &mut fallback, pending) => answer,
+        () = shutdown::until_response_limit(shared, &admitted.route) => {
+            Answer::failed(fallback, progress.cut_off(), DEFAULT_RETRY_AFTER)
+        }
+    };
+    match answer {
+        Answer::Served(response) => {
+            shared.metrics.on_first(now().since(admitted.arrived));
+            record_end(shared, &admitted, "served", None);
+            response.response()
+        }
+        Answer::Streaming(stream) => {
+            shared.metrics.on_first(now().since(admitted.arrived));
+            relay::respond(Rc::clone(shared), admitted, progress, *stream)
+        }
+        Answer::Error(response) => {
+            record_end(shared, &admitted, "error", None);
+            response.response()
+        }
+        Answer::Failed(reason, retry_after) => fail(shared, &admitted, reason, retry_after),
+    }
+}
+
+impl<Adapter> Answer<Adapter> {
+    fn failed(fallback: Option<Box<Buffered>>, reason: Reason, retry_after: Duration) -> Self {
+        match fallback {
+            Some(response) => Self::Error(response),
+            None => Self::Failed(reason, retry_after),
+        }
+    }
+}
+
+/// Sends a request to one target after the other. `fallback` is set to the last error response of
+/// a target.
+async fn try_targets<Adapter>(
+    shared: &Rc<Shared<Adapter>>,
+    admitted: &Rc<Admitted>,
+    progress: &mut Progress<Adapter>,
+    fallback: &mut Option<Box<Buffered>>,
+    pending: &mut Pending<Adapter>,
+) -> Answer<Adapter>
+where
+    Adapter: Platform,
+{
     loop {
-        let choice = match dispatch::next(
-            shared,
-            &admitted,
-            &mut progress,
-            admitted.head.last_event,
-        )
-        .await
-        {
+        let step = dispatch::next(shared, admitted, progress, admitted.head.last_event).await;
+        let choice = match step {
             Step::Send(choice) => choice,
             Step::Wait => {
                 wait_for_capacity(shared).await;
                 continue;
             }
             Step::Fail(reason, retry_after) => {
-                // The target's error response is more informative than one of this entry.
-                return match fallback {
-                    Some(response) => {
-                        record_end(shared, &admitted, "error", None);
-                        response.response()
-                    }
-                    None => fail(shared, &admitted, reason, retry_after),
-                };
+                return Answer::failed(fallback.take(), reason, retry_after);
             }
         };
         pending.target = Some(choice.member.id.clone());
-        match attempt(shared, &admitted, &mut progress, &choice).await {
+        match attempt(shared, admitted, progress, &choice).await {
             Outcome::Buffered(response) => {
                 let retry = response.status.is_server_error()
                     && admitted.route.is_retryable()
-                    && progress.may_run_again(&admitted);
-                if retry {
-                    fallback = Some(response);
-                    continue;
+                    && progress.may_run_again(admitted);
+                if !retry {
+                    return Answer::Served(response);
                 }
-                shared.metrics.on_first(now().since(admitted.arrived));
-                record_end(shared, &admitted, "served", None);
-                return response.response();
-            }
-            Outcome::Streaming(stream) => {
-                shared.metrics.on_first(now().since(admitted.arrived));
-                return relay::respond(Rc::clone(shared), admitted, progress, *stream);
+                *fallback = Some(response);
             }
+            Outcome::Streaming(stream) => return Answer::Streaming(stream),
             Outcome::NotRun { .. } => {}
             Outcome::Failed { .. } | Outcome::Lost { .. } | Outcome::Withdrawn => {
-                if !admitted.route.is_retryable() || !progress.may_run_again(&admitted) {
-                    let timed_out = admitted.remaining(now()).is_zero();
+                if !admitted.route.is_retryable() || !progress.may_run_again(admitted) {
+                    let timed_out = admitted.remaining(shared, now()).is_zero();
                     let reason = if timed_out {
                         Reason::TimedOut
                     } else {
                         Reason::Failed
                     };
-                    return fail(shared, &admitted, reason, DEFAULT_RETRY_AFTER);
+                    return Answer::Failed(reason, DEFAULT_RETRY_AFTER);
                 }
             }
         }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -28,7 +28,7 @@
 use crate::serve::{self, millis};
 use crate::settings::{Problem, Settings};
 use crate::shared::Shared;
-use crate::{cache, discovery, dispatch, feed, gossip, leader, reachability, supervisor};
+use crate::{cache, discovery, dispatch, feed, gossip, leader, reachability, shutdown, supervisor};
 
 /// A running entry.
 #[derive(Debug)]
@@ -60,7 +60,7 @@
 const REQUEST_DEADLINE_SHARE: f64 = 0.93;
 /// The share of the grace period after which the last log lines are written even if requests are in
 /// progress.
-const FLUSH_DEADLINE_SHARE: f64 = 0.97;
+const FLUSH_DEADLINE_SHARE: f64 = 0.975;
 /// The share of the grace period after which the process exits even if requests are in progress.
 const EXIT_DEADLINE_SHARE: f64 = 0.985;
 /// Poll interval before exit, while waiting for a moment without a request in progress.
@@ -453,7 +453,7 @@
     }
     let started = now();
     let grace = shared.settings.grace();
-    shared.stopping.set(Some(started));
+    shutdown::begin(&shared, started);
     shared.dispatch.capacity_freed.notify_one();
     Event::new("stopping")
         .with("grace_ms", millis(grace))
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -62,6 +62,8 @@
     pub(crate) quota_from: Cell<Option<Time>>,
     /// When the shutdown of the process began.
     pub(crate) stopping: Cell<Option<Time>>,
+    /// Notified when the shutdown of the process begins.
+    pub(crate) shutdown_begun: Notify,
     /// Counts, by references, the requests whose responses are not complete yet.
     pub(crate) unanswered: Rc<()>,
     pub(crate) queues: RefCell<Queues<Service>>,
@@ -134,6 +136,7 @@
             peers: RefCell::default(),
             quota_from: Cell::new(None),
             stopping: Cell::new(None),
+            shutdown_begun: Notify::new(),
             unanswered: Rc::default(),
             queues: RefCell::default(),
             dispatch: Dispatch::new(),
--- /dev/null
+++ b/crates/gateway/src/shutdown.rs
@@ -0,0 +1,71 @@
+//! Bounds requests by the shutdown of the process.
+
+use fleet::catalog::Route;
+use fleet::shutdown::{Shutdown, Stage};
+use types::Time;
+
+use crate::clock::now;
+use crate::shared::Shared;
+
+/// Begins the shutdown.
+pub(crate) fn begin<Adapter>(shared: &Shared<Adapter>, time: Time) {
+    shared.stopping.set(Some(time));
+    shared.shutdown_begun.notify_waiters();
+}
+
+/// Returns the time at which a request must have a response, once the shutdown has begun.
+pub(crate) fn response_limit<Adapter>(shared: &Shared<Adapter>, route: &Route) -> Option<Time> {
+    let began = shared.stopping.get()?;
+    Some(began + shutdown(shared).response_limit(route.delivery))
+}
+
+/// Returns whether a request with this deadline may be sent to a target now.
+pub(crate) fn accepts<Adapter>(
+    shared: &Shared<Adapter>,
+    route: &Route,
+    stage: Stage,
+    deadline: Time,
+) -> bool {
+    let Some(began) = shared.stopping.get() else {
+        return true;
+    };
+    let since = now().since(began);
+    shutdown(shared).accepts(route, stage, deadline.since(began), since)
+}
+
+/// Waits until the entry is stopping and a request with this deadline may not be sent to a target
+/// any more.
+pub(crate) async fn until_last_start<Adapter>(
+    shared: &Shared<Adapter>,
+    route: &Route,
+    stage: Stage,
+    deadline: Time,
+) {
+    let began = until_begun(shared).await;
+    let last_start = shutdown(shared).last_start(route, stage, deadline.since(began));
+    tokio::time::sleep((began + last_start).since(now())).await;
+}
+
+/// Waits until the entry is stopping and a request must have a response.
+pub(crate) async fn until_response_limit<Adapter>(shared: &Shared<Adapter>, route: &Route) {
+    let began = until_begun(shared).await;
+    let limit = began + shutdown(shared).response_limit(route.delivery);
+    tokio::time::sleep(limit.since(now())).await;
+}
+
+async fn until_begun<Adapter>(shared: &Shared<Adapter>) -> Time {
+    loop {
+        // Registered before the check, so that no change between the two is missed.
+        let begun = shared.shutdown_begun.notified();
+        if let Some(began) = shared.stopping.get() {
+            return began;
+        }
+        begun.await;
+    }
+}
+
+fn shutdown<Adapter>(shared: &Shared<Adapter>) -> Shutdown {
+    Shutdown {
+        grace: shared.settings.grace(),
+    }
+}
--- a/crates/gateway/src/wait.rs
+++ b/crates/gateway/src/wait.rs
@@ -88,7 +88,9 @@
         target: &'wait Target,
     ) -> Self {
         let started = now();
-        let max_wait = admitted.stall_timeout().min(admitted.remaining(started));
+        let max_wait = admitted
+            .stall_timeout()
+            .min(admitted.remaining(shared, started));
         Self {
             shared,
             target,
