--- a/crates/gateway/src/wait.rs
+++ b/crates/gateway/src/wait.rs
@@ -95,7 +95,7 @@
         target: &'wait Target,
     ) -> Self {
         let started = now();
-        let timeout = admitted.remaining(started);
+        let timeout = admitted.remaining(shared, started);
         let stall_timeout = admitted.stall_timeout().saturating_add(STALL_SLACK);
         Self {
             shared,
