Merge a neighbour's list whose pages are of two eras

An entry that read its leader's list while the leader learned of a restoration of the table store sent requests to a target that had left.

Cause: the list has the cursor of its oldest page, by which its era was judged, so that the later pages with rows of the copy replaced what was known.

Evidence: a_list_of_two_eras_brings_nothing_back failed before. The era is now that of the newest row or the cursor.

--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -242,7 +242,9 @@
     /// Replaces the whole list by that of a neighbour, which may have read it from a table store
     /// that was just restored from an older copy.
     pub fn adopt(&mut self, members: Vec<Member>, revision: u64, now: Time) {
-        self.on_revision(revision, now);
+        // The cursor is that of the oldest page.
+        let rows = members.iter().map(|member| member.revision);
+        self.on_revision(rows.fold(revision, u64::max), now);
         let is_restored = self
             .restored_at
             .is_some_and(|restored_at| now.since(restored_at) < LIST_SETTLE_TIME);
--- a/crates/fleet/tests/restored_list.rs
+++ b/crates/fleet/tests/restored_list.rs
@@ -99,6 +99,22 @@
     assert_eq!(roster.digest(), neighbour.digest());
 }
 
+/// Guards against a list whose first page was sent before the neighbour had read the copy, so that
+/// its cursor is of the era before.
+#[test]
+fn a_list_of_two_eras_brings_nothing_back() {
+    let mut roster = Roster::default();
+    roster.upsert(member("gone", 0, 5, 1, false), at(0));
+    roster.remove(&"gone".into(), revision(0, 21), at(10));
+    let pages = vec![
+        member("early", 0, 7, 1, false),
+        member("gone", 1, 5, 1, false),
+    ];
+    roster.adopt(pages, revision(0, 22), at(1000));
+    assert!(is_used(&roster, "early"));
+    assert!(!is_used(&roster, "gone"));
+}
+
 /// The state of a target, as it would write it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Truth {
