--- a/crates/fleet/src/shutdown.rs
+++ b/crates/fleet/src/shutdown.rs
@@ -30,7 +30,7 @@
 const STREAM_FRACTION: f64 = 0.965;
 /// The time in which the balancer notices the shutdown: two health checks one second apart have to
 /// fail. Until then it sends new connections.
-const NOTICE_TIME: Duration = Duration::from_millis(2500);
+const NOTICE_TIME: Duration = Duration::from_millis(2400);
 /// The fraction of the grace period that is left for a stream from its arrival on, and for any
 /// request whose own deadline is later than the exit.
 const ARRIVING_FRACTION: f64 = 0.65;
