feed: count an invalid configuration in a restored store as no older one

Callers with a key were refused as stale from the restoration of the table store until the operator's next valid configuration, if the row of the configuration was invalid at the time of the copy.

Cause: since the eras, evidence of freshness needs a configuration that the store lists in this era and that is as new as the one in use. An invalid row was dropped by the adapter, so nothing counted as listed. Such a row never reverted the configuration either, so the entry did not recover by itself.

The adapter now reports the invalid row, and the configuration in use counts as listed, as it does when a row becomes invalid within an era. The wait for the operator after a restoration still applies.

--- a/crates/fleet/src/restoration.rs
+++ b/crates/fleet/src/restoration.rs
@@ -18,7 +18,8 @@
     began: Option<Time>,
     /// When the era began, on the store's clock in milliseconds, as another entry has recorded it.
     recorded_ms: Option<u64>,
-    /// The version of the configuration that the store lists.
+    /// The version of the configuration that the store lists, or of the one in use if the row is
+    /// invalid.
     listed: Option<u64>,
     /// Whether the configuration has been written in this era.
     rewritten: bool,
@@ -103,6 +104,12 @@
         self.rewritten |= is_change;
     }
 
+    /// Records that the row of the configuration is invalid, so that the one in use, `known`, stays
+    /// in force.
+    pub fn on_invalid_config(&mut self, known: Option<u64>) {
+        self.listed = self.listed.max(known);
+    }
+
     /// Returns how long the operator may still take to write the configuration again if the copy
     /// lacks it.
     #[must_use]
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -156,6 +156,8 @@
 pub enum Change {
     /// A new configuration.
     Catalog(Box<Catalog>),
+    /// The row of the configuration is invalid, and does not replace the one before it.
+    InvalidCatalog,
     /// A failure domain is evacuated (`true`), so that it gets no more requests, or back in
     /// service.
     Evacuate(Domain, bool),
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -238,10 +238,17 @@
     restoration.on_store_time(batch.store_time, time);
     let mut known = shared.config_version();
     for change in &batch.changes {
-        if let Change::Catalog(catalog) = change {
-            let version = catalog.version.0;
-            restoration.on_config(version, extent == Extent::Changes);
-            known = known.max(Some(version));
+        match change {
+            Change::Catalog(catalog) => {
+                let version = catalog.version.0;
+                restoration.on_config(version, extent == Extent::Changes);
+                known = known.max(Some(version));
+            }
+            Change::InvalidCatalog => restoration.on_invalid_config(known),
+            Change::Evacuate(..)
+            | Change::Weights(..)
+            | Change::Upserted(_)
+            | Change::Removed(..) => {}
         }
     }
     let mut evidence = shared.evidence.get();
@@ -358,6 +365,7 @@
                 }
             }
             Change::Catalog(catalog) => adopt(shared, *catalog),
+            Change::InvalidCatalog => {}
             Change::Weights(model, version) => {
                 if shared.rollout.borrow_mut().release(&model, version, time) {
                     Event::new("weights_named")
