gossip: give up a lost configuration that only other entries have used

Callers with a key were refused as stale for ever at an entry that started after a restoration, if another entry had reported a newer configuration that was lost and not written again.

Cause: entries keep the newest configuration that any other one has reported, without a time limit. It was dropped only by an entry that had used that configuration itself and reverted it.

Ruled out: dropping reports after a time, which would weaken the guard against stale replies of the store.

An entry now drops the report under the same condition as its own configuration: 10 s into the era, a reply to a call that it made after the report still lists an older one.

--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -307,8 +307,16 @@
     /// not make revoked keys valid again.
     #[must_use]
     pub fn has_newer_config(&self, version: u64, now: Time) -> bool {
-        self.config
-            .is_some_and(|(newest, since)| newest > version && now.since(since) >= CONFIG_DELAY)
+        self.newer_config(version, now).is_some()
+    }
+
+    /// Returns the configuration of which [`Self::has_newer_config`] takes notice.
+    #[must_use]
+    pub fn newer_config(&self, version: u64, now: Time) -> Option<u64> {
+        let newer = self
+            .config
+            .filter(|(newest, since)| *newest > version && now.since(*since) >= CONFIG_DELAY);
+        newer.map(|(newest, _)| newest)
     }
 
     /// Records that a configuration was reverted, so that it no longer counts as newer than the
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -258,6 +258,12 @@
         evidence.on_store_clock(time, batch.store_time);
     }
     shared.evidence.set(evidence);
+    // A response to a call that was made after the report does not contain the newer configuration.
+    let mut peers = shared.peers.borrow_mut();
+    let reported = peers.newer_config(known.unwrap_or(0), sent_at);
+    if let Some(lost) = reported.filter(|reported| restoration.reverts(*reported, time)) {
+        peers.on_reverted(lost);
+    }
     let mut progress = shared.operator_progress.get();
     progress.cursor = batch.cursor;
     let era = Revision::from(batch.cursor).era();
