orders: keep apart from lost orders also after a second change of holder

Targets got orders of two holders closer together than the bound if the lease changed hands twice after a restoration of the table store.

Cause: the first holder of an era blocks all targets, since the record of earlier orders is lost. It wrote a record without them, so that the next holder, or the same one after it had lost its lease, blocked none. Targets that the first holder did not know yet were not blocked at all.

Each holder now gives no orders until the time since the era began is that of a lost lease and the minimum time between orders. For the first holder this is the same time as before.

--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -32,7 +32,7 @@
 const LEASE_DURATION: Duration = Duration::from_millis(1200);
 /// The time after which no holder relies on a lease that was lost in a restoration of the table
 /// store, with a margin for clock drift.
-const LOST_LEASE_TIMEOUT: Duration = Duration::from_millis(1500);
+pub(crate) const LOST_LEASE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The interval at which an entry without the lease reads it, and checks whether orders are needed.
 const POLL_INTERVAL: Duration = Duration::from_millis(1000);
 /// The maximum random delay before an entry tries to acquire the lease. The last holder does not
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -12,7 +12,7 @@
 
 use crate::adapter::Platform;
 use crate::clock::now;
-use crate::leader::key_in_era;
+use crate::leader::{LOST_LEASE_TIMEOUT, key_in_era};
 use crate::logging::Event;
 use crate::serve::millis;
 use crate::shared::Shared;
@@ -93,6 +93,9 @@
             return;
         }
         self.poll_unfinished();
+        if self.has_lost_orders() {
+            return;
+        }
         let shared = &self.shared;
         let due = {
             let roster = shared.roster.borrow();
@@ -132,12 +135,7 @@
         while self.is_held() {
             let read = self.shared.adapter.get(&key).await;
             let (version, known) = match read {
-                Ok(None) => {
-                    if self.is_record_lost() {
-                        self.block(self.all_targets());
-                    }
-                    (0, Record::default())
-                }
+                Ok(None) => (0, Record::default()),
                 Ok(Some(row)) => match serde_json::from_value(row.value) {
                     Ok(known) => (row.version, known),
                     Err(error) => {
@@ -169,11 +167,12 @@
         }
     }
 
-    /// Returns whether a missing record may have listed recent orders, before a restoration of the
-    /// table store.
-    fn is_record_lost(&self) -> bool {
+    /// Returns whether a holder before a restoration of the table store may have given orders that
+    /// are too recent for others. The record of them is lost, and no later record contains them.
+    fn has_lost_orders(&self) -> bool {
         let began = self.shared.restoration.borrow().began();
-        began.is_some_and(|began| now().since(began) < self.retention())
+        let last_order = began.map(|began| began + LOST_LEASE_TIMEOUT);
+        last_order.is_some_and(|at| now() < at + self.shared.settings.lease_gap())
     }
 
     /// Returns how long orders are kept in the record.
