caller: wait for half-closed callers that read slowly

A caller that had closed its sending side and read nothing for more than 300 ms got part of a response that did not fit into the socket buffers.

Cause: without a written byte in that time, such a caller was taken for gone once its response had begun, also while the socket's buffer was full.

Ruled out: a longer wait, which would delay the end of the work for callers that have left.

A full buffer means that bytes are under way to the caller. If it has left, they reset the connection, which is noticed at once. A caller that has become unreachable is closed by the TCP user timeout, like one that has not closed its side.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -282,9 +282,11 @@
             ready!(half_close.timer.as_mut().poll(context));
             let has_failed = !matches!(link.socket.take_error(), Ok(None));
             let has_written = link.idle_since.get() > half_close.since;
+            // What is written to a caller that has left resets the connection.
+            let is_reading_slowly = link.is_write_blocked.get();
             match link.is_responding.get() {
                 _ if has_failed => return Poll::Ready(()),
-                _ if has_written => {}
+                _ if has_written || is_reading_slowly => {}
                 true => return Poll::Ready(()),
                 false => {
                     link.is_abandoned.set(true);
