--- a/crates/fleet/src/shutdown.rs
+++ b/crates/fleet/src/shutdown.rs
@@ -14,9 +14,9 @@
 /// How far a request has come when it would be sent to a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
-    /// It is arriving: its body may still be on its way, and it may have to wait for a target.
+    /// Its head has arrived; its body may follow, and it may have to wait for a target.
     Arriving,
-    /// It waits for a target, or has been granted one.
+    /// It was accepted: its body arrives, it waits for a target, or has been granted one.
     Waiting,
     /// A target has received it, and another one would run it again or resume its stream.
     Repeating,
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -85,7 +85,8 @@
     // The newest revision that was ever read. A store that has lost state may reply with an older
     // one, which would bring back removed targets and evacuations.
     let mut newest = cursor.unwrap_or(0);
-    // After a restoration of the store, when the list is loaded again.
+    // When the list is loaded again: after a restoration of the store, and as long as the store lists
+    // an older configuration than the one in use.
     let mut reload_at: Option<Time> = None;
     let mut failures: u32 = 0;
     // The number of successive calls without a wait.
