--- a/review/harness/engine.rs
+++ b/review/harness/engine.rs
@@ -28,6 +28,8 @@
     pub version: AtomicU64,
     pub capacity: u64,
     pub keeps: Vec<Arc<Keep>>,
+    /// How many times as long a transfer takes: 2 between zones.
+    pub distance: f64,
     pub record: Arc<Record>,
     memory: Mutex<Memory>,
     active: AtomicU64,
@@ -52,6 +54,7 @@
         model: &str,
         capacity: u64,
         keeps: &[Arc<Keep>],
+        distance: f64,
         record: &Arc<Record>,
     ) -> Arc<Engine> {
         Arc::new(Engine {
@@ -60,6 +63,7 @@
             version: AtomicU64::new(1),
             capacity,
             keeps: keeps.to_vec(),
+            distance,
             record: Arc::clone(record),
             memory: Mutex::default(),
             active: AtomicU64::new(0),
@@ -181,10 +185,10 @@
         if saves.is_empty() {
             return;
         }
-        let (record, id) = (Arc::clone(&self.record), id.to_owned());
+        let (record, id, distance) = (Arc::clone(&self.record), id.to_owned(), self.distance);
         std::thread::spawn(move || {
             for (keep, part, tokens, copy) in saves {
-                std::thread::sleep(transfer_time(tokens));
+                std::thread::sleep(transfer_time(tokens, distance));
                 keep.complete(&part, copy);
                 record.line(&format!("{id} has saved {} to {}", part.1, keep.name));
             }
@@ -217,7 +221,7 @@
             ));
         }
         self.record.on_cache_use(id, tenant, &found.maker, &found.tenant, &part.1, &keep.name);
-        std::thread::sleep(transfer_time(tokens.min(found.tokens)));
+        std::thread::sleep(transfer_time(tokens.min(found.tokens), self.distance));
         if !keep.is_same(part, &found) {
             self.record.broken(&format!(
                 "{id} at {} takes {} from {}, and it is freed before the fetch has ended",
@@ -265,8 +269,9 @@
     }
 }
 
-fn transfer_time(tokens: u64) -> Duration {
-    FIRST + Duration::from_secs_f64(tokens as f64 * TOKEN_BYTES * 8.0 / LINK_BITS_PER_S)
+fn transfer_time(tokens: u64, distance: f64) -> Duration {
+    let on_link = tokens as f64 * TOKEN_BYTES * 8.0 / LINK_BITS_PER_S;
+    FIRST + Duration::from_secs_f64(on_link * distance)
 }
 
 /// A plain server, which announces that it leaves and serves on for a while.
--- a/review/harness/new_entry.rs
+++ b/review/harness/new_entry.rs
@@ -23,7 +23,7 @@
 /// The pause between two new sessions.
 const NEW_PAUSE: Duration = Duration::from_millis(110);
 /// The pause between two sessions that return.
-const RETURN_PAUSE: Duration = Duration::from_millis(22);
+const RETURN_PAUSE: Duration = Duration::from_millis(65);
 /// How many of the oldest sessions return.
 const OLDEST: usize = 20;
 
@@ -55,7 +55,7 @@
             std::thread::sleep(Duration::from_millis(100));
         }
         run.record.step("the store host is full, and its oldest parts are freed");
-        for (wave, names) in ADDED.chunks(2).enumerate() {
+        for (wave, names) in ADDED.chunks(1).enumerate() {
             let mut addresses = Vec::new();
             for (index, (name, zone)) in names.iter().enumerate() {
                 if !run.trouble {
@@ -88,7 +88,7 @@
             if run.record.breaks() > 0 {
                 break;
             }
-            std::thread::sleep(Duration::from_secs(5));
+            std::thread::sleep(Duration::from_secs(1));
         }
         is_over.store(true, SeqCst);
         Ok(())
--- a/review/harness/prompts.rs
+++ b/review/harness/prompts.rs
@@ -15,6 +15,8 @@
 
 pub const HOST: &str = "prompts.example";
 pub const MODEL: &str = "lantern";
+/// The zone of the store host.
+const KEEP_ZONE: &str = "pier";
 /// Tokens of a session's shared part.
 pub const SESSION_TOKENS: u64 = 5000;
 
@@ -80,7 +82,7 @@
         map(vec![
             ("name", text(keep.name.as_str())),
             ("kvStoreAddr", text(keep.address.to_string())),
-            ("zone", text("pier")),
+            ("zone", text(KEEP_ZONE)),
             ("kvCapacity", num(keep.capacity as f64)),
             ("linkMbps", num(74_000)),
             ("maxInflight", num(12)),
@@ -132,10 +134,12 @@
         let zones = ["harbour", "pier", "bluff", "marina"];
         for index in 0..engines {
             let id = format!("i-{index:02}engine");
-            let engine = Engine::new(&id, MODEL, 64_644, &[Arc::clone(&keep)], &run.record);
+            let zone = zones[usize::from(index) % zones.len()];
+            let distance = 1.0;
+            let keeps = [Arc::clone(&keep)];
+            let engine = Engine::new(&id, MODEL, 64_644, &keeps, distance, &run.record);
             let address = net.at(20 + index, net.server);
             servers.push(engine.serve(address).map_err(io)?);
-            let zone = zones[usize::from(index) % zones.len()];
             let row = engine::row("wickmind", address, zone, 128, "ready", Some((MODEL, 1)));
             platform.put("servers", &id, &row);
         }
