--- a/review/harness/engine.rs
+++ b/review/harness/engine.rs
@@ -33,6 +33,9 @@
     pub record: Arc<Record>,
     memory: Mutex<Memory>,
     active: AtomicU64,
+    /// The number of orders that it has accepted.
+    orders: AtomicU64,
+    busy: AtomicBool,
 }
 
 struct Resident {
@@ -67,13 +70,16 @@
             record: Arc::clone(record),
             memory: Mutex::default(),
             active: AtomicU64::new(0),
+            orders: AtomicU64::new(0),
+            busy: AtomicBool::new(false),
         })
     }
 
     pub fn serve(self: &Arc<Self>, address: SocketAddr) -> std::io::Result<Server> {
         let engine = Arc::clone(self);
-        Server::start(address, move |request, out| {
-            engine.handle(&request, out).unwrap_or(false)
+        Server::start(address, move |request, out| match request.path() {
+            "/-/order" => engine.order(&request, out),
+            _ => engine.handle(&request, out).unwrap_or(false),
         })
     }
 
@@ -82,8 +88,9 @@
             "/-/report" => {
                 let version = self.version.load(SeqCst);
                 let active = self.active.load(SeqCst);
+                let (busy, orders) = (self.busy.load(SeqCst), self.orders.load(SeqCst));
                 let body = format!(
-                    "{{\"stage\":\"hybrid\",\"models\":[{{\"name\":\"{}\",\"version\":{version},\"adapters\":[]}}],\"busy\":false,\"seq\":0,\"queued\":0,\"active\":{active},\"kvUsed\":0,\"kvTotal\":{},\"handles\":0}}",
+                    "{{\"stage\":\"hybrid\",\"models\":[{{\"name\":\"{}\",\"version\":{version},\"adapters\":[]}}],\"busy\":{busy},\"seq\":{orders},\"queued\":0,\"active\":{active},\"kvUsed\":0,\"kvTotal\":{},\"handles\":0}}",
                     self.model, self.capacity
                 );
                 return Some(respond_json(out, 200, &body));
@@ -111,7 +118,9 @@
         self.active.fetch_add(1, SeqCst);
         self.read_prompt(request, id);
         self.active.fetch_sub(1, SeqCst);
-        let last = request.header("last-event-id").and_then(|text| text.parse().ok());
+        let last = request
+            .header("last-event-id")
+            .and_then(|text| text.parse().ok());
         let last: u64 = last.unwrap_or(0);
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nBoragereel-Request-Id: {id}\r\nBoragereel-Server-Seal: {}.{id}\r\nBoragereel-Weight-Versions: {}\r\n\r\n",
@@ -130,6 +139,35 @@
         Some(true)
     }
 
+    /// Takes an order for new weights, which it carries out in two seconds.
+    fn order(self: &Arc<Self>, request: &Request, out: &mut TcpStream) -> bool {
+        let Some(order) = Json::parse(&request.body) else {
+            return respond_json(out, 400, "{}");
+        };
+        let version = order.get("version").u64();
+        if self.version.load(SeqCst) >= version {
+            return respond_json(out, 200, "{}");
+        }
+        let expected = order.get("expectRev").u64();
+        if expected != self.orders.load(SeqCst) || self.busy.swap(true, SeqCst) {
+            return respond_json(out, 409, "{}");
+        }
+        self.orders.fetch_add(1, SeqCst);
+        self.record
+            .line(&format!("{} is ordered to version {version}", self.id));
+        let engine = Arc::clone(self);
+        std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_millis(1900));
+            *engine.memory.lock().unwrap() = Memory::default();
+            engine.version.store(version, SeqCst);
+            engine.busy.store(false, SeqCst);
+            engine
+                .record
+                .line(&format!("{} has version {version}", engine.id));
+        });
+        respond_json(out, 202, "{}")
+    }
+
     /// Reads a prompt: takes its parts from the own memory or from store hosts, reads the rest, and
     /// sends what is to be saved to store hosts.
     fn read_prompt(&self, request: &Request, id: &str) {
@@ -155,9 +193,11 @@
         let mut saves = Vec::new();
         for (index, (part, tokens)) in parts.iter().enumerate() {
             if let Some(keep) = save.get(index).cloned().flatten()
-                && let Some(copy) = keep.reserve(part, *tokens, id, tenant)
+                && let Some(copy) =
+                    keep.reserve(part, *tokens, (id, tenant), self.version.load(SeqCst))
             {
-                self.record.line(&format!("{id} begins to save {} to {}", part.1, keep.name));
+                self.record
+                    .line(&format!("{id} begins to save {} to {}", part.1, keep.name));
                 saves.push((keep, part.clone(), *tokens, copy));
             }
         }
@@ -178,7 +218,9 @@
             is_available = false;
             unread += tokens;
         }
-        std::thread::sleep(Duration::from_secs_f64(unread as f64 / READ_PER_MS / 1000.0));
+        std::thread::sleep(Duration::from_secs_f64(
+            unread as f64 / READ_PER_MS / 1000.0,
+        ));
         for (part, tokens) in &parts {
             self.remember(part, *tokens, id, tenant);
         }
@@ -198,7 +240,10 @@
     fn keep(&self, entry: &str) -> Option<Arc<Keep>> {
         let address = entry.trim().split('/').next().unwrap_or("");
         let address: SocketAddr = address.parse().ok()?;
-        self.keeps.iter().find(|keep| keep.address == address).cloned()
+        self.keeps
+            .iter()
+            .find(|keep| keep.address == address)
+            .cloned()
     }
 
     /// Fetches a part from a store host; returns whether it was there.
@@ -220,7 +265,15 @@
                 self.id, part.1, keep.name, found.maker
             ));
         }
-        self.record.on_cache_use(id, tenant, &found.maker, &found.tenant, &part.1, &keep.name);
+        self.record
+            .on_cache_use(id, tenant, &found.maker, &found.tenant, &part.1, &keep.name);
+        let version = self.version.load(SeqCst);
+        if found.version != version {
+            self.record.broken(&format!(
+                "{id} at {} runs on version {version} and uses {} from {}, made by {} on version {}",
+                self.id, part.1, keep.name, found.maker, found.version
+            ));
+        }
         std::thread::sleep(transfer_time(tokens.min(found.tokens), self.distance));
         if !keep.is_same(part, &found) {
             self.record.broken(&format!(
@@ -239,7 +292,8 @@
         resident.used = Instant::now();
         let (maker, owner) = (resident.maker.clone(), resident.tenant.clone());
         drop(memory);
-        self.record.on_cache_use(id, tenant, &maker, &owner, &part.1, &self.id);
+        self.record
+            .on_cache_use(id, tenant, &maker, &owner, &part.1, &self.id);
         true
     }
 
@@ -258,7 +312,10 @@
         memory.used += tokens;
         memory.parts.insert(part.clone(), resident);
         while memory.used > self.capacity {
-            let oldest = memory.parts.iter().min_by_key(|(_, resident)| resident.used);
+            let oldest = memory
+                .parts
+                .iter()
+                .min_by_key(|(_, resident)| resident.used);
             let Some(oldest) = oldest.map(|(part, _)| part.clone()) else {
                 return;
             };
@@ -310,7 +367,11 @@
         }
         if let Some(since) = leaving {
             let after = since.elapsed();
-            let text = format!("{id} reaches {} {} ms after it leaves", self.id, after.as_millis());
+            let text = format!(
+                "{id} reaches {} {} ms after it leaves",
+                self.id,
+                after.as_millis()
+            );
             if after > self.drain {
                 self.record.broken(&text);
             } else {
--- a/review/harness/front.rs
+++ b/review/harness/front.rs
@@ -173,12 +173,6 @@
         false
     }
 
-    /// Sends SIGTERM.
-    pub fn terminate(&self) {
-        let id = self.process.id().to_string();
-        let _ = Command::new("kill").args(["-TERM", &id]).status();
-    }
-
     pub fn kill(&mut self) {
         let _ = self.process.kill();
         let _ = self.process.wait();
--- a/review/harness/http.rs
+++ b/review/harness/http.rs
@@ -240,7 +240,10 @@
     let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
     stream.set_nodelay(true).ok()?;
     stream.set_read_timeout(Some(timeout)).ok()?;
-    let mut head = format!("{method} {target} HTTP/1.1\r\nContent-Length: {}\r\n", body.len());
+    let mut head = format!(
+        "{method} {target} HTTP/1.1\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         head.push_str(&format!("{name}: {value}\r\n"));
     }
--- a/review/harness/json.rs
+++ b/review/harness/json.rs
@@ -21,12 +21,7 @@
 }
 
 pub fn map(fields: Vec<(&str, Json)>) -> Json {
-    Json::Map(
-        fields
-            .into_iter()
-            .map(|(k, v)| (k.to_owned(), v))
-            .collect(),
-    )
+    Json::Map(fields.into_iter().map(|(k, v)| (k.to_owned(), v)).collect())
 }
 
 impl Json {
--- a/review/harness/keep.rs
+++ b/review/harness/keep.rs
@@ -18,6 +18,8 @@
     /// The request that made it, and its tenant.
     maker: String,
     tenant: String,
+    /// The version of the weights that made it.
+    version: u64,
     /// Distinguishes two copies of a part in succession.
     copy: u64,
 }
@@ -49,6 +51,7 @@
     pub complete: bool,
     pub maker: String,
     pub tenant: String,
+    pub version: u64,
     copy: u64,
 }
 
@@ -93,7 +96,13 @@
 
     /// Reserves room for a part that a server will write; returns the number of the copy, or `None`
     /// if the part is there already or there is no room.
-    pub fn reserve(&self, part: &Part, tokens: u64, maker: &str, tenant: &str) -> Option<u64> {
+    pub fn reserve(
+        &self,
+        part: &Part,
+        tokens: u64,
+        (maker, tenant): (&str, &str),
+        version: u64,
+    ) -> Option<u64> {
         let mut state = self.state.lock().unwrap();
         if !state.up || state.parts.contains_key(part) || state.used + tokens > self.capacity {
             return None;
@@ -106,6 +115,7 @@
             complete: false,
             maker: maker.to_owned(),
             tenant: tenant.to_owned(),
+            version,
             copy,
         };
         state.parts.insert(part.clone(), stored);
@@ -136,6 +146,7 @@
             complete: stored.complete,
             maker: stored.maker.clone(),
             tenant: stored.tenant.clone(),
+            version: stored.version,
             copy: stored.copy,
         }))
     }
@@ -149,7 +160,11 @@
 
     pub fn count(&self) -> usize {
         let state = self.state.lock().unwrap();
-        state.parts.values().filter(|stored| stored.complete).count()
+        state
+            .parts
+            .values()
+            .filter(|stored| stored.complete)
+            .count()
     }
 
     pub fn used(&self) -> u64 {
@@ -159,13 +174,21 @@
     /// The number of parts that were freed since the start of the process.
     pub fn freed(&self) -> usize {
         let state = self.state.lock().unwrap();
-        state.events.iter().filter(|(_, sign, ..)| *sign == '-').count()
+        state
+            .events
+            .iter()
+            .filter(|(_, sign, ..)| *sign == '-')
+            .count()
     }
 
     /// The id of the part that was freed last.
     pub fn last_freed(&self) -> Option<String> {
         let state = self.state.lock().unwrap();
-        let mut freed = state.events.iter().rev().filter(|(_, sign, ..)| *sign == '-');
+        let mut freed = state
+            .events
+            .iter()
+            .rev()
+            .filter(|(_, sign, ..)| *sign == '-');
         freed.next().map(|(_, _, (_, id), _)| id.clone())
     }
 
--- a/review/harness/lost_relays.rs
+++ b/review/harness/lost_relays.rs
@@ -24,7 +24,9 @@
     deployment.fill(run, 0..SESSIONS, key)?;
     // All entries learn what the store host has.
     std::thread::sleep(Duration::from_millis(5500));
-    if run.trouble {
+    // A control: with LOSSES=0 the machines stay, and only the store host restarts.
+    let is_lossy = std::env::var("LOSSES").as_deref() != Ok("0");
+    if run.trouble && is_lossy {
         for front in &mut deployment.fronts {
             if front.name.starts_with("front-marina") {
                 front.kill();
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -70,7 +70,8 @@
         }
         Ok(()) => {
             let breaks = run.record.breaks();
-            run.record.step(&format!("end: the rule was broken {breaks} times"));
+            run.record
+                .step(&format!("end: the rule was broken {breaks} times"));
             i32::from(breaks > 0)
         }
     }
--- a/review/harness/platform.rs
+++ b/review/harness/platform.rs
@@ -123,7 +123,8 @@
         let number = |name: &str| request.query(name).and_then(|text| text.parse().ok());
         let table = request.query("table").unwrap_or_default();
         let after: u64 = number("after").unwrap_or(0);
-        let until = Instant::now() + Duration::from_millis(number("waitMs").unwrap_or(0).min(30_000));
+        let until =
+            Instant::now() + Duration::from_millis(number("waitMs").unwrap_or(0).min(30_000));
         let mut rows = self.rows.lock().unwrap();
         loop {
             let mut changed: Vec<(&Key, &Row)> = rows
@@ -159,12 +160,8 @@
         let holds = expected
             .iter()
             .all(|entry| current(&rows, &name(entry)) == entry.get("ver").u64());
-        let stamp = |rows: &Rows| {
-            vec![
-                ("ver", num(rows.ver as f64)),
-                ("nowMs", num(self.now_ms())),
-            ]
-        };
+        let stamp =
+            |rows: &Rows| vec![("ver", num(rows.ver as f64)), ("nowMs", num(self.now_ms()))];
         if !holds {
             let found = expected.iter().filter_map(|entry| {
                 let key = name(entry);
--- a/review/harness/prompts.rs
+++ b/review/harness/prompts.rs
@@ -26,6 +26,7 @@
     pub keep: Arc<Keep>,
     pub fronts: Vec<Front>,
     _servers: Vec<Server>,
+    pub engines: Vec<(Arc<Engine>, SocketAddr, &'static str)>,
     requests: AtomicU64,
     /// Tokens of a session's shared part.
     pub session_tokens: u64,
@@ -127,6 +128,7 @@
         let net = &run.net;
         let platform = Platform::new();
         let mut servers = Vec::new();
+        let mut started = Vec::new();
         let store = net.at(40, net.server);
         servers.push(platform.serve(store).map_err(io)?);
         let keep = Keep::new(keep_name, net.at(41, net.server), keep_capacity);
@@ -142,6 +144,7 @@
             servers.push(engine.serve(address).map_err(io)?);
             let row = engine::row("wickmind", address, zone, 128, "ready", Some((MODEL, 1)));
             platform.put("servers", &id, &row);
+            started.push((engine, address, zone));
         }
         configure(&platform, 7, &keep, tenants);
         platform.put(
@@ -155,6 +158,7 @@
             keep,
             fronts: Vec::new(),
             _servers: servers,
+            engines: started,
             requests: AtomicU64::new(0),
             session_tokens: SESSION_TOKENS,
         };
@@ -186,8 +190,11 @@
         let number = self.requests.fetch_add(1, SeqCst);
         let id = format!("{:08x}{number:08x}", std::process::id());
         // All prompts begin with one of four texts, and end with a question of their own.
-        let parts = format!("c0de000{}:2520,5e55{session:04x}:{},0e{number:06x}:160",
-            session % 4, self.session_tokens);
+        let parts = format!(
+            "c0de000{}:2520,5e55{session:04x}:{},0e{number:06x}:160",
+            session % 4,
+            self.session_tokens
+        );
         let tokens = format!("{},16", 2520 + self.session_tokens + 160);
         let authorization = format!("Bearer {key}");
         let headers = [
@@ -199,20 +206,37 @@
             ("Boragereel-Request-Deadline", "5000"),
             ("Authorization", authorization.as_str()),
         ];
-        run.record.line(&format!("{id} asks {front}, session {session}"));
-        let answer = http::send(front, "POST", "/check/2f", &headers, b"question", Duration::from_secs(6));
+        run.record
+            .line(&format!("{id} asks {front}, session {session}"));
+        let answer = http::send(
+            front,
+            "POST",
+            "/check/2f",
+            &headers,
+            b"question",
+            Duration::from_secs(6),
+        );
         let status = answer.as_ref().map_or(0, |answer| answer.status);
         let is_whole = answer.is_some_and(|answer| {
             answer.header("boragereel-request-id") == Some(id.as_str())
                 && answer.header("boragereel-server-seal").is_some()
         });
         run.record.line(&format!("{id} is answered {status}"));
-        if status == 200 && !is_whole { 0 } else { status }
+        if status == 200 && !is_whole {
+            0
+        } else {
+            status
+        }
     }
 
     /// Sends one prompt of each session in turn, some at a time, until the store host has all of
     /// them.
-    pub fn fill(&self, run: &Run, sessions: std::ops::Range<usize>, key: &str) -> Result<(), String> {
+    pub fn fill(
+        &self,
+        run: &Run,
+        sessions: std::ops::Range<usize>,
+        key: &str,
+    ) -> Result<(), String> {
         let sessions: Vec<usize> = sessions.collect();
         for chunk in sessions.chunks(4) {
             std::thread::scope(|scope| {
@@ -224,7 +248,8 @@
         }
         std::thread::sleep(Duration::from_millis(400));
         let stored = self.keep.count();
-        run.record.step(&format!("the store host has {stored} parts"));
+        run.record
+            .step(&format!("the store host has {stored} parts"));
         (stored * 10 >= sessions.len() * 8)
             .then_some(())
             .ok_or_else(|| "the parts were not saved".to_owned())
--- a/review/harness/record.rs
+++ b/review/harness/record.rs
@@ -54,7 +54,11 @@
     }
 
     pub fn isolate(&self, tenant: &str) {
-        self.state.lock().unwrap().isolated.insert(tenant.to_owned());
+        self.state
+            .lock()
+            .unwrap()
+            .isolated
+            .insert(tenant.to_owned());
     }
 
     /// Checks a use of KV cache that another request made.
@@ -67,7 +71,9 @@
         part: &str,
         place: &str,
     ) {
-        self.line(&format!("{id} ({tenant}) uses {part} in {place}, made by {maker} ({owner})"));
+        self.line(&format!(
+            "{id} ({tenant}) uses {part} in {place}, made by {maker} ({owner})"
+        ));
         let is_walled = {
             let state = self.state.lock().unwrap();
             tenant != owner && (state.isolated.contains(tenant) || state.isolated.contains(owner))
--- a/review/harness/stale_list.rs
+++ b/review/harness/stale_list.rs
@@ -112,7 +112,8 @@
             if run.trouble {
                 for index in [0, 2] {
                     ways[index].stop();
-                    run.record.step(&format!("{} has no way to the store", fronts[index].name));
+                    run.record
+                        .step(&format!("{} has no way to the store", fronts[index].name));
                 }
             }
             let cut_at = Instant::now();
@@ -121,7 +122,8 @@
             let row = engine::row("permitdesk", *address, zone, 6, "draining", None);
             platform.put("servers", &plain.id, &row);
             *plain.leaving_since.lock().unwrap() = Some(Instant::now());
-            run.record.step(&format!("{} leaves: acknowledged by the store", plain.id));
+            run.record
+                .step(&format!("{} leaves: acknowledged by the store", plain.id));
             if run.trouble {
                 std::thread::sleep(CUT.saturating_sub(cut_at.elapsed()));
                 run.record.step("the ways to the store are back");
--- a/review/harness/wall.rs
+++ b/review/harness/wall.rs
@@ -31,7 +31,8 @@
     std::thread::sleep(Duration::from_secs(1));
     if run.trouble {
         configure(&deployment.platform, 9, &deployment.keep, &tenants(true));
-        run.record.step("walks is isolated: acknowledged by the store");
+        run.record
+            .step("walks is isolated: acknowledged by the store");
     }
     // The bound within which a configuration is in force is two seconds.
     std::thread::sleep(Duration::from_millis(3500));
