cache: fetch only on recent evidence of a store host's boot

Cause: the entries that watch a host and relay its reports were taken from all that ever registered. When the two relays are gone for good, nobody tells the others of a restart, and an entry that does not watch the host polls it each 5 s. More generally an entry fetched on knowledge of any age. Ruled out: registered replaced by live entries alone, since relays that are alive but cut off or suspended leave the others with the same outdated state.

Change: duties go by the live entries. Gossip carries the newest evidence of each host's boot with its age, from whichever entry; nothing is fetched on evidence older than 2.5 s, and nothing is saved under a new boot for 3.5 s, until such evidence has expired. Entries without evidence poll the host each second. Reports of a former boot are no longer forwarded under the new one. The recorders of released weights and of restorations also go by the live entries.

The tests of fleet/tests/cache.rs now start with observed hosts; their expectations are unchanged, but for the shift of their clock by ten seconds.

--- a/crates/fleet/src/cache/mod.rs
+++ b/crates/fleet/src/cache/mod.rs
@@ -138,6 +138,17 @@
     pub congestion: Duration,
 }
 
+/// What an entry has observed of a store host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Observation {
+    /// The boot id of the host, or `None` if it did not respond.
+    pub boot: Option<u64>,
+    /// A time at which this was certainly so.
+    pub at: Time,
+    /// The earliest time at which the host is known to have run under this boot.
+    pub since: Time,
+}
+
 /// A report of a store host about one segment.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Report {
@@ -200,17 +211,61 @@
         self.prefill_rate = prefill_rate;
     }
 
-    /// Records reports of a host. A changed boot id means that the host has restarted and lost
-    /// everything reported before.
-    pub fn on_reports(&mut self, store: &Store, boot: u64, reports: Vec<Report>, now: Time) {
+    /// Records what this or another entry has observed of a host; returns whether it is news or
+    /// agrees with what is known. Older observations are ignored.
+    ///
+    /// Load pattern: a host restarts while the entries that relay its reports are gone. An entry
+    /// that goes by the former boot lets targets fetch segments that other entries are just saving
+    /// again. So a fetch needs recent evidence of the boot, whichever entry it comes from, and
+    /// nothing is saved under a new boot until all evidence of the former one has expired.
+    pub fn on_observed(&mut self, store: &Store, observation: Observation) -> bool {
         let Some(server) = self.servers.get_mut(store) else {
-            return;
+            return false;
+        };
+        let Observation { boot, at, since } = observation;
+        let is_newer = server.observed_at.is_none_or(|known| known < at);
+        let Some(boot) = boot else {
+            if is_newer {
+                server.up = false;
+                server.saving.clear();
+                server.observed_at = Some(at);
+            }
+            return is_newer;
         };
-        if server.boot != Some(boot) {
-            server.clear();
-            server.boot = Some(boot);
+        if server.boot == Some(boot) {
+            server.boot_since = server.boot_since.min(since);
+            if is_newer {
+                server.up = true;
+                server.observed_at = Some(at);
+            }
+            return true;
         }
+        if !is_newer || server.is_former_boot(boot) {
+            return false;
+        }
+        server.on_new_boot(boot, since);
         server.up = true;
+        server.observed_at = Some(at);
+        true
+    }
+
+    /// Returns what is known of a host, to tell other entries.
+    #[must_use]
+    pub fn observation(&self, store: &Store) -> Option<Observation> {
+        let server = self.servers.get(store)?;
+        Some(Observation {
+            boot: server.boot.filter(|_| server.up),
+            at: server.observed_at?,
+            since: server.boot_since,
+        })
+    }
+
+    /// Records reports of a host under its current boot; those under another one are ignored.
+    pub fn on_reports(&mut self, store: &Store, boot: u64, reports: Vec<Report>, now: Time) {
+        let server = self.servers.get_mut(store);
+        let Some(server) = server.filter(|server| server.boot == Some(boot)) else {
+            return;
+        };
         for report in reports {
             server.saving.remove(&report.key);
             if !report.present {
@@ -235,21 +290,15 @@
     /// Replaces the state of a host by a full report. Single reports may be lost, and a host
     /// remembers only the newest ones.
     pub fn on_snapshot(&mut self, store: &Store, boot: u64, reports: Vec<Report>, now: Time) {
-        if let Some(server) = self.servers.get_mut(store) {
-            server.cached.clear();
-            server.tokens = 0;
-        }
+        let server = self.servers.get_mut(store);
+        let Some(server) = server.filter(|server| server.boot == Some(boot)) else {
+            return;
+        };
+        server.cached.clear();
+        server.tokens = 0;
         self.on_reports(store, boot, reports, now);
     }
 
-    /// Records that a host does not answer; nothing is fetched from it or saved to it.
-    pub fn on_down(&mut self, store: &Store) {
-        if let Some(server) = self.servers.get_mut(store) {
-            server.up = false;
-            server.saving.clear();
-        }
-    }
-
     /// Returns the failure domain of a host that has the segment.
     #[must_use]
     pub fn holder_domain(&self, segment: &Segment) -> Option<&Domain> {
@@ -266,13 +315,6 @@
         self.host(&home).map(|host| &host.domain)
     }
 
-    /// Returns the boot id of a host that is up.
-    #[must_use]
-    pub fn boot(&self, store: &Store) -> Option<u64> {
-        let server = self.servers.get(store)?;
-        server.boot.filter(|_| server.up)
-    }
-
     /// Plans the shared segments of a prompt for a target; `draw` is uniformly distributed between
     /// 0 and 1. Records nothing.
     #[must_use]
@@ -286,7 +328,12 @@
     ) -> Plan {
         let mut plan = Plan::default();
         let current = !self.is_stalled(now);
-        let holder = |segment: &Segment| self.holder(segment).filter(|_| current);
+        let holder = |segment: &Segment| self.holder(segment, now).filter(|_| current);
+        let save = |segment: &Segment| {
+            let home = self.home(segment);
+            let home = home.filter(|home| self.servers[home].accepts_saves(now));
+            home.map_or(Action::Prefill, Action::Save)
+        };
         // A segment is usable only if all segments before it are available too.
         let mut prefix_available = true;
         for (index, segment) in segments.iter().enumerate() {
@@ -315,7 +362,7 @@
                         // Include the host in case the target has evicted the segment.
                         (Some(store), _) => Action::Fetch(store),
                         (None, true) => Action::Prefill,
-                        (None, false) => self.home(segment).map_or(Action::Prefill, Action::Save),
+                        (None, false) => save(segment),
                     });
                 continue;
             }
@@ -326,7 +373,7 @@
                     (Some(store), _) if had_prefix => Action::Skip(store),
                     (Some(_), _) => Action::Prefill,
                     (None, true) => Action::Prefill,
-                    (None, false) => self.home(segment).map_or(Action::Prefill, Action::Save),
+                    (None, false) => save(segment),
                 });
         }
         plan
@@ -436,10 +483,10 @@
     }
 
     /// Returns any host that has the complete segment.
-    fn holder(&self, segment: &Segment) -> Option<Store> {
+    fn holder(&self, segment: &Segment, now: Time) -> Option<Store> {
         let holder = self.servers.iter().find(|(_, server)| {
             let cached = server.cached.get(&segment.key);
-            server.up
+            server.is_confirmed(now)
                 && server.synced
                 && cached.is_some_and(|cached| cached.tokens + BLOCK_TOKENS > segment.tokens)
         });
@@ -457,7 +504,7 @@
         let prefill_time = self.prefill_rate.duration(segment.tokens);
         // Without these limits, queues on overloaded links would delay all fetches.
         let holders = self.servers.iter().filter(|(_, server)| {
-            server.up
+            server.is_confirmed(now)
                 && server.synced
                 && draw * self.utilization(server, now) <= MAX_UTILIZATION
                 && draw <= server.fetch_share
--- a/crates/fleet/src/cache/server.rs
+++ b/crates/fleet/src/cache/server.rs
@@ -12,6 +12,12 @@
     pub(super) host: StoreHost,
     /// The last known boot id.
     pub(super) boot: Option<u64>,
+    /// The boot ids before it, oldest first; a host never returns to one.
+    former_boots: VecDeque<u64>,
+    /// When the host was last known to run under `boot`, or to be down.
+    pub(super) observed_at: Option<Time>,
+    /// When the host was first known to run under `boot`.
+    pub(super) boot_since: Time,
     pub(super) up: bool,
     /// Whether all its reports are known, except the newest ones.
     pub(super) synced: bool,
@@ -47,6 +53,14 @@
     pub(super) since: Time,
 }
 
+/// Number of former boot ids to remember. Messages that are older than several restarts of a host
+/// do not arrive.
+const MAX_FORMER_BOOTS: usize = 8;
+/// The age of the newest evidence of a host's boot up to which segments are fetched from it. It
+/// covers two calls that a host holds for 0.8 s, and gossip among hundreds of entries.
+const BOOT_EVIDENCE_TTL: Duration = Duration::from_millis(2500);
+/// How long a target may take from the choice of a fetch to its start.
+const FETCH_START_TIME: Duration = Duration::from_millis(1000);
 /// Upper limit of a transfer time; nothing is fetched at such durations anyway.
 const MAX_TRANSFER_TIME: Duration = Duration::from_secs(3600);
 /// Slowdown of links between failure domains.
@@ -72,6 +86,9 @@
         Self {
             host,
             boot: None,
+            former_boots: VecDeque::new(),
+            observed_at: None,
+            boot_since: Time::default(),
             up: false,
             synced: true,
             cached: HashMap::new(),
@@ -88,7 +105,36 @@
         }
     }
 
-    pub(super) fn clear(&mut self) {
+    /// Adopts a boot id that was not known before. The host has lost everything reported so far.
+    pub(super) fn on_new_boot(&mut self, boot: u64, since: Time) {
+        if let Some(former) = self.boot.replace(boot) {
+            self.former_boots.push_back(former);
+            if self.former_boots.len() > MAX_FORMER_BOOTS {
+                self.former_boots.pop_front();
+            }
+        }
+        self.boot_since = since;
+        self.clear();
+    }
+
+    pub(super) fn is_former_boot(&self, boot: u64) -> bool {
+        self.former_boots.contains(&boot)
+    }
+
+    /// Returns whether segments may be fetched from the host as far as its boot is concerned.
+    pub(super) fn is_confirmed(&self, now: Time) -> bool {
+        self.up
+            && self
+                .observed_at
+                .is_some_and(|at| now.since(at) <= BOOT_EVIDENCE_TTL)
+    }
+
+    /// Returns whether segments may be saved to the host.
+    pub(super) fn accepts_saves(&self, now: Time) -> bool {
+        self.up && now.since(self.boot_since) >= BOOT_EVIDENCE_TTL + FETCH_START_TIME
+    }
+
+    fn clear(&mut self) {
         self.cached.clear();
         self.saving.clear();
         self.retired.clear();
--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -48,9 +48,8 @@
     pub retired: Vec<(Store, Key)>,
     /// Segments retired by other entries that it is still fetching.
     pub pinned: Vec<(Store, Key)>,
-    /// The store hosts whose reports it forwards, with their boot id, or `None` for a host that is
-    /// down.
-    pub stores: Vec<(Store, Option<u64>)>,
+    /// What the sender knows of store hosts, from its own calls or from other entries.
+    pub stores: Vec<StoreState>,
     /// Recent reports of these store hosts.
     pub reports: Vec<(Store, Report)>,
     /// Cells of the sender with queued requests, each with the expected wait of a new one.
@@ -64,6 +63,19 @@
     pub leaving: bool,
 }
 
+/// What an entry knows of a store host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoreState {
+    /// The store host.
+    pub store: Store,
+    /// The boot id of the host, or `None` if it does not respond.
+    pub boot: Option<u64>,
+    /// The time since this was last observed.
+    pub age: Duration,
+    /// The time since the host was first known to run under this boot.
+    pub boot_age: Duration,
+}
+
 /// The immediate load report of an entry to the dispatchers of its targets.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Update {
@@ -107,7 +119,8 @@
     loads_by_target: HashMap<Target, Load>,
     used: VecDeque<(Time, Store, Key)>,
     retired: VecDeque<(Time, Store, Key)>,
-    reports: VecDeque<(Time, Store, Report)>,
+    /// Recent reports of store hosts, each with the boot id under which it was made.
+    reports: VecDeque<(Time, Store, u64, Report)>,
     updated: VecDeque<(Time, Target, Model, u64)>,
     /// The newest version at which any other entry has read a change made by the operator, and when
     /// this was first reported.
@@ -466,11 +479,14 @@
             .collect()
     }
 
-    /// Records reports of a store host, to forward them.
-    pub fn on_reports(&mut self, store: &Store, reports: &[Report], now: Time) {
+    /// Records reports of a store host, to forward them. Those of a former boot are dropped: under
+    /// the new boot, the segments are gone or are just being written.
+    pub fn on_reports(&mut self, store: &Store, boot: u64, reports: &[Report], now: Time) {
+        self.reports
+            .retain(|(_, other, reported, _)| other != store || *reported == boot);
         let reports = reports.iter().cloned();
         self.reports
-            .extend(reports.map(|report| (now, store.clone(), report)));
+            .extend(reports.map(|report| (now, store.clone(), boot, report)));
     }
 
     /// Returns the reports to forward in a message.
@@ -478,7 +494,7 @@
     pub fn reports(&self) -> Vec<(Store, Report)> {
         let newest = self.reports.iter().rev().take(MAX_REPORTS).rev();
         newest
-            .map(|(_, store, report)| (store.clone(), report.clone()))
+            .map(|(_, store, _, report)| (store.clone(), report.clone()))
             .collect()
     }
 
--- a/crates/fleet/tests/cache.rs
+++ b/crates/fleet/tests/cache.rs
@@ -3,13 +3,19 @@
 use std::time::Duration;
 
 use fleet::cache::{
-    Action, Index, Key, Lateness, Location, Plan, Report, Residency, Segment, Status,
+    Action, Index, Key, Lateness, Location, Observation, Plan, Report, Residency, Segment, Status,
 };
 use fleet::catalog::StoreHost;
 use types::{Domain, Store, Target, Time};
 
+/// Returns a time after the start of a test. The hosts have run for ten seconds by then.
 fn at(millis: u64) -> Time {
-    Time::from_millis(millis)
+    Time::from_millis(10_000 + millis)
+}
+
+/// What another entry observes of a host; `since` is when it first ran under this boot.
+fn observed(boot: Option<u64>, at: Time, since: Time) -> Observation {
+    Observation { boot, at, since }
 }
 
 fn host(name: &str, domain: &str, capacity: u64, link: f64, latency_ms: f64) -> StoreHost {
@@ -55,11 +61,17 @@
 }
 
 impl Fixture {
+    /// Opens an index of hosts that are observed without a break.
     fn open(hosts: &[StoreHost]) -> Self {
+        Self::open_observed(hosts, at(1_000_000))
+    }
+
+    /// Opens an index of hosts that were last observed at a time.
+    fn open_observed(hosts: &[StoreHost], last: Time) -> Self {
         let mut index = Index::default();
         index.configure(hosts, 35_136);
         for host in hosts {
-            index.on_reports(&host.name, 1, Vec::new(), at(0));
+            index.on_observed(&host.name, observed(Some(1), last, Time::default()));
         }
         Self {
             index,
@@ -148,7 +160,8 @@
     fixture
         .index
         .on_reports(&big(), 1, vec![present("m.1", "root", 2600)], at(0));
-    fixture.index.on_reports(&big(), 2, Vec::new(), at(1));
+    let restarted = observed(Some(2), at(2_000_000), Time::default());
+    fixture.index.on_observed(&big(), restarted);
     assert_eq!(
         fixture.actions(&[segment("m.1", "root", 2600)], at(2)),
         [Action::Save(big())]
@@ -162,7 +175,8 @@
     fixture
         .index
         .on_reports(&big(), 1, vec![present("m.1", "root", 2600)], at(0));
-    fixture.index.on_down(&big());
+    let down = observed(None, at(2_000_000), at(2_000_000));
+    fixture.index.on_observed(&big(), down);
     assert_eq!(
         fixture.actions(&[segment("m.1", "root", 2600)], at(1)),
         [Action::Prefill]
@@ -527,3 +541,83 @@
     }
     assert_eq!(actions(800_000), [Action::Prefill]);
 }
+
+/// Guards against fetching a segment that another entry is just saving again (MIXED check). The
+/// entries that relayed the reports of a host were gone, so one that does not watch it went by the
+/// host's former boot for up to five seconds.
+#[test]
+fn nothing_is_fetched_without_recent_evidence_of_the_boot() {
+    let hosts = [host("big", "pier", 1_000_000, 74_000.0, 6.0)];
+    let mut fixture = Fixture::open_observed(&hosts, at(0));
+    let root = [segment("m.1", "root", 2600)];
+    fixture
+        .index
+        .on_reports(&big(), 1, vec![present("m.1", "root", 2600)], at(0));
+    assert_eq!(fixture.actions(&root, at(2500)), [Action::Fetch(big())]);
+    assert_eq!(fixture.actions(&root, at(2501)), [Action::Prefill]);
+    // Evidence of any entry is enough; older evidence changes nothing.
+    for (time, action) in [(1000, Action::Prefill), (4000, Action::Fetch(big()))] {
+        let evidence = observed(Some(1), at(time), at(time));
+        fixture.index.on_observed(&big(), evidence);
+        assert_eq!(fixture.actions(&root, at(4100)), [action]);
+    }
+}
+
+/// Guards against the other side of the same fault: a segment is saved under a new boot while
+/// another entry still has evidence of the former one, and fetches it.
+#[test]
+fn nothing_is_saved_under_a_new_boot_until_evidence_of_the_former_one_has_expired() {
+    let mut fixture =
+        Fixture::open_observed(&[host("big", "pier", 1_000_000, 74_000.0, 6.0)], at(0));
+    let root = [segment("m.1", "root", 2600)];
+    assert_eq!(fixture.actions(&root, at(10)), [Action::Save(big())]);
+    let restarted = observed(Some(2), at(100), at(100));
+    fixture.index.on_observed(&big(), restarted);
+    for time in [100, 2600, 3599] {
+        assert_eq!(fixture.actions(&root, at(time)), [Action::Prefill]);
+    }
+    assert_eq!(fixture.actions(&root, at(3600)), [Action::Save(big())]);
+    // An entry that has just started learns from another one how long the host has run.
+    let mut fixture =
+        Fixture::open_observed(&[host("big", "pier", 1_000_000, 74_000.0, 6.0)], at(0));
+    for (since, action) in [
+        (5000, Action::Prefill),
+        (1400, Action::Save(big())),
+        (4900, Action::Save(big())),
+    ] {
+        let evidence = observed(Some(2), at(5000), at(since));
+        fixture.index.on_observed(&big(), evidence);
+        assert_eq!(fixture.actions(&root, at(5000)), [action]);
+    }
+}
+
+/// Guards against a message that was delayed and brings back a former boot, or a host that is down.
+#[test]
+fn an_older_observation_is_ignored() {
+    let hosts = [host("big", "pier", 1_000_000, 74_000.0, 6.0)];
+    let mut fixture = Fixture::open_observed(&hosts, at(0));
+    let known = |fixture: &Fixture| fixture.index.observation(&big()).expect("a host");
+    assert!(
+        fixture
+            .index
+            .on_observed(&big(), observed(Some(2), at(500), at(500)))
+    );
+    for (boot, time) in [(Some(1), 900), (Some(3), 400), (None, 400)] {
+        let old = observed(boot, at(time), at(time));
+        assert!(!fixture.index.on_observed(&big(), old), "{boot:?}");
+        assert_eq!(known(&fixture).boot, Some(2));
+    }
+    // Reports of a former boot are not those of this one.
+    let report = vec![present("m.1", "root", 2600)];
+    fixture.index.on_reports(&big(), 1, report, at(900));
+    assert_eq!(
+        fixture.actions(&[segment("m.1", "root", 2600)], at(900)),
+        [Action::Prefill]
+    );
+    // A host that was down is used again once it was observed later.
+    for (boot, time) in [(None, 1000), (Some(2), 1100)] {
+        let news = observed(boot, at(time), at(time));
+        assert!(fixture.index.on_observed(&big(), news));
+        assert_eq!(known(&fixture).boot, boot);
+    }
+}
--- a/crates/fleet/tests/gossip.rs
+++ b/crates/fleet/tests/gossip.rs
@@ -1,6 +1,6 @@
 //! Gossip between entries.
 
-use fleet::cache::Key;
+use fleet::cache::{Key, Report};
 use fleet::gossip::{Peers, State};
 use fleet::placement::Load;
 use types::{Revision, Time};
@@ -259,3 +259,26 @@
     peers.on_state(&report, at(200));
     assert!(peers.has_newer_config(6, later));
 }
+
+/// Guards against reports of a host's former boot that are forwarded as those of the new one: the
+/// segments are gone, or are just being saved again (MIXED check).
+#[test]
+fn reports_of_a_former_boot_are_not_forwarded() {
+    let report = |id: &str| Report {
+        present: true,
+        key: Key {
+            namespace: "m.1".into(),
+            id: id.into(),
+        },
+        tokens: 800,
+    };
+    let mut peers = Peers::default();
+    peers.on_reports(&"big".into(), 1, &[report("a")], at(0));
+    peers.on_reports(&"other".into(), 7, &[report("b")], at(0));
+    peers.on_reports(&"big".into(), 2, &[report("c")], at(50));
+    let forwarded = peers.reports().into_iter();
+    let forwarded: Vec<String> = forwarded
+        .map(|(_, report)| report.key.id.to_string())
+        .collect();
+    assert_eq!(forwarded, ["b", "c"]);
+}
--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -2,7 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fleet::cache::{Index, Key};
+use fleet::cache::{Index, Key, Observation};
 use fleet::catalog::StoreHost;
 use fleet::gossip::Peers;
 use tokio::task::JoinHandle;
@@ -21,7 +21,12 @@
 /// The interval at which such an entry polls the host; gossip messages with reports may be lost.
 const GAP_INTERVAL: Duration = Duration::from_secs(5);
 /// The number of entries that relay the reports of a store host to the others.
-pub(crate) const RELAY_COUNT: usize = 2;
+const RELAY_COUNT: usize = 2;
+/// The age of the newest evidence of a host's boot from which an entry that does not watch the host
+/// polls it, because no other entry reports any.
+const MAX_EVIDENCE_AGE: Duration = Duration::from_millis(1500);
+/// The interval at which such an entry polls the host.
+const EVIDENCE_INTERVAL: Duration = Duration::from_secs(1);
 /// The back-off after a failed call to a store host.
 const BACK_OFF: Duration = Duration::from_millis(250);
 /// How long the list of targets must have been watched without an outage of the table store before
@@ -38,6 +43,50 @@
 /// The interval at which the configured store hosts are read again, and eviction is considered.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
+/// This entry's part in watching a store host. The first live entries in the host's order watch its
+/// reports, the first two of these relay them, and the first one evicts segments.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Duty {
+    /// The position of this entry among those that watch the host.
+    rank: Option<usize>,
+}
+
+impl Duty {
+    /// Whether this entry watches the host itself.
+    pub(crate) fn watches(self) -> bool {
+        self.rank.is_some()
+    }
+
+    /// Whether this entry relays the reports of the host.
+    pub(crate) fn relays(self) -> bool {
+        self.rank.is_some_and(|rank| rank < RELAY_COUNT)
+    }
+
+    fn evicts(self) -> bool {
+        self.rank == Some(0)
+    }
+}
+
+/// Determines this entry's part in watching each store host. Entries that are gone have none, so
+/// that no host is left without watchers.
+pub(crate) fn assign_duties<Adapter>(shared: &Shared<Adapter>) {
+    let index = shared.cache_index.borrow();
+    let duties = index.hosts().map(|(host, _)| {
+        // Half of the calls that a host accepts are left to entries that fill gaps.
+        let watchers = (host.max_calls / 2).max(1) as usize;
+        let order = shared.presumed_order(&host.name, watchers);
+        let rank = shared.position(&order);
+        (host.name.clone(), Duty { rank })
+    });
+    *shared.duties.borrow_mut() = duties.collect();
+}
+
+/// Returns this entry's part in watching a store host.
+pub(crate) fn duty<Adapter>(shared: &Shared<Adapter>, store: &Store) -> Duty {
+    let duties = shared.duties.borrow();
+    duties.get(store).copied().unwrap_or_default()
+}
+
 /// Watches the reports of all store hosts.
 pub(crate) async fn watch_all<Adapter>(shared: Rc<Shared<Adapter>>)
 where
@@ -108,13 +157,16 @@
             tokio::time::sleep(POLL_INTERVAL).await;
             continue;
         };
-        let watchers = (host.max_calls / 2).max(1) as usize;
-        let rank = shared.rank(&store);
-        let watches = rank.is_some_and(|rank| rank < watchers);
+        let duty = duty(&shared, &store);
+        let watches = duty.watches();
         let is_synced = shared.cache_index.borrow().is_synced(&store);
+        let interval = match failures == 0 && lacks_evidence(&shared, &store) {
+            true => EVIDENCE_INTERVAL,
+            false => GAP_INTERVAL,
+        };
         if !watches
             && is_synced
-            && polled_at.is_some_and(|polled_at| now().since(polled_at) < GAP_INTERVAL)
+            && polled_at.is_some_and(|polled_at| now().since(polled_at) < interval)
         {
             tokio::time::sleep(POLL_INTERVAL).await;
             continue;
@@ -128,7 +180,7 @@
             Ok(updates) => updates,
             Err(error) => {
                 if watches {
-                    shared.cache_index.borrow_mut().on_down(&store);
+                    observe(&shared, &store, None, time);
                 }
                 // Only entries that watch the host mark it as down.
                 if failures == 0 {
@@ -143,6 +195,10 @@
                 continue;
             }
         };
+        // A host that had nothing to report has replied at the end of the wait.
+        let waited = time.since(started) >= wait && updates.reports.is_empty();
+        let observed_at = if waited { started + wait } else { started };
+        observe(&shared, &store, Some(updates.boot), observed_at);
         let restarted = boot.is_some_and(|boot| boot != updates.boot);
         if boot != Some(updates.boot) || failures > 0 {
             Event::new("store_host")
@@ -159,25 +215,42 @@
             // `since` is a sequence number of the former boot, so the reports start in the middle.
             // All reports of the new boot are read from the beginning.
             since = 0;
-            let mut index = shared.cache_index.borrow_mut();
-            index.on_reports(&store, updates.boot, Vec::new(), time);
             continue;
         }
         since = updates.next;
-        if rank.is_some_and(|rank| rank < RELAY_COUNT) {
+        if duty.relays() {
             let mut peers = shared.peers.borrow_mut();
-            peers.on_reports(&store, &updates.reports, time);
+            peers.on_reports(&store, updates.boot, &updates.reports, time);
         }
         shared
             .cache_index
             .borrow_mut()
             .on_reports(&store, updates.boot, updates.reports, time);
-        if !updates.gap || load_snapshot(&shared, &host, rank, &mut since).await {
+        if !updates.gap || load_snapshot(&shared, &host, duty.rank, &mut since).await {
             shared.cache_index.borrow_mut().on_synced(&store, started);
         }
     }
 }
 
+/// Whether the newest evidence of a host's boot is so old that nothing will be fetched from it soon.
+fn lacks_evidence<Adapter>(shared: &Shared<Adapter>, store: &Store) -> bool {
+    let observation = shared.cache_index.borrow().observation(store);
+    observation.is_none_or(|observation| {
+        observation.boot.is_some() && now().since(observation.at) >= MAX_EVIDENCE_AGE
+    })
+}
+
+/// Records what a call to a store host has shown.
+fn observe<Adapter>(shared: &Shared<Adapter>, store: &Store, boot: Option<u64>, at: Time) {
+    let observation = Observation {
+        boot,
+        at,
+        since: at,
+    };
+    let mut index = shared.cache_index.borrow_mut();
+    index.on_observed(store, observation);
+}
+
 /// Reads a snapshot of a store host after a gap in its reports, and sets `since` to the sequence
 /// number from which reports continue; returns whether it succeeded.
 async fn load_snapshot<Adapter>(
@@ -194,6 +267,7 @@
     let position = u32::try_from(rank.unwrap_or(0)).unwrap_or(u32::MAX);
     tokio::time::sleep(SNAPSHOT_DELAY * position).await;
     let store = &host.name;
+    let called_at = now();
     match shared.adapter.snapshot(host.address).await {
         Ok(snapshot) => {
             Event::new("store_host_listed")
@@ -202,6 +276,7 @@
                 .with("parts", snapshot.reports.len())
                 .info();
             *since = snapshot.next;
+            observe(shared, store, Some(snapshot.boot), called_at);
             let mut index = shared.cache_index.borrow_mut();
             index.on_snapshot(store, snapshot.boot, snapshot.reports, now());
             true
@@ -238,7 +313,7 @@
             index.hosts().map(|(host, _)| host.name.clone()).collect()
         };
         for store in stores {
-            if shared.rank(&store) != Some(0) {
+            if !duty(&shared, &store).evicts() {
                 continue;
             }
             let status = shared.namespace_status();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -3,14 +3,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fleet::gossip::{INTERVAL, Peers, Segments, State};
+use fleet::cache::Observation;
+use fleet::gossip::{INTERVAL, Peers, Segments, State, StoreState};
 use platform::{Commit, Write};
 use rand::Rng;
 use tokio::net::UdpSocket;
 use types::Revision;
 
 use crate::adapter::Platform;
-use crate::cache::RELAY_COUNT;
+use crate::cache;
 use crate::clock::now;
 use crate::discovery;
 use crate::dispatch::{self, Transport};
@@ -69,6 +70,7 @@
             names.keys().filter(|name| *name != own).cloned().collect()
         };
         shared.cache_index.borrow_mut().on_tick(now());
+        cache::assign_duties(shared);
         shared.peers.borrow_mut().expire(names.len(), now());
         if names.is_empty() {
             continue;
@@ -105,14 +107,17 @@
     let last_heard = tracker.last_heard(now());
     let Segments { used, retired } = shared.peers.borrow().segments();
     let index = shared.cache_index.borrow();
-    let hosts = index.hosts().map(|(host, _)| host.name.clone());
-    let relayed = hosts.filter(|store| {
-        let rank = shared.rank(store);
-        rank.is_some_and(|rank| rank < RELAY_COUNT)
-    });
-    let hosts = relayed.map(|store| {
-        let boot = index.boot(&store);
-        (store, boot)
+    let time = now();
+    let stores = index.hosts().filter_map(|(host, _)| {
+        let observation = index.observation(&host.name)?;
+        // Only entries that watch a host know that it is down.
+        let is_known = observation.boot.is_some() || cache::duty(shared, &host.name).relays();
+        is_known.then(|| StoreState {
+            store: host.name.clone(),
+            boot: observation.boot,
+            age: time.since(observation.at),
+            boot_age: time.since(observation.since),
+        })
     });
     State {
         from: shared.settings.name.clone(),
@@ -134,7 +139,7 @@
         used,
         retired,
         pinned: index.pinned(),
-        stores: hosts.collect(),
+        stores: stores.collect(),
         reports: shared.peers.borrow().reports(),
         queue_delays: shared.dispatch.dispatcher.borrow().queue_delays(),
         suspected: shared.peers.borrow().suspected(),
@@ -212,20 +217,22 @@
     for (store, key) in &state.used {
         index.on_used(store, key, time);
     }
-    for (store, boot) in &state.stores {
-        let max_calls = index.host(store).map_or(0, |host| host.max_calls);
-        let rank = shared.rank(store);
-        // An entry that polls the store host itself has newer information.
-        if rank.is_some_and(|rank| rank < (max_calls / 2).max(1) as usize) {
+    for known in &state.stores {
+        let observation = Observation {
+            boot: known.boot,
+            at: time - known.age,
+            since: time - known.boot_age,
+        };
+        let is_current = index.on_observed(&known.store, observation);
+        // An entry that watches the store host itself has all its reports.
+        if !is_current || cache::duty(shared, &known.store).watches() {
             continue;
         }
-        match boot {
-            None => index.on_down(store),
-            Some(boot) => {
-                let reports = state.reports.iter().filter(|(name, _)| name == store);
-                let reports = reports.map(|(_, report)| report.clone()).collect();
-                index.on_reports(store, *boot, reports, time);
-            }
+        if let Some(boot) = known.boot {
+            let reports = state.reports.iter();
+            let reports = reports.filter(|(store, _)| *store == known.store);
+            let reports = reports.map(|(_, report)| report.clone()).collect();
+            index.on_reports(&known.store, boot, reports, time);
         }
     }
 }
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -279,7 +279,9 @@
 {
     let prefix = format!("{RELEASES_PREFIX}{model}.");
     let key = format!("{prefix}{version}");
-    let recorder = shared.rank(&key).is_some_and(|rank| rank < RECORDERS);
+    let recorder = shared
+        .presumed_rank(&key)
+        .is_some_and(|rank| rank < RECORDERS);
     if !from_snapshot && !recorder {
         return;
     }
--- a/crates/gateway/src/packet/layout.rs
+++ b/crates/gateway/src/packet/layout.rs
@@ -87,7 +87,8 @@
     used: Vec<Segment>,
     retired: Vec<Segment>,
     pinned: Vec<Segment>,
-    stores: Vec<(Store, Option<u64>)>,
+    /// Each with the boot id, and the milliseconds since it was last and first observed.
+    stores: Vec<(Store, Option<u64>, u32, u32)>,
     /// Each with whether the segment is present, and its tokens.
     reports: Vec<(Segment, bool, u64)>,
     /// Each in milliseconds.
@@ -230,7 +231,7 @@
             used: state.used.iter().map(segment).collect(),
             retired: state.retired.iter().map(segment).collect(),
             pinned: state.pinned.iter().map(segment).collect(),
-            stores: state.stores.clone(),
+            stores: state.stores.iter().map(encode_store).collect(),
             reports: reports
                 .map(|(store, report)| {
                     let segment = Segment::new(store, &report.key);
@@ -286,7 +287,7 @@
             used: state.used.into_iter().map(Segment::key).collect(),
             retired: state.retired.into_iter().map(Segment::key).collect(),
             pinned: state.pinned.into_iter().map(Segment::key).collect(),
-            stores: state.stores,
+            stores: state.stores.into_iter().map(decode_store).collect(),
             reports: reports.collect(),
             queue_delays: queue_delays
                 .map(|(cell, delay)| (decode_cell(cell), duration(delay)))
@@ -532,6 +533,22 @@
     (target, load)
 }
 
+fn encode_store(state: &gossip::StoreState) -> (Store, Option<u64>, u32, u32) {
+    let (age, boot_age) = (millis(state.age), millis(state.boot_age));
+    (state.store.clone(), state.boot, age, boot_age)
+}
+
+fn decode_store(
+    (store, boot, age, boot_age): (Store, Option<u64>, u32, u32),
+) -> gossip::StoreState {
+    gossip::StoreState {
+        store,
+        boot,
+        age: duration(age),
+        boot_age: duration(boot_age),
+    }
+}
+
 fn encode_evidence(evidence: &Evidence) -> CrashFields {
     let crashes = evidence.crashes.iter();
     let crashes =
--- a/crates/gateway/src/restoration.rs
+++ b/crates/gateway/src/restoration.rs
@@ -97,7 +97,7 @@
 {
     // The rank is known once this entry is registered.
     let rank = loop {
-        match shared.rank(ERA_KEY) {
+        match shared.presumed_rank(ERA_KEY) {
             Some(rank) => break rank,
             None => tokio::time::sleep(BACK_OFF).await,
         }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -22,8 +22,9 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
-use types::{Domain, Model, Service, Target, Time};
+use types::{Domain, Model, Service, Store, Target, Time};
 
+use crate::cache::Duty;
 use crate::connection;
 use crate::discovery::Discovery;
 use crate::dispatch::Dispatch;
@@ -61,6 +62,8 @@
     /// The registered entries by name.
     pub(crate) registered: RefCell<BTreeMap<String, Peer>>,
     pub(crate) peers: RefCell<Peers>,
+    /// This entry's part in watching each store host.
+    pub(crate) duties: RefCell<HashMap<Store, Duty>>,
     /// The time from which this entry uses shared quotas. Before it, the other entries may still
     /// divide the quotas without counting this one.
     pub(crate) quota_from: Cell<Option<Time>>,
@@ -87,6 +90,10 @@
     pub(crate) weights_lag: Notify,
 }
 
+/// How long after its start, beyond two rounds of gossip, an entry presumes that all registered
+/// entries are alive.
+const PRESUMED_ALIVE: Duration = Duration::from_millis(500);
+
 /// How far a list has been read, as a [`types::Revision`] of the table store.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Progress {
@@ -140,6 +147,7 @@
             is_counted: Cell::new(false),
             registered: RefCell::default(),
             peers: RefCell::default(),
+            duties: RefCell::default(),
             quota_from: Cell::new(None),
             stopping: Cell::new(None),
             shutdown_begun: Notify::new(),
@@ -195,34 +203,46 @@
         self.stopping.get().is_none() && self.catalog.borrow().is_some() && self.is_fresh(now)
     }
 
-    /// Returns the rank of this entry for a key by rendezvous hashing over all registered entries.
-    /// For a store host, the first entry evicts segments, the first few watch its reports, and the
-    /// first two of these relay them.
-    pub(crate) fn rank(&self, key: &str) -> Option<usize> {
-        self.rank_among(key, |_| true)
+    /// Returns the rank of this entry for a key among the live entries, by rendezvous hashing.
+    pub(crate) fn live_rank(&self, key: &str) -> Option<usize> {
+        let peers = self.peers.borrow();
+        let ranked = self.ranked(key, usize::MAX, |name| peers.is_alive(name));
+        self.position(&ranked)
     }
 
-    /// Returns the rank of this entry for a key among the live entries.
-    pub(crate) fn live_rank(&self, key: &str) -> Option<usize> {
+    /// Returns the same, but just after the start of this entry presumes that all registered entries
+    /// are alive.
+    pub(crate) fn presumed_rank(&self, key: &str) -> Option<usize> {
+        self.position(&self.presumed_order(key, usize::MAX))
+    }
+
+    /// Returns the first `count` entries for a key among those that are presumed to be alive.
+    pub(crate) fn presumed_order(&self, key: &str, count: usize) -> Vec<String> {
         let peers = self.peers.borrow();
-        let own = &self.settings.name;
-        self.rank_among(key, |name| name == own || peers.is_alive(name))
+        let round = Peers::round(self.registered.borrow().len());
+        let is_starting = self.dispatch.uptime() < round * 2 + PRESUMED_ALIVE;
+        self.ranked(key, count, |name| is_starting || peers.is_alive(name))
     }
 
-    fn rank_among(&self, key: &str, is_eligible: impl Fn(&str) -> bool) -> Option<usize> {
+    pub(crate) fn position(&self, ranked: &[String]) -> Option<usize> {
+        ranked.iter().position(|name| *name == self.settings.name)
+    }
+
+    /// Returns the first `count` eligible entries for a key by rendezvous hashing over the
+    /// registered ones; this entry is always eligible.
+    fn ranked(&self, key: &str, count: usize, is_eligible: impl Fn(&str) -> bool) -> Vec<String> {
         let key = routing::Key::new(&[key.as_bytes()]);
         let registered = self.registered.borrow();
+        let own = &self.settings.name;
         let nodes = registered
             .keys()
-            .filter(|name| is_eligible(name))
+            .filter(|name| *name == own || is_eligible(name))
             .map(|name| {
                 let mut bytes = [0; 8];
                 bytes.copy_from_slice(&blake3::hash(name.as_bytes()).as_bytes()[..8]);
-                (u64::from_le_bytes(bytes), &**name)
+                (u64::from_le_bytes(bytes), name.clone())
             });
-        let ranked = routing::top(key, nodes, registered.len());
-        let own = self.settings.name.as_str();
-        ranked.into_iter().position(|name| name == own)
+        routing::top(key, nodes, count.min(registered.len()))
     }
 
     /// Returns all entries, including this one, as nodes for the assignment of dispatchers and
--- a/crates/gateway/tests/packet.rs
+++ b/crates/gateway/tests/packet.rs
@@ -5,7 +5,7 @@
 use fleet::cache::{Key, Lateness, Report};
 use fleet::cell::Cell;
 use fleet::dispatcher::{Demand, Id, Reply, Request};
-use fleet::gossip::{State, Update};
+use fleet::gossip::{State, StoreState, Update};
 use fleet::placement::Load;
 use fleet::quarantine::Evidence;
 use gateway::packet::{FORMAT, MAX_DATAGRAM_BYTES, Message, Problem, open, seal};
@@ -39,7 +39,7 @@
         updated: vec![("u".into(), "m".into(), 2)],
         used: vec![("store".into(), key.clone())],
         retired: vec![("store".into(), key.clone())],
-        stores: vec![("store".into(), Some(77)), ("other".into(), None)],
+        stores: vec![store_state("store", Some(77)), store_state("other", None)],
         reports: vec![(
             "store".into(),
             Report {
@@ -62,6 +62,15 @@
     }
 }
 
+fn store_state(name: &str, boot: Option<u64>) -> StoreState {
+    StoreState {
+        store: name.into(),
+        boot,
+        age: Duration::from_millis(300),
+        boot_age: Duration::from_millis(90_000),
+    }
+}
+
 fn cell() -> Cell {
     Cell {
         service: "engines".into(),
