gossip: evict segments only after every entry has acknowledged it

Cause: retired segments were announced to the registered entries, which are read each 5 s, while a new entry fetches from the first second; the host's reports show it retired segments as present. More generally the evicting entry waited 2 s, not for anyone to have heard it, so that an entry cut off in one direction, or for over 10 s, or one that was suspended, went on fetching. Ruled out: a new entry that never fetches (it passes, and callers lose reuse); a lease in the table store for each host (calls, and no fetches while the store is down).

Change: gossip messages acknowledge the newest message of their recipient. Segments are evicted once every entry has acknowledged the announcement. An entry fetches from a host only while the entry that evicts there, in its own view and in that of all live entries, has recently acknowledged it; where live entries disagree, none evicts. Entries answer a new one at once, also before they have read its registration. An announcement lasts until after the eviction.

--- a/crates/fleet/src/cache/eviction.rs
+++ b/crates/fleet/src/cache/eviction.rs
@@ -47,9 +47,38 @@
                 server.synced = false;
             }
         }
+        for server in self.servers.values_mut() {
+            server.known_since.get_or_insert(now);
+        }
         self.last_tick = Some(now);
     }
 
+    /// Returns the time since which all announcements of evictions from a host are known, if they
+    /// arrive at all.
+    #[must_use]
+    pub fn announced_since(&self, store: &Store) -> Option<Time> {
+        let known_since = self.servers.get(store)?.known_since?;
+        Some(known_since.max(self.resumed_at))
+    }
+
+    /// Records whether this entry learns of evictions from a host before they happen. Otherwise
+    /// nothing is fetched from it.
+    ///
+    /// Load pattern: an entry starts while a host is full, and its oldest segments are evicted all
+    /// the time. The host's reports show retired segments as present until they are evicted.
+    ///
+    /// Returns whether this has changed.
+    pub fn set_informed(&mut self, store: &Store, informed: bool) -> bool {
+        let server = self.servers.get_mut(store);
+        server.is_some_and(|server| std::mem::replace(&mut server.informed, informed) != informed)
+    }
+
+    /// Returns whether this entry has stalled after a time.
+    #[must_use]
+    pub fn has_stalled_since(&self, at: Time, now: Time) -> bool {
+        self.resumed_at > at || self.is_stalled(now)
+    }
+
     pub(super) fn is_stalled(&self, now: Time) -> bool {
         self.last_tick
             .is_some_and(|last_tick| now.since(last_tick) >= STALL_THRESHOLD)
--- a/crates/fleet/src/cache/mod.rs
+++ b/crates/fleet/src/cache/mod.rs
@@ -486,8 +486,7 @@
     fn holder(&self, segment: &Segment, now: Time) -> Option<Store> {
         let holder = self.servers.iter().find(|(_, server)| {
             let cached = server.cached.get(&segment.key);
-            server.is_confirmed(now)
-                && server.synced
+            server.may_fetch(now)
                 && cached.is_some_and(|cached| cached.tokens + BLOCK_TOKENS > segment.tokens)
         });
         holder.map(|(name, _)| name.clone())
@@ -504,8 +503,7 @@
         let prefill_time = self.prefill_rate.duration(segment.tokens);
         // Without these limits, queues on overloaded links would delay all fetches.
         let holders = self.servers.iter().filter(|(_, server)| {
-            server.is_confirmed(now)
-                && server.synced
+            server.may_fetch(now)
                 && draw * self.utilization(server, now) <= MAX_UTILIZATION
                 && draw <= server.fetch_share
                 && server
--- a/crates/fleet/src/cache/server.rs
+++ b/crates/fleet/src/cache/server.rs
@@ -21,6 +21,10 @@
     pub(super) up: bool,
     /// Whether all its reports are known, except the newest ones.
     pub(super) synced: bool,
+    /// Whether this entry learns of evictions before they happen.
+    pub(super) informed: bool,
+    /// Since when announcements of evictions are recorded for this host.
+    pub(super) known_since: Option<Time>,
     pub(super) cached: HashMap<Key, Cached>,
     pub(super) saving: HashMap<Key, Saving>,
     pub(super) retired: HashMap<Key, Time>,
@@ -91,6 +95,8 @@
             boot_since: Time::default(),
             up: false,
             synced: true,
+            informed: false,
+            known_since: None,
             cached: HashMap::new(),
             saving: HashMap::new(),
             retired: HashMap::new(),
@@ -121,12 +127,11 @@
         self.former_boots.contains(&boot)
     }
 
-    /// Returns whether segments may be fetched from the host as far as its boot is concerned.
-    pub(super) fn is_confirmed(&self, now: Time) -> bool {
-        self.up
-            && self
-                .observed_at
-                .is_some_and(|at| now.since(at) <= BOOT_EVIDENCE_TTL)
+    /// Returns whether segments may be fetched from the host.
+    pub(super) fn may_fetch(&self, now: Time) -> bool {
+        let observed_at = self.observed_at;
+        let is_confirmed = observed_at.is_some_and(|at| now.since(at) <= BOOT_EVIDENCE_TTL);
+        self.up && self.synced && self.informed && is_confirmed
     }
 
     /// Returns whether segments may be saved to the host.
--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -50,6 +50,10 @@
     pub pinned: Vec<(Store, Key)>,
     /// What the sender knows of store hosts, from its own calls or from other entries.
     pub stores: Vec<StoreState>,
+    /// Which entry evicts segments from each store host, in the sender's view.
+    pub evictors: Vec<(Store, String)>,
+    /// The newest state message of the recipient that the sender has received.
+    pub received: Option<Receipt>,
     /// Recent reports of these store hosts.
     pub reports: Vec<(Store, Report)>,
     /// Cells of the sender with queued requests, each with the expected wait of a new one.
@@ -63,6 +67,15 @@
     pub leaving: bool,
 }
 
+/// Acknowledges a state message of another entry, and all before it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Receipt {
+    /// The incarnation of the entry that sent the message.
+    pub incarnation: u64,
+    /// Its sequence number.
+    pub sequence: u64,
+}
+
 /// What an entry knows of a store host.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoreState {
@@ -118,7 +131,13 @@
     suspected: HashMap<String, Time>,
     loads_by_target: HashMap<Target, Load>,
     used: VecDeque<(Time, Store, Key)>,
-    retired: VecDeque<(Time, Store, Key)>,
+    retired: VecDeque<Retired>,
+    /// When this entry sent each of its recent state messages, by sequence number.
+    sent: VecDeque<(u64, Time)>,
+    /// The exchange of state messages with each entry that was heard recently.
+    contacts: HashMap<String, Contact>,
+    /// Entries whose incarnation is new, and which get a message at once.
+    newcomers: Vec<String>,
     /// Recent reports of store hosts, each with the boot id under which it was made.
     reports: VecDeque<(Time, Store, u64, Report)>,
     updated: VecDeque<(Time, Target, Model, u64)>,
@@ -147,6 +166,28 @@
     /// When a message of this incarnation was first received.
     since: Time,
     loads: HashMap<Target, Load>,
+    evictors: HashMap<Store, String>,
+}
+
+/// A retired segment that is announced.
+#[derive(Debug)]
+struct Retired {
+    store: Store,
+    key: Key,
+    /// When it was evicted.
+    evicted_at: Option<Time>,
+}
+
+/// The exchange of state messages with another entry.
+#[derive(Debug)]
+struct Contact {
+    incarnation: u64,
+    /// The newest state message received from it.
+    sequence: u64,
+    /// When it was received.
+    heard_at: Time,
+    /// The newest own state message that it has acknowledged, with the time at which it was sent.
+    acknowledged: Option<(u64, Time)>,
 }
 
 /// Interval between gossip rounds of an entry.
@@ -163,8 +204,13 @@
 const MAX_SUSPECTED: usize = 40;
 /// Maximum number of reports in one message.
 const MAX_REPORTS: usize = 80;
-/// Minimum time for which a retired segment is announced.
-const MIN_RETIRED_TIME: Duration = Duration::from_millis(1800);
+/// How long an evicted segment is still announced. The host's report may reach other entries later.
+const EVICTED_TIME: Duration = Duration::from_millis(1800);
+/// How long an entry may rely on the announcements of another one, beyond four rounds of gossip,
+/// after it has sent a message that the other one has acknowledged.
+const LEASE_SLACK: Duration = Duration::from_millis(1000);
+/// How long a target may take for a fetch that was chosen just before a lease expired.
+const FETCH_TIME: Duration = Duration::from_millis(2000);
 /// How long a suspected entry may still use outdated state; network partitions and suspensions of
 /// hosts last seconds.
 const SUSPECT_TTL: Duration = Duration::from_secs(10);
@@ -185,6 +231,121 @@
         INTERVAL * u32::try_from(ticks).unwrap_or(u32::MAX)
     }
 
+    /// Records that this entry sends a state message, with this sequence number.
+    pub fn on_sent(&mut self, sequence: u64, count: usize, now: Time) {
+        self.sent.push_back((sequence, now));
+        let limit = Self::lease(count);
+        while self
+            .sent
+            .front()
+            .is_some_and(|(_, at)| now.since(*at) > limit)
+        {
+            self.sent.pop_front();
+        }
+    }
+
+    /// Records which messages a message shows to have been exchanged with its sender; `own` is the
+    /// incarnation of this entry. Also handles messages that arrive late.
+    pub fn on_contact(&mut self, state: &State, own: u64, now: Time) {
+        if state.leaving {
+            self.contacts.remove(&state.from);
+            return;
+        }
+        let known = self.contacts.get(&state.from);
+        if known.is_none_or(|known| known.incarnation != state.incarnation) {
+            // What was agreed with a former process of this name does not bind the new one.
+            let contact = Contact {
+                incarnation: state.incarnation,
+                sequence: 0,
+                heard_at: now,
+                acknowledged: None,
+            };
+            self.contacts.insert(state.from.clone(), contact);
+            self.newcomers.push(state.from.clone());
+        }
+        let Some(contact) = self.contacts.get_mut(&state.from) else {
+            return;
+        };
+        contact.sequence = contact.sequence.max(state.sequence);
+        contact.heard_at = now;
+        let receipt = state
+            .received
+            .filter(|receipt| receipt.incarnation == own)
+            .and_then(|receipt| {
+                let sent = self.sent.iter().rev();
+                let mut sent = sent.filter(|(sequence, _)| *sequence == receipt.sequence);
+                sent.next().copied()
+            });
+        contact.acknowledged = contact.acknowledged.max(receipt);
+    }
+
+    /// Returns what to acknowledge to an entry.
+    #[must_use]
+    pub fn receipt(&self, name: &str) -> Option<Receipt> {
+        let contact = self.contacts.get(name)?;
+        Some(Receipt {
+            incarnation: contact.incarnation,
+            sequence: contact.sequence,
+        })
+    }
+
+    /// Returns how long an entry may rely on another one to wait for it before segments are
+    /// evicted.
+    fn lease(count: usize) -> Duration {
+        Self::round(count) * 4 + LEASE_SLACK
+    }
+
+    /// Returns whether another entry is known to wait for this one before it evicts segments: it
+    /// has recently acknowledged a message of this entry, and its announcements have arrived since
+    /// `since`.
+    #[must_use]
+    pub fn is_informed_by(&self, name: &str, since: Time, count: usize, now: Time) -> bool {
+        let contact = self.contacts.get(name);
+        contact.is_some_and(|contact| {
+            let lease = contact.acknowledged;
+            contact.heard_at > since
+                && lease.is_some_and(|(_, sent_at)| now.since(sent_at) <= Self::lease(count))
+        })
+    }
+
+    /// Returns whether an entry is about to lose the assurance of [`Self::is_informed_by`], or does
+    /// not have it yet.
+    #[must_use]
+    pub fn needs_contact(&self, name: &str, count: usize, now: Time) -> bool {
+        let acknowledged = self.contacts.get(name).and_then(|known| known.acknowledged);
+        acknowledged.is_none_or(|(_, sent_at)| now.since(sent_at) > Self::lease(count) / 2)
+    }
+
+    /// Returns whether all entries that may rely on this one have received the message `announced`,
+    /// or a later one. An entry that was not heard for longer than its assurance lasts does not
+    /// fetch anything until it is heard again.
+    #[must_use]
+    pub fn have_received(&self, announced: u64, count: usize, now: Time) -> bool {
+        self.contacts.values().all(|contact| {
+            now.since(contact.heard_at) > Self::lease(count) + FETCH_TIME
+                || contact
+                    .acknowledged
+                    .is_some_and(|(sequence, _)| sequence >= announced)
+        })
+    }
+
+    /// Returns whether no entry can rely on a former process of this name: as long as it ran
+    /// before, or each of `names` has been in contact with this one.
+    #[must_use]
+    pub fn have_met(&self, names: &[String], uptime: Duration) -> bool {
+        uptime > Self::lease(names.len()) + FETCH_TIME
+            || names.iter().all(|name| {
+                let contact = self.contacts.get(name);
+                contact.is_some_and(|contact| contact.acknowledged.is_some())
+            })
+    }
+
+    /// Returns the entries that live peers name as the one that evicts segments from a host.
+    pub fn evictors(&self, store: &Store) -> impl Iterator<Item = &str> {
+        let peers = self.peers.values();
+        peers.filter_map(|peer| peer.evictors.get(store).map(String::as_str))
+    }
+
     /// Handles a message. Returns whether it is newer than the state of its sender.
     pub fn on_state(&mut self, state: &State, now: Time) -> bool {
         let peer = self.peers.get(&state.from);
@@ -228,6 +389,7 @@
             suspected: state.suspected.iter().cloned().collect(),
             since,
             loads,
+            evictors: state.evictors.iter().cloned().collect(),
         };
         self.peers.insert(state.from.clone(), peer);
         self.suspected.remove(&state.from);
@@ -259,6 +421,7 @@
                 suspected: HashSet::new(),
                 since: now,
                 loads: HashMap::new(),
+                evictors: HashMap::new(),
             });
         peer.sequence = update.sequence;
         peer.last_heard = now;
@@ -393,14 +556,15 @@
         {
             self.updated.pop_front();
         }
-        let retired_ttl = MIN_RETIRED_TIME.max(Self::round(count) * 3);
-        while self
-            .retired
-            .front()
-            .is_some_and(|(at, ..)| now.since(*at) > retired_ttl)
-        {
-            self.retired.pop_front();
-        }
+        let evicted_ttl = EVICTED_TIME.max(Self::round(count) * 3);
+        self.retired.retain(|retired| {
+            retired
+                .evicted_at
+                .is_none_or(|at| now.since(at) <= evicted_ttl)
+        });
+        let contact_ttl = Self::lease(count) + FETCH_TIME;
+        self.contacts
+            .retain(|_, contact| now.since(contact.heard_at) <= contact_ttl);
     }
 
     /// Estimates the load of all entries at a target, of which `own` is this entry's; `count` is
@@ -431,17 +595,19 @@
     /// Returns whether segments may be evicted: each entry that this one suspects must be suspected
     /// by all other entries as well. Such an entry is dead or stalled, and reads the reports of the
     /// store hosts before it fetches anything again. An entry that others still hear from keeps
-    /// using what it knows.
+    /// using what it knows. An entry that hears no other one may be the one that is cut off.
     ///
     /// Load pattern: a network partition separates two failure domains while segments are about to
     /// be evicted.
     #[must_use]
     pub fn may_evict(&self) -> bool {
-        self.suspected.iter().all(|(name, last)| {
-            // A peer that started since then has never heard from it.
-            let mut others = self.peers.values().filter(|peer| peer.since <= *last);
-            others.all(|peer| peer.suspected.contains(name))
-        })
+        let is_isolated = self.peers.is_empty() && !self.suspected.is_empty();
+        !is_isolated
+            && self.suspected.iter().all(|(name, last)| {
+                // A peer that started since then has never heard from it.
+                let mut others = self.peers.values().filter(|peer| peer.since <= *last);
+                others.all(|peer| peer.suspected.contains(name))
+            })
     }
 
     /// Returns the suspected entries to report in a message.
@@ -456,12 +622,33 @@
     /// Returns how many more segments may be retired, so that each message can list all of them.
     #[must_use]
     pub fn retire_capacity(&self) -> usize {
-        MAX_RETIRED.saturating_sub(self.retired.len())
+        let waiting = self.retired.iter();
+        let waiting = waiting.filter(|retired| retired.evicted_at.is_none());
+        MAX_RETIRED.saturating_sub(waiting.count())
     }
 
-    /// Records that this entry has retired a segment and is about to evict it.
-    pub fn on_retired(&mut self, store: Store, key: Key, now: Time) {
-        self.retired.push_back((now, store, key));
+    /// Records that this entry has retired a segment and is about to evict it. It is announced until
+    /// some time after [`Self::on_evicted`].
+    pub fn on_retired(&mut self, store: Store, key: Key) {
+        let known = self.retired.iter();
+        let mut known = known.filter(|retired| retired.store == store && retired.key == key);
+        if known.next().is_none() {
+            let evicted_at = None;
+            self.retired.push_back(Retired {
+                store,
+                key,
+                evicted_at,
+            });
+        }
+    }
+
+    /// Records that retired segments of a host were evicted, or are given up.
+    pub fn on_evicted(&mut self, store: &Store, keys: &[Key], now: Time) {
+        for retired in &mut self.retired {
+            if retired.store == *store && keys.contains(&retired.key) {
+                retired.evicted_at.get_or_insert(now);
+            }
+        }
     }
 
     /// Records that this entry has seen a target with new weights; the target list reports it up to
@@ -498,6 +685,11 @@
             .collect()
     }
 
+    /// Returns the entries whose incarnation is new since the last call.
+    pub fn take_newcomers(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.newcomers)
+    }
+
     /// Returns the peers to send a message to now, in round-robin order.
     pub fn next_recipients<'names>(&mut self, peers: &'names [String]) -> Vec<&'names str> {
         let count = peers.len().min(FAN_OUT);
@@ -510,15 +702,21 @@
     /// Returns the segments to list in a message: recently used and retired ones.
     #[must_use]
     pub fn segments(&self) -> Segments {
-        let copy_latest = |list: &VecDeque<(Time, Store, Key)>, max| {
-            let latest = list.iter().rev().take(max);
-            latest
-                .map(|(_, store, key)| (store.clone(), key.clone()))
-                .collect()
-        };
+        let used = self.used.iter().rev().take(MAX_USED);
+        // Those that are not evicted yet are never left out; see `retire_capacity`.
+        let (waiting, evicted): (Vec<&Retired>, Vec<&Retired>) = self
+            .retired
+            .iter()
+            .rev()
+            .partition(|retired| retired.evicted_at.is_none());
+        let retired = waiting.into_iter().chain(evicted).take(MAX_RETIRED);
         Segments {
-            used: copy_latest(&self.used, MAX_USED),
-            retired: copy_latest(&self.retired, MAX_RETIRED),
+            used: used
+                .map(|(_, store, key)| (store.clone(), key.clone()))
+                .collect(),
+            retired: retired
+                .map(|retired| (retired.store.clone(), retired.key.clone()))
+                .collect(),
         }
     }
 
--- a/crates/fleet/tests/cache.rs
+++ b/crates/fleet/tests/cache.rs
@@ -72,6 +72,7 @@
         index.configure(hosts, 35_136);
         for host in hosts {
             index.on_observed(&host.name, observed(Some(1), last, Time::default()));
+            index.set_informed(&host.name, true);
         }
         Self {
             index,
@@ -563,6 +564,29 @@
     }
 }
 
+/// Guards against an entry that has just started and fetches a segment that another one is about to
+/// evict (MIXED check): the host's reports show it as present until then.
+#[test]
+fn nothing_is_fetched_by_an_entry_that_does_not_learn_of_evictions() {
+    let mut fixture = Fixture::open(&[host("big", "pier", 1_000_000, 74_000.0, 6.0)]);
+    let root = [segment("m.1", "root", 2600)];
+    fixture
+        .index
+        .on_reports(&big(), 1, vec![present("m.1", "root", 2600)], at(0));
+    assert_eq!(fixture.actions(&root, at(1)), [Action::Fetch(big())]);
+    assert!(fixture.index.set_informed(&big(), false));
+    assert_eq!(fixture.actions(&root, at(2)), [Action::Prefill]);
+    // Announcements are recorded from the first tick after the host is known, and again after a
+    // stall.
+    assert_eq!(fixture.index.announced_since(&big()), None);
+    for (tick, since) in [(100, 100), (200, 100), (5000, 5000)] {
+        fixture.index.on_tick(at(tick));
+        assert_eq!(fixture.index.announced_since(&big()), Some(at(since)));
+    }
+    assert!(fixture.index.has_stalled_since(at(200), at(5000)));
+    assert!(!fixture.index.has_stalled_since(at(5000), at(5100)));
+}
+
 /// Guards against the other side of the same fault: a segment is saved under a new boot while
 /// another entry still has evidence of the former one, and fetches it.
 #[test]
--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -1,4 +1,4 @@
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -45,46 +45,104 @@
 
 /// This entry's part in watching a store host. The first live entries in the host's order watch its
 /// reports, the first two of these relay them, and the first one evicts segments.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Duty {
     /// The position of this entry among those that watch the host.
     rank: Option<usize>,
+    /// The entry that evicts segments from the host in this entry's view.
+    pub(crate) evictor: Option<String>,
+    /// That entry, and others that live entries name.
+    evictors: BTreeSet<String>,
 }
 
 impl Duty {
     /// Whether this entry watches the host itself.
-    pub(crate) fn watches(self) -> bool {
+    pub(crate) fn watches(&self) -> bool {
         self.rank.is_some()
     }
 
     /// Whether this entry relays the reports of the host.
-    pub(crate) fn relays(self) -> bool {
+    pub(crate) fn relays(&self) -> bool {
         self.rank.is_some_and(|rank| rank < RELAY_COUNT)
     }
 
-    fn evicts(self) -> bool {
-        self.rank == Some(0)
+    /// Whether this entry and all live ones agree that it evicts segments from the host.
+    fn evicts(&self) -> bool {
+        self.rank == Some(0) && self.evictors.len() == 1
+    }
+
+    /// Whether another entry names another one, which may not wait for the same entries.
+    fn is_contested(&self) -> bool {
+        self.rank == Some(0) && self.evictors.len() > 1
     }
 }
 
-/// Determines this entry's part in watching each store host. Entries that are gone have none, so
-/// that no host is left without watchers.
-pub(crate) fn assign_duties<Adapter>(shared: &Shared<Adapter>) {
-    let index = shared.cache_index.borrow();
-    let duties = index.hosts().map(|(host, _)| {
+/// Determines this entry's part in watching each store host, and whether it may fetch from it.
+/// Entries that are gone have no part, so that no host is left without watchers.
+pub(crate) fn assign_duties<Adapter>(shared: &Shared<Adapter>, peer_count: usize) {
+    let time = now();
+    let hosts: Vec<(Store, u32)> = {
+        let index = shared.cache_index.borrow();
+        let hosts = index.hosts();
+        hosts
+            .map(|(host, _)| (host.name.clone(), host.max_calls))
+            .collect()
+    };
+    let mut duties = HashMap::new();
+    for (store, max_calls) in hosts {
         // Half of the calls that a host accepts are left to entries that fill gaps.
-        let watchers = (host.max_calls / 2).max(1) as usize;
-        let order = shared.presumed_order(&host.name, watchers);
+        let watchers = (max_calls / 2).max(1) as usize;
+        let order = shared.presumed_order(&store, watchers);
         let rank = shared.position(&order);
-        (host.name.clone(), Duty { rank })
-    });
-    *shared.duties.borrow_mut() = duties.collect();
+        let peers = shared.peers.borrow();
+        let named = peers.evictors(&store).map(str::to_owned);
+        let evictor = order.into_iter().next();
+        let evictors: BTreeSet<String> = evictor.iter().cloned().chain(named).collect();
+        let since = shared.cache_index.borrow().announced_since(&store);
+        let is_informed = |name: &String| {
+            *name == shared.settings.name
+                || since.is_some_and(|since| peers.is_informed_by(name, since, peer_count, time))
+        };
+        let is_allowed = shared.is_registered.get() && evictors.iter().all(is_informed);
+        let mut index = shared.cache_index.borrow_mut();
+        if index.set_informed(&store, is_allowed) {
+            Event::new("store_host_fetches")
+                .with("store", &*store)
+                .with("allowed", is_allowed)
+                .with(
+                    "evictors",
+                    evictors.iter().cloned().collect::<Vec<_>>().join(" "),
+                )
+                .info();
+        }
+        let duty = Duty {
+            rank,
+            evictor,
+            evictors,
+        };
+        duties.insert(store, Rc::new(duty));
+    }
+    *shared.duties.borrow_mut() = duties;
+}
+
+/// Returns the entries whose announcements of evictions this entry needs and may soon lack.
+pub(crate) fn needed_contacts<Adapter>(shared: &Shared<Adapter>, peer_count: usize) -> Vec<String> {
+    let (peers, time) = (shared.peers.borrow(), now());
+    let duties = shared.duties.borrow();
+    let evictors: BTreeSet<&String> = duties.values().flat_map(|duty| &duty.evictors).collect();
+    let others = evictors
+        .into_iter()
+        .filter(|name| **name != shared.settings.name);
+    others
+        .filter(|name| peers.needs_contact(name, peer_count, time))
+        .cloned()
+        .collect()
 }
 
 /// Returns this entry's part in watching a store host.
-pub(crate) fn duty<Adapter>(shared: &Shared<Adapter>, store: &Store) -> Duty {
+pub(crate) fn duty<Adapter>(shared: &Shared<Adapter>, store: &Store) -> Rc<Duty> {
     let duties = shared.duties.borrow();
-    duties.get(store).copied().unwrap_or_default()
+    duties.get(store).cloned().unwrap_or_default()
 }
 
 /// Watches the reports of all store hosts.
@@ -304,9 +362,17 @@
             .roster
             .borrow()
             .had_store_outage(now(), LIST_CONVERGENCE_TIME);
-        if had_outage || !shared.peers.borrow().may_evict() {
+        let names: Vec<String> = shared.peer_addresses().into_keys().collect();
+        let uptime = shared.dispatch.uptime();
+        let peers = shared.peers.borrow();
+        if had_outage
+            || !shared.is_registered.get()
+            || !peers.may_evict()
+            || !peers.have_met(&names, uptime)
+        {
             continue;
         }
+        drop(peers);
         let converged = now().since(started) >= LIST_CONVERGENCE_TIME;
         let stores: Vec<Store> = {
             let index = shared.cache_index.borrow();
@@ -326,49 +392,80 @@
             if retired.is_empty() {
                 continue;
             }
-            announce_retired(&shared, &store, &retired);
             tokio::task::spawn_local(evict_retired(Rc::clone(&shared), store, retired));
         }
     }
 }
 
-/// Announces to the other entries which segments are about to be evicted.
-fn announce_retired<Adapter>(shared: &Shared<Adapter>, store: &Store, retired: &[Key]) {
-    let time = now();
+/// An announcement to the other entries of segments that are about to be evicted.
+#[derive(Debug, Clone, Copy)]
+struct Announcement {
+    /// The sequence number from which state messages contain it.
+    sequence: u64,
+    at: Time,
+}
+
+fn announce_retired<Adapter>(
+    shared: &Shared<Adapter>,
+    store: &Store,
+    retired: &[Key],
+) -> Announcement {
+    let at = now();
     shared
         .cache_index
         .borrow_mut()
-        .on_retired(store, retired, time);
+        .on_retired(store, retired, at);
     let mut peers = shared.peers.borrow_mut();
     for key in retired {
-        peers.on_retired(store.clone(), key.clone(), time);
+        peers.on_retired(store.clone(), key.clone());
     }
+    let sequence = shared.dispatch.last_sequence() + 1;
+    Announcement { sequence, at }
+}
+
+/// Whether all entries that may fetch from a host have received an announcement.
+fn is_known_to_all<Adapter>(
+    shared: &Shared<Adapter>,
+    store: &Store,
+    announcement: Announcement,
+) -> bool {
+    let (time, count) = (now(), shared.peer_addresses().len());
+    let peers = shared.peers.borrow();
+    // After a stall, the state of the other entries is that of before.
+    let has_stalled = shared
+        .cache_index
+        .borrow()
+        .has_stalled_since(announcement.at, time);
+    !has_stalled
+        && peers.may_evict()
+        && !duty(shared, store).is_contested()
+        && peers.have_received(announcement.sequence, count, time)
 }
 
-/// Evicts retired segments once the other entries have stopped fetching them.
+/// Announces that segments are retired, and evicts them once the other entries have stopped
+/// fetching them.
 async fn evict_retired<Adapter>(shared: Rc<Shared<Adapter>>, store: Store, mut retired: Vec<Key>)
 where
     Adapter: Platform,
 {
     while !retired.is_empty() {
+        let announcement = announce_retired(&shared, &store, &retired);
         let round = Peers::round(shared.entry_count.get());
         tokio::time::sleep(Index::retire_grace().max(round * 3)).await;
         let mut deferred = Vec::new();
-        if shared.peers.borrow().may_evict() {
+        if is_known_to_all(&shared, &store, announcement) {
             // Each entry has had two rounds of gossip to report that it still fetches a segment.
             let window = round * 2 + Peers::EXPIRY_SLACK;
             let index = shared.cache_index.borrow();
             let is_pinned = |key: &Key| index.is_pinned(&store, key, window, now());
             (deferred, retired) = retired.into_iter().partition(is_pinned);
         } else {
-            // An entry has become unreachable, and may not have received the announcement.
             std::mem::swap(&mut deferred, &mut retired);
         }
-        if !deferred.is_empty() {
-            announce_retired(&shared, &store, &deferred);
-        }
         if !retired.is_empty() {
             evict_now(&shared, &store, &retired).await;
+            let mut peers = shared.peers.borrow_mut();
+            peers.on_evicted(&store, &retired, now());
         }
         retired = deferred;
     }
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -136,6 +136,11 @@
         self.last_sequence.get()
     }
 
+    /// Returns the last sequence number that was used.
+    pub(crate) fn last_sequence(&self) -> u64 {
+        self.last_sequence.get()
+    }
+
     /// Sets the transport to the other entries.
     pub(crate) fn set_transport(&self, transport: &Rc<Transport>) {
         *self.transport.borrow_mut() = Some(Rc::clone(transport));
@@ -236,6 +241,7 @@
         now().since(self.started)
     }
 
+    /// Sends a message, or drops it before the shared secret is loaded.
     pub(crate) fn send_to(&self, message: &Message, to: SocketAddr) {
         let transport = self.transport.borrow().clone();
         if let Some(transport) = transport {
@@ -293,7 +299,7 @@
 }
 
 impl Transport {
-    fn send(&self, message: &Message, to: SocketAddr) {
+    pub(crate) fn send(&self, message: &Message, to: SocketAddr) {
         match packet::seal(&self.secret.get(), message) {
             // A datagram that cannot be sent counts as lost; it will be sent again.
             Ok(datagram) => {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -1,4 +1,5 @@
 use std::cell::Cell;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,6 +23,8 @@
 
 /// Row of the secret with which entries authenticate their messages.
 const SECRET_ROW: &str = "secret/peers";
+/// Maximum number of entries that get a message out of turn in one interval.
+const MAX_URGENT: usize = 4;
 /// Back-off after a failed call to the platform's table store.
 const BACK_OFF: Duration = Duration::from_millis(300);
 
@@ -64,43 +67,43 @@
 {
     loop {
         tokio::time::sleep(INTERVAL).await;
-        let names: Vec<String> = {
-            let names = shared.registered.borrow();
-            let own = &shared.settings.name;
-            names.keys().filter(|name| *name != own).cloned().collect()
-        };
+        let addresses = shared.peer_addresses();
+        let names: Vec<String> = addresses.keys().cloned().collect();
         shared.cache_index.borrow_mut().on_tick(now());
-        cache::assign_duties(shared);
         shared.peers.borrow_mut().expire(names.len(), now());
+        drop_unlisted(shared);
+        cache::assign_duties(shared, names.len());
         if names.is_empty() {
             continue;
         }
-        let message = Message::State(build_state(shared, names.len()));
-        let datagram = match packet::seal(&transport.secret.get(), &message) {
-            Ok(datagram) => datagram,
-            Err(problem) => {
-                log::error!("cannot encode the state message: {problem}");
+        let mut state = build_state(shared, names.len());
+        let mut peers = shared.peers.borrow_mut();
+        peers.on_sent(state.sequence, names.len(), now());
+        let urgent = peers.take_newcomers();
+        let recipients = peers.next_recipients(&names).into_iter();
+        let mut recipients: BTreeSet<String> = recipients.map(str::to_owned).collect();
+        drop(peers);
+        let urgent = urgent.into_iter();
+        let urgent = urgent.chain(cache::needed_contacts(shared, names.len()));
+        recipients.extend(urgent.take(MAX_URGENT));
+        for name in recipients {
+            let Some(ip) = addresses.get(&name) else {
                 continue;
-            }
-        };
-        let recipients: Vec<SocketAddr> = {
-            let addresses = shared.registered.borrow();
-            let mut peers = shared.peers.borrow_mut();
-            let recipients = peers.next_recipients(&names).into_iter();
-            recipients
-                .filter_map(|name| addresses.get(name))
-                .map(|peer| SocketAddr::new(peer.ip, shared.settings.peer_port))
-                .collect()
-        };
-        for peer in recipients {
-            // A datagram that cannot be sent counts as lost; the next one follows.
-            if let Err(error) = transport.socket.try_send_to(&datagram, peer) {
-                log::debug!("cannot send state to {peer}: {error}");
-            }
+            };
+            state.received = shared.peers.borrow().receipt(&name);
+            let to = SocketAddr::new(*ip, shared.settings.peer_port);
+            transport.send(&Message::State(state.clone()), to);
         }
     }
 }
 
+/// Forgets the addresses of unlisted entries that are gone.
+fn drop_unlisted<Adapter>(shared: &Shared<Adapter>) {
+    let peers = shared.peers.borrow();
+    let mut unlisted = shared.unlisted.borrow_mut();
+    unlisted.retain(|name, _| peers.is_alive(name));
+}
+
 fn build_state<Adapter>(shared: &Shared<Adapter>, peers: usize) -> State {
     let tracker = shared.tracker.borrow();
     let loads = tracker.loads().filter(|(_, load)| load.running > 0);
@@ -108,6 +111,10 @@
     let Segments { used, retired } = shared.peers.borrow().segments();
     let index = shared.cache_index.borrow();
     let time = now();
+    let evictors = index.hosts().filter_map(|(host, _)| {
+        let evictor = cache::duty(shared, &host.name).evictor.clone()?;
+        Some((host.name.clone(), evictor))
+    });
     let stores = index.hosts().filter_map(|(host, _)| {
         let observation = index.observation(&host.name)?;
         // Only entries that watch a host know that it is down.
@@ -140,6 +147,8 @@
         retired,
         pinned: index.pinned(),
         stores: stores.collect(),
+        evictors: evictors.collect(),
+        received: None,
         reports: shared.peers.borrow().reports(),
         queue_delays: shared.dispatch.dispatcher.borrow().queue_delays(),
         suspected: shared.peers.borrow().suspected(),
@@ -160,7 +169,7 @@
             continue;
         };
         match packet::open(&transport.secret.get(), &buffer[..length]) {
-            Ok(Message::State(state)) => merge(shared, &state),
+            Ok(Message::State(state)) => merge(shared, &state, sender),
             Ok(Message::Notice(notice)) => discovery::on_notice(shared, &notice),
             Ok(Message::Fetch(request, after)) => {
                 discovery::on_fetch(shared, request, after.as_ref(), sender);
@@ -173,8 +182,9 @@
     }
 }
 
-fn merge<Adapter>(shared: &Shared<Adapter>, state: &State) {
+fn merge<Adapter>(shared: &Shared<Adapter>, state: &State, sender: SocketAddr) {
     let time = now();
+    shared.on_peer_address(&state.from, sender.ip());
     // Applied also if a newer message has arrived before: segments that are about to be evicted
     // must not be used.
     for (store, key) in &state.retired {
@@ -184,7 +194,12 @@
     for (store, key) in &state.pinned {
         shared.cache_index.borrow_mut().on_pinned(store, key, time);
     }
-    if !shared.peers.borrow_mut().on_state(state, time) {
+    let incarnation = shared.dispatch.incarnation;
+    let mut peers = shared.peers.borrow_mut();
+    peers.on_contact(state, incarnation, time);
+    let is_newer = peers.on_state(state, time);
+    drop(peers);
+    if !is_newer {
         return;
     }
     quarantine::on_evidence(shared, &state.crashes);
@@ -246,10 +261,8 @@
 
 /// Sends a message to all other entries.
 pub(crate) fn broadcast<Adapter>(shared: &Shared<Adapter>, message: &Message) {
-    let names = shared.registered.borrow();
-    let own = &shared.settings.name;
-    for (_, peer) in names.iter().filter(|(name, _)| *name != own) {
-        let to = SocketAddr::new(peer.ip, shared.settings.peer_port);
+    for ip in shared.peer_addresses().into_values() {
+        let to = SocketAddr::new(ip, shared.settings.peer_port);
         shared.dispatch.send_to(message, to);
     }
 }
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -369,6 +369,7 @@
                     shared.dispatch.on_entries_changed();
                 }
                 shared.is_counted.set(true);
+                shared.is_registered.set(known);
                 if shared.entry_count.replace(entries) != entries {
                     Event::new("entries").with("count", entries).info();
                 }
--- a/crates/gateway/src/packet/layout.rs
+++ b/crates/gateway/src/packet/layout.rs
@@ -89,6 +89,9 @@
     pinned: Vec<Segment>,
     /// Each with the boot id, and the milliseconds since it was last and first observed.
     stores: Vec<(Store, Option<u64>, u32, u32)>,
+    evictors: Vec<(Store, String)>,
+    /// The incarnation and the sequence number.
+    received: Option<(u64, u64)>,
     /// Each with whether the segment is present, and its tokens.
     reports: Vec<(Segment, bool, u64)>,
     /// Each in milliseconds.
@@ -200,6 +203,7 @@
 impl From<&gossip::State> for State {
     fn from(state: &gossip::State) -> Self {
         let segment = |(store, key): &(Store, Key)| Segment::new(store, key);
+        let received = state.received;
         let last_heard = state.last_heard.iter();
         let reports = state.reports.iter();
         let queue_delays = state.queue_delays.iter();
@@ -232,6 +236,8 @@
             retired: state.retired.iter().map(segment).collect(),
             pinned: state.pinned.iter().map(segment).collect(),
             stores: state.stores.iter().map(encode_store).collect(),
+            evictors: state.evictors.clone(),
+            received: received.map(|receipt| (receipt.incarnation, receipt.sequence)),
             reports: reports
                 .map(|(store, report)| {
                     let segment = Segment::new(store, &report.key);
@@ -250,6 +256,7 @@
 
 impl From<State> for gossip::State {
     fn from(state: State) -> Self {
+        let received = state.received;
         let last_heard = state.last_heard.into_iter();
         let last_heard = last_heard.map(|(target, elapsed)| (target, duration(elapsed)));
         let lateness = state.lateness.into_iter().map(|(store, sum, count)| {
@@ -288,6 +295,11 @@
             retired: state.retired.into_iter().map(Segment::key).collect(),
             pinned: state.pinned.into_iter().map(Segment::key).collect(),
             stores: state.stores.into_iter().map(decode_store).collect(),
+            evictors: state.evictors,
+            received: received.map(|(incarnation, sequence)| gossip::Receipt {
+                incarnation,
+                sequence,
+            }),
             reports: reports.collect(),
             queue_delays: queue_delays
                 .map(|(cell, delay)| (decode_cell(cell), duration(delay)))
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,5 +1,5 @@
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,6 +28,7 @@
 use crate::connection;
 use crate::discovery::Discovery;
 use crate::dispatch::Dispatch;
+use crate::logging::Event;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 
@@ -61,9 +62,15 @@
     pub(crate) is_counted: Cell<bool>,
     /// The registered entries by name.
     pub(crate) registered: RefCell<BTreeMap<String, Peer>>,
+    /// The addresses of live entries whose registration has not been read yet, or is that of
+    /// another host.
+    pub(crate) unlisted: RefCell<BTreeMap<String, IpAddr>>,
+    /// Whether the registered entries have been read after this one had registered. Of two entries
+    /// that register at the same time, at least one then knows the other.
+    pub(crate) is_registered: Cell<bool>,
     pub(crate) peers: RefCell<Peers>,
     /// This entry's part in watching each store host.
-    pub(crate) duties: RefCell<HashMap<Store, Duty>>,
+    pub(crate) duties: RefCell<HashMap<Store, Rc<Duty>>>,
     /// The time from which this entry uses shared quotas. Before it, the other entries may still
     /// divide the quotas without counting this one.
     pub(crate) quota_from: Cell<Option<Time>>,
@@ -146,6 +153,8 @@
             entry_count: Cell::new(1),
             is_counted: Cell::new(false),
             registered: RefCell::default(),
+            unlisted: RefCell::default(),
+            is_registered: Cell::new(false),
             peers: RefCell::default(),
             duties: RefCell::default(),
             quota_from: Cell::new(None),
@@ -228,21 +237,49 @@
         ranked.iter().position(|name| *name == self.settings.name)
     }
 
-    /// Returns the first `count` eligible entries for a key by rendezvous hashing over the
-    /// registered ones; this entry is always eligible.
+    /// Returns the addresses of all other entries, live or not.
+    pub(crate) fn peer_addresses(&self) -> BTreeMap<String, IpAddr> {
+        let registered = self.registered.borrow();
+        let registered = registered.iter().map(|(name, peer)| (name, peer.ip));
+        let unlisted = self.unlisted.borrow();
+        let unlisted = unlisted.iter().map(|(name, ip)| (name, *ip));
+        let all = registered.chain(unlisted);
+        let others = all.filter(|(name, _)| **name != self.settings.name);
+        others.map(|(name, ip)| (name.clone(), ip)).collect()
+    }
+
+    /// Records the address from which another entry has sent a message.
+    pub(crate) fn on_peer_address(&self, name: &str, ip: IpAddr) {
+        let listed = self.registered.borrow().get(name).map(|peer| peer.ip);
+        let mut unlisted = self.unlisted.borrow_mut();
+        if listed == Some(ip) {
+            unlisted.remove(name);
+        } else if unlisted.insert(name.to_owned(), ip) != Some(ip) {
+            Event::new("entry_unlisted")
+                .with("entry", name)
+                .with("address", ip.to_string())
+                .info();
+        }
+    }
+
+    /// Returns the first `count` eligible entries for a key by rendezvous hashing over the known
+    /// ones; this entry is always eligible.
     fn ranked(&self, key: &str, count: usize, is_eligible: impl Fn(&str) -> bool) -> Vec<String> {
         let key = routing::Key::new(&[key.as_bytes()]);
         let registered = self.registered.borrow();
+        let unlisted = self.unlisted.borrow();
         let own = &self.settings.name;
-        let nodes = registered
-            .keys()
+        let names: BTreeSet<&String> = registered.keys().chain(unlisted.keys()).collect();
+        let count = count.min(names.len());
+        let nodes = names
+            .into_iter()
             .filter(|name| *name == own || is_eligible(name))
             .map(|name| {
                 let mut bytes = [0; 8];
                 bytes.copy_from_slice(&blake3::hash(name.as_bytes()).as_bytes()[..8]);
                 (u64::from_le_bytes(bytes), name.clone())
             });
-        routing::top(key, nodes, count.min(registered.len()))
+        routing::top(key, nodes, count)
     }
 
     /// Returns all entries, including this one, as nodes for the assignment of dispatchers and
--- a/crates/gateway/tests/packet.rs
+++ b/crates/gateway/tests/packet.rs
@@ -5,7 +5,7 @@
 use fleet::cache::{Key, Lateness, Report};
 use fleet::cell::Cell;
 use fleet::dispatcher::{Demand, Id, Reply, Request};
-use fleet::gossip::{State, StoreState, Update};
+use fleet::gossip::{Receipt, State, StoreState, Update};
 use fleet::placement::Load;
 use fleet::quarantine::Evidence;
 use gateway::packet::{FORMAT, MAX_DATAGRAM_BYTES, Message, Problem, open, seal};
@@ -40,6 +40,11 @@
         used: vec![("store".into(), key.clone())],
         retired: vec![("store".into(), key.clone())],
         stores: vec![store_state("store", Some(77)), store_state("other", None)],
+        evictors: vec![("store".into(), "entry-2".to_owned())],
+        received: Some(Receipt {
+            incarnation: 11,
+            sequence: 800,
+        }),
         reports: vec![(
             "store".into(),
             Report {
