discovery: bound the age of a neighbour's list by the drain limit

Cause: an entry that relies on the leaders of its failure domain polled the store itself only when the store's last reply to each of them was 3.6 s old, a constant, while the bound differs by deployment. Ruled out: going by the leaders' word of an outage, which does not come when their calls hang or when they are cut from their followers.

Leaders with followers have their calls held for less than that, and pass on replies without changes at once. Followers whose calls fail back off up to 1 s.

The tests of fleet/tests/listing.rs now name a drain limit of 4 s; their expectations are unchanged.

--- a/crates/fleet/src/discovery.rs
+++ b/crates/fleet/src/discovery.rs
@@ -61,9 +61,21 @@
     Idle,
 }
 
+/// How old the list of an entry may become, derived from the time after which a target that leaves
+/// must get no more requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// The maximum age of the table store's last reply to a neighbour. From then on an entry polls
+    /// the table store itself.
+    pub max_staleness: Duration,
+    /// The maximum time for which the table store holds the call of a leader with followers.
+    pub max_wait: Duration,
+}
+
 /// The state of the neighbours' lists.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Neighbours {
+    limits: Limits,
     last_notices: HashMap<String, LastNotice>,
     /// Since when the own list has differed from those of all up-to-date neighbours.
     differs_since: Option<Time>,
@@ -88,9 +100,13 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(500);
 /// How long a neighbour counts as alive after its last notice; two heartbeats may be lost.
 const NEIGHBOUR_TIMEOUT: Duration = Duration::from_millis(1600);
-/// Maximum age of the table store's last reply to a neighbour. The table store holds a call for
-/// two seconds while nothing changes, and batches changes for a fraction of a second.
-const MAX_STALENESS: Duration = Duration::from_millis(3600);
+/// The share of the drain limit up to which the list may be outdated. The rest is for the interval
+/// at which this is checked, a call to the table store, and the way of a request to its target.
+const STALENESS_SHARE: f64 = 0.55;
+/// How much earlier than that a leader without changes calls the table store again.
+const RENEWAL_MARGIN: Duration = Duration::from_millis(250);
+/// The minimum time for which a call is held, whatever the limit; shorter calls cost too much.
+const MIN_WAIT: Duration = Duration::from_millis(200);
 /// How long two lists may differ, since notices arrive at different times.
 const DIVERGENCE_TIMEOUT: Duration = Duration::from_millis(800);
 /// How long a neighbour whose list could not be read is not asked again.
@@ -110,7 +126,31 @@
     names
 }
 
+impl Limits {
+    /// Returns the limits for a bound on the time after which a target that leaves gets no requests.
+    #[must_use]
+    pub fn new(drain_limit: Duration) -> Self {
+        let max_staleness = drain_limit.mul_f64(STALENESS_SHARE);
+        Self {
+            max_staleness,
+            max_wait: max_staleness.saturating_sub(RENEWAL_MARGIN).max(MIN_WAIT),
+        }
+    }
+}
+
 impl Neighbours {
+    /// Makes the state of an entry that has received no notice yet.
+    #[must_use]
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            last_notices: HashMap::new(),
+            differs_since: None,
+            synced_cursor: 0,
+            failed: None,
+        }
+    }
+
     /// Records a notice of a neighbour; `digest` is that of the own list after the notice's
     /// changes.
     pub fn on_notice(&mut self, notice: &Notice, digest: u64, now: Time) {
@@ -181,7 +221,7 @@
     fn up_to_date(&self, now: Time) -> impl Iterator<Item = (&str, &LastNotice)> {
         let up_to_date = self.last_notices.iter().filter(move |(_, last)| {
             now.since(last.received_at) < NEIGHBOUR_TIMEOUT
-                && now.since(last.store_replied_at) < MAX_STALENESS
+                && now.since(last.store_replied_at) < self.limits.max_staleness
         });
         up_to_date.map(|(name, last)| (name.as_str(), last))
     }
--- a/crates/fleet/tests/listing.rs
+++ b/crates/fleet/tests/listing.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use fleet::cell::Node;
-use fleet::discovery::{Action, HEARTBEAT, MAX_LEADERS, Neighbours, Notice, leaders};
+use fleet::discovery::{Action, HEARTBEAT, Limits, MAX_LEADERS, Neighbours, Notice, leaders};
 use fleet::roster::{Member, Roster};
 use proptest::prelude::*;
 use types::{Target, Time};
@@ -13,6 +13,10 @@
     Time::from_millis(millis)
 }
 
+fn neighbours() -> Neighbours {
+    Neighbours::new(Limits::new(Duration::from_millis(4000)))
+}
+
 fn member(id: &str, revision: u64, draining: bool) -> Member {
     Member {
         id: id.into(),
@@ -68,7 +72,7 @@
 /// store.
 #[test]
 fn without_an_up_to_date_neighbour_the_store_is_polled() {
-    let mut neighbours = Neighbours::default();
+    let mut neighbours = neighbours();
     assert_eq!(
         neighbours.next_action(false, false, Some(5), at(0)),
         Action::PollStore(Some(5))
@@ -93,11 +97,48 @@
     );
 }
 
+/// How often an entry that relies on its neighbours checks their lists.
+const CHECK_INTERVAL: u64 = 200;
+
+/// Guards against requests to a target that has left, by an entry that relies on its neighbours
+/// while both leaders have lost the table store (DRAIN check); and against polls of the store by
+/// followers of a healthy leader. The leader's call is answered at the end of each wait.
+#[test]
+fn a_follower_polls_the_store_before_the_drain_limit() {
+    for drain_ms in [1000, 2000, 3000, 4000] {
+        let limits = Limits::new(Duration::from_millis(drain_ms));
+        let mut neighbours = Neighbours::new(limits);
+        let wait = u64::try_from(limits.max_wait.as_millis()).expect("a few seconds");
+        let mut replied = 0;
+        for now in (0..20_000).step_by(50) {
+            if now - replied >= wait || now % 500 == 0 {
+                replied = if now - replied >= wait { now } else { replied };
+                neighbours.on_notice(&notice("a", 10, 7, now - replied), 7, at(now));
+            }
+            if now % CHECK_INTERVAL == 0 {
+                let next = neighbours.next_action(false, false, Some(10), at(now));
+                assert_eq!(next, Action::Idle, "{drain_ms}, at {now}");
+            }
+        }
+        // The leaders lose the store just after their last reply, and go on with their heartbeats.
+        for now in (20_000..30_000).step_by(50) {
+            if now % 500 == 0 {
+                neighbours.on_notice(&notice("a", 10, 7, now - replied), 7, at(now));
+            }
+            if now % CHECK_INTERVAL == 0 {
+                let next = neighbours.next_action(false, false, Some(10), at(now));
+                let is_late = now - replied >= drain_ms;
+                assert!(next != Action::Idle || !is_late, "{drain_ms}, at {now}");
+            }
+        }
+    }
+}
+
 /// Guards against hundreds of entries that all read each change while they start together, before
 /// they receive notices of their neighbours.
 #[test]
 fn a_new_entry_waits_for_its_neighbours_for_a_moment() {
-    let mut neighbours = Neighbours::default();
+    let mut neighbours = neighbours();
     assert_eq!(
         neighbours.next_action(false, true, Some(5), at(0)),
         Action::Idle
@@ -115,7 +156,7 @@
 /// Guards against a list that stays wrong after a lost notice.
 #[test]
 fn a_diverged_list_is_read_completely() {
-    let mut neighbours = Neighbours::default();
+    let mut neighbours = neighbours();
     neighbours.on_notice(&notice("a", 10, 7, 100), 7, at(0));
     neighbours.on_notice(&notice("a", 12, 8, 100), 7, at(500));
     assert_eq!(
@@ -142,7 +183,7 @@
 /// differs from that of the other leader.
 #[test]
 fn a_leader_continues_with_changes() {
-    let mut neighbours = Neighbours::default();
+    let mut neighbours = neighbours();
     for now in 0..20 {
         neighbours.on_notice(&notice("a", 10 + now, now, 100), 1000 + now, at(now * 500));
     }
@@ -203,7 +244,7 @@
         let mut leader_lists = [Roster::default(), Roster::default()];
         let mut read = [0u64; 2];
         let mut own = Roster::default();
-        let mut neighbours = Neighbours::default();
+        let mut neighbours = neighbours();
         let mut cursor = Some(0);
         let mut rows: Vec<(u64, Target, Option<Member>)> = Vec::new();
         let mut delayed: Vec<Notice> = Vec::new();
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fleet::discovery::{Action, HEARTBEAT, Neighbours, Notice, Page, leaders};
+use fleet::discovery::{Action, HEARTBEAT, Limits, MAX_LEADERS, Neighbours, Notice, Page, leaders};
 use fleet::roster::Member;
 use tokio::sync::mpsc;
 use types::{Target, Time};
@@ -19,8 +19,9 @@
 use crate::shared::Shared;
 
 /// The state of discovering targets through the table store and through neighbours.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Discovery {
+    limits: Limits,
     neighbours: RefCell<Neighbours>,
     /// When the table store last replied to this entry.
     replied_at: Value<Option<Time>>,
@@ -53,6 +54,8 @@
 /// How long after its start an entry presumes that the others are alive, although it may not have
 /// received anything from them yet.
 const STARTUP_GRACE: Duration = Duration::from_millis(2500);
+/// The maximum time for which the table store holds a call while nothing changes.
+const MAX_WAIT: Duration = Duration::from_secs(2);
 /// The maximum number of targets in one notice; a datagram has room for a few more.
 const MAX_CHANGES: usize = 60;
 /// The maximum number of targets in one page.
@@ -63,6 +66,27 @@
 const MAX_PAGE_ATTEMPTS: u32 = 2;
 
 impl Discovery {
+    pub(crate) fn new(drain_limit: Duration) -> Self {
+        let limits = Limits::new(drain_limit);
+        Self {
+            limits,
+            neighbours: RefCell::new(Neighbours::new(limits)),
+            replied_at: Value::default(),
+            cursor: Value::default(),
+            pages: RefCell::default(),
+            page_requests: Value::default(),
+        }
+    }
+
+    /// Returns how long the table store may hold a call for the list. Entries without a call of
+    /// their own rely on the age of the last reply to a leader.
+    pub(crate) fn wait<Adapter>(&self, shared: &Shared<Adapter>) -> Duration {
+        match has_followers(shared) {
+            true => self.limits.max_wait.min(MAX_WAIT),
+            false => MAX_WAIT,
+        }
+    }
+
     /// Returns the next action to keep the list of targets up to date.
     pub(crate) fn next<Adapter>(&self, shared: &Shared<Adapter>, cursor: Option<u64>) -> Action {
         let is_leader = is_leader(shared);
@@ -79,8 +103,19 @@
     }
 }
 
+/// Returns whether live entries of the failure domain are not leaders.
+fn has_followers<Adapter>(shared: &Shared<Adapter>) -> bool {
+    let peers = shared.peers.borrow();
+    let own = &shared.settings.name;
+    let hosts = shared.hosts();
+    let neighbours = hosts.iter().filter(|host| {
+        host.domain == shared.settings.domain && (host.name == *own || peers.is_alive(&host.name))
+    });
+    neighbours.count() > MAX_LEADERS
+}
+
 /// Returns whether this entry is a leader, which watches the table store for its neighbours.
-fn is_leader<Adapter>(shared: &Shared<Adapter>) -> bool {
+pub(crate) fn is_leader<Adapter>(shared: &Shared<Adapter>) -> bool {
     let own = &shared.settings.name;
     let peers = shared.peers.borrow();
     let is_starting = shared.dispatch.uptime() < STARTUP_GRACE;
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -36,9 +36,6 @@
 /// bound for keys is five seconds, and less than four of them remain after the margin for requests
 /// in transit.
 const MAX_EVIDENCE_AGE: Duration = Duration::from_millis(2200);
-/// The time for which a call for the list of targets is held. It is fixed, since neighbours rely on
-/// the age of the last reply.
-const TARGETS_WAIT: Duration = Duration::from_secs(2);
 /// How long changes of targets accumulate before the next call. Each call has a cost, and
 /// targets that leave must be noticed within two seconds.
 const BATCHING_DELAY: Duration = Duration::from_millis(350);
@@ -54,6 +51,9 @@
 const BACK_OFF: Duration = Duration::from_millis(60);
 /// The maximum back-off after failed calls.
 const MAX_BACK_OFF: Duration = Duration::from_millis(400);
+/// The same for the list of targets at an entry whose neighbours usually send it. When the table
+/// store is down, hundreds of entries call it.
+const MAX_FOLLOWER_BACK_OFF: Duration = Duration::from_millis(1000);
 /// The interval at which expired state is dropped and gauges are updated.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -191,7 +191,8 @@
                 {
                     reload_at = Some(time + LIST_SETTLE_TIME);
                 }
-                if list == List::Targets && snapshot {
+                // Also without changes: the neighbours rely on the age of the last reply.
+                if list == List::Targets && (snapshot || unchanged) {
                     discovery::publish(&shared, Vec::new(), Vec::new());
                 }
                 if list == List::Targets && !snapshot && !unchanged {
@@ -218,10 +219,15 @@
                 }
                 failures += 1;
                 shared.roster.borrow_mut().on_store_outage(time);
+                let is_follower = list == List::Targets && !discovery::is_leader(&shared);
+                let max_wait = match is_follower {
+                    true => MAX_FOLLOWER_BACK_OFF,
+                    false => MAX_BACK_OFF,
+                };
                 let wait = BACK_OFF * 2u32.saturating_pow(failures.min(8) - 1);
                 // Jitter, so that entries that failed together do not retry together.
                 let jitter = f64::from(shared.random()) / f64::from(u32::MAX);
-                tokio::time::sleep(wait.min(MAX_BACK_OFF).mul_f64(0.5 + jitter)).await;
+                tokio::time::sleep(wait.min(max_wait).mul_f64(0.5 + jitter)).await;
             }
         }
     }
@@ -287,7 +293,7 @@
 /// operator's list, so each of them calls less often the more entries there are.
 fn wait<Adapter>(shared: &Shared<Adapter>, list: List) -> Duration {
     if list == List::Targets {
-        return TARGETS_WAIT;
+        return shared.discovery.wait(shared);
     }
     let unsettled = shared.restoration.borrow().unsettled_for(now());
     if !unsettled.is_zero() {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -76,6 +76,9 @@
 pub struct Bounds {
     /// The time after which a revoked API key must not work at any entry.
     pub revoke_ms: f64,
+    /// The time after which a target that leaves must get no more requests.
+    #[serde(default = "default_drain_ms")]
+    pub drain_ms: f64,
     /// The grace period between the request to stop and the forced kill.
     pub grace_s: f64,
     /// The maximum ratio of retries to requests, over all entries.
@@ -96,6 +99,13 @@
     pub lease_gap_ms: f64,
 }
 
+fn default_drain_ms() -> f64 {
+    DEFAULT_DRAIN_MS
+}
+
+/// The strictest bound of the known deployments, where none is set.
+const DEFAULT_DRAIN_MS: f64 = 2000.0;
+
 /// Why settings were rejected.
 #[derive(Debug, Display, thiserror::Error)]
 pub enum Problem {
@@ -124,20 +134,38 @@
     /// a value that is out of range. The message contains the file, the key or location, and the
     /// value.
     pub fn open(file: &Path) -> Result<Self, Problem> {
-        let text = std::fs::read(file).map_err(|error| Problem::Read(file.to_owned(), error))?;
-        let json = json_comments::StripComments::new(text.as_slice());
-        let settings: Self = serde_json::from_reader(json)
-            .map_err(|error| Problem::Parse(file.to_owned(), error))?;
+        Self::open_with_drain(file, None)
+    }
+
+    /// Reads and validates a settings file, of which `drain_ms` replaces [`Bounds::drain_ms`].
+    ///
+    /// # Errors
+    /// As for [`Self::open`].
+    pub fn open_with_drain(file: &Path, drain_ms: Option<f64>) -> Result<Self, Problem> {
+        let mut settings = Self::parse(file)?;
+        settings.bounds.drain_ms = drain_ms.unwrap_or(settings.bounds.drain_ms);
         settings.check(file)?;
         Ok(settings)
     }
 
+    fn parse(file: &Path) -> Result<Self, Problem> {
+        let text = std::fs::read(file).map_err(|error| Problem::Read(file.to_owned(), error))?;
+        let json = json_comments::StripComments::new(text.as_slice());
+        serde_json::from_reader(json).map_err(|error| Problem::Parse(file.to_owned(), error))
+    }
+
     /// Returns the time after which a revoked API key must not work.
     #[must_use]
     pub fn revocation_limit(&self) -> Duration {
         milliseconds(self.bounds.revoke_ms)
     }
 
+    /// Returns the time after which a target that leaves must get no more requests.
+    #[must_use]
+    pub fn drain_limit(&self) -> Duration {
+        milliseconds(self.bounds.drain_ms)
+    }
+
     /// Returns the grace period between the request to stop and the forced kill.
     #[must_use]
     pub fn grace(&self) -> Duration {
@@ -178,6 +206,7 @@
         }
         let minima = [
             ("bounds.revoke_ms", bounds.revoke_ms, 1000.0, "1000 or more"),
+            ("bounds.drain_ms", bounds.drain_ms, 500.0, "500 or more"),
             ("bounds.grace_s", bounds.grace_s, 1.0, "1 or more"),
             (
                 "bounds.retry_window_s",
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -132,6 +132,7 @@
             extra: bounds.retry_extra,
         };
         let buffers = Buffers::new(settings.limits.buffer_bytes());
+        let discovery = Discovery::new(settings.drain_limit());
         Self {
             settings,
             adapter,
@@ -163,7 +164,7 @@
             unanswered: Rc::default(),
             queues: RefCell::default(),
             dispatch: Dispatch::new(),
-            discovery: Discovery::default(),
+            discovery,
             quarantine: RefCell::default(),
             quarantine_changed: Notify::new(),
             reachability: RefCell::default(),
