namespace: leave what a team made before it became isolated

Cause: an isolated team gets a cache namespace of its own, but the others stay in the namespace that all had shared, where its segments from before still lie, in the memory of targets as well, where nothing can evict them. Ruled out: noting who made a segment, which store hosts and targets would have to know too, after restarts as well.

Change: the shared namespace contains a hash of the set of isolated teams in force; without any, its name is as before. Requests go by the configuration in force when they are sent, and dispatchers by the scope in the request. Namespaces that are out of use are evicted first. Names of models and teams are encoded: joined by dots, model a.1 at an unknown version had the namespace of team 0 with version 1 of model a, and the model's name comes from the caller.

--- a/crates/fleet/src/cache/mod.rs
+++ b/crates/fleet/src/cache/mod.rs
@@ -1,7 +1,7 @@
 //! Index of the cached prompt segments on store hosts; decides when to fetch, save or evict them.
 //!
-//! The namespace of a segment contains the weights and, for an isolated team, the team, so a
-//! segment of other weights or of another team is never found. See `docs/platform.md`.
+//! A segment of other weights, or of a team that does not share its segments, is in another
+//! [namespace](crate::namespace) and never found. See `docs/platform.md`.
 
 mod eviction;
 mod lateness;
@@ -21,7 +21,7 @@
 /// Identifies a segment within a cache namespace.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Key {
-    /// The weights and, for an isolated team, the team.
+    /// The name of the [namespace](crate::namespace).
     pub namespace: Arc<str>,
     /// The identifier of the segment.
     pub id: Arc<str>,
--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -1,12 +1,14 @@
 //! The operator's configuration: routes, services, keys and limits.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use types::{Domain, Service, Store, Team, Version};
 
+use crate::namespace::Scope;
+
 /// A complete configuration, indexed for the request path.
 #[derive(Debug, Default)]
 pub struct Catalog {
@@ -19,6 +21,9 @@
     stores: Vec<StoreHost>,
     keys: HashMap<Box<str>, Arc<Owner>>,
     keys_required: bool,
+    isolated: HashSet<Team>,
+    /// The scope of the teams that are not isolated.
+    shared_scope: Scope,
 }
 
 /// Limits on what a caller may send.
@@ -184,8 +189,12 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let mut keys = HashMap::new();
+        let mut isolated = HashSet::new();
         let keys_required = spec.teams.is_some();
         for (owner, owner_keys) in spec.teams.unwrap_or_default() {
+            if owner.isolated {
+                isolated.insert(owner.team.clone());
+            }
             let owner = Arc::new(owner);
             keys.extend(owner_keys.into_iter().map(|key| (key, Arc::clone(&owner))));
         }
@@ -200,6 +209,28 @@
             stores: spec.stores,
             keys,
             keys_required,
+            shared_scope: Scope::of_others(isolated.iter()),
+            isolated,
+        }
+    }
+
+    /// Returns with which requests a request of this sender shares cached segments. A team that was
+    /// isolated when the request was admitted stays so for this request.
+    #[must_use]
+    pub fn scope(&self, owner: Option<&Owner>) -> Scope {
+        let isolated = owner.filter(|owner| owner.isolated || self.isolated.contains(&owner.team));
+        match isolated {
+            Some(owner) => Scope::Team(owner.team.clone()),
+            None => self.shared_scope.clone(),
+        }
+    }
+
+    /// Returns whether any request uses the segments of a scope.
+    #[must_use]
+    pub fn uses_scope(&self, scope: &Scope) -> bool {
+        match scope {
+            Scope::Team(team) => self.isolated.contains(team),
+            Scope::All | Scope::Except(_) => *scope == self.shared_scope,
         }
     }
 
--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -8,9 +8,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use types::{Domain, Model, Target, Team, Time};
+use types::{Domain, Model, Target, Time};
 
 use crate::cell::Cell;
+use crate::namespace::Scope;
 use crate::placement::{Candidate, Load, best};
 use crate::prefill::Rate;
 use crate::queue::{Decision, Queues, Ticket};
@@ -31,8 +32,8 @@
 pub struct Demand {
     /// The model, if the request names one.
     pub model: Option<Model>,
-    /// The team, if it shares no cached segments with others.
-    pub team: Option<Team>,
+    /// Which other requests share its cached segments.
+    pub scope: Scope,
     /// The segments that other requests may share, each with its number of tokens.
     pub segments: Vec<(Arc<str>, u64)>,
     /// Number of tokens that no other request shares.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod dispatcher;
 pub mod freshness;
 pub mod gossip;
+pub mod namespace;
 pub mod placement;
 pub mod prefill;
 pub mod quarantine;
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -8,9 +8,10 @@
 use fleet::catalog::Pool;
 use fleet::dispatcher::{Demand, Offer, Request};
 use fleet::gossip::FAN_OUT;
+use fleet::namespace::{Namespace, Scope};
 use fleet::placement::{self, Candidate, Load};
 use fleet::roster::Member;
-use types::{Domain, Model, Service, Store, Target, Team, Time};
+use types::{Domain, Model, Service, Store, Target, Time};
 
 use crate::adapter::{Envelope, Fetch, Prompt};
 use crate::attempt::{self, Admitted, Choice};
@@ -39,15 +40,13 @@
     admitted: &Admitted,
     excluded: &[Target],
 ) -> Demand {
-    let owner = admitted.owner.as_ref();
-    let isolated = owner.filter(|owner| owner.isolated);
     let prompt = admitted.head.prompt.as_ref();
     let segments = prompt.map_or(&[][..], |prompt| &prompt.segments);
     // The last segment of a prompt is unique to the request and is neither fetched nor saved.
     let reusable = segments.iter().take(segments.len().saturating_sub(1));
     Demand {
         model: prompt.map(|prompt| prompt.model.clone()),
-        team: isolated.map(|owner| owner.team.clone()),
+        scope: scope(shared, admitted),
         segments: reusable
             .map(|segment| (segment.id.as_ref().into(), segment.tokens))
             .collect(),
@@ -58,6 +57,21 @@
     }
 }
 
+/// Returns with which requests a request shares cached segments, by the configuration in force.
+fn scope<Adapter>(shared: &Shared<Adapter>, admitted: &Admitted) -> Scope {
+    let catalog = shared.catalog();
+    let scope = catalog.map(|catalog| catalog.scope(admitted.owner.as_deref()));
+    scope.unwrap_or_default()
+}
+
+/// Returns the demand of a request whose scope may have changed while it waited.
+fn renewed<Adapter>(shared: &Shared<Adapter>, admitted: &Admitted, demand: &Demand) -> Demand {
+    Demand {
+        scope: scope(shared, admitted),
+        ..demand.clone()
+    }
+}
+
 /// Chooses a target without a dispatcher.
 pub(crate) fn choose<Adapter>(
     shared: &Rc<Shared<Adapter>>,
@@ -67,6 +81,7 @@
     last_event: Option<u64>,
 ) -> Option<Choice> {
     let time = now();
+    let demand = &renewed(shared, admitted, demand);
     let pool = shared.catalog()?.pool(service).cloned()?;
     let avoids = |member: &Member| shared.tracker.borrow().avoids(&member.id, time);
     let mut usable = usable(shared, &pool, demand, time, |_| true, avoids);
@@ -113,6 +128,7 @@
     Some(build_choice(
         shared,
         admitted,
+        demand,
         options.swap_remove(index),
         pool,
         pool_size,
@@ -177,6 +193,7 @@
     last_event: Option<u64>,
 ) -> Option<Choice> {
     let time = now();
+    let demand = &renewed(shared, admitted, demand);
     let (target, resident) = grant;
     let pool = shared.catalog()?.pool(service).cloned()?;
     let is_eligible = |member: &Member| member.id == *target;
@@ -199,7 +216,7 @@
         random,
     );
     Some(build_choice(
-        shared, admitted, evaluated, pool, 1, last_event,
+        shared, admitted, demand, evaluated, pool, 1, last_event,
     ))
 }
 
@@ -316,6 +333,7 @@
 fn build_choice<Adapter>(
     shared: &Rc<Shared<Adapter>>,
     admitted: &Admitted,
+    demand: &Demand,
     evaluated: Evaluated,
     pool: Arc<Pool>,
     pool_size: usize,
@@ -337,15 +355,13 @@
     let fetch = fetch.chain(prompt.map(|_| None)).collect();
     let save = save.chain(prompt.map(|_| None)).collect();
     let owner = admitted.owner.as_ref();
-    let team = owner.filter(|owner| owner.isolated);
-    let team = team.map(|owner| &owner.team);
     Choice {
         envelope: Envelope {
             target: evaluated.member.id.clone(),
             remaining: admitted.remaining(shared, now()),
             team: owner.map(|owner| owner.team.clone()),
             last_event,
-            namespace: prompt.map(|prompt| namespace(&prompt.model, version, team)),
+            namespace: prompt.map(|prompt| namespace(&prompt.model, version, demand)),
             version,
             urgency: None,
             fetch,
@@ -464,7 +480,7 @@
     model: &Model,
     version: Option<u64>,
 ) -> Vec<cache::Segment> {
-    let namespace: Arc<str> = namespace(model, version, demand.team.as_ref()).into();
+    let namespace: Arc<str> = namespace(model, version, demand).into();
     let segments = demand.segments.iter();
     segments
         .map(|(id, tokens)| cache::Segment {
@@ -490,14 +506,14 @@
     matches!((released, served), (Some(released), Some(served)) if served < released.version)
 }
 
-/// Returns the cache namespace of a target. It includes the weight version and the team, if
-/// isolated, so that segments of other versions and teams are not found.
-fn namespace(model: &str, version: Option<u64>, isolated: Option<&Team>) -> Box<str> {
-    let version = version.unwrap_or(0);
-    match isolated {
-        Some(team) => format!("{model}.{version}.{team}").into(),
-        None => format!("{model}.{version}").into(),
-    }
+/// Returns the cache namespace of a request at a target with this weight version.
+fn namespace(model: &Model, version: Option<u64>, demand: &Demand) -> Box<str> {
+    let namespace = Namespace {
+        model: model.clone(),
+        version: version.unwrap_or(0),
+        scope: demand.scope.clone(),
+    };
+    namespace.to_string().into()
 }
 
 /// Whether new requests must not start on a target's weights, because a newer version was released
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -76,7 +76,7 @@
         if names.is_empty() {
             continue;
         }
-        let mut state = build_state(shared, names.len());
+        let state = build_state(shared, names.len());
         let mut peers = shared.peers.borrow_mut();
         peers.on_sent(state.sequence, names.len(), now());
         let urgent = peers.take_newcomers();
@@ -86,13 +86,16 @@
         let urgent = urgent.into_iter();
         let urgent = urgent.chain(cache::needed_contacts(shared, names.len()));
         recipients.extend(urgent.take(MAX_URGENT));
+        let mut message = Message::State(Box::new(state));
         for name in recipients {
             let Some(ip) = addresses.get(&name) else {
                 continue;
             };
-            state.received = shared.peers.borrow().receipt(&name);
+            if let Message::State(state) = &mut message {
+                state.received = shared.peers.borrow().receipt(&name);
+            }
             let to = SocketAddr::new(*ip, shared.settings.peer_port);
-            transport.send(&Message::State(state.clone()), to);
+            transport.send(&message, to);
         }
     }
 }
@@ -256,7 +259,7 @@
 pub(crate) fn send_leaving<Adapter>(shared: &Shared<Adapter>) {
     let mut state = build_state(shared, shared.registered.borrow().len());
     state.leaving = true;
-    broadcast(shared, &Message::State(state));
+    broadcast(shared, &Message::State(Box::new(state)));
 }
 
 /// Sends a message to all other entries.
--- a/crates/gateway/src/packet/layout.rs
+++ b/crates/gateway/src/packet/layout.rs
@@ -5,6 +5,7 @@
 
 use fleet::cache::{Key, Lateness, Report};
 use fleet::dispatcher::Demand;
+use fleet::namespace::Scope;
 use fleet::quarantine::Evidence;
 use fleet::roster::Member;
 use fleet::{cell, discovery, dispatcher, gossip, placement};
@@ -123,7 +124,7 @@
     max_wait: u32,
     queue: bool,
     model: Option<Model>,
-    team: Option<Team>,
+    scope: ScopeFields,
     segments: Vec<(String, u64)>,
     unique_tokens: u64,
     kv_tokens: u64,
@@ -131,6 +132,13 @@
     unreachable: Vec<Domain>,
 }
 
+#[derive(Serialize, Deserialize)]
+pub(super) enum ScopeFields {
+    All,
+    Except(u64),
+    Team(Team),
+}
+
 #[derive(Serialize, Deserialize)]
 pub(super) enum Reply {
     Granted(Target, Vec<bool>),
@@ -167,7 +175,7 @@
 impl From<&Message> for Packet {
     fn from(message: &Message) -> Self {
         match message {
-            Message::State(state) => Self::State(Box::new(State::from(state))),
+            Message::State(state) => Self::State(Box::new(State::from(&**state))),
             Message::Update(update) => Self::Update(Update::from(update)),
             Message::Request(request) => Self::Request(Request::from(request)),
             Message::Reply(id, reply) => Self::Reply(encode_id(id), Reply::from(reply)),
@@ -185,7 +193,7 @@
 impl From<Packet> for Message {
     fn from(packet: Packet) -> Self {
         match packet {
-            Packet::State(state) => Self::State((*state).into()),
+            Packet::State(state) => Self::State(Box::new((*state).into())),
             Packet::Update(update) => Self::Update(update.into()),
             Packet::Request(request) => Self::Request(request.into()),
             Packet::Reply(id, reply) => Self::Reply(decode_id(id), reply.into()),
@@ -354,7 +362,7 @@
             max_wait: millis(request.max_wait),
             queue: request.queue,
             model: demand.model.clone(),
-            team: demand.team.clone(),
+            scope: (&demand.scope).into(),
             segments: segments
                 .map(|(id, tokens)| (id.to_string(), *tokens))
                 .collect(),
@@ -377,7 +385,7 @@
             queue: request.queue,
             demand: Demand {
                 model: request.model,
-                team: request.team,
+                scope: request.scope.into(),
                 segments: segments
                     .map(|(id, tokens)| (id.into(), tokens.min(MAX_TOKENS)))
                     .collect(),
@@ -390,6 +398,26 @@
     }
 }
 
+impl From<&Scope> for ScopeFields {
+    fn from(scope: &Scope) -> Self {
+        match scope {
+            Scope::All => Self::All,
+            Scope::Except(number) => Self::Except(*number),
+            Scope::Team(team) => Self::Team(team.clone()),
+        }
+    }
+}
+
+impl From<ScopeFields> for Scope {
+    fn from(scope: ScopeFields) -> Self {
+        match scope {
+            ScopeFields::All => Self::All,
+            ScopeFields::Except(number) => Self::Except(number),
+            ScopeFields::Team(team) => Self::Team(team),
+        }
+    }
+}
+
 impl From<&dispatcher::Reply> for Reply {
     fn from(reply: &dispatcher::Reply) -> Self {
         match reply {
--- a/crates/gateway/src/packet/mod.rs
+++ b/crates/gateway/src/packet/mod.rs
@@ -17,13 +17,13 @@
 const MAC_BYTES: usize = 32;
 /// Version of the layout of [`Packet`]. Entries of two versions communicate during an upgrade, and
 /// bytes of another layout may decode to anything.
-pub const FORMAT: u8 = 12;
+pub const FORMAT: u8 = 13;
 
 /// A message from one entry to another.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Message {
     /// The sender's state, sent to all other entries in turn.
-    State(State),
+    State(Box<State>),
     /// Load changes, sent immediately to the dispatchers of the targets.
     Update(Update),
     /// A placement request.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -10,6 +10,7 @@
 use fleet::cell::Node;
 use fleet::freshness::Evidence;
 use fleet::gossip::Peers;
+use fleet::namespace::Namespace;
 use fleet::placement::{Load, Tracker};
 use fleet::prefill::Rate;
 use fleet::quarantine::Quarantine;
@@ -330,7 +331,8 @@
 
     /// Returns a function from a cache namespace to its status: whether its segments can still be
     /// used. Namespaces of models that no target serves count as current, since nothing is known of
-    /// them.
+    /// them. Those that the configuration in force does not use count as outdated: it may change
+    /// back.
     pub(crate) fn namespace_status(&self) -> impl Fn(&str) -> Status + use<Adapter> {
         let mut served: HashMap<Model, (u64, u64)> = HashMap::new();
         let rollout = self.rollout.borrow();
@@ -342,15 +344,23 @@
                 *newest = (*newest).max(*version);
             }
         }
+        let catalog = self.catalog();
         move |namespace| {
-            // The format is MODEL.VERSION, or MODEL.VERSION.TEAM for an isolated team.
-            let mut fields = namespace.splitn(3, '.');
-            let (Some(model), Some(version)) = (fields.next(), fields.next()) else {
+            let Some(namespace) = Namespace::parse(namespace) else {
                 return Status::Current;
             };
-            match (served.get(model), version.parse::<u64>()) {
-                (Some((oldest, _)), Ok(version)) if version < *oldest => Status::Unused,
-                (Some((_, newest)), Ok(version)) if version < *newest => Status::Outdated,
+            let Namespace {
+                model,
+                version,
+                scope,
+            } = namespace;
+            let is_in_scope = catalog
+                .as_ref()
+                .is_none_or(|catalog| catalog.uses_scope(&scope));
+            match served.get(&model) {
+                Some((oldest, _)) if version < *oldest => Status::Unused,
+                Some((_, newest)) if version < *newest => Status::Outdated,
+                _ if !is_in_scope => Status::Outdated,
                 _ => Status::Current,
             }
         }
--- a/crates/gateway/tests/packet.rs
+++ b/crates/gateway/tests/packet.rs
@@ -6,6 +6,7 @@
 use fleet::cell::Cell;
 use fleet::dispatcher::{Demand, Id, Reply, Request};
 use fleet::gossip::{Receipt, State, StoreState, Update};
+use fleet::namespace::Scope;
 use fleet::placement::Load;
 use fleet::quarantine::Evidence;
 use gateway::packet::{FORMAT, MAX_DATAGRAM_BYTES, Message, Problem, open, seal};
@@ -109,7 +110,7 @@
 fn messages() -> Vec<Message> {
     let demand = Demand {
         model: Some("m".into()),
-        team: Some("parks".into()),
+        scope: Scope::Team("parks".into()),
         segments: vec![("5c1e".into(), 800), ("91bd".into(), 410)],
         unique_tokens: 250,
         kv_tokens: 1100,
@@ -144,7 +145,7 @@
     ];
     let replies = replies.map(|reply| Message::Reply(id(), reply));
     let others = [
-        Message::State(state()),
+        Message::State(Box::new(state())),
         Message::Update(update),
         Message::Request(request),
         Message::Cancel(id()),
@@ -169,7 +170,7 @@
 
 #[test]
 fn a_datagram_without_the_secret_is_rejected() {
-    let datagram = seal(&[8; 32], &Message::State(state())).expect("a datagram");
+    let datagram = seal(&[8; 32], &Message::State(Box::new(state()))).expect("a datagram");
     assert_eq!(open(&SECRET, &datagram), Err(Problem::Unauthenticated));
     assert_eq!(open(&SECRET, &datagram[..20]), Err(Problem::TooShort));
 }
@@ -191,7 +192,7 @@
     let mut oversized = state();
     oversized.from = "x".repeat(MAX_DATAGRAM_BYTES);
     assert!(matches!(
-        seal(&SECRET, &Message::State(oversized)),
+        seal(&SECRET, &Message::State(Box::new(oversized))),
         Err(Problem::Malformed(_))
     ));
 }
@@ -234,7 +235,7 @@
         )
     };
     state.reports = vec![report("a"), report("b")];
-    let datagram = seal(&SECRET, &Message::State(state)).expect("a datagram");
+    let datagram = seal(&SECRET, &Message::State(Box::new(state))).expect("a datagram");
     let Ok(Message::State(state)) = open(&SECRET, &datagram) else {
         panic!("a state");
     };
