connection: limit the bytes before a response head

Reported by other operators: a faulty target sends bytes without end, and the process that called it runs out of memory. Here callers would have been served late: informational responses (1xx) are complete one by one and dropped, so no limit held, and the process read them until the deadline of each request.

Ruled out: growing memory.

Change: before a response's head a connection to a target reads at most 256 KiB.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -279,6 +279,7 @@
     let sent_at = now();
     let mut in_flight = InFlight::start(shared, choice);
     let received = connection.received();
+    connection.limit_interim_bytes();
     let sending = connection.sender.try_send_request(request);
     let last_event = choice.envelope.last_event;
     let target = in_flight.target();
@@ -299,6 +300,7 @@
         Err(cause) => return Outcome::Failed { cause },
     };
     let responded_at = now();
+    connection.lift_limit();
     let (head, mut body) = response.into_parts();
     let response = shared.adapter.parse_response(head.status, &head.headers);
     // hyper skips the other informational responses.
@@ -429,6 +431,9 @@
     let cause = format!("{}, after {received} bytes", describe(error));
     let (fault, outcome) = match (error.is_parse(), received) {
         (true, _) => (Some("head"), Outcome::Failed { cause }),
+        (false, received) if received > connection::MAX_INTERIM_BYTES => {
+            (Some("head"), Outcome::Failed { cause })
+        }
         (false, 0) => (None, Outcome::Lost { cause }),
         (false, _) => (Some("cut_head"), Outcome::Lost { cause }),
     };
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -46,6 +46,8 @@
     pub(crate) reused: bool,
     /// The bytes that have arrived.
     received: Rc<Cell<u64>>,
+    /// How many bytes may arrive at most.
+    read_limit: Rc<Cell<u64>>,
     _socket: Socket,
     _open: OpenCount,
 }
@@ -60,6 +62,8 @@
 struct Io {
     stream: TcpStream,
     received: Rc<Cell<u64>>,
+    /// The value of `received` up to which bytes are read.
+    read_limit: Rc<Cell<u64>>,
 }
 
 /// Counts a connection towards the target's limit while it is open.
@@ -98,6 +102,8 @@
 const CALLER_KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(5);
 /// The maximum size of a response head; a larger one ends the connection.
 const MAX_HEAD_BYTES: usize = 64 << 10;
+/// The maximum number of bytes before a response head, in informational responses.
+pub(crate) const MAX_INTERIM_BYTES: u64 = 4 * MAX_HEAD_BYTES as u64;
 /// How long a connection may take to become ready again after a response.
 const READY_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -172,6 +178,18 @@
     pub(crate) fn received(&self) -> u64 {
         self.received.get()
     }
+
+    /// Limits the bytes that may arrive before a response head. Informational responses without end
+    /// would occupy the process until the deadline of their request.
+    pub(crate) fn limit_interim_bytes(&self) {
+        let limit = self.received.get().saturating_add(MAX_INTERIM_BYTES);
+        self.read_limit.set(limit);
+    }
+
+    /// Lifts the limit, as a response head has arrived.
+    pub(crate) fn lift_limit(&self) {
+        self.read_limit.set(u64::MAX);
+    }
 }
 
 impl AsyncRead for Io {
@@ -180,6 +198,10 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
+        if self.received.get() > self.read_limit.get() {
+            let error = format!("no response head within {MAX_INTERIM_BYTES} bytes");
+            return Poll::Ready(Err(std::io::Error::other(error)));
+        }
         let filled = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
         let count = (buffer.filled().len() - filled) as u64;
@@ -262,9 +284,11 @@
         .try_clone()
         .map_err(|error| Error::Failed(error.to_string()))?;
     let received = Rc::new(Cell::new(0));
+    let read_limit = Rc::new(Cell::new(u64::MAX));
     let io = Io {
         stream,
         received: Rc::clone(&received),
+        read_limit: Rc::clone(&read_limit),
     };
     let (sender, driver) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
@@ -281,6 +305,7 @@
         sender,
         reused: false,
         received,
+        read_limit,
         _socket: Socket(socket),
         _open: permit.0,
     })
