gossip: an entry that hears no other one neither evicts nor fetches

Where others still heard it, they waited for a contact that could not come and fetched nothing; where they did not, it evicted under their fetches, and fetched what they evicted.

Change: for 20 s after it last heard another entry, or after its start, such an entry names nobody, evicts nothing and fetches nothing. Before, the wait was that of suspected entries, 10 s, and none after a start.

--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -129,6 +129,8 @@
     /// Entries that are no longer heard from and have not announced their shutdown, with the time
     /// of their last message.
     suspected: HashMap<String, Time>,
+    /// When any other entry was last heard.
+    last_heard: Time,
     loads_by_target: HashMap<Target, Load>,
     used: VecDeque<(Time, Store, Key)>,
     retired: VecDeque<Retired>,
@@ -214,6 +216,9 @@
 /// How long a suspected entry may still use outdated state; network partitions and suspensions of
 /// hosts last seconds.
 const SUSPECT_TTL: Duration = Duration::from_secs(10);
+/// How long an entry that hears no other one takes itself to be cut off. After that, the others are
+/// gone.
+const ISOLATION_TIME: Duration = Duration::from_secs(20);
 /// How long an entry may take to learn of a configuration that another entry uses: both wait for
 /// the same reply of the table store.
 const CONFIG_DELAY: Duration = Duration::from_millis(1000);
@@ -392,6 +397,7 @@
             evictors: state.evictors.iter().cloned().collect(),
         };
         self.peers.insert(state.from.clone(), peer);
+        self.last_heard = now;
         self.suspected.remove(&state.from);
         if state.leaving {
             self.drop_peer(&state.from);
@@ -425,6 +431,7 @@
             });
         peer.sequence = update.sequence;
         peer.last_heard = now;
+        self.last_heard = now;
         self.suspected.remove(&update.from);
         for (target, load) in &update.loads {
             let previous = match load.running {
@@ -595,19 +602,26 @@
     /// Returns whether segments may be evicted: each entry that this one suspects must be suspected
     /// by all other entries as well. Such an entry is dead or stalled, and reads the reports of the
     /// store hosts before it fetches anything again. An entry that others still hear from keeps
-    /// using what it knows. An entry that hears no other one may be the one that is cut off.
+    /// using what it knows.
     ///
     /// Load pattern: a network partition separates two failure domains while segments are about to
     /// be evicted.
     #[must_use]
     pub fn may_evict(&self) -> bool {
-        let is_isolated = self.peers.is_empty() && !self.suspected.is_empty();
-        !is_isolated
-            && self.suspected.iter().all(|(name, last)| {
-                // A peer that started since then has never heard from it.
-                let mut others = self.peers.values().filter(|peer| peer.since <= *last);
-                others.all(|peer| peer.suspected.contains(name))
-            })
+        self.suspected.iter().all(|(name, last)| {
+            // A peer that started since then has never heard from it.
+            let mut others = self.peers.values().filter(|peer| peer.since <= *last);
+            others.all(|peer| peer.suspected.contains(name))
+        })
+    }
+
+    /// Returns whether this entry hears none of the `count` other ones. Rather than all of them, it
+    /// may be the one that is cut off; it neither evicts segments nor fetches any then. `started` is
+    /// the start of this entry.
+    #[must_use]
+    pub fn is_isolated(&self, count: usize, started: Time, now: Time) -> bool {
+        let last_heard = self.last_heard.max(started);
+        count > 0 && self.peers.is_empty() && now.since(last_heard) < ISOLATION_TIME
     }
 
     /// Returns the suspected entries to report in a message.
--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -68,7 +68,7 @@
 
     /// Whether this entry and all live ones agree that it evicts segments from the host.
     fn evicts(&self) -> bool {
-        self.rank == Some(0) && self.evictors.len() == 1
+        self.rank == Some(0) && self.evictor.is_some() && self.evictors.len() == 1
     }
 
     /// Whether another entry names another one, which may not wait for the same entries.
@@ -81,6 +81,7 @@
 /// Entries that are gone have no part, so that no host is left without watchers.
 pub(crate) fn assign_duties<Adapter>(shared: &Shared<Adapter>, peer_count: usize) {
     let time = now();
+    let is_isolated = is_isolated(shared, peer_count);
     let hosts: Vec<(Store, u32)> = {
         let index = shared.cache_index.borrow();
         let hosts = index.hosts();
@@ -95,15 +96,16 @@
         let order = shared.presumed_order(&store, watchers);
         let rank = shared.position(&order);
         let peers = shared.peers.borrow();
-        let named = peers.evictors(&store).map(str::to_owned);
-        let evictor = order.into_iter().next();
-        let evictors: BTreeSet<String> = evictor.iter().cloned().chain(named).collect();
+        let evictor = order.into_iter().next().filter(|_| !is_isolated);
+        let named: BTreeSet<&str> = peers.evictors(&store).chain(evictor.as_deref()).collect();
+        let evictors: BTreeSet<String> = named.into_iter().map(str::to_owned).collect();
         let since = shared.cache_index.borrow().announced_since(&store);
         let is_informed = |name: &String| {
             *name == shared.settings.name
                 || since.is_some_and(|since| peers.is_informed_by(name, since, peer_count, time))
         };
-        let is_allowed = shared.is_registered.get() && evictors.iter().all(is_informed);
+        let is_allowed =
+            shared.is_registered.get() && !is_isolated && evictors.iter().all(is_informed);
         let mut index = shared.cache_index.borrow_mut();
         if index.set_informed(&store, is_allowed) {
             Event::new("store_host_fetches")
@@ -125,6 +127,12 @@
     *shared.duties.borrow_mut() = duties;
 }
 
+fn is_isolated<Adapter>(shared: &Shared<Adapter>, peer_count: usize) -> bool {
+    let started = now() - shared.dispatch.uptime();
+    let peers = shared.peers.borrow();
+    peers.is_isolated(peer_count, started, now())
+}
+
 /// Returns the entries whose announcements of evictions this entry needs and may soon lack.
 pub(crate) fn needed_contacts<Adapter>(shared: &Shared<Adapter>, peer_count: usize) -> Vec<String> {
     let (peers, time) = (shared.peers.borrow(), now());
@@ -438,6 +446,7 @@
         .has_stalled_since(announcement.at, time);
     !has_stalled
         && peers.may_evict()
+        && !is_isolated(shared, count)
         && !duty(shared, store).is_contested()
         && peers.have_received(announcement.sequence, count, time)
 }
