--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -134,12 +134,6 @@
     loads_by_target: HashMap<Target, Load>,
     used: VecDeque<(Time, Store, Key)>,
     retired: VecDeque<Retired>,
-    /// When this entry sent each of its recent state messages, by sequence number.
-    sent: VecDeque<(u64, Time)>,
-    /// The exchange of state messages with each entry that was heard recently.
-    contacts: HashMap<String, Contact>,
-    /// Entries whose incarnation is new, and which get a message at once.
-    newcomers: Vec<String>,
     /// Recent reports of store hosts, each with the boot id under which it was made.
     reports: VecDeque<(Time, Store, u64, Report)>,
     updated: VecDeque<(Time, Target, Model, u64)>,
@@ -180,18 +174,6 @@
     evicted_at: Option<Time>,
 }
 
-/// The exchange of state messages with another entry.
-#[derive(Debug)]
-struct Contact {
-    incarnation: u64,
-    /// The newest state message received from it.
-    sequence: u64,
-    /// When it was received.
-    heard_at: Time,
-    /// The newest own state message that it has acknowledged, with the time at which it was sent.
-    acknowledged: Option<(u64, Time)>,
-}
-
 /// Interval between gossip rounds of an entry.
 pub const INTERVAL: Duration = Duration::from_millis(100);
 /// Number of peers that get a message per interval. It limits the cost regardless of the number of
@@ -208,11 +190,6 @@
 const MAX_REPORTS: usize = 80;
 /// How long an evicted segment is still announced. The host's report may reach other entries later.
 const EVICTED_TIME: Duration = Duration::from_millis(1800);
-/// How long an entry may rely on the announcements of another one, beyond four rounds of gossip,
-/// after it has sent a message that the other one has acknowledged.
-const LEASE_SLACK: Duration = Duration::from_millis(1000);
-/// How long a target may take for a fetch that was chosen just before a lease expired.
-const FETCH_TIME: Duration = Duration::from_millis(2000);
 /// How long a suspected entry may still use outdated state; network partitions and suspensions of
 /// hosts last seconds.
 const SUSPECT_TTL: Duration = Duration::from_secs(10);
@@ -236,115 +213,6 @@
         INTERVAL * u32::try_from(ticks).unwrap_or(u32::MAX)
     }
 
-    /// Records that this entry sends a state message, with this sequence number.
-    pub fn on_sent(&mut self, sequence: u64, count: usize, now: Time) {
-        self.sent.push_back((sequence, now));
-        let limit = Self::lease(count);
-        while self
-            .sent
-            .front()
-            .is_some_and(|(_, at)| now.since(*at) > limit)
-        {
-            self.sent.pop_front();
-        }
-    }
-
-    /// Records which messages a message shows to have been exchanged with its sender; `own` is the
-    /// incarnation of this entry. Also handles messages that arrive late.
-    pub fn on_contact(&mut self, state: &State, own: u64, now: Time) {
-        if state.leaving {
-            self.contacts.remove(&state.from);
-            return;
-        }
-        let known = self.contacts.get(&state.from);
-        if known.is_none_or(|known| known.incarnation != state.incarnation) {
-            // What was agreed with a former process of this name does not bind the new one.
-            let contact = Contact {
-                incarnation: state.incarnation,
-                sequence: 0,
-                heard_at: now,
-                acknowledged: None,
-            };
-            self.contacts.insert(state.from.clone(), contact);
-            self.newcomers.push(state.from.clone());
-        }
-        let Some(contact) = self.contacts.get_mut(&state.from) else {
-            return;
-        };
-        contact.sequence = contact.sequence.max(state.sequence);
-        contact.heard_at = now;
-        let receipt = state
-            .received
-            .filter(|receipt| receipt.incarnation == own)
-            .and_then(|receipt| {
-                let sent = self.sent.iter().rev();
-                let mut sent = sent.filter(|(sequence, _)| *sequence == receipt.sequence);
-                sent.next().copied()
-            });
-        contact.acknowledged = contact.acknowledged.max(receipt);
-    }
-
-    /// Returns what to acknowledge to an entry.
-    #[must_use]
-    pub fn receipt(&self, name: &str) -> Option<Receipt> {
-        let contact = self.contacts.get(name)?;
-        Some(Receipt {
-            incarnation: contact.incarnation,
-            sequence: contact.sequence,
-        })
-    }
-
-    /// Returns how long an entry may rely on another one to wait for it before segments are
-    /// evicted.
-    fn lease(count: usize) -> Duration {
-        Self::round(count) * 4 + LEASE_SLACK
-    }
-
-    /// Returns whether another entry is known to wait for this one before it evicts segments: it
-    /// has recently acknowledged a message of this entry, and its announcements have arrived since
-    /// `since`.
-    #[must_use]
-    pub fn is_informed_by(&self, name: &str, since: Time, count: usize, now: Time) -> bool {
-        let contact = self.contacts.get(name);
-        contact.is_some_and(|contact| {
-            let lease = contact.acknowledged;
-            contact.heard_at > since
-                && lease.is_some_and(|(_, sent_at)| now.since(sent_at) <= Self::lease(count))
-        })
-    }
-
-    /// Returns whether an entry is about to lose the assurance of [`Self::is_informed_by`], or does
-    /// not have it yet.
-    #[must_use]
-    pub fn needs_contact(&self, name: &str, count: usize, now: Time) -> bool {
-        let acknowledged = self.contacts.get(name).and_then(|known| known.acknowledged);
-        acknowledged.is_none_or(|(_, sent_at)| now.since(sent_at) > Self::lease(count) / 2)
-    }
-
-    /// Returns whether all entries that may rely on this one have received the message `announced`,
-    /// or a later one. An entry that was not heard for longer than its assurance lasts does not
-    /// fetch anything until it is heard again.
-    #[must_use]
-    pub fn have_received(&self, announced: u64, count: usize, now: Time) -> bool {
-        self.contacts.values().all(|contact| {
-            now.since(contact.heard_at) > Self::lease(count) + FETCH_TIME
-                || contact
-                    .acknowledged
-                    .is_some_and(|(sequence, _)| sequence >= announced)
-        })
-    }
-
-    /// Returns whether no entry can rely on a former process of this name: as long as it ran
-    /// before, or each of `names` has been in contact with this one.
-    #[must_use]
-    pub fn have_met(&self, names: &[String], uptime: Duration) -> bool {
-        uptime > Self::lease(names.len()) + FETCH_TIME
-            || names.iter().all(|name| {
-                let contact = self.contacts.get(name);
-                contact.is_some_and(|contact| contact.acknowledged.is_some())
-            })
-    }
-
     /// Returns the entries that live peers name as the one that evicts segments from a host.
     pub fn evictors(&self, store: &Store) -> impl Iterator<Item = &str> {
         let peers = self.peers.values();
@@ -569,9 +437,6 @@
                 .evicted_at
                 .is_none_or(|at| now.since(at) <= evicted_ttl)
         });
-        let contact_ttl = Self::lease(count) + FETCH_TIME;
-        self.contacts
-            .retain(|_, contact| now.since(contact.heard_at) <= contact_ttl);
     }
 
     /// Estimates the load of all entries at a target, of which `own` is this entry's; `count` is
@@ -699,11 +564,6 @@
             .collect()
     }
 
-    /// Returns the entries whose incarnation is new since the last call.
-    pub fn take_newcomers(&mut self) -> Vec<String> {
-        std::mem::take(&mut self.newcomers)
-    }
-
     /// Returns the peers to send a message to now, in round-robin order.
     pub fn next_recipients<'names>(&mut self, peers: &'names [String]) -> Vec<&'names str> {
         let count = peers.len().min(FAN_OUT);
--- a/crates/fleet/tests/gossip.rs
+++ b/crates/fleet/tests/gossip.rs
@@ -1,9 +1,7 @@
 //! Gossip between entries.
 
-use std::time::Duration;
-
 use fleet::cache::{Key, Report};
-use fleet::gossip::{Peers, Receipt, State};
+use fleet::gossip::{Peers, State};
 use fleet::placement::Load;
 use types::{Revision, Time};
 
@@ -305,102 +303,6 @@
     assert_eq!(forwarded, ["b", "c"]);
 }
 
-/// The incarnation of the entry under test.
-const OWN: u64 = 70;
-
-/// A message that acknowledges the own message with this sequence number.
-fn acknowledging(from: &str, sequence: u64, own_sequence: Option<u64>) -> State {
-    State {
-        received: own_sequence.map(|sequence| Receipt {
-            incarnation: OWN,
-            sequence,
-        }),
-        ..state(from, sequence, 0)
-    }
-}
-
-/// Guards against evicting a segment that an entry which has just started is fetching (MIXED check):
-/// the other entries read the registrations each five seconds, and announced nothing to it until
-/// then.
-#[test]
-fn an_eviction_waits_until_a_new_entry_has_received_the_announcement() {
-    let mut peers = Peers::default();
-    peers.on_sent(10, 2, at(0));
-    peers.on_contact(&acknowledging("a", 1, Some(10)), OWN, at(50));
-    peers.on_sent(11, 2, at(100));
-    // The announcement is in message 12. Another entry is heard for the first time.
-    assert!(!peers.have_received(12, 2, at(150)));
-    peers.on_contact(&acknowledging("new", 1, None), OWN, at(160));
-    assert_eq!(peers.take_newcomers(), ["a", "new"]);
-    peers.on_sent(12, 2, at(200));
-    peers.on_contact(&acknowledging("a", 2, Some(12)), OWN, at(250));
-    assert!(!peers.have_received(12, 2, at(250)));
-    // An acknowledgement of an earlier process of this name counts nothing.
-    let mut foreign = acknowledging("new", 2, Some(12));
-    foreign.received = Some(Receipt {
-        incarnation: OWN - 1,
-        sequence: 12,
-    });
-    peers.on_contact(&foreign, OWN, at(260));
-    assert!(!peers.have_received(12, 2, at(260)));
-    peers.on_contact(&acknowledging("new", 3, Some(12)), OWN, at(300));
-    assert!(peers.have_received(12, 2, at(300)));
-    // Neither does one of an earlier process of the other entry.
-    let mut restarted = acknowledging("new", 1, None);
-    restarted.incarnation = 8;
-    peers.on_contact(&restarted, OWN, at(400));
-    assert!(!peers.have_received(12, 2, at(400)));
-    // One that is shutting down fetches nothing any more.
-    let leaving = State {
-        leaving: true,
-        ..restarted
-    };
-    peers.on_contact(&leaving, OWN, at(500));
-    assert!(peers.have_received(12, 2, at(500)));
-}
-
-/// Guards against evicting a segment that an entry behind a network partition still fetches, however
-/// long the partition lasts and in whichever direction: whenever the evicting entry stops waiting,
-/// the other one has stopped fetching.
-#[test]
-fn an_entry_fetches_only_while_the_evicting_one_waits_for_it() {
-    for (to_evictor, to_reader) in [(true, false), (false, true), (false, false)] {
-        let count = 8;
-        let (mut evictor, mut reader) = (Peers::default(), Peers::default());
-        let mut evicted_at = None;
-        for tick in 0..200 {
-            let now = at(tick * 100);
-            let is_cut = tick >= 50;
-            evictor.on_sent(tick, count, now);
-            reader.on_sent(tick, count, now);
-            let mut from_evictor = acknowledging("evictor", tick, None);
-            from_evictor.received = evictor.receipt("reader");
-            let mut from_reader = acknowledging("reader", tick, None);
-            from_reader.received = reader.receipt("evictor");
-            if !is_cut || to_reader {
-                reader.on_contact(&from_evictor, 7, now);
-            }
-            if !is_cut || to_evictor {
-                evictor.on_contact(&from_reader, 7, now);
-            }
-            evictor.expire(count, now);
-            reader.expire(count, now);
-            let may_fetch = reader.is_informed_by("evictor", at(0), count, now);
-            assert!(tick < 3 || is_cut || may_fetch, "tick {tick}");
-            // A segment is retired when the cut begins.
-            if evicted_at.is_none() && is_cut && evictor.have_received(51, count, now) {
-                evicted_at = Some(now);
-            }
-            if let Some(evicted_at) = evicted_at {
-                assert!(!may_fetch || now < evicted_at, "tick {tick}");
-            }
-        }
-        // An entry that still sends is waited for; one that is silent is not.
-        assert_eq!(evicted_at.is_none(), to_evictor);
-        assert!(!reader.is_informed_by("evictor", at(0), count, at(20_000)));
-    }
-}
-
 /// Guards against an entry that hears no other one, and evicts what they fetch or fetches what they
 /// evict: it may be the one that is cut off.
 #[test]
@@ -417,17 +319,3 @@
     // The others are gone for good.
     assert!(!peers.is_isolated(2, started, at(21_500)));
 }
-
-/// Guards against a process that starts under the name of another one and evicts what entries still
-/// fetch by the assurance of the former process.
-#[test]
-fn a_restarted_entry_meets_the_others_before_it_evicts() {
-    let names = ["a".to_owned(), "b".to_owned()];
-    let mut peers = Peers::default();
-    peers.on_sent(1, 2, at(0));
-    peers.on_contact(&acknowledging("a", 1, Some(1)), OWN, at(100));
-    assert!(!peers.have_met(&names, Duration::from_millis(200)));
-    assert!(peers.have_met(&names, Duration::from_millis(3500)));
-    peers.on_contact(&acknowledging("b", 1, Some(1)), OWN, at(300));
-    assert!(peers.have_met(&names, Duration::from_millis(400)));
-}
--- a/crates/gateway/src/cache.rs
+++ b/crates/gateway/src/cache.rs
@@ -95,14 +95,14 @@
         let watchers = (max_calls / 2).max(1) as usize;
         let order = shared.presumed_order(&store, watchers);
         let rank = shared.position(&order);
-        let peers = shared.peers.borrow();
+        let (peers, contacts) = (shared.peers.borrow(), shared.contacts.borrow());
         let evictor = order.into_iter().next().filter(|_| !is_isolated);
         let named: BTreeSet<&str> = peers.evictors(&store).chain(evictor.as_deref()).collect();
         let evictors: BTreeSet<String> = named.into_iter().map(str::to_owned).collect();
         let since = shared.cache_index.borrow().announced_since(&store);
         let is_informed = |name: &String| {
             *name == shared.settings.name
-                || since.is_some_and(|since| peers.is_informed_by(name, since, peer_count, time))
+                || since.is_some_and(|since| contacts.is_informed_by(name, since, peer_count, time))
         };
         let is_allowed =
             shared.is_registered.get() && !is_isolated && evictors.iter().all(is_informed);
@@ -135,14 +135,14 @@
 
 /// Returns the entries whose announcements of evictions this entry needs and may soon lack.
 pub(crate) fn needed_contacts<Adapter>(shared: &Shared<Adapter>, peer_count: usize) -> Vec<String> {
-    let (peers, time) = (shared.peers.borrow(), now());
+    let (contacts, time) = (shared.contacts.borrow(), now());
     let duties = shared.duties.borrow();
     let evictors: BTreeSet<&String> = duties.values().flat_map(|duty| &duty.evictors).collect();
     let others = evictors
         .into_iter()
         .filter(|name| **name != shared.settings.name);
     others
-        .filter(|name| peers.needs_contact(name, peer_count, time))
+        .filter(|name| contacts.needs_contact(name, peer_count, time))
         .cloned()
         .collect()
 }
@@ -372,15 +372,13 @@
             .had_store_outage(now(), LIST_CONVERGENCE_TIME);
         let names: Vec<String> = shared.peer_addresses().into_keys().collect();
         let uptime = shared.dispatch.uptime();
-        let peers = shared.peers.borrow();
         if had_outage
             || !shared.is_registered.get()
-            || !peers.may_evict()
-            || !peers.have_met(&names, uptime)
+            || !shared.peers.borrow().may_evict()
+            || !shared.contacts.borrow().have_met(&names, uptime)
         {
             continue;
         }
-        drop(peers);
         let converged = now().since(started) >= LIST_CONVERGENCE_TIME;
         let stores: Vec<Store> = {
             let index = shared.cache_index.borrow();
@@ -448,7 +446,10 @@
         && peers.may_evict()
         && !is_isolated(shared, count)
         && !duty(shared, store).is_contested()
-        && peers.have_received(announcement.sequence, count, time)
+        && shared
+            .contacts
+            .borrow()
+            .have_received(announcement.sequence, count, time)
 }
 
 /// Announces that segments are retired, and evicts them once the other entries have stopped
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -71,15 +71,18 @@
         let names: Vec<String> = addresses.keys().cloned().collect();
         shared.cache_index.borrow_mut().on_tick(now());
         shared.peers.borrow_mut().expire(names.len(), now());
+        shared.contacts.borrow_mut().expire(names.len(), now());
         drop_unlisted(shared);
         cache::assign_duties(shared, names.len());
         if names.is_empty() {
             continue;
         }
         let state = build_state(shared, names.len());
+        let mut contacts = shared.contacts.borrow_mut();
+        contacts.on_sent(state.sequence, names.len(), now());
+        let urgent = contacts.take_newcomers();
+        drop(contacts);
         let mut peers = shared.peers.borrow_mut();
-        peers.on_sent(state.sequence, names.len(), now());
-        let urgent = peers.take_newcomers();
         let recipients = peers.next_recipients(&names).into_iter();
         let mut recipients: BTreeSet<String> = recipients.map(str::to_owned).collect();
         drop(peers);
@@ -92,7 +95,7 @@
                 continue;
             };
             if let Message::State(state) = &mut message {
-                state.received = shared.peers.borrow().receipt(&name);
+                state.received = shared.contacts.borrow().receipt(&name);
             }
             let to = SocketAddr::new(*ip, shared.settings.peer_port);
             transport.send(&message, to);
@@ -198,11 +201,11 @@
         shared.cache_index.borrow_mut().on_pinned(store, key, time);
     }
     let incarnation = shared.dispatch.incarnation;
-    let mut peers = shared.peers.borrow_mut();
-    peers.on_contact(state, incarnation, time);
-    let is_newer = peers.on_state(state, time);
-    drop(peers);
-    if !is_newer {
+    shared
+        .contacts
+        .borrow_mut()
+        .on_state(state, incarnation, time);
+    if !shared.peers.borrow_mut().on_state(state, time) {
         return;
     }
     quarantine::on_evidence(shared, &state.crashes);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -8,6 +8,7 @@
 use fleet::cache::{Index, Status};
 use fleet::catalog::Catalog;
 use fleet::cell::Node;
+use fleet::contact::Contacts;
 use fleet::freshness::Evidence;
 use fleet::gossip::Peers;
 use fleet::namespace::Namespace;
@@ -70,6 +71,7 @@
     /// that register at the same time, at least one then knows the other.
     pub(crate) is_registered: Cell<bool>,
     pub(crate) peers: RefCell<Peers>,
+    pub(crate) contacts: RefCell<Contacts>,
     /// This entry's part in watching each store host.
     pub(crate) duties: RefCell<HashMap<Store, Rc<Duty>>>,
     /// The time from which this entry uses shared quotas. Before it, the other entries may still
@@ -158,6 +160,7 @@
             unlisted: RefCell::default(),
             is_registered: Cell::new(false),
             peers: RefCell::default(),
+            contacts: RefCell::default(),
             duties: RefCell::default(),
             quota_from: Cell::new(None),
             stopping: Cell::new(None),
