dispatcher: small requests pass large ones that wait for memory

Cause: a dispatcher tried only the first three requests of its queue. With the first ones needing 7,000 tokens of memory that no engine had left, short prompts of 800 tokens behind them waited until they were refused, with six of nine engines idle enough and room on five (log event no_place). Ruled out: the order by rank (nearly all refused had the rank of those before them), a lack of prefill time.

Now the whole queue is tried in order. A request that no target has memory for lets smaller ones pass; the target with most room is reserved for the first such request, so that a stream of small ones does not starve it. An arriving request that would pass all waiting ones is placed at once, and the estimated wait does not count requests that are passed.

--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -10,6 +10,7 @@
 
 use types::{Domain, Model, Target, Time};
 
+use crate::backfill::{self, Blocked, Shortage};
 use crate::cell::Cell;
 use crate::namespace::Scope;
 use crate::placement::{Candidate, Load, best};
@@ -46,6 +47,13 @@
     pub unreachable: Vec<Domain>,
 }
 
+impl Demand {
+    /// Whether the request may not use all targets, so that its shortage is no one else's.
+    fn is_restricted(&self) -> bool {
+        !self.excluded.is_empty() || !self.unreachable.is_empty()
+    }
+}
+
 /// A request for placement on a target of a cell.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Request {
@@ -101,6 +109,8 @@
     /// part of the reported loads.
     grants: HashMap<Id, Grant>,
     forecasts: HashMap<Target, Forecast>,
+    /// The queued requests that wait for memory, as found when the queue was last tried.
+    blocked: HashMap<Cell, Blocked>,
     prefill_rate: Rate,
 }
 
@@ -188,8 +198,9 @@
             }
             return Reply::Queued;
         }
-        let is_empty = self.queues.is_empty(&request.cell);
-        if is_empty && let Some(reply) = self.place(&request, offers(&request), draw, now) {
+        if let Some(reserved) = self.turn(&request)
+            && let Ok(reply) = self.place(&request, offers(&request), reserved.as_ref(), draw, now)
+        {
             return reply;
         }
         if !request.queue {
@@ -200,9 +211,9 @@
             return Reply::Busy(expected);
         }
         let ticket = self.queues.push(&request.cell, request.rank);
-        let decision = self.queues.decide(
+        let decision = self.queues.decide_behind(
             &request.cell,
-            ticket,
+            self.ahead(ticket, &request),
             Duration::ZERO,
             request.max_wait,
             unit(draw),
@@ -258,16 +269,17 @@
             cells.into_iter().cloned().collect()
         };
         for cell in cells {
-            while let Some(granted) = self.place_first(&cell, &mut offers, draw, now) {
-                replies.push(granted);
-            }
+            replies.extend(self.place_queued(&cell, &mut offers, draw, now));
         }
         let mut expired = Vec::new();
         for ((cell, ticket), waiting) in &self.waiting {
-            let waited = now.since(waiting.since);
-            let decision =
-                self.queues
-                    .decide(cell, *ticket, waited, waiting.request.max_wait, unit(draw));
+            let decision = self.queues.decide_behind(
+                cell,
+                self.ahead(*ticket, &waiting.request),
+                now.since(waiting.since),
+                waiting.request.max_wait,
+                unit(draw),
+            );
             match decision {
                 _ if now.since(waiting.renewed) >= RENEWAL_TIMEOUT => {
                     expired.push((waiting.request.id.clone(), None));
@@ -357,42 +369,107 @@
         self.forecasts.retain(|target, _| known(target));
     }
 
-    /// Places the first queued request for which a target is free.
-    fn place_first<Offers>(
+    /// Returns the target that is reserved for a request before this one, if any; `None` if a
+    /// queued request has to be placed before it.
+    fn turn(&self, request: &Request) -> Option<Option<Target>> {
+        let mut ahead = self.ahead_of(&request.cell, Ticket::behind(request.rank));
+        if ahead.next().is_none() {
+            return Some(None);
+        }
+        let blocked = self.blocked.get(&request.cell)?;
+        let mut ahead = self.ahead_of(&request.cell, Ticket::behind(request.rank));
+        let passes = !blocked.contains(request.demand.kv_tokens)
+            && ahead.all(|waiting| blocked.contains(waiting.request.demand.kv_tokens));
+        passes.then(|| blocked.reserved().cloned())
+    }
+
+    fn ahead_of(&self, cell: &Cell, ticket: Ticket) -> impl Iterator<Item = &Waiting> {
+        let range = (cell.clone(), Ticket::FIRST)..(cell.clone(), ticket);
+        self.waiting.range(range).map(|(_, waiting)| waiting)
+    }
+
+    /// Returns the number of requests that have to be placed before a queued one.
+    fn ahead(&self, ticket: Ticket, request: &Request) -> usize {
+        let ahead = self.ahead_of(&request.cell, ticket);
+        match self.blocked.get(&request.cell) {
+            Some(blocked) if !blocked.contains(request.demand.kv_tokens) => ahead
+                .filter(|waiting| !blocked.contains(waiting.request.demand.kv_tokens))
+                .count(),
+            _ => ahead.count(),
+        }
+    }
+
+    /// Places the queued requests for which a target is free, in order. A request that waits for
+    /// memory lets smaller ones pass, except on the target that is reserved for it.
+    fn place_queued<Offers>(
         &mut self,
         cell: &Cell,
         offers: &mut Offers,
         draw: u32,
         now: Time,
-    ) -> Option<(Request, Reply)>
+    ) -> Vec<(Request, Reply)>
     where
         Offers: FnMut(&Request) -> Vec<Offer>,
     {
-        for ticket in self.queues.eligible(cell) {
+        let mut replies = Vec::new();
+        let mut blocked = Blocked::default();
+        for ticket in self.queues.tickets(cell) {
             let Some(waiting) = self.waiting.get(&(cell.clone(), ticket)) else {
                 continue;
             };
+            if blocked.contains(waiting.request.demand.kv_tokens) {
+                continue;
+            }
             let request = waiting.request.clone();
-            if let Some(reply) = self.place(&request, offers(&request), draw, now) {
-                self.remove(&request.id, true, now);
-                return Some((request, reply));
+            match self.place(&request, offers(&request), blocked.reserved(), draw, now) {
+                Ok(reply) => {
+                    self.remove(&request.id, true, now);
+                    replies.push((request, reply));
+                }
+                Err(Shortage::Targets) => {}
+                Err(Shortage::Prefill) => break,
+                Err(Shortage::Memory(roomiest)) => {
+                    blocked.on_memory_shortage(request.demand.kv_tokens, roomiest);
+                }
             }
         }
-        None
+        self.blocked.insert(cell.clone(), blocked);
+        replies
     }
 
-    /// Places a request if a target is free now.
+    /// Places a request if a target other than the reserved one is free now.
+    ///
+    /// # Errors
+    /// Fails with what is short.
     fn place(
         &mut self,
         request: &Request,
         mut offers: Vec<Offer>,
+        reserved: Option<&Target>,
         draw: u32,
         now: Time,
-    ) -> Option<Reply> {
+    ) -> Result<Reply, Shortage> {
+        offers.retain(|offer| reserved != Some(&offer.target));
+        if offers.is_empty() {
+            return Err(Shortage::Targets);
+        }
         self.apply_grants(&mut offers, now);
-        offers.retain(|offer| offer.candidate.is_open() && offer.candidate.backlog <= MAX_BACKLOG);
+        offers.retain(|offer| offer.candidate.backlog <= MAX_BACKLOG);
+        let Some(roomiest) = backfill::roomiest(&offers) else {
+            return Err(match request.demand.is_restricted() {
+                true => Shortage::Targets,
+                false => Shortage::Prefill,
+            });
+        };
+        offers.retain(|offer| offer.candidate.is_open());
         let candidates: Vec<Candidate> = offers.iter().map(|offer| offer.candidate).collect();
-        let offer = offers.swap_remove(best(&candidates, draw)?);
+        let Some(index) = best(&candidates, draw) else {
+            return Err(match request.demand.is_restricted() {
+                true => Shortage::Targets,
+                false => Shortage::Memory(roomiest),
+            });
+        };
+        let offer = offers.swap_remove(index);
         let uncached = offer.candidate.prefill_tokens;
         let forecast = self.forecasts.entry(offer.target.clone()).or_default();
         forecast.free_at =
@@ -409,7 +486,7 @@
             acknowledged: false,
         };
         self.grants.insert(request.id.clone(), grant);
-        Some(Reply::Granted(offer.target, offer.resident))
+        Ok(Reply::Granted(offer.target, offer.resident))
     }
 
     /// Adds unacknowledged grants to the loads and computes the backlog of each target.
@@ -457,6 +534,9 @@
     fn remove(&mut self, id: &Id, served: bool, now: Time) -> Option<Request> {
         let (cell, ticket) = self.tickets.remove(id)?;
         self.queues.remove(&cell, ticket, served, now);
+        if self.queues.is_empty(&cell) {
+            self.blocked.remove(&cell);
+        }
         let removed = self.waiting.remove(&(cell, ticket))?;
         Some(removed.request)
     }
--- a/crates/fleet/src/queue.rs
+++ b/crates/fleet/src/queue.rs
@@ -67,6 +67,20 @@
     objective.mul_f64(MAX_WAIT_FRACTION)
 }
 
+impl Ticket {
+    /// The position before all requests.
+    pub const FIRST: Self = Self { rank: 0, number: 0 };
+
+    /// Returns the position behind all requests of a rank and of more urgent ones.
+    #[must_use]
+    pub fn behind(rank: u8) -> Self {
+        Self {
+            rank,
+            number: u64::MAX,
+        }
+    }
+}
+
 impl<Name> Default for Queues<Name> {
     fn default() -> Self {
         Self {
@@ -103,11 +117,28 @@
         waited: Duration,
         max_wait: Duration,
         draw: f64,
+    ) -> Decision {
+        let ahead = self
+            .queues
+            .get(name)
+            .map_or(0, |queue| queue.waiting.range(..ticket).count());
+        self.decide_behind(name, ahead, waited, max_wait, draw)
+    }
+
+    /// As [`Self::decide`], for a request with `ahead` others before it. A request that may pass
+    /// some of those before it in the queue does not count them.
+    #[must_use]
+    pub fn decide_behind(
+        &self,
+        name: &Name,
+        ahead: usize,
+        waited: Duration,
+        max_wait: Duration,
+        draw: f64,
     ) -> Decision {
         let Some(queue) = self.queues.get(name) else {
             return Decision::Try;
         };
-        let ahead = queue.waiting.range(..ticket).count();
         let expected = Duration::from_secs_f64(queue.interval_s * ahead as f64);
         if waited >= max_wait || (ahead >= LOOKAHEAD && waited + expected > max_wait) {
             let drain_time = Duration::from_secs_f64(queue.interval_s * queue.waiting.len() as f64);
@@ -149,13 +180,11 @@
         })
     }
 
-    /// Returns the requests that may look for a target now, in order.
+    /// Returns the requests of a queue in order.
     #[must_use]
-    pub fn eligible(&self, name: &Name) -> Vec<Ticket> {
+    pub fn tickets(&self, name: &Name) -> Vec<Ticket> {
         let queue = self.queues.get(name);
-        queue.map_or_else(Vec::new, |queue| {
-            queue.waiting.iter().take(LOOKAHEAD).copied().collect()
-        })
+        queue.map_or_else(Vec::new, |queue| queue.waiting.iter().copied().collect())
     }
 
     /// Returns the number of requests in a queue.
