retry: back off a target at whose address another one answers

What callers saw: after a crash, requests were sent to engines that no longer existed.

A crashed target stays on the list for some seconds; it has no load, so it was the first choice again and again.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -82,6 +82,27 @@
     pub(crate) sequence: u64,
 }
 
+/// Why a target has not run a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Rejection {
+    /// The request did not reach it.
+    Unsent,
+    /// It refused the request.
+    Refused,
+    /// Another instance answers at its address, or it serves other weights than expected.
+    Misdirected,
+}
+
+impl Rejection {
+    /// Returns its name in logs and metrics.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            Self::Unsent => "unsent",
+            Self::Refused | Self::Misdirected => "refused",
+        }
+    }
+}
+
 /// The result of an attempt.
 #[derive(Debug)]
 pub(crate) enum Outcome<Adapter> {
@@ -89,10 +110,10 @@
     Buffered(Box<Buffered>),
     /// The target started a streaming response.
     Streaming(Box<Streaming<Adapter>>),
-    /// The target has not run the request and will not; `sent` says whether the request reached it.
+    /// The target has not run the request and will not.
     NotRun {
-        /// Whether the request reached the target.
-        sent: bool,
+        /// Why it has not.
+        rejection: Rejection,
         /// The cause, for logs.
         cause: String,
     },
@@ -219,13 +240,19 @@
             Ok(connection) => connection,
             Err(error) => {
                 let cause = error.to_string();
-                return Outcome::NotRun { sent: false, cause };
+                return Outcome::NotRun {
+                    rejection: Rejection::Unsent,
+                    cause,
+                };
             }
         };
         let reused = connection.reused;
         match exchange(shared, admitted, progress, choice, connection).await {
             // The target closed an idle connection before any byte of the request was sent.
-            Outcome::NotRun { sent: false, .. } if reused => {}
+            Outcome::NotRun {
+                rejection: Rejection::Unsent,
+                ..
+            } if reused => {}
             outcome => return outcome,
         }
     }
@@ -274,7 +301,12 @@
 {
     let request = match build_request(shared, admitted, choice) {
         Ok(request) => request,
-        Err(cause) => return Outcome::NotRun { sent: false, cause },
+        Err(cause) => {
+            return Outcome::NotRun {
+                rejection: Rejection::Unsent,
+                cause,
+            };
+        }
     };
     let sent_at = now();
     let mut in_flight = InFlight::start(shared, choice);
@@ -289,7 +321,10 @@
         Ok(Err(mut error)) => {
             if error.take_message().is_some() {
                 let cause = describe(&error.into_error());
-                return Outcome::NotRun { sent: false, cause };
+                return Outcome::NotRun {
+                    rejection: Rejection::Unsent,
+                    cause,
+                };
             }
             return no_head(
                 shared,
@@ -333,7 +368,11 @@
         if !response.closes && matches!(collected, Ok(Ok(_))) {
             connection::release(shared, in_flight.target(), connection, response.keep_alive);
         }
-        return Outcome::NotRun { sent: true, cause };
+        let rejection = match response.misdirected {
+            true => Rejection::Misdirected,
+            false => Rejection::Refused,
+        };
+        return Outcome::NotRun { rejection, cause };
     }
     if !response.authentic {
         let cause = format!(
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -16,7 +16,7 @@
 
 use crate::adapter::Platform;
 use crate::answer::{Body, Reason, close};
-use crate::attempt::{self, Admitted, Buffered, Choice, Grant, Outcome, Streaming};
+use crate::attempt::{self, Admitted, Buffered, Choice, Grant, Outcome, Rejection, Streaming};
 use crate::buffer::{self, Reservation};
 use crate::caller::{Exchange, MAX_DRAIN_BYTES};
 use crate::choose;
@@ -418,9 +418,9 @@
     };
     progress.in_flight = matches!(outcome, Outcome::Streaming(_));
     match outcome {
-        Outcome::NotRun { sent, .. } => {
+        Outcome::NotRun { rejection, .. } => {
             progress.runs -= 1;
-            progress.deliveries -= u32::from(!sent);
+            progress.deliveries -= u32::from(rejection == Rejection::Unsent);
         }
         Outcome::Buffered(_)
         | Outcome::Streaming(_)
@@ -431,8 +431,10 @@
     let time = now();
     if !matches!(
         outcome,
-        Outcome::NotRun { sent: false, .. }
-            | Outcome::Failed { .. }
+        Outcome::NotRun {
+            rejection: Rejection::Unsent,
+            ..
+        } | Outcome::Failed { .. }
             | Outcome::Lost { .. }
             | Outcome::Withdrawn
     ) {
@@ -452,31 +454,34 @@
             quarantine::on_begun(shared, admitted);
             ("started", String::new())
         }
-        Outcome::NotRun { sent: true, cause } => {
+        Outcome::NotRun { rejection, cause } => {
             let model = admitted.head.prompt.as_ref().map(|prompt| &prompt.model);
             let outdated = choose::is_outdated(shared, model, &choice.member);
-            let mut tracker = shared.tracker.borrow_mut();
-            if outdated {
-                tracker.on_updating(target, time);
-                shared.dispatch.on_attempt_failed(target, Failure::Updating);
-            } else {
-                tracker.on_refusal(target, time);
-                shared.dispatch.on_attempt_failed(target, Failure::Refused);
-            }
-            ("refused", cause.clone())
-        }
-        Outcome::NotRun { sent: false, cause } => {
-            // During a network partition the failure is not attributed to the target: other entries
-            // reach it.
-            if !shared
+            // During a network partition a failure to connect is not attributed to the target:
+            // other entries reach it.
+            let unreachable = shared
                 .reachability
                 .borrow()
-                .is_unreachable(&choice.member.domain)
-            {
-                shared.tracker.borrow_mut().on_failure(target, time);
-                shared.dispatch.on_attempt_failed(target, Failure::Failed);
+                .is_unreachable(&choice.member.domain);
+            let mut tracker = shared.tracker.borrow_mut();
+            match rejection {
+                Rejection::Refused | Rejection::Misdirected if outdated => {
+                    tracker.on_updating(target, time);
+                    shared.dispatch.on_attempt_failed(target, Failure::Updating);
+                }
+                Rejection::Refused => {
+                    tracker.on_refusal(target, time);
+                    shared.dispatch.on_attempt_failed(target, Failure::Refused);
+                }
+                Rejection::Unsent if unreachable => {}
+                // A target that crashed stays on the list for a while. It has no load, so it would
+                // be the first choice of each following request.
+                Rejection::Unsent | Rejection::Misdirected => {
+                    tracker.on_failure(target, time);
+                    shared.dispatch.on_attempt_failed(target, Failure::Failed);
+                }
             }
-            ("unsent", cause.clone())
+            (rejection.label(), cause.clone())
         }
         Outcome::Withdrawn => ("withdrawn", String::new()),
         Outcome::Failed { cause } | Outcome::Lost { cause } => {
