dispatcher: patient requests leave memory to those that cannot wait

Cause: memory went to whoever came first. All teams there have the same rank, so the ranks of the routes decide nothing.

A cell now keeps up to 30% of the engines' memory for the kind of requests that found none lately. Only requests that are not more urgent and may wait at least twice as long have to leave it free; it is given back within two seconds. Deployments without such a difference of objectives are served as before. Weighed: order by objective within a rank (short prompts do not wait in the queue, they lack memory), a fixed reserve (lost when nobody needs it), order by size (would refuse long prompts of calm kinds).

--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -16,6 +16,7 @@
 use crate::placement::{Candidate, Load, best};
 use crate::prefill::Rate;
 use crate::queue::{Decision, Queues, Ticket};
+use crate::reserve::Reserve;
 
 /// The identifier of a placement request.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -111,6 +112,7 @@
     forecasts: HashMap<Target, Forecast>,
     /// The queued requests that wait for memory, as found when the queue was last tried.
     blocked: HashMap<Cell, Blocked>,
+    reserves: HashMap<Cell, Reserve>,
     prefill_rate: Rate,
 }
 
@@ -430,6 +432,8 @@
                 Err(Shortage::Prefill) => break,
                 Err(Shortage::Memory(roomiest)) => {
                     blocked.on_memory_shortage(request.demand.kv_tokens, roomiest);
+                    let reserve = self.reserves.entry(cell.clone()).or_default();
+                    reserve.on_shortage(request.rank, request.max_wait, now);
                 }
             }
         }
@@ -461,7 +465,14 @@
                 false => Shortage::Prefill,
             });
         };
-        offers.retain(|offer| offer.candidate.is_open());
+        let reserve = self.reserves.get(&request.cell);
+        let reserve = reserve.map_or(0.0, |reserve| {
+            reserve.fraction(request.rank, request.max_wait, now)
+        });
+        offers.retain(|offer| {
+            let candidate = &offer.candidate;
+            candidate.is_open() && candidate.leaves_free(reserve)
+        });
         let candidates: Vec<Candidate> = offers.iter().map(|offer| offer.candidate).collect();
         let Some(index) = best(&candidates, draw) else {
             return Err(match request.demand.is_restricted() {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod queue;
 pub mod quota;
 pub mod reachability;
+pub mod reserve;
 pub mod restoration;
 pub mod rollout;
 pub mod roster;
