--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -114,6 +114,8 @@
     blocked: HashMap<Cell, Blocked>,
     reserves: HashMap<Cell, Reserve>,
     prefill_rate: Rate,
+    /// Requests that were placed past others which waited for memory.
+    passed: u64,
 }
 
 #[derive(Debug)]
@@ -151,6 +153,8 @@
     pub kv_tokens: u64,
     /// Queued requests.
     pub queued: usize,
+    /// Memory that the request has to leave free on each target, in percent.
+    pub reserve_percent: u32,
 }
 
 /// Expected state of a target.
@@ -327,7 +331,7 @@
 
     /// Returns the state that decides about a request, for logs.
     #[must_use]
-    pub fn stats(&self, cell: &Cell, mut offers: Vec<Offer>, now: Time) -> Stats {
+    pub fn stats(&self, request: &Request, mut offers: Vec<Offer>, now: Time) -> Stats {
         self.apply_grants(&mut offers, now);
         let full = offers.iter().filter(|offer| !offer.candidate.is_open());
         let free = offers
@@ -349,10 +353,31 @@
                 .iter()
                 .map(|offer| offer.candidate.load.kv_tokens)
                 .sum(),
-            queued: self.queues.len(cell),
+            queued: self.queues.len(&request.cell),
+            reserve_percent: (self.reserved_fraction(request, now) * 100.0).round() as u32,
         }
     }
 
+    /// Returns the number of requests that were placed past others which waited for memory.
+    #[must_use]
+    pub fn passed(&self) -> u64 {
+        self.passed
+    }
+
+    /// Returns the largest part of the targets' memory that is kept free in any cell, as a fraction.
+    #[must_use]
+    pub fn reserve(&self, now: Time) -> f64 {
+        let reserves = self.reserves.values().map(|reserve| reserve.current(now));
+        reserves.fold(0.0, f64::max)
+    }
+
+    /// Returns the fraction of a target's memory that a request has to leave free.
+    fn reserved_fraction(&self, request: &Request, now: Time) -> f64 {
+        self.reserves.get(&request.cell).map_or(0.0, |reserve| {
+            reserve.fraction(request.rank, request.max_wait, now)
+        })
+    }
+
     /// Empties the queues at shutdown. Returns the requests that must be sent to another
     /// dispatcher.
     pub fn close(&mut self, now: Time) -> Vec<Id> {
@@ -425,6 +450,7 @@
             let request = waiting.request.clone();
             match self.place(&request, offers(&request), blocked.reserved(), draw, now) {
                 Ok(reply) => {
+                    self.passed += u64::from(blocked.reserved().is_some());
                     self.remove(&request.id, true, now);
                     replies.push((request, reply));
                 }
@@ -465,10 +491,7 @@
                 false => Shortage::Prefill,
             });
         };
-        let reserve = self.reserves.get(&request.cell);
-        let reserve = reserve.map_or(0.0, |reserve| {
-            reserve.fraction(request.rank, request.max_wait, now)
-        });
+        let reserve = self.reserved_fraction(request, now);
         offers.retain(|offer| {
             let candidate = &offer.candidate;
             candidate.is_open() && candidate.leaves_free(reserve)
--- a/crates/fleet/src/reserve.rs
+++ b/crates/fleet/src/reserve.rs
@@ -85,6 +85,12 @@
         if rank < holder.rank || max_wait < holder.max_wait * PATIENCE {
             return 0.0;
         }
+        self.current(now)
+    }
+
+    /// Returns the fraction of a target's memory that is kept free now.
+    #[must_use]
+    pub fn current(&self, now: Time) -> f64 {
         let idle = now.since(self.updated).saturating_sub(MAX_STEP);
         (self.fraction - idle.as_secs_f64() * DECLINE_PER_S).max(0.0)
     }
--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -89,7 +89,7 @@
     let offers = choose::offers(shared, request);
     let stats = {
         let dispatcher = shared.dispatch.dispatcher.borrow();
-        dispatcher.stats(&request.cell, offers, now())
+        dispatcher.stats(request, offers, now())
     };
     Event::new("no_place")
         .with("entry", &*request.id.sender)
@@ -105,6 +105,7 @@
         .with("reading", stats.prefill_tokens)
         .with("memory", stats.kv_tokens)
         .with("waiting", stats.queued)
+        .with("reserve_percent", stats.reserve_percent)
         .with("again_ms", millis(retry_after))
         .warn();
 }
@@ -202,7 +203,11 @@
             on_reply(&shared, &request, &reply);
             send_reply(&shared, request.id, reply, None);
         }
-        let queued = i64::try_from(dispatch.dispatcher.borrow().queued()).unwrap_or(i64::MAX);
+        let dispatcher = dispatch.dispatcher.borrow();
+        let queued = i64::try_from(dispatcher.queued()).unwrap_or(i64::MAX);
         shared.metrics.queued.set(queued);
+        let passed = &shared.metrics.passed;
+        passed.inc_by(dispatcher.passed().saturating_sub(passed.get()));
+        shared.metrics.memory_reserve.set(dispatcher.reserve(time));
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -43,6 +43,10 @@
     pub(crate) waiting: IntGauge,
     /// Requests of all entries that wait for a grant of the dispatchers at this entry.
     pub(crate) queued: IntGauge,
+    /// Requests that the dispatchers at this entry placed past others which waited for memory.
+    pub(crate) passed: IntCounter,
+    /// The largest part of the engines' memory that the dispatchers at this entry keep free.
+    pub(crate) memory_reserve: Gauge,
     /// The observed prefill rate of engines in tokens per millisecond.
     pub(crate) prefill_rate: Gauge,
     /// The version of the configuration in force.
@@ -94,6 +98,11 @@
             "tokens of prompts that engines read in a millisecond",
         )?;
         registry.register(Box::new(prefill_rate.clone()))?;
+        let memory_reserve = Gauge::new(
+            "boragereel_memory_reserve_ratio",
+            "largest part of the engines' memory kept free for requests that cannot wait",
+        )?;
+        registry.register(Box::new(memory_reserve.clone()))?;
         let fetch_share = GaugeVec::new(
             Opts::new(
                 "boragereel_fetch_share",
@@ -124,6 +133,11 @@
                 "boragereel_buffered_bytes",
                 "bytes of unfinished messages in memory",
             )?,
+            passed: counter(
+                "boragereel_passed_total",
+                "requests placed past others that waited for memory",
+            )?,
+            memory_reserve,
             connections: counter("boragereel_connections_total", "connections to targets")?,
             failed_connections: counters(
                 "boragereel_failed_connections_total",
