cold: divide the budget of cold targets among dispatchers with many entries

Cause: each entry has the fixed share floor(limit / entries) of the requests that a cold target tolerates. With 29 entries and a limit of 21.5 that is 0, so restarted targets got no request at all while they were cold.

Ruled out: live entries that take over the part of dead ones (both sides of a partition would), a lease per target in the table store (needs the store when it is most likely to be down).

Change: where the fixed share is less than one request, the first two entries of the dispatcher order over the registered entries may grant 0.6 and 0.2 of the limit in 1.35 s. An entry uses its position only after it has had it for the lifetime of the lists of others and a window, and while its own list is recent. A reply says whether the grant is within the budget (format 14); the entry drops such a grant 250 ms after the request that led to it. A fixed share is not used just after the start of a process, before the own registration was read, or, if twice the entries would make it vanish, with an outdated list.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cache;
 pub mod catalog;
 pub mod cell;
+pub mod cold;
 pub mod contact;
 pub mod discovery;
 pub mod dispatcher;
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -43,6 +43,9 @@
     pub member: Arc<Member>,
     /// Until when it is cold.
     pub cold_until: Time,
+    /// When it turned cold without a restart. Entries that have not learned it yet may still send
+    /// requests to it.
+    pub turned_cold: Option<Time>,
     /// Set if it vanished from the list around an outage of the table store, when it may be missing
     /// by mistake.
     pub suspected_since: Option<Time>,
@@ -150,6 +153,12 @@
                 known.fingerprint != fingerprint || known.suspected_since.is_some()
             });
         let cold_until = now + member.cold_remaining;
+        let turned_cold = known
+            .filter(|known| known.member.started_ms == member.started_ms)
+            .and_then(|known| match known.cold_until <= now && cold_until > now {
+                true => Some(now),
+                false => known.turned_cold,
+            });
         if let Some(known) = self.records.get(&member.id)
             && known.member.started_ms == member.started_ms
         {
@@ -167,6 +176,7 @@
         self.generation += u64::from(!same);
         let record = Record {
             cold_until,
+            turned_cold,
             suspected_since: None,
             fingerprint,
             member: Arc::new(member),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -72,6 +72,8 @@
     pub(crate) plan: cache::Plan,
     /// The dispatcher's grant, if a dispatcher chose the target.
     pub(crate) grant: Option<Grant>,
+    /// When a grant for a cold target expires.
+    pub(crate) send_by: Option<Time>,
 }
 
 /// A dispatcher's permission to send a request to a target.
@@ -223,6 +225,15 @@
             }
         };
         let reused = connection.reused;
+        if let Some(send_by) = choice.send_by {
+            if now() >= send_by {
+                shared.metrics.on_cold_grant("expired");
+                connection::release(shared, &choice.member.id, connection, None);
+                let cause = "the grant for the cold target has expired".to_owned();
+                return Outcome::NotRun { sent: false, cause };
+            }
+            shared.metrics.on_cold_grant("sent");
+        }
         match exchange(shared, admitted, progress, choice, connection).await {
             // The target closed an idle connection before any byte of the request was sent.
             Outcome::NotRun { sent: false, .. } if reused => {}
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -6,11 +6,12 @@
 
 use fleet::cache::{self, Action, Residency};
 use fleet::catalog::Pool;
-use fleet::dispatcher::{Demand, Offer, Request};
+use fleet::cold;
+use fleet::dispatcher::{Demand, Id, Offer, Request};
 use fleet::gossip::FAN_OUT;
 use fleet::namespace::{Namespace, Scope};
 use fleet::placement::{self, Candidate, Load};
-use fleet::roster::Member;
+use fleet::roster::{Member, Record};
 use types::{Domain, Model, Service, Store, Target, Time};
 
 use crate::adapter::{Envelope, Fetch, Prompt};
@@ -84,7 +85,8 @@
     let demand = &renewed(shared, admitted, demand);
     let pool = shared.catalog()?.pool(service).cloned()?;
     let avoids = |member: &Member| shared.tracker.borrow().avoids(&member.id, time);
-    let mut usable = usable(shared, &pool, demand, time, |_| true, avoids);
+    let may_send = |record: &Record| may_send_cold(shared, &pool, record, time);
+    let mut usable = usable(shared, &pool, demand, time, |_| true, may_send, avoids);
     let pool_size = usable.len();
     let preferred = preferred(shared, demand, &usable);
     let mut affinity = affinity(demand, &usable, preferred.as_ref());
@@ -159,7 +161,8 @@
             .borrow()
             .avoids_loaded(&member.id, running, time)
     };
-    let usable = usable(shared, &pool, demand, time, is_eligible, avoids);
+    let may_grant = |record: &Record| may_grant_cold(shared, &pool, request, record, time);
+    let usable = usable(shared, &pool, demand, time, is_eligible, may_grant, avoids);
     let pool_size = usable.len();
     let random = f64::from(shared.random()) / f64::from(u32::MAX);
     let offers = usable.into_iter().map(|member| {
@@ -183,21 +186,30 @@
 }
 
 /// Turns a grant into an attempt. Returns `None` if this entry knows that the target must not get
-/// the request.
+/// the request. The grant is within the budget of a cold target if it has a deadline.
 pub(crate) fn accept<Adapter>(
     shared: &Rc<Shared<Adapter>>,
     admitted: &Admitted,
     service: &Service,
     demand: &Demand,
     grant: (&Target, &[bool]),
+    send_by: Option<Time>,
     last_event: Option<u64>,
 ) -> Option<Choice> {
     let time = now();
     let demand = &renewed(shared, admitted, demand);
     let (target, resident) = grant;
     let pool = shared.catalog()?.pool(service).cloned()?;
+    if send_by.is_some_and(|send_by| time >= send_by) {
+        shared.metrics.on_cold_grant("expired");
+        return None;
+    }
     let is_eligible = |member: &Member| member.id == *target;
-    let member = usable(shared, &pool, demand, time, is_eligible, |_| false).pop()?;
+    let may_send =
+        |record: &Record| send_by.is_some() || may_send_cold(shared, &pool, record, time);
+    let avoids = |_: &Member| false;
+    let mut usable = usable(shared, &pool, demand, time, is_eligible, may_send, avoids);
+    let member = usable.pop()?;
     if !has_connection(shared, &member, &pool) {
         return None;
     }
@@ -215,9 +227,91 @@
         Residency::Reported(resident),
         random,
     );
-    Some(build_choice(
-        shared, admitted, demand, evaluated, pool, 1, last_event,
-    ))
+    let choice = build_choice(shared, admitted, demand, evaluated, pool, 1, last_event);
+    Some(Choice { send_by, ..choice })
+}
+
+/// The number of requests per second that a cold target tolerates from all entries together.
+fn cold_limit<Adapter>(shared: &Shared<Adapter>, pool: &Pool) -> f64 {
+    let bounds = &shared.settings.bounds;
+    pool.cold_rate * bounds.cold_factor + bounds.cold_slack
+}
+
+/// Whether this entry may send a request to a cold target within its fixed share.
+fn may_send_cold<Adapter>(
+    shared: &Shared<Adapter>,
+    pool: &Pool,
+    record: &Record,
+    time: Time,
+) -> bool {
+    let limit = cold_limit(shared, pool);
+    let entries = shared.entry_count.get();
+    shared.may_use_quota(time)
+        && shared.cold.borrow_mut().trusts_count(limit, entries, time)
+        && shared
+            .ramp
+            .borrow_mut()
+            .allows(&record.member.id, limit, entries, time)
+}
+
+/// Whether this entry, as a dispatcher, may grant a request a cold target.
+fn may_grant_cold<Adapter>(
+    shared: &Shared<Adapter>,
+    pool: &Pool,
+    request: &Request,
+    record: &Record,
+    time: Time,
+) -> bool {
+    match cold_share(shared, pool, record, time) {
+        0 => may_send_cold(shared, pool, record, time),
+        share => {
+            let mut ledger = shared.cold.borrow_mut();
+            ledger.offer(&record.member.id, &request.id, share, time)
+        }
+    }
+}
+
+/// Returns how many requests to a cold target this entry may grant in a window.
+fn cold_share<Adapter>(
+    shared: &Shared<Adapter>,
+    pool: &Pool,
+    record: &Record,
+    time: Time,
+) -> usize {
+    let turned_cold = record.turned_cold;
+    if turned_cold.is_some_and(|turned_cold| time.since(turned_cold) < cold::WINDOW) {
+        return 0;
+    }
+    let member = &record.member;
+    shared.cold.borrow_mut().share(
+        &member.service,
+        &member.domain,
+        cold_limit(shared, pool),
+        time,
+    )
+}
+
+/// Records a grant of this entry as a dispatcher.
+pub(crate) fn on_granted<Adapter>(shared: &Shared<Adapter>, id: &Id, target: &Target) {
+    let time = now();
+    let roster = shared.roster.borrow();
+    let catalog = shared.catalog();
+    let within_budget = roster.get(target).is_some_and(|record| {
+        let pool = catalog.as_ref();
+        let pool = pool.and_then(|catalog| catalog.pool(&record.member.service));
+        pool.is_some_and(|pool| {
+            is_cold(pool, record, time) && cold_share(shared, pool, record, time) > 0
+        })
+    });
+    if within_budget {
+        shared.metrics.on_cold_grant("granted");
+    }
+    let mut ledger = shared.cold.borrow_mut();
+    ledger.on_granted(target, id, within_budget, time);
+}
+
+fn is_cold(pool: &Pool, record: &Record, time: Time) -> bool {
+    pool.cold_rate > 0.0 && record.cold_until > time
 }
 
 /// An eligible target, with a plan for the segments of the prompt.
@@ -236,13 +330,11 @@
     demand: &Demand,
     time: Time,
     is_eligible: impl Fn(&Member) -> bool,
+    may_use_cold: impl Fn(&Record) -> bool,
     avoids: impl Fn(&Member) -> bool,
 ) -> Vec<Arc<Member>> {
     let roster = shared.roster.borrow();
     let evacuated = shared.evacuated.borrow();
-    let mut ramp = shared.ramp.borrow_mut();
-    let bounds = &shared.settings.bounds;
-    let cold_limit = pool.cold_rate * bounds.cold_factor + bounds.cold_slack;
     let (mut healthy, mut avoided) = (Vec::new(), Vec::new());
     for record in roster.iter() {
         let member = &record.member;
@@ -255,11 +347,7 @@
         {
             continue;
         }
-        let is_cold = pool.cold_rate > 0.0 && record.cold_until > time;
-        let entries = shared.entry_count.get();
-        if is_cold
-            && !(shared.may_use_quota(time) && ramp.allows(&member.id, cold_limit, entries, time))
-        {
+        if is_cold(pool, record, time) && !may_use_cold(record) {
             continue;
         }
         let unreachable = demand.unreachable.contains(&member.domain);
@@ -375,6 +463,7 @@
         member: evaluated.member,
         pool,
         grant: None,
+        send_by: None,
     }
 }
 
--- a/crates/gateway/src/dispatch/acquire.rs
+++ b/crates/gateway/src/dispatch/acquire.rs
@@ -119,11 +119,10 @@
     let mut queue = others.is_empty();
     let mut declined = 0;
     loop {
-        let (dispatcher, sequence, reply) =
-            match request_from_cell(shared, admitted, progress, &cell, &demand, queue).await {
-                Outcome::Reply(dispatcher, sequence, reply) => (dispatcher, sequence, reply),
-                Outcome::NoDispatcher => return Acquired::NoDispatcher,
-            };
+        let outcome = request_from_cell(shared, admitted, progress, &cell, &demand, queue).await;
+        let Outcome::Reply(dispatcher, sequence, reply, send_by) = outcome else {
+            return Acquired::NoDispatcher;
+        };
         let grant = Grant {
             dispatcher,
             sequence,
@@ -132,8 +131,9 @@
             Reply::Granted(target, resident) => {
                 let granted = (&target, &*resident);
                 let service = progress.service();
-                let choice =
-                    choose::accept(shared, admitted, service, &demand, granted, last_event);
+                let choice = choose::accept(
+                    shared, admitted, service, &demand, granted, send_by, last_event,
+                );
                 if let Some(mut choice) = choice {
                     choice.grant = Some(grant);
                     return Acquired::Granted(Box::new(choice));
--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -34,24 +34,33 @@
     match message {
         Message::Request(request) => {
             let id = request.id.clone();
+            // A retransmitted request gets its grant again without being placed again.
+            let mut is_placed = false;
             let reply = match dispatch.accepts_requests(shared, time) {
                 true => {
                     let mut dispatcher = dispatch.dispatcher.borrow_mut();
-                    let offers = |request: &Request| choose::offers(shared, request);
+                    shared.cold.borrow_mut().begin_placement();
+                    let offers = |request: &Request| {
+                        is_placed = true;
+                        choose::offers(shared, request)
+                    };
                     dispatcher.on_request(request.clone(), offers, shared.random(), time)
                 }
                 false => Reply::NotDispatcher,
             };
+            if is_placed && let Reply::Granted(target, _) = &reply {
+                choose::on_granted(shared, &id, target);
+            }
             on_reply(shared, &request, &reply);
             send_reply(shared, id, reply, from);
         }
-        Message::Reply(id, reply) => {
+        Message::Reply(id, reply, is_cold) => {
             if id == request_id(shared, id.sequence)
                 && let Some(sender) = dispatch.pending.borrow().get(&id.sequence)
             {
                 // The request may have just been dropped; its `Drop` implementation informs the
                 // dispatcher.
-                let _ = sender.send(reply);
+                let _ = sender.send((reply, is_cold));
             }
         }
         Message::Cancel(id) => dispatch.dispatcher.borrow_mut().on_cancel(&id, time),
@@ -113,8 +122,12 @@
 where
     Adapter: Platform,
 {
+    let is_cold = match &reply {
+        Reply::Granted(target, _) => shared.cold.borrow().is_within_budget(target, &id),
+        Reply::Queued | Reply::Busy(_) | Reply::Refused(_) | Reply::NotDispatcher => false,
+    };
     if *id.sender == *shared.settings.name {
-        on_message(shared, Message::Reply(id, reply), None);
+        on_message(shared, Message::Reply(id, reply, is_cold), None);
         return;
     }
     let registered_address = || {
@@ -123,7 +136,9 @@
         Some(SocketAddr::new(peer.ip, shared.settings.peer_port))
     };
     if let Some(to) = to.or_else(registered_address) {
-        shared.dispatch.send_to(&Message::Reply(id, reply), to);
+        shared
+            .dispatch
+            .send_to(&Message::Reply(id, reply, is_cold), to);
     }
 }
 
@@ -192,6 +207,7 @@
         }
         let replies = {
             let mut dispatcher = dispatch.dispatcher.borrow_mut();
+            shared.cold.borrow_mut().begin_placement();
             dispatcher.poll(
                 |request| choose::offers(&shared, request),
                 shared.random(),
@@ -199,6 +215,9 @@
             )
         };
         for (request, reply) in replies {
+            if let Reply::Granted(target, _) = &reply {
+                choose::on_granted(&shared, &request.id, target);
+            }
             on_reply(&shared, &request, &reply);
             send_reply(&shared, request.id, reply, None);
         }
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -45,7 +45,7 @@
     /// Set once the shared secret of the entries is loaded.
     transport: RefCell<Option<Rc<Transport>>>,
     /// The channels for replies to pending placement requests, by sequence number.
-    pending: RefCell<HashMap<u64, mpsc::UnboundedSender<Reply>>>,
+    pending: RefCell<HashMap<u64, mpsc::UnboundedSender<Answer>>>,
     /// The map of cells, with the generation of the roster that it was built from.
     map: RefCell<(u64, Rc<Map>)>,
     /// The entries in the order in which they become the dispatcher of a cell.
@@ -82,6 +82,9 @@
     grants: BTreeMap<String, Vec<u64>>,
 }
 
+/// A reply, and whether it grants a cold target within its budget.
+type Answer = (Reply, bool);
+
 /// How an attempt failed, as reported to dispatchers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Failure {
--- a/crates/gateway/src/dispatch/request.rs
+++ b/crates/gateway/src/dispatch/request.rs
@@ -2,11 +2,13 @@
 use std::time::Duration;
 
 use fleet::cell::Cell;
+use fleet::cold;
 use fleet::dispatcher::{Demand, Reply, Request};
 use fleet::queue;
 use tokio::sync::mpsc;
+use types::Time;
 
-use super::{Backoff, request_id, send};
+use super::{Answer, Backoff, request_id, send};
 use crate::adapter::Platform;
 use crate::attempt::Admitted;
 use crate::clock::now;
@@ -16,8 +18,9 @@
 
 /// The result of asking the dispatchers of a cell.
 pub(super) enum Outcome {
-    /// The dispatcher, the sequence number of the request, and the reply.
-    Reply(String, u64, Reply),
+    /// The dispatcher, the sequence number of the request, the reply, and when a grant for a cold
+    /// target expires.
+    Reply(String, u64, Reply, Option<Time>),
     /// No dispatcher of the cell replied.
     NoDispatcher,
 }
@@ -72,7 +75,7 @@
         };
         let reply = exchange(shared, &dispatcher, request, &mut replies).await;
         match reply {
-            Some(Reply::NotDispatcher) => {
+            Some((Reply::NotDispatcher, _)) => {
                 let backoff = Backoff {
                     until: now() + NOT_DISPATCHER_BACK_OFF,
                     failures: 0,
@@ -80,10 +83,10 @@
                 let mut backoffs = shared.dispatch.backoffs.borrow_mut();
                 backoffs.insert(dispatcher.clone(), backoff);
             }
-            Some(reply) => {
+            Some((reply, send_by)) => {
                 shared.dispatch.backoffs.borrow_mut().remove(&dispatcher);
                 pending.close();
-                return Outcome::Reply(dispatcher, sequence, reply);
+                return Outcome::Reply(dispatcher, sequence, reply, send_by);
             }
             None => shared.dispatch.on_unresponsive(&dispatcher, now()),
         }
@@ -127,33 +130,41 @@
     (admitted.rank(), max_wait.min(remaining))
 }
 
-/// Sends a placement request until a final reply arrives; `None` if none does.
+/// Sends a placement request until a final reply arrives; `None` if none does. A grant for a cold
+/// target is returned with the time at which it expires.
 async fn exchange<Adapter>(
     shared: &Rc<Shared<Adapter>>,
     dispatcher: &str,
     request: Request,
-    replies: &mut mpsc::UnboundedReceiver<Reply>,
-) -> Option<Reply>
+    replies: &mut mpsc::UnboundedReceiver<Answer>,
+) -> Option<(Reply, Option<Time>)>
 where
     Adapter: Platform,
 {
     let message = Message::Request(request);
     let mut last_sent = now();
+    let mut timing = cold::Exchange::new(last_sent);
     let mut wait = RESEND_INTERVAL;
     let mut timeout = REPLY_TIMEOUT;
     send(shared, dispatcher, &message);
     loop {
         match tokio::time::timeout(wait, replies.recv()).await {
-            Ok(Some(Reply::Queued)) => {
+            Ok(Some((Reply::Queued, _))) => {
                 last_sent = now();
+                timing.on_queued();
                 // From now on the dispatcher replies when it has a result, and only needs to be
                 // alive.
                 wait = RENEW_INTERVAL;
                 timeout = RENEW_INTERVAL + REPLY_TIMEOUT;
             }
-            Ok(reply) => return reply,
+            Ok(Some((reply, is_cold))) => {
+                let deadline = timing.deadline().filter(|_| is_cold);
+                return Some((reply, deadline));
+            }
+            Ok(None) => return None,
             Err(_) if now().since(last_sent) >= timeout => return None,
             Err(_) => {
+                timing.on_sent(now());
                 send(shared, dispatcher, &message);
                 wait = REPLY_TIMEOUT.saturating_sub(RESEND_INTERVAL);
             }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use fleet::cold::Stats;
 use fleet::discovery::Action;
 use fleet::restoration::LIST_SETTLE_TIME;
 use fleet::roster::Member;
@@ -56,6 +57,8 @@
 const MAX_FOLLOWER_BACK_OFF: Duration = Duration::from_millis(1000);
 /// The interval at which expired state is dropped and gauges are updated.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+/// How often grants for cold targets are logged.
+const COLD_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// How much of a list a batch contains.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -508,6 +511,7 @@
 
 /// Periodically drops the state of expired and removed targets, and updates the gauges.
 pub(crate) async fn sweep<Adapter>(shared: Rc<Shared<Adapter>>) {
+    let mut cold_reported = now();
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let time = now();
@@ -518,6 +522,11 @@
         shared.connections.borrow_mut().retain(known, time);
         shared.tracker.borrow_mut().retain(known);
         shared.ramp.borrow_mut().retain(known);
+        shared.cold.borrow_mut().retain(known, time);
+        if time.since(cold_reported) >= COLD_REPORT_INTERVAL {
+            cold_reported = time;
+            report_cold(&shared);
+        }
         let age = shared
             .evidence
             .get()
@@ -535,3 +544,14 @@
         shared.metrics.log_dropped.set(dropped);
     }
 }
+
+/// Logs how the budgets of cold targets have been used.
+fn report_cold<Adapter>(shared: &Shared<Adapter>) {
+    let stats = shared.cold.borrow_mut().take_stats();
+    if stats != Stats::default() {
+        Event::new("cold_budget")
+            .with("granted", stats.granted)
+            .with("withheld", stats.withheld)
+            .info();
+    }
+}
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -351,6 +351,7 @@
     let own = format!("{ENTRIES_PREFIX}{}", shared.settings.name);
     loop {
         let restored = shared.restored.notified();
+        let (requested, era) = (now(), shared.adapter.era());
         match shared.adapter.scan(ENTRIES_PREFIX).await {
             Ok(rows) => {
                 // A restarted host may have another address or another CPU share.
@@ -368,6 +369,13 @@
                     *shared.registered.borrow_mut() = registered;
                     shared.dispatch.on_entries_changed();
                 }
+                // The rows are from before or after a restoration that was learned meanwhile.
+                let is_same_era = era == shared.adapter.era();
+                let nodes = (known && is_same_era).then(|| shared.hosts());
+                shared
+                    .cold
+                    .borrow_mut()
+                    .on_list(nodes, rows.len(), era, requested, now());
                 shared.is_counted.set(true);
                 shared.is_registered.set(known);
                 if shared.entry_count.replace(entries) != entries {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,8 @@
     pub(crate) first_event: Histogram,
     /// Responses of targets that were discarded as invalid, by fault.
     pub(crate) invalid_responses: IntCounterVec,
+    /// Grants for cold targets by outcome.
+    cold_grants: IntCounterVec,
     /// Bytes of unfinished messages in memory.
     pub(crate) buffered: IntGauge,
     /// Connections opened to targets.
@@ -120,6 +122,11 @@
                 "answers of targets that were not used",
                 "fault",
             )?,
+            cold_grants: counters(
+                "boragereel_cold_grants_total",
+                "grants for cold targets by outcome",
+                "outcome",
+            )?,
             buffered: gauge(
                 "boragereel_buffered_bytes",
                 "bytes of unfinished messages in memory",
@@ -172,6 +179,11 @@
         })
     }
 
+    /// Records what happened to a grant for a cold target.
+    pub(crate) fn on_cold_grant(&self, outcome: &str) {
+        self.cold_grants.with_label_values(&[outcome]).inc();
+    }
+
     /// Records the time to the first event.
     pub(crate) fn on_first(&self, time: Duration) {
         self.first_event.observe(time.as_secs_f64());
--- a/crates/gateway/src/packet/layout.rs
+++ b/crates/gateway/src/packet/layout.rs
@@ -24,7 +24,7 @@
     State(Box<State>),
     Update(Update),
     Request(Request),
-    Reply(IdFields, Reply),
+    Reply(IdFields, Reply, bool),
     Cancel(IdFields),
     Notice(Notice),
     Fetch(u64, Option<Target>),
@@ -178,7 +178,9 @@
             Message::State(state) => Self::State(Box::new(State::from(&**state))),
             Message::Update(update) => Self::Update(Update::from(update)),
             Message::Request(request) => Self::Request(Request::from(request)),
-            Message::Reply(id, reply) => Self::Reply(encode_id(id), Reply::from(reply)),
+            Message::Reply(id, reply, is_cold) => {
+                Self::Reply(encode_id(id), Reply::from(reply), *is_cold)
+            }
             Message::Cancel(id) => Self::Cancel(encode_id(id)),
             Message::Notice(notice) => Self::Notice(Notice::from(notice)),
             Message::Fetch(request, after) => Self::Fetch(*request, after.clone()),
@@ -196,7 +198,7 @@
             Packet::State(state) => Self::State(Box::new((*state).into())),
             Packet::Update(update) => Self::Update(update.into()),
             Packet::Request(request) => Self::Request(request.into()),
-            Packet::Reply(id, reply) => Self::Reply(decode_id(id), reply.into()),
+            Packet::Reply(id, reply, is_cold) => Self::Reply(decode_id(id), reply.into(), is_cold),
             Packet::Cancel(id) => Self::Cancel(decode_id(id)),
             Packet::Notice(notice) => Self::Notice(notice.into()),
             Packet::Fetch(request, after) => Self::Fetch(request, after),
--- a/crates/gateway/src/packet/mod.rs
+++ b/crates/gateway/src/packet/mod.rs
@@ -17,7 +17,7 @@
 const MAC_BYTES: usize = 32;
 /// Version of the layout of [`Packet`]. Entries of two versions communicate during an upgrade, and
 /// bytes of another layout may decode to anything.
-pub const FORMAT: u8 = 13;
+pub const FORMAT: u8 = 14;
 
 /// A message from one entry to another.
 #[derive(Debug, Clone, PartialEq)]
@@ -28,8 +28,9 @@
     Update(Update),
     /// A placement request.
     Request(Request),
-    /// The reply to the placement request with this id.
-    Reply(Id, Reply),
+    /// The reply to the placement request with this id, and whether it grants a cold target within
+    /// its budget.
+    Reply(Id, Reply, bool),
     /// Cancels the placement request with this id.
     Cancel(Id),
     /// An update of the list of targets, for the neighbours.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -8,6 +8,7 @@
 use fleet::cache::{Index, Status};
 use fleet::catalog::Catalog;
 use fleet::cell::Node;
+use fleet::cold;
 use fleet::contact::Contacts;
 use fleet::freshness::Evidence;
 use fleet::gossip::Peers;
@@ -27,6 +28,7 @@
 use types::{Domain, Model, Service, Store, Target, Time};
 
 use crate::cache::Duty;
+use crate::clock::now;
 use crate::connection;
 use crate::discovery::Discovery;
 use crate::dispatch::Dispatch;
@@ -52,6 +54,7 @@
     pub(crate) tracker: RefCell<Tracker>,
     pub(crate) retries: RefCell<Retries<Service>>,
     pub(crate) ramp: RefCell<Ramp<Target>>,
+    pub(crate) cold: RefCell<cold::Ledger>,
     pub(crate) rollout: RefCell<Rollout>,
     pub(crate) cache_index: RefCell<Index>,
     pub(crate) prefill_rate: Cell<Rate>,
@@ -136,6 +139,7 @@
         };
         let buffers = Buffers::new(settings.limits.buffer_bytes());
         let discovery = Discovery::new(settings.drain_limit());
+        let ledger = cold::Ledger::new(&settings.name, now());
         Self {
             settings,
             adapter,
@@ -149,6 +153,7 @@
             tracker: RefCell::default(),
             retries: RefCell::new(Retries::new(policy)),
             ramp: RefCell::default(),
+            cold: RefCell::new(ledger),
             rollout: RefCell::default(),
             cache_index: RefCell::default(),
             prefill_rate: Cell::default(),
--- a/crates/gateway/tests/packet.rs
+++ b/crates/gateway/tests/packet.rs
@@ -143,7 +143,7 @@
         Reply::Refused(Duration::from_millis(900)),
         Reply::NotDispatcher,
     ];
-    let replies = replies.map(|reply| Message::Reply(id(), reply));
+    let replies = replies.map(|reply| Message::Reply(id(), reply, true));
     let others = [
         Message::State(Box::new(state())),
         Message::Update(update),
