cold: test the cases that arbitrary events reach too rarely

Cause: with 2000 cases the simulation did not notice a ledger that goes on after a restoration between two reads, and the test of late grants did not notice an exchange that takes the first "queued" reply for an answer to the newest message.

Change: direct tests of gaps, restorations, lost rows, displaced entries and fixed shares on outdated lists, and arbitrary delays of requests and replies in the test of late grants.

--- a/crates/fleet/tests/cold.rs
+++ b/crates/fleet/tests/cold.rs
@@ -355,25 +355,30 @@
     /// replies are late or lost, or the request is queued first.
     #[test]
     fn a_grant_expires_at_most_its_lifetime_after_it_was_made(
-        gaps in prop::collection::vec((0u64..400, any::<bool>(), any::<bool>()), 1..12),
-        granted_after in 0usize..12,
+        messages in prop::collection::vec((0u64..400, 0u64..600, 0u64..600, any::<bool>()), 1..12),
+        granted_after_ms in 0u64..2000,
     ) {
-        let mut now = 0;
-        let mut exchange = Exchange::new(Time::from_millis(now));
-        let mut granted_at = None;
-        for (index, (gap_ms, arrives, answered)) in gaps.into_iter().enumerate() {
-            now += gap_ms;
-            if granted_at.is_none() && index >= granted_after {
-                granted_at = Some(Time::from_millis(now));
+        // When the request is sent again, and when replies arrive that it is queued.
+        let mut events = Vec::new();
+        let mut sent_ms = 0;
+        for (index, (gap_ms, request_ms, reply_ms, lost)) in messages.into_iter().enumerate() {
+            // The first message begins the exchange.
+            if index > 0 {
+                sent_ms += gap_ms;
+                events.push((sent_ms, true));
             }
-            // Until the grant, messages are answered by a reply that the request is queued.
-            if granted_at.is_none() && arrives && answered {
-                exchange.on_queued();
+            if !lost && sent_ms + request_ms < granted_after_ms {
+                events.push((sent_ms + request_ms + reply_ms, false));
             }
-            now += 1;
-            exchange.on_sent(Time::from_millis(now));
         }
-        if let Some(granted_at) = granted_at {
+        events.sort_unstable();
+        let granted_at = Time::from_millis(granted_after_ms);
+        let mut exchange = Exchange::new(Time(0));
+        for (at, is_sent) in events {
+            match is_sent {
+                true => exchange.on_sent(Time::from_millis(at)),
+                false => exchange.on_queued(),
+            }
             let deadline = exchange.deadline().expect("it has begun");
             prop_assert!(deadline <= granted_at + GRANT_TTL);
         }
@@ -481,3 +486,72 @@
     let expired = Time(0) + WINDOW + Duration::from_millis(1);
     assert!(ledger.offer(&target, &id(9), 4, expired));
 }
+
+/// Guards against an entry that goes on after other entries may have taken its place: while it read
+/// no list, or in a store that was restored between two of its reads.
+#[test]
+fn a_gap_or_a_restoration_restarts_the_wait() {
+    let own = &order(29)[0];
+    let nodes: Vec<Node> = (0..29).map(node).collect();
+    let ttl = u64::try_from(LIST_TTL.as_millis()).expect("it is short");
+    for (gap_ms, era) in [(ttl, 0), (1, 1)] {
+        let (mut ledger, mut now) = settled(own, 29);
+        let again = now + gap_ms;
+        now = again;
+        while now < again + ttl {
+            let time = Time::from_millis(now);
+            ledger.on_list(Some(nodes.clone()), 29, era, time, time);
+            assert_eq!(share(&mut ledger, now), 0);
+            now += 1000;
+        }
+        now += 2000;
+        let time = Time::from_millis(now);
+        ledger.on_list(Some(nodes.clone()), 29, era, time, time);
+        assert_eq!(share(&mut ledger, now), 12);
+    }
+}
+
+/// Guards against a division by entries of which some still know rows that a restoration has lost,
+/// beside others that use fixed shares because they do not know them.
+#[test]
+fn lost_rows_do_not_count_for_a_division() {
+    let (mut ledger, mut now) = settled(&order(29)[0], 29);
+    now += 1000;
+    let time = Time::from_millis(now);
+    let nodes: Vec<Node> = (0..29).map(node).collect();
+    ledger.on_list(Some(nodes), 21, 0, time, time);
+    assert_eq!(share(&mut ledger, now), 0);
+}
+
+/// Guards against a displaced entry that keeps its larger part, and against one whose registration
+/// is lost and that goes on.
+#[test]
+fn a_worse_position_counts_at_once() {
+    let count = (22..29).find(|count| order(*count)[0] != order(count + 1)[0]);
+    let count = count.expect("an entry comes first when it joins");
+    let (mut ledger, mut now) = settled(&order(count)[0], count);
+    assert_eq!(share(&mut ledger, now), 12);
+    now += 1000;
+    let time = Time::from_millis(now);
+    let nodes: Vec<Node> = (0..=count).map(node).collect();
+    ledger.on_list(Some(nodes), count + 1, 0, time, time);
+    assert_eq!(share(&mut ledger, now), 4);
+    ledger.on_list(None, count, 0, time, time);
+    assert_eq!(share(&mut ledger, now), 0);
+}
+
+/// Guards against fixed shares of entries that do not know how many others there are by now.
+#[test]
+fn a_fixed_share_that_may_have_vanished_needs_a_recent_list() {
+    let ttl = u64::try_from(LIST_TTL.as_millis()).expect("it is short");
+    let (mut ledger, now) = settled("e0", 5);
+    let (recent, late) = (Time::from_millis(now), Time::from_millis(now + ttl));
+    assert!(ledger.trusts_count(LIMIT, 5, recent));
+    assert!(!ledger.trusts_count(LIMIT, 5, late));
+    assert!(ledger.trusts_count(LIMIT, 2, late));
+    // A process that starts after a restoration may find few rows at first.
+    let mut ledger = Ledger::new("e0", Time(0));
+    let time = Time::from_millis(3000);
+    ledger.on_list(Some(vec![node(0), node(1)]), 2, 1, time, time);
+    assert!(!ledger.trusts_count(LIMIT, 2, time));
+}
