--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -89,6 +89,8 @@
 pub(crate) enum Rejection {
     /// The request did not reach it.
     Unsent,
+    /// The request was not sent because the grant had expired.
+    Expired,
     /// It refused the request.
     Refused,
     /// Another instance answers at its address, or it serves other weights than expected.
@@ -96,10 +98,15 @@
 }
 
 impl Rejection {
+    /// Returns whether the request reached the target.
+    pub(crate) fn was_sent(self) -> bool {
+        matches!(self, Self::Refused | Self::Misdirected)
+    }
+
     /// Returns its name in logs and metrics.
     pub(crate) fn label(self) -> &'static str {
         match self {
-            Self::Unsent => "unsent",
+            Self::Unsent | Self::Expired => "unsent",
             Self::Refused | Self::Misdirected => "refused",
         }
     }
@@ -254,7 +261,10 @@
                 shared.metrics.on_cold_grant("expired");
                 connection::release(shared, &choice.member.id, connection, None);
                 let cause = "the grant for the cold target has expired".to_owned();
-                return Outcome::NotRun { sent: false, cause };
+                return Outcome::NotRun {
+                    rejection: Rejection::Expired,
+                    cause,
+                };
             }
             shared.metrics.on_cold_grant("sent");
         }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -420,7 +420,7 @@
     match outcome {
         Outcome::NotRun { rejection, .. } => {
             progress.runs -= 1;
-            progress.deliveries -= u32::from(rejection == Rejection::Unsent);
+            progress.deliveries -= u32::from(!rejection.was_sent());
         }
         Outcome::Buffered(_)
         | Outcome::Streaming(_)
@@ -432,7 +432,7 @@
     if !matches!(
         outcome,
         Outcome::NotRun {
-            rejection: Rejection::Unsent,
+            rejection: Rejection::Unsent | Rejection::Expired,
             ..
         } | Outcome::Failed { .. }
             | Outcome::Lost { .. }
@@ -474,6 +474,8 @@
                     shared.dispatch.on_attempt_failed(target, Failure::Refused);
                 }
                 Rejection::Unsent if unreachable => {}
+                // The entry was slow, not the target.
+                Rejection::Expired => {}
                 // A target that crashed stays on the list for a while. It has no load, so it would
                 // be the first choice of each following request.
                 Rejection::Unsent | Rejection::Misdirected => {
