fleet: count dispatcher time-outs of one outage once

Cause: a dispatcher that was late by 50 ms missed the replies of up to thirty concurrent requests. Each counted as a failure in a row, so that the back-off grew from 1 s to 4 s at once. An entry that was itself stalled counted its own stall as the dispatcher's silence, and did not send its request a second time. Ruled out: dispatchers that were really gone (all entries were running).

A request that was sent before the last back-off began no longer counts, and time in which the waiting process did not run is not waited.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! names nor the protocol of the platform's table store, and takes the time as an argument. See
 //! `docs/platform.md`.
 
+pub mod backoff;
 pub mod buffers;
 pub mod cache;
 pub mod catalog;
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -12,6 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use fleet::backoff::Backoffs;
 use fleet::cell::{Cell, Map};
 use fleet::dispatcher::{Dispatcher, Id, Reply};
 use rand::Rng;
@@ -51,7 +52,7 @@
     /// The entries in the order in which they become the dispatcher of a cell.
     rankings: RefCell<HashMap<Cell, Rc<Vec<String>>>>,
     /// The back-offs of unresponsive dispatchers, by name.
-    backoffs: RefCell<HashMap<String, Backoff>>,
+    backoffs: RefCell<Backoffs>,
     unreported: RefCell<Unreported>,
     /// Notified when there are unreported changes.
     updates_ready: Notify,
@@ -64,13 +65,6 @@
     pub(crate) secret: Value<[u8; 32]>,
 }
 
-/// Back-off of an unresponsive dispatcher.
-#[derive(Debug, Clone, Copy)]
-struct Backoff {
-    until: Time,
-    failures: u32,
-}
-
 /// Changes that have not been reported to dispatchers yet.
 #[derive(Debug, Default)]
 struct Unreported {
@@ -93,10 +87,6 @@
     Updating,
 }
 
-/// How long an unresponsive dispatcher gets no requests; doubled with each further failure.
-const BACK_OFF: Duration = Duration::from_millis(1000);
-/// The maximum of this back-off.
-const MAX_BACK_OFF: Duration = Duration::from_secs(4);
 /// How long after its start an entry has received the loads of all others.
 const WARM_UP: Duration = Duration::from_millis(1500);
 /// How long after its start an entry has received messages of some others, if there are any.
@@ -215,10 +205,7 @@
             if **name == shared.settings.name {
                 return self.accepts_requests(shared, time);
             }
-            let in_back_off = backoffs
-                .get(*name)
-                .is_some_and(|backoff| time < backoff.until);
-            !in_back_off && (peers.is_alive(name) || !past_startup)
+            !backoffs.contains(name, time) && (peers.is_alive(name) || !past_startup)
         });
         alive.take(CANDIDATES).cloned().collect()
     }
@@ -249,22 +236,16 @@
         }
     }
 
-    /// Records that a dispatcher did not reply. It is not asked during the back-off even if other
-    /// messages from it arrive, because it may be too slow to be useful.
-    fn on_unresponsive(&self, name: &str, time: Time) {
-        let mut backoffs = self.backoffs.borrow_mut();
-        let failures = backoffs.get(name).map_or(0, |backoff| backoff.failures);
-        let delay = (BACK_OFF * 2u32.saturating_pow(failures.min(4))).min(MAX_BACK_OFF);
-        let backoff = Backoff {
-            until: time + delay,
-            failures: failures + 1,
-        };
-        backoffs.insert(name.to_owned(), backoff);
-        Event::new("dispatcher_mute")
-            .with("dispatcher", name)
-            .with("times", backoff.failures)
-            .with("for_ms", millis(delay))
-            .warn();
+    /// Records that a dispatcher did not reply to a request that was sent at `sent`.
+    fn on_silence(&self, name: &str, sent: Time) {
+        let backoff = self.backoffs.borrow_mut().on_silence(name, sent, now());
+        if let Some(backoff) = backoff {
+            Event::new("dispatcher_mute")
+                .with("dispatcher", name)
+                .with("times", backoff.failures)
+                .with("for_ms", millis(backoff.delay))
+                .warn();
+        }
     }
 
     /// Whether requests to engines are queued in many cells.
--- a/crates/gateway/src/dispatch/request.rs
+++ b/crates/gateway/src/dispatch/request.rs
@@ -1,12 +1,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use fleet::backoff::Waited;
 use fleet::cell::Cell;
 use fleet::dispatcher::{Demand, Reply, Request};
 use fleet::queue;
 use tokio::sync::mpsc;
 
-use super::{Backoff, request_id, send};
+use super::{request_id, send};
 use crate::adapter::Platform;
 use crate::attempt::Admitted;
 use crate::clock::now;
@@ -29,9 +30,6 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(40);
 /// How often a queued request is renewed.
 const RENEW_INTERVAL: Duration = Duration::from_millis(200);
-/// How long an entry gets no requests after replying that it is not a dispatcher: it is starting or
-/// stopping.
-const NOT_DISPATCHER_BACK_OFF: Duration = Duration::from_millis(250);
 /// The share of the stall timeout for which a request that was sent before may wait.
 const RETRY_WAIT_SHARE: f64 = 0.4;
 
@@ -70,22 +68,19 @@
             queue,
             demand: demand.clone(),
         };
+        let sent = now();
         let reply = exchange(shared, &dispatcher, request, &mut replies).await;
         match reply {
             Some(Reply::NotDispatcher) => {
-                let backoff = Backoff {
-                    until: now() + NOT_DISPATCHER_BACK_OFF,
-                    failures: 0,
-                };
                 let mut backoffs = shared.dispatch.backoffs.borrow_mut();
-                backoffs.insert(dispatcher.clone(), backoff);
+                backoffs.on_not_dispatcher(&dispatcher, now());
             }
             Some(reply) => {
-                shared.dispatch.backoffs.borrow_mut().remove(&dispatcher);
+                shared.dispatch.backoffs.borrow_mut().on_reply(&dispatcher);
                 pending.close();
                 return Outcome::Reply(dispatcher, sequence, reply);
             }
-            None => shared.dispatch.on_unresponsive(&dispatcher, now()),
+            None => shared.dispatch.on_silence(&dispatcher, sent),
         }
     }
     Outcome::NoDispatcher
@@ -138,22 +133,26 @@
     Adapter: Platform,
 {
     let message = Message::Request(request);
-    let mut last_sent = now();
+    let mut waited = Waited::default();
     let mut wait = RESEND_INTERVAL;
     let mut timeout = REPLY_TIMEOUT;
     send(shared, dispatcher, &message);
     loop {
+        let started = now();
         match tokio::time::timeout(wait, replies.recv()).await {
             Ok(Some(Reply::Queued)) => {
-                last_sent = now();
+                waited = Waited::default();
                 // From now on the dispatcher replies when it has a result, and only needs to be
                 // alive.
                 wait = RENEW_INTERVAL;
                 timeout = RENEW_INTERVAL + REPLY_TIMEOUT;
             }
             Ok(reply) => return reply,
-            Err(_) if now().since(last_sent) >= timeout => return None,
             Err(_) => {
+                waited.add(wait, now().since(started));
+                if waited.has_reached(timeout) {
+                    return None;
+                }
                 send(shared, dispatcher, &message);
                 wait = REPLY_TIMEOUT.saturating_sub(RESEND_INTERVAL);
             }
