--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //! `docs/platform.md`.
 
 pub mod backfill;
+pub mod backoff;
 pub mod buffers;
 pub mod cache;
 pub mod catalog;
