fleet: account of the memory and connections of callers

Cause: each caller stays within the limits of the configuration, but nothing bounds what all of them make a process hold together. fleet::buffers guarantees 64 KiB to each request without a total.

Ruled out: a quota for each address (callers share proxies), a fixed time for bodies (cuts slow links or lets a crowd stay), closing the oldest connection (locks out slow links).

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod buffers;
 pub mod cache;
+pub mod callers;
 pub mod catalog;
 pub mod cell;
 pub mod contact;
