settings: descriptors and number of callers' connections

limits.descriptors comes from the platform's maxFds; without it the process uses its own RLIMIT_NOFILE. limits.caller_connections replaces the derived number of connections.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use displaydoc::Display;
+use fleet::callers::Machine;
+use rustix::process::{Resource, getrlimit};
 use serde::Deserialize;
 use types::Domain;
 
@@ -46,18 +48,30 @@
     /// The maximum size of a response that is not a stream, in bytes. Such a response is buffered
     /// until it is complete, so that a truncated one is not forwarded as if it were complete.
     pub answer_bytes: usize,
+    /// The number of file descriptors that the process may open; by default the limit that the
+    /// operating system sets for it.
+    pub descriptors: Option<usize>,
+    /// The number of connections of callers; by default derived from the descriptors.
+    pub caller_connections: Option<usize>,
 }
 
 /// The fraction of the memory limit that unfinished messages may take; the rest is for connections,
 /// lists and memory that the allocator does not return.
 const BUFFER_FRACTION: f64 = 0.35;
 
+/// The least number of descriptors with which an entry works.
+const MIN_DESCRIPTORS: usize = 100;
+/// The least number of callers' connections.
+const MIN_CONNECTIONS: usize = 8;
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
             memory_mb: 128.0,
             cpu_share: 0.1,
             answer_bytes: 4 << 20,
+            descriptors: None,
+            caller_connections: None,
         }
     }
 }
@@ -68,6 +82,18 @@
     pub fn buffer_bytes(&self) -> usize {
         (self.memory_mb * BUFFER_FRACTION * 1e6) as usize
     }
+
+    /// Returns what callers can exhaust.
+    #[must_use]
+    pub fn machine(&self) -> Machine {
+        let system = || getrlimit(Resource::Nofile).current;
+        let descriptors = self.descriptors.or_else(|| usize::try_from(system()?).ok());
+        Machine {
+            memory_bytes: (self.memory_mb * 1e6) as usize,
+            descriptors: descriptors.unwrap_or(usize::MAX),
+            connections: self.caller_connections,
+        }
+    }
 }
 
 /// Bounds that the operators set; the names of durations end with their unit.
@@ -237,6 +263,18 @@
                 1024.0,
                 "1024 or more",
             ),
+            (
+                "limits.descriptors",
+                self.limits.descriptors.unwrap_or(MIN_DESCRIPTORS) as f64,
+                MIN_DESCRIPTORS as f64,
+                "100 or more",
+            ),
+            (
+                "limits.caller_connections",
+                self.limits.caller_connections.unwrap_or(MIN_CONNECTIONS) as f64,
+                MIN_CONNECTIONS as f64,
+                "8 or more",
+            ),
         ];
         for (key, value, minimum, expected) in minima {
             if value < minimum {
