gateway: close callers that exhaust memory or descriptors

Cause: unfinished bodies, heads at the readiness address and pipelined requests had no total bound; hyper's default of 100 fields refused heads within the configured limit.

Each connection has a seat in fleet::callers, which counts heads, fields, bodies and responses, and tells the connection's task when it must close. Pipelined requests of all connections take turns with all other tasks, and none is served while an earlier response is unread, since hyper does not bound the heads of responses that wait.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -38,7 +38,7 @@
     pub(crate) parts: request::Parts,
     pub(crate) body: Bytes,
     /// Reserves memory for the body while the request is in progress.
-    pub(crate) _reservation: Reservation,
+    pub(crate) reservation: Reservation,
     pub(crate) head: Head,
     /// The segments of the prompt that other prompts may share.
     pub(crate) segments: Vec<quarantine::Segment>,
@@ -325,7 +325,7 @@
         let cause = format!("status {} of another request", head.status.as_u16());
         return Outcome::Failed { cause };
     }
-    let mut reservation = Reservation::new(&shared.buffers);
+    let mut reservation = admitted.reservation.sibling();
     if response.not_run || response.misdirected {
         let cause = format!("status {}", head.status.as_u16());
         let rest = buffer::collect(&mut body, MAX_REFUSAL_BYTES, &mut reservation);
@@ -371,7 +371,7 @@
             headers: shared.adapter.downstream_headers(&head.headers),
             status: head.status,
             first_chunk: None,
-            events: Splitter::new(limit, Reservation::new(&shared.buffers)),
+            events: Splitter::new(limit, admitted.reservation.sibling()),
             body,
             connection,
             in_flight,
--- a/crates/gateway/src/buffer.rs
+++ b/crates/gateway/src/buffer.rs
@@ -6,14 +6,24 @@
 use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
 use fleet::buffers::{Buffers, Reservation as Outcome};
+use fleet::callers::Growth;
 use http_body_util::BodyExt;
 
+use crate::callers::Seat;
 use crate::logging::describe;
 
+/// The size of the first buffer for a message of unknown length.
+const MIN_BUFFER_BYTES: usize = 1 << 10;
+/// The maximum size of the first buffer for a message of known length. Growing by steps would leave
+/// gaps in the memory, each as large as the previous buffers.
+const MAX_FIRST_BYTES: usize = 64 << 10;
+
 /// Memory that a request has reserved from the budget; released on drop.
 #[derive(Debug)]
 pub struct Reservation {
     buffers: Rc<RefCell<Buffers>>,
+    /// The caller on whose behalf the memory is held, which counts it as well.
+    seat: Option<Rc<Seat>>,
     bytes: usize,
 }
 
@@ -34,6 +44,25 @@
     pub fn new(buffers: &Rc<RefCell<Buffers>>) -> Self {
         Self {
             buffers: Rc::clone(buffers),
+            seat: None,
+            bytes: 0,
+        }
+    }
+
+    /// Creates an empty reservation on behalf of a caller.
+    pub(crate) fn of(buffers: &Rc<RefCell<Buffers>>, seat: &Rc<Seat>) -> Self {
+        Self {
+            buffers: Rc::clone(buffers),
+            seat: Some(Rc::clone(seat)),
+            bytes: 0,
+        }
+    }
+
+    /// Creates an empty reservation on behalf of the same caller.
+    pub(crate) fn sibling(&self) -> Self {
+        Self {
+            buffers: Rc::clone(&self.buffers),
+            seat: self.seat.clone(),
             bytes: 0,
         }
     }
@@ -43,12 +72,30 @@
     /// # Errors
     /// Fails if the budget is exhausted; the reservation does not grow then.
     pub fn grow(&mut self, additional: usize) -> Result<(), Problem> {
-        match self.buffers.borrow_mut().reserve(self.bytes, additional) {
+        let outcome = self.buffers.borrow_mut().reserve(self.bytes, additional);
+        let seat = self.seat.as_ref();
+        match outcome {
             Outcome::Granted => {
+                if seat.is_some_and(|seat| seat.grow(additional) == Growth::Refused) {
+                    self.buffers.borrow_mut().release(additional);
+                    return Err(Problem::NoMemory);
+                }
                 self.bytes += additional;
                 Ok(())
             }
-            Outcome::Exhausted => Err(Problem::NoMemory),
+            Outcome::Exhausted => {
+                if let Some(seat) = seat {
+                    seat.reclaim(additional);
+                }
+                Err(Problem::NoMemory)
+            }
+        }
+    }
+
+    /// Records that a target has answered the caller.
+    pub(crate) fn on_served(&self) {
+        if let Some(seat) = &self.seat {
+            seat.on_served();
         }
     }
 
@@ -59,6 +106,7 @@
         self.bytes -= bytes;
         Self {
             buffers: Rc::clone(&self.buffers),
+            seat: self.seat.clone(),
             bytes,
         }
     }
@@ -67,6 +115,9 @@
 impl Drop for Reservation {
     fn drop(&mut self) {
         self.buffers.borrow_mut().release(self.bytes);
+        if let Some(seat) = &self.seat {
+            seat.shrink(self.bytes);
+        }
     }
 }
 
@@ -86,7 +137,10 @@
     if body.size_hint().lower() > limit as u64 {
         return Err(Problem::TooLong(limit));
     }
+    let expected = body.size_hint().exact().unwrap_or(u64::MAX);
+    let expected = usize::try_from(expected).unwrap_or(usize::MAX);
     let mut complete = BytesMut::new();
+    let mut capacity = 0;
     while let Some(frame) = body.frame().await {
         // A body that is always ready must not starve the timers.
         tokio::task::coop::consume_budget().await;
@@ -97,7 +151,23 @@
         if complete.len() + data.len() > limit {
             return Err(Problem::TooLong(limit));
         }
-        reservation.grow(data.len())?;
+        let needed = complete.len() + data.len();
+        if needed > capacity {
+            // No longer than the message, and doubled like the buffer itself would be.
+            let least = match expected {
+                usize::MAX => MIN_BUFFER_BYTES,
+                _ => MAX_FIRST_BYTES,
+            };
+            let larger = (capacity * 2).max(least).min(expected).max(needed);
+            let additional = larger - capacity;
+            if reservation.grow(additional).is_err() {
+                // Connections that were closed for this message release their memory meanwhile.
+                tokio::task::yield_now().await;
+                reservation.grow(additional)?;
+            }
+            complete.reserve(larger - complete.len());
+            capacity = larger;
+        }
         complete.extend_from_slice(&data);
     }
     Ok(complete.freeze())
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fleet::callers::{self, Activity, Growth};
 use http::Version;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -17,18 +18,24 @@
 use tokio::time::{Instant, Sleep};
 use types::Time;
 
+use crate::callers::Seat;
 use crate::clock::now;
 
 /// The connection of a caller, shared by hyper and the tasks that serve its requests.
 #[derive(Debug)]
 pub(crate) struct Link {
     socket: TcpStream,
+    seat: Rc<Seat>,
     /// Whether a body was left unread, so that the caller may still be sending it.
     is_body_unread: Cell<bool>,
     /// The requests whose bodies are being read or whose responses are not complete.
     requests: Cell<usize>,
     /// Whether the socket's buffer had no room for the last bytes of a response.
     is_write_blocked: Cell<bool>,
+    /// Whether bytes were read since the head of the last request was complete.
+    has_read: Cell<bool>,
+    /// Signals that the socket's buffer has room again.
+    unblocked: Notify,
     /// When the last response was written, or the connection was accepted.
     idle_since: Cell<Time>,
     /// When the head of the next request began to arrive.
@@ -59,6 +66,10 @@
 pub(crate) struct Exchange {
     link: Rc<Link>,
     version: Version,
+    /// The memory that is counted for the request.
+    held: usize,
+    /// Whether the request arrived together with the previous one.
+    is_pipelined: bool,
 }
 
 /// The I/O of a link for hyper.
@@ -94,12 +105,15 @@
 const DISCARD_BUFFER_BYTES: usize = 8 << 10;
 
 impl Link {
-    pub(crate) fn new(socket: TcpStream) -> Self {
+    pub(crate) fn new(socket: TcpStream, seat: Rc<Seat>) -> Self {
         Self {
             socket,
+            seat,
             is_body_unread: Cell::new(false),
             requests: Cell::new(0),
             is_write_blocked: Cell::new(false),
+            has_read: Cell::new(false),
+            unblocked: Notify::new(),
             idle_since: Cell::new(now()),
             head_since: Cell::new(None),
             is_responding: Cell::new(false),
@@ -122,10 +136,71 @@
 
     /// Bytes between requests are the beginning of a head, except for the empty lines that some
     /// callers send after a body.
-    fn on_read(&self, bytes: &[u8]) {
+    fn on_read(&self, bytes: &[u8]) -> Result<()> {
         let is_between = self.requests.get() == 0 && self.head_since.get().is_none();
         if is_between && bytes.iter().any(|byte| !b"\r\n".contains(byte)) {
             self.head_since.set(Some(now()));
+            if !self.is_write_blocked.get() {
+                self.seat.begin(Activity::Head);
+            }
+        }
+        self.has_read.set(true);
+        match self.seat.on_read(bytes.len()) {
+            Growth::Granted => Ok(()),
+            Growth::Refused => Err(ErrorKind::OutOfMemory.into()),
+        }
+    }
+
+    /// Returns the place of the connection in the account of the callers.
+    pub(crate) fn seat(&self) -> &Rc<Seat> {
+        &self.seat
+    }
+
+    /// Records that a body is awaited, or no longer.
+    pub(crate) fn await_body(&self, is_awaited: bool) {
+        if !self.is_write_blocked.get() {
+            self.seat.begin(match is_awaited {
+                true => Activity::Body,
+                false => Activity::Serving,
+            });
+        }
+    }
+
+    /// Waits until the caller reads its responses. hyper limits the length of the bodies that wait
+    /// for it, but not of the heads.
+    async fn readable(&self) {
+        while self.is_write_blocked.get() {
+            self.unblocked.notified().await;
+        }
+    }
+
+    /// Returns whether a response waits for the caller to read.
+    pub(crate) fn is_write_blocked(&self) -> bool {
+        self.is_write_blocked.get()
+    }
+
+    fn on_blocked(&self) {
+        if !self.is_write_blocked.replace(true) {
+            self.seat.begin(Activity::Sending);
+        }
+    }
+
+    fn on_written(&self, bytes: usize) {
+        if !self.is_write_blocked.replace(false) {
+            return;
+        }
+        self.seat.on_written(bytes);
+        self.unblocked.notify_waiters();
+        self.seat.begin(match self.requests.get() {
+            0 => Activity::Idle,
+            _ => Activity::Serving,
+        });
+    }
+
+    /// Makes the close of the connection discard what the caller has not read.
+    pub(crate) fn reset(&self) {
+        if let Err(error) = SockRef::from(&self.socket).set_linger(Some(Duration::ZERO)) {
+            log::warn!("a connection cannot be reset: {error}");
         }
     }
 
@@ -137,6 +212,7 @@
     /// Reads and drops the rest of a body, so that the connection can carry the next request. A
     /// body that is too long or takes too long is left unread, and hyper closes the connection.
     pub(crate) async fn drain(&self, mut body: Incoming) {
+        self.await_body(true);
         let reading = async {
             let mut dropped = 0;
             while let Some(Ok(frame)) = body.frame().await {
@@ -149,6 +225,7 @@
             true
         };
         let is_complete = tokio::time::timeout(DRAIN_TIMEOUT, reading).await;
+        self.await_body(false);
         if is_complete != Ok(true) {
             self.abandon_body();
         }
@@ -178,12 +255,26 @@
 }
 
 impl Exchange {
-    pub(crate) fn new(link: Rc<Link>, version: Version) -> Self {
+    /// Begins a request with so many fields; `None` if there is no room for it.
+    pub(crate) fn open(link: Rc<Link>, version: Version, fields: usize) -> Option<Self> {
+        let held = callers::request_bytes(fields);
+        if link.seat.grow(held) == Growth::Refused {
+            return None;
+        }
+        if !link.is_write_blocked.get() {
+            link.seat.begin(Activity::Serving);
+        }
+        let is_pipelined = !link.has_read.replace(false);
         link.requests.set(link.requests.get() + 1);
         link.head_since.set(None);
         link.is_responding.set(false);
         link.is_abandoned.set(false);
-        Self { link, version }
+        Some(Self {
+            link,
+            version,
+            held,
+            is_pipelined,
+        })
     }
 
     /// Waits until the caller is taken for gone.
@@ -198,8 +289,17 @@
         self.link.is_responding.set(true);
     }
 
+    /// Waits until the request may be served: when the caller reads its responses, and after other
+    /// connections had a turn if the caller sends requests ahead.
+    pub(crate) async fn turn(&self) {
+        self.link.readable().await;
+        if self.is_pipelined {
+            self.link.seat.pipelined_turn().await;
+        }
+    }
+
     /// Returns the link of the request.
-    pub(crate) fn link(&self) -> &Link {
+    pub(crate) fn link(&self) -> &Rc<Link> {
         &self.link
     }
 
@@ -224,6 +324,10 @@
         link.requests.set(link.requests.get().saturating_sub(1));
         link.head_since.set(None);
         link.idle_since.set(now());
+        link.seat.shrink(self.held);
+        if link.requests.get() == 0 && !link.is_write_blocked.get() {
+            link.seat.begin(Activity::Idle);
+        }
         if let Some(waker) = link.half_closed.take() {
             waker.wake();
         }
@@ -253,8 +357,7 @@
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
                 Ok(0) => return self.poll_half_closed(context).map(Ok),
                 Ok(_) => {
-                    self.link.on_read(&buffer.filled()[filled..]);
-                    return Poll::Ready(Ok(()));
+                    return Poll::Ready(self.link.on_read(&buffer.filled()[filled..]));
                 }
                 Err(error) => return Poll::Ready(Err(error)),
             }
@@ -305,12 +408,17 @@
     {
         let link = &self.link;
         loop {
-            link.is_write_blocked.set(true);
-            ready!(link.socket.poll_write_ready(context))?;
-            link.is_write_blocked.set(false);
+            match link.socket.poll_write_ready(context) {
+                Poll::Ready(ready) => ready?,
+                Poll::Pending => {
+                    link.on_blocked();
+                    return Poll::Pending;
+                }
+            }
             match write(&link.socket) {
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
                 written => {
+                    link.on_written(*written.as_ref().unwrap_or(&0));
                     link.idle_since.set(now());
                     return Poll::Ready(written);
                 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -530,6 +530,14 @@
         let buffered = shared.buffers.borrow().used();
         let buffered = i64::try_from(buffered).unwrap_or(i64::MAX);
         shared.metrics.buffered.set(buffered);
+        let usage = shared.callers.usage();
+        let gauge = |count| i64::try_from(count).unwrap_or(i64::MAX);
+        shared
+            .metrics
+            .caller_connections
+            .set(gauge(usage.connections));
+        shared.metrics.caller_bytes.set(gauge(usage.bytes));
+        shared.callers.report(time);
         quarantine::sweep(&shared, time);
         let dropped = i64::try_from(logging::dropped()).unwrap_or(i64::MAX);
         shared.metrics.log_dropped.set(dropped);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod buffer;
 mod cache;
 mod caller;
+mod callers;
 mod choose;
 mod clock;
 mod connection;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -25,6 +25,12 @@
     pub(crate) connections: IntCounter,
     /// Callers' connections that failed, by cause.
     pub(crate) failed_connections: IntCounterVec,
+    /// Callers' connections that were closed or refused for want of room or progress, by cause.
+    pub(crate) closed_callers: IntCounterVec,
+    /// Open connections of callers.
+    pub(crate) caller_connections: IntGauge,
+    /// Bytes that callers make the process hold.
+    pub(crate) caller_bytes: IntGauge,
     /// Requests lost to crashes of targets before their responses began.
     pub(crate) lost_to_crashes: IntCounter,
     /// Segments that are kept away from targets because they crash them.
@@ -130,6 +136,19 @@
                 "callers' connections that failed, by cause",
                 "cause",
             )?,
+            closed_callers: counters(
+                "boragereel_closed_callers_total",
+                "callers' connections closed or refused for want of room or progress, by cause",
+                "cause",
+            )?,
+            caller_connections: gauge(
+                "boragereel_caller_connections",
+                "open connections of callers",
+            )?,
+            caller_bytes: gauge(
+                "boragereel_caller_bytes",
+                "bytes that callers make the process hold",
+            )?,
             lost_to_crashes: counter(
                 "boragereel_lost_to_crashes_total",
                 "requests whose targets crashed before a response began",
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fleet::callers::BODY_BUFFER_BYTES;
 use fleet::catalog::{Caller, Limits};
 use fleet::shutdown::Stage;
 use http::header::{EXPECT, HOST};
@@ -18,7 +19,7 @@
 use crate::answer::{Body, Reason, close};
 use crate::attempt::{self, Admitted, Buffered, Choice, Grant, Outcome, Streaming};
 use crate::buffer::{self, Reservation};
-use crate::caller::{Exchange, MAX_DRAIN_BYTES};
+use crate::caller::{Exchange, Link, MAX_DRAIN_BYTES};
 use crate::choose;
 use crate::clock::now;
 use crate::dispatch::{self, Failure};
@@ -48,6 +49,7 @@
 where
     Adapter: Platform,
 {
+    exchange.turn().await;
     let arrived = now();
     let unanswered = Rc::clone(&shared.unanswered);
     let (parts, body) = request.into_parts();
@@ -60,7 +62,8 @@
         target: None,
         answered: false,
     };
-    let responding = respond(Rc::clone(&shared), parts, &mut body, pending);
+    let link = Rc::clone(exchange.link());
+    let responding = respond(Rc::clone(&shared), &link, parts, &mut body, pending);
     let mut response = tokio::select! {
         biased;
         response = catch_panic(responding) => {
@@ -88,9 +91,17 @@
     response.map(|body| body.counted_as(unanswered, exchange))
 }
 
+/// Refuses a request whose head has more fields than there is memory for.
+pub(crate) fn refuse_unread<Adapter>(shared: &Rc<Shared<Adapter>>) -> Response<Body> {
+    let mut response = refuse(shared, Reason::Busy, DEFAULT_RETRY_AFTER, "", now(), None);
+    close(response.headers_mut());
+    response
+}
+
 /// Responds to a request.
 async fn respond<Adapter>(
     shared: Rc<Shared<Adapter>>,
+    link: &Link,
     parts: request::Parts,
     body: &mut Option<Incoming>,
     mut pending: Pending<Adapter>,
@@ -98,7 +109,7 @@
 where
     Adapter: Platform,
 {
-    let response = match admit(&shared, parts, body, &mut pending).await {
+    let response = match admit(&shared, link, parts, body, &mut pending).await {
         Ok(admitted) => forward(&shared, Rc::new(admitted), &mut pending).await,
         Err(reason) => {
             let (id, arrived) = (&pending.id, pending.arrived);
@@ -172,6 +183,7 @@
 /// this function unless it is read completely.
 async fn admit<Adapter>(
     shared: &Rc<Shared<Adapter>>,
+    link: &Link,
     parts: request::Parts,
     body: &mut Option<Incoming>,
     pending: &mut Pending<Adapter>,
@@ -208,10 +220,10 @@
     if !shutdown::accepts(shared, route, Stage::Arriving, deadline) {
         return Err(Reason::Stopping);
     }
-    let mut reservation = Reservation::new(&shared.buffers);
+    let mut reservation = Reservation::of(&shared.buffers, link.seat());
     let body = tokio::select! {
         biased;
-        body = read_body(body, &catalog.limits, timeout, &mut reservation) => body?,
+        body = read_body(link, body, &catalog.limits, timeout, &mut reservation) => body?,
         () = shutdown::until_last_start(shared, route, Stage::Waiting, deadline) => {
             return Err(Reason::Stopping);
         }
@@ -221,7 +233,7 @@
     Ok(Admitted {
         parts,
         body,
-        _reservation: reservation,
+        reservation,
         head,
         segments,
         route,
@@ -234,6 +246,7 @@
 }
 
 async fn read_body(
+    link: &Link,
     body: &mut Option<Incoming>,
     limits: &Limits,
     timeout: Duration,
@@ -242,8 +255,19 @@
     let Some(unread) = body else {
         return Ok(Bytes::new());
     };
+    if unread.is_end_stream() {
+        *body = None;
+        return Ok(Bytes::new());
+    }
+    let mut working = reservation.sibling();
+    if working.grow(BODY_BUFFER_BYTES).is_err() {
+        return Err(Reason::Busy);
+    }
+    link.await_body(true);
     let reading = buffer::collect(unread, limits.body_bytes, reservation);
-    match tokio::time::timeout(timeout, reading).await {
+    let collected = tokio::time::timeout(timeout, reading).await;
+    link.await_body(false);
+    match collected {
         Ok(Ok(bytes)) => {
             *body = None;
             Ok(bytes)
@@ -302,11 +326,13 @@
     };
     match answer {
         Answer::Served(response) => {
+            admitted.reservation.on_served();
             shared.metrics.on_first(now().since(admitted.arrived));
             record_end(shared, &admitted, "served", None);
             response.response()
         }
         Answer::Streaming(stream) => {
+            admitted.reservation.on_served();
             shared.metrics.on_first(now().since(admitted.arrived));
             relay::respond(Rc::clone(shared), admitted, progress, *stream)
         }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use displaydoc::Display;
+use fleet::callers::{self, Activity, Check};
 use fleet::catalog::Limits;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -21,6 +22,7 @@
 use crate::adapter::{List, Platform};
 use crate::answer::Body;
 use crate::caller::{Exchange, Io, Link, Phase};
+use crate::callers::{Callers, Seat};
 use crate::clock::now;
 use crate::connection::set_caller_socket_options;
 use crate::logging::{self, Event};
@@ -79,6 +81,10 @@
 /// Extra time for which an idle connection is kept beyond the configured timeout, so that a caller
 /// that uses the full timeout does not send a request on a connection that is being closed.
 const IDLE_SLACK: Duration = Duration::from_secs(2);
+/// How long a connection to an administration address may be idle or send the head of a request.
+const ADMIN_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a connection to an administration address may last.
+const ADMIN_TIMEOUT: Duration = Duration::from_secs(60);
 /// How often a connection looks for changes of its limits.
 const LIMITS_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -230,10 +236,14 @@
             tokio::time::sleep(ACCEPT_BACK_OFF).await;
             continue;
         };
+        // Dropping the socket closes the connection.
+        let Some(seat) = shared.callers.admit() else {
+            continue;
+        };
         set_caller_socket_options(&socket);
         let (shared, closing, open) = (Rc::clone(&shared), closing.clone(), Rc::clone(&open));
         tokio::task::spawn_local(async move {
-            serve_connection(shared, socket, closing).await;
+            serve_connection(shared, socket, seat, closing).await;
             drop(open);
         });
     }
@@ -243,6 +253,7 @@
 async fn serve_connection<Adapter>(
     shared: Rc<Shared<Adapter>>,
     socket: TcpStream,
+    seat: Seat,
     mut closing: watch::Receiver<bool>,
 ) where
     Adapter: Platform,
@@ -251,18 +262,30 @@
     let config = shared.config_version();
     let mut builder = http1::Builder::new();
     // `await_close` applies the timeouts in force, which may change while the connection is open.
+    let head_bytes = limits(&shared).head_bytes.max(MIN_HEAD_BYTES);
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(None)
-        .max_buf_size(limits(&shared).head_bytes.max(MIN_HEAD_BYTES));
-    let link = Rc::new(Link::new(socket));
+        .max_headers(callers::max_fields(head_bytes))
+        .max_buf_size(head_bytes);
+    let link = Rc::new(Link::new(socket, Rc::new(seat)));
     let requests = Cell::new(0_u64);
     let service = service_fn(|request: Request<Incoming>| {
         requests.set(requests.get() + 1);
         let shared = Rc::clone(&shared);
         // hyper polls the future only after it has looked for the end of the caller's data.
-        let exchange = Rc::new(Exchange::new(Rc::clone(&link), request.version()));
-        async move { Ok::<_, Infallible>(serve::serve(shared, exchange, request).await) }
+        let (version, fields) = (request.version(), request.headers().len());
+        let exchange = Exchange::open(Rc::clone(&link), version, fields).map(Rc::new);
+        let request = exchange.map(|exchange| (exchange, request));
+        async move {
+            Ok::<_, Infallible>(match request {
+                // Boxed, so that idle connections do not keep room for it.
+                Some((exchange, request)) => {
+                    Box::pin(serve::serve(shared, exchange, request)).await
+                }
+                None => serve::refuse_unread(&shared),
+            })
+        }
     });
     let connection = builder.serve_connection(TokioIo::new(Io::new(Rc::clone(&link))), service);
     tokio::pin!(connection);
@@ -274,10 +297,27 @@
         // The connection comes first, so that it takes notice of bytes that have arrived.
         biased;
         ended = connection.as_mut() => ended.map_err(Failure::from),
+        cause = link.seat().evicted() => {
+            // Many are closed at a time, and `Callers::report` counts them.
+            log::debug!("closed for want of room: {}", cause.label());
+            link.reset();
+            return;
+        }
         close = await_close(&shared, &link, closing) => match close {
             Close::Gracefully => {
                 connection.as_mut().graceful_shutdown();
-                connection.await.map_err(Failure::from)
+                tokio::select! {
+                    biased;
+                    ended = connection => ended.map_err(Failure::from),
+                    _ = link.seat().evicted() => {
+                        link.reset();
+                        return;
+                    }
+                }
+            }
+            Close::Stalled => {
+                link.reset();
+                return;
             }
             Close::HeadTimedOut => Err(Failure {
                 cause: "head_timeout",
@@ -306,6 +346,8 @@
     Gracefully,
     /// A head began to arrive and did not end in time.
     HeadTimedOut,
+    /// The caller sends a body or reads a response too slowly.
+    Stalled,
 }
 
 /// Waits until a connection must be closed by the limits in force, which may change meanwhile, or
@@ -320,7 +362,16 @@
         let is_closing = closing.as_ref().is_some_and(|closing| *closing.borrow());
         let remaining = match link.phase() {
             Phase::Request if is_closing => return Close::Gracefully,
-            Phase::Request => LIMITS_INTERVAL,
+            Phase::Request => match link.seat().check() {
+                Check::After(remaining) => remaining,
+                Check::Close(_) if link.has_unread_bytes() && !link.is_write_blocked() => {
+                    POLL_INTERVAL
+                }
+                Check::Close(cause) => {
+                    link.seat().on_closed(cause);
+                    return Close::Stalled;
+                }
+            },
             Phase::Head(since) => {
                 let remaining = limits.head_timeout.saturating_sub(now().since(since));
                 match (remaining.is_zero(), link.has_unread_bytes()) {
@@ -388,22 +439,37 @@
 where
     Adapter: Platform,
 {
+    let capacity = shared.settings.limits.machine().administration();
+    let callers = Rc::new(Callers::new(capacity, shared.metrics.clone()));
     loop {
         let Ok((socket, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_BACK_OFF).await;
             continue;
         };
+        callers.report(now());
+        let Some(seat) = callers.admit() else {
+            continue;
+        };
         let shared = Rc::clone(&shared);
         tokio::task::spawn_local(async move {
             let service = service_fn(|request: Request<Incoming>| {
                 let response = admin_response(&shared, request.uri().path());
+                seat.on_served();
+                seat.begin(Activity::Idle);
                 async move { Ok::<_, Infallible>(response) }
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
+                .header_read_timeout(ADMIN_HEAD_TIMEOUT)
+                .max_buf_size(MIN_HEAD_BYTES)
                 .serve_connection(TokioIo::new(socket), service);
-            if let Err(error) = connection.await {
-                log::debug!("connection of an operator failed: {error}");
+            tokio::select! {
+                ended = tokio::time::timeout(ADMIN_TIMEOUT, connection) => {
+                    if let Ok(Err(error)) = ended {
+                        log::debug!("connection of an operator failed: {error}");
+                    }
+                }
+                _ = seat.evicted() => {}
             }
         });
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -27,6 +27,7 @@
 use types::{Domain, Model, Service, Store, Target, Time};
 
 use crate::cache::Duty;
+use crate::callers::Callers;
 use crate::connection;
 use crate::discovery::Discovery;
 use crate::dispatch::Dispatch;
@@ -58,6 +59,8 @@
     pub(crate) connections: RefCell<connection::Pool>,
     /// The memory budget of unfinished messages of all requests.
     pub(crate) buffers: Rc<RefCell<Buffers>>,
+    /// The connections of callers and what they hold.
+    pub(crate) callers: Rc<Callers>,
     /// The number of entries that share the quotas, including this one.
     pub(crate) entry_count: Cell<usize>,
     /// Whether the registered entries have been read at least once.
@@ -135,6 +138,7 @@
             extra: bounds.retry_extra,
         };
         let buffers = Buffers::new(settings.limits.buffer_bytes());
+        let callers = Callers::new(settings.limits.machine().callers(), metrics.clone());
         let discovery = Discovery::new(settings.drain_limit());
         Self {
             settings,
@@ -154,6 +158,7 @@
             prefill_rate: Cell::default(),
             connections: RefCell::default(),
             buffers: Rc::new(RefCell::new(buffers)),
+            callers: Rc::new(callers),
             entry_count: Cell::new(1),
             is_counted: Cell::new(false),
             registered: RefCell::default(),
