caller: a head that begins while a response is unread stays a head

Cause: when the rest of a response had been written, the connection was taken for idle even if the head of the next request had begun, so that the rest of the head was not counted.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -191,10 +191,12 @@
         }
         self.seat.on_written(bytes);
         self.unblocked.notify_waiters();
-        self.seat.begin(match self.requests.get() {
-            0 => Activity::Idle,
-            _ => Activity::Serving,
-        });
+        self.seat
+            .begin(match (self.requests.get(), self.head_since.get()) {
+                (0, None) => Activity::Idle,
+                (0, Some(_)) => Activity::Head,
+                _ => Activity::Serving,
+            });
     }
 
     /// Makes the close of the connection discard what the caller has not read.
