daemon: close callers that exhaust memory or descriptors

Cause: boragereeld bounded each body at 8 MiB and 15 s, but neither the bodies of all callers together nor their connections; the admin endpoint had no limit on heads, connections or idle time at all.

The daemon uses fleet::callers as the gateway does, with an account for callers and one for the admin endpoint, which the same server now serves. New settings: limits.memory_mb, limits.descriptors and limits.caller_connections. The account is behind a mutex, since the daemon has several threads.

Not measured: the memory of a boragereeld under a crowd.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -1,19 +1,24 @@
 //! The HTTP endpoint of a process for operators: metrics, readiness and status.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use fleet::callers::Capacity;
 use platform::{Commit, Table, Write};
 use serde::Deserialize;
 use serde_json::Value;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use types::{Model, Team};
 use warp::http::StatusCode;
 use warp::{Filter, Reply};
 
+use crate::callers::Callers;
 use crate::control::View;
 use crate::metrics::Metrics;
+use crate::server;
 
 /// What a process reports about itself to operators.
 pub trait Report: Send + Sync + 'static {
@@ -86,6 +91,7 @@
     address: SocketAddr,
     metrics: Metrics,
     source: Arc<Source>,
+    capacity: Capacity,
 ) -> std::io::Result<SocketAddr>
 where
     Source: Report,
@@ -114,12 +120,34 @@
                 None => StatusCode::NOT_FOUND.into_response(),
             })
     };
+    let callers = Callers::new(capacity, metrics.clone());
+    let counters = metrics.clone();
     let metrics = warp::path!("metrics").map(move || {
         metrics.ready.set(source.is_ready().into());
         metrics.render().into_response()
     });
     let routes = warp::get().and(ready.or(status).unify().or(metrics).unify());
     let routes = routes.or(explain).unify();
-    tokio::spawn(warp::serve(routes).incoming(listener).run());
+    let routes = routes.recover(async |rejection: warp::Rejection| {
+        let status = match rejection.is_not_found() {
+            true => StatusCode::NOT_FOUND,
+            false => StatusCode::BAD_REQUEST,
+        };
+        Ok::<_, Infallible>(status.into_response())
+    });
+    let refusal = |_: &Metrics| StatusCode::SERVICE_UNAVAILABLE.into_response();
+    tokio::spawn(async move {
+        // The endpoint is served until the process ends.
+        let (_running, stopped) = watch::channel(false);
+        server::run(
+            listener,
+            routes.unify(),
+            callers,
+            refusal,
+            counters,
+            stopped,
+        )
+        .await;
+    });
     Ok(address)
 }
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -158,7 +158,13 @@
         target,
         rollout,
     });
-    let admin = crate::admin::spawn(settings.admin_address, metrics, Arc::clone(&shared)).await?;
+    let admin = crate::admin::spawn(
+        settings.admin_address,
+        metrics,
+        Arc::clone(&shared),
+        settings.limits.machine().administration(),
+    )
+    .await?;
     crate::admin::register(Arc::clone(&shared.view), &settings.name, admin);
     tokio::spawn(accept(listener, shared));
     Ok(Agent {
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -17,6 +17,7 @@
 use super::relay::{self, Job, Output};
 use super::reply::{collect, json, refuse, stream};
 use super::{Shared, body, call, limit};
+use crate::callers::{Reservation, Seat};
 
 /// The maximum length of an idempotency key.
 const MAX_KEY_BYTES: usize = 256;
@@ -44,19 +45,31 @@
         .and(warp::post())
         .and(shared.clone())
         .and(warp::header::headers_cloned())
+        .and(warp::ext::get::<Arc<Seat>>())
         .and(warp::body::stream())
-        .then(async |shared: Arc<Shared>, headers: HeaderMap, body| {
-            let response = chat(&shared, &headers, body).await;
-            response.unwrap_or_else(|refusal| refuse(&shared.metrics, &refusal))
-        });
+        .then(
+            async |shared: Arc<Shared>, headers: HeaderMap, seat: Arc<Seat>, body| {
+                let mut memory = Reservation::new(&seat);
+                let response = chat(&shared, &headers, body, &mut memory).await;
+                response.unwrap_or_else(|refusal| refuse(&shared.metrics, &refusal))
+            },
+        );
     let call = warp::path!("v1" / "services" / String / String)
         .and(warp::post())
         .and(shared.clone())
         .and(warp::header::headers_cloned())
+        .and(warp::ext::get::<Arc<Seat>>())
         .and(warp::body::stream())
         .then(
-            async |service, call, shared: Arc<Shared>, headers: HeaderMap, body| {
-                let response = call_service(&shared, &headers, service, call, body).await;
+            async |service,
+                   call,
+                   shared: Arc<Shared>,
+                   headers: HeaderMap,
+                   seat: Arc<Seat>,
+                   body| {
+                let mut memory = Reservation::new(&seat);
+                let target = (service, call);
+                let response = call_service(&shared, &headers, target, body, &mut memory).await;
                 response.unwrap_or_else(|refusal| refuse(&shared.metrics, &refusal))
             },
         );
@@ -101,13 +114,14 @@
     shared: &Arc<Shared>,
     headers: &HeaderMap,
     body: Body,
+    memory: &mut Reservation,
 ) -> Result<Response, Refusal>
 where
     Body: Stream<Item = Result<Chunk, warp::Error>>,
     Chunk: Buf,
 {
     let caller = admit(shared, headers)?;
-    let body = body::read(headers, body).await?;
+    let body = body::read(headers, body, memory).await?;
     let chat: Chat = serde_json::from_slice(&body)
         .map_err(|error| Refusal::caller(400, "invalid", &format!("the body: {error}")))?;
     if let Some(problem) = chat.find_problem() {
@@ -180,9 +194,9 @@
 async fn call_service<Body, Chunk>(
     shared: &Shared,
     headers: &HeaderMap,
-    service: String,
-    call: String,
+    (service, call): (String, String),
     body: Body,
+    memory: &mut Reservation,
 ) -> Result<Response, Refusal>
 where
     Body: Stream<Item = Result<Chunk, warp::Error>>,
@@ -199,7 +213,7 @@
         let message = "call: accepted are letters, digits, _ and -";
         return Err(Refusal::caller(400, "invalid", message));
     }
-    let body = body::read(headers, body).await?;
+    let body = body::read(headers, body, memory).await?;
     let body = std::str::from_utf8(&body)
         .map_err(|_error| Refusal::caller(400, "invalid", "the body is not UTF-8"))?;
     let (service, call) = (Service::from(service), types::Call::from(call));
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -11,7 +11,6 @@
 mod relay;
 mod reply;
 mod route;
-mod server;
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -22,11 +21,14 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use wire::{Client, Handle, Keys, Listener};
+use types::Verdict;
+use wire::{Client, Handle, Keys, Listener, Reason};
 
 use crate::admin::{Query, Report};
+use crate::callers::Callers;
 use crate::control::View;
 use crate::metrics::Metrics;
+use crate::server;
 use crate::settings::{Role, Settings};
 use load::Loads;
 use route::Routes;
@@ -79,6 +81,7 @@
         return Err(Error::Role);
     };
     let metrics = Metrics::new();
+    let machine = settings.limits.machine();
     let keys = settings.keys();
     let listener = Listener::bind(settings.peer_address, keys.clone()).await?;
     let (peer, peer_listener) = (listener.address(), listener.handle());
@@ -101,12 +104,25 @@
     shared
         .routes
         .watch(Arc::clone(&shared.view), shared.region.clone());
-    let admin = crate::admin::spawn(settings.admin_address, metrics, Arc::clone(&shared)).await?;
+    let admin = crate::admin::spawn(
+        settings.admin_address,
+        metrics.clone(),
+        Arc::clone(&shared),
+        machine.administration(),
+    )
+    .await?;
     crate::admin::register(Arc::clone(&shared.view), &settings.name, admin);
     let socket = listen(*http_address)?;
     let http = socket.local_addr()?;
     let (stop, stopped) = watch::channel(false);
-    let server_task = tokio::spawn(server::run(socket, http::routes(shared), stopped));
+    let server_task = tokio::spawn(server::run(
+        socket,
+        http::routes(shared),
+        Callers::new(machine.callers(), metrics.clone()),
+        refuse_busy,
+        metrics,
+        stopped,
+    ));
     Ok(Entry {
         http,
         admin,
@@ -117,6 +133,12 @@
     })
 }
 
+/// Refuses a request for whose head there is no memory.
+fn refuse_busy(metrics: &Metrics) -> warp::reply::Response {
+    let refusal = api::Refusal::system(Reason::Full, Verdict::NotRun, body::BUSY_RETRY_MS);
+    reply::refuse(metrics, &refusal)
+}
+
 /// The maximum number of connections that wait to be accepted; tokio's default.
 const ACCEPT_BACKLOG: u32 = 1024;
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,9 +6,11 @@
 
 pub mod admin;
 pub mod agent;
+mod callers;
 pub mod control;
 pub mod entry;
 pub mod metrics;
+mod server;
 pub mod settings;
 
 use std::sync::LazyLock;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -23,6 +23,8 @@
     pub requests: IntCounterVec,
     /// Refusals by reason.
     pub refusals: IntCounterVec,
+    /// Callers' connections that were closed or refused for want of room or progress, by cause.
+    pub closed_callers: IntCounterVec,
     /// Tokens relayed to callers.
     pub relayed_tokens: IntCounter,
     /// Time to first token, in seconds.
@@ -91,6 +93,11 @@
             .expect("the name is unique");
         Self {
             requests: counters("boragereel_requests_total", "requests by kind", "kind"),
+            closed_callers: counters(
+                "boragereel_closed_callers_total",
+                "callers' connections closed or refused for want of room or progress, by cause",
+                "cause",
+            ),
             refusals: counters("boragereel_refusals_total", "refusals by reason", "reason"),
             relayed_tokens: counter("boragereel_tokens_relayed_total", "tokens passed on"),
             first_token,
--- a/crates/daemon/src/entry/server.rs
+++ b/crates/daemon/src/server.rs
@@ -1,6 +1,10 @@
 use std::convert::Infallible;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use http::Request;
+use hyper::body::Incoming;
+use hyper::service::{Service, service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::GracefulShutdown;
@@ -10,6 +14,9 @@
 use warp::Filter;
 use warp::reply::Response;
 
+use crate::callers::{self, Callers, Io};
+use crate::metrics::Metrics;
+
 /// How long a caller may take to send the head of a request; an idle connection is closed after the
 /// same time.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
@@ -25,29 +32,62 @@
 /// it.
 ///
 /// warp's own server has no timeout for the head of a request.
-pub(super) async fn run<Routes>(
+pub(crate) async fn run<Routes>(
     listener: TcpListener,
     routes: Routes,
+    callers: Arc<Callers>,
+    refusal: fn(&Metrics) -> Response,
+    metrics: Metrics,
     mut stopped: watch::Receiver<bool>,
 ) where
     Routes: Filter<Extract = (Response,), Error = Infallible> + Clone + Send + Sync + 'static,
     Routes::Future: Send,
 {
+    let metrics = Arc::new(metrics);
     let connections = GracefulShutdown::new();
     let mut builder = Builder::new(TokioExecutor::new()).http1_only();
     builder
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
+        .max_headers(fleet::callers::max_fields(MAX_HEAD_BYTES))
         .max_buf_size(MAX_HEAD_BYTES);
     let serve = |socket: TcpStream| {
+        // Dropping the socket closes the connection.
+        let Some(seat) = callers.admit() else {
+            return;
+        };
         let _ = socket.set_nodelay(true);
-        let service = TowerToHyperService::new(warp::service(routes.clone()));
+        let routes = TowerToHyperService::new(warp::service(routes.clone()));
         let (builder, watcher) = (builder.clone(), connections.watcher());
+        let metrics = Arc::clone(&metrics);
         tokio::spawn(async move {
-            let connection = builder.serve_connection(TokioIo::new(socket), service);
-            if let Err(error) = watcher.watch(connection).await {
-                log::debug!("a caller's connection broke: {error}");
+            let service = service_fn(|mut request: Request<Incoming>| {
+                let in_progress = seat.request(request.headers().len());
+                request.extensions_mut().insert(Arc::clone(&seat));
+                let response = in_progress.map(|in_progress| (in_progress, routes.call(request)));
+                let metrics = Arc::clone(&metrics);
+                async move {
+                    let Some((in_progress, response)) = response else {
+                        return Ok(refusal(&metrics).map(|body| callers::Body::new(body, None)));
+                    };
+                    let response = response.await?;
+                    if response.status().is_success() {
+                        in_progress.on_served();
+                    }
+                    let in_progress = Some(in_progress);
+                    Ok::<_, Infallible>(response.map(|body| callers::Body::new(body, in_progress)))
+                }
+            });
+            let io = TokioIo::new(Io::new(socket, Arc::clone(&seat)));
+            let connection = watcher.watch(builder.serve_connection(io, service));
+            tokio::select! {
+                ended = connection => {
+                    if let Err(error) = ended {
+                        log::debug!("a caller's connection broke: {error}");
+                    }
+                }
+                () = seat.closed() => {}
             }
         });
     };
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -6,6 +6,8 @@
 use std::path::Path;
 
 use displaydoc::Display;
+use fleet::callers::Machine;
+use rustix::process::{Resource, getrlimit};
 use serde::Deserialize;
 use types::{Domain, Host, Model, Region, Service, Store, Target};
 use wire::{Key, Keys};
@@ -42,10 +44,46 @@
     /// within this time.
     #[serde(default = "default_abandon_ms")]
     pub abandon_ms: u64,
+    /// What the process may use.
+    #[serde(default)]
+    pub limits: Limits,
     /// The role of the process.
     pub role: Role,
 }
 
+/// What a process may use.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// The memory of the process in MB.
+    pub memory_mb: f64,
+    /// The number of file descriptors that the process may open; by default the limit that the
+    /// operating system sets for it.
+    pub descriptors: Option<usize>,
+    /// The number of connections of callers; by default derived from the descriptors.
+    pub caller_connections: Option<usize>,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            memory_mb: 1024.0,
+            descriptors: None,
+            caller_connections: None,
+        }
+    }
+}
+
+impl Limits {
+    /// Returns what callers can exhaust.
+    #[must_use]
+    pub fn machine(&self) -> Machine {
+        let system = || usize::try_from(getrlimit(Resource::Nofile).current?).ok();
+        let descriptors = self.descriptors.or_else(system);
+        Machine::new(self.memory_mb, descriptors, self.caller_connections)
+    }
+}
+
 fn default_abandon_ms() -> u64 {
     30_000
 }
--- a/crates/fleet/src/callers/capacity.rs
+++ b/crates/fleet/src/callers/capacity.rs
@@ -37,6 +37,16 @@
 const MIN_CONNECTIONS: usize = 8;
 
 impl Machine {
+    /// Describes a machine by its settings; without a number of descriptors there is no limit.
+    #[must_use]
+    pub fn new(memory_mb: f64, descriptors: Option<usize>, connections: Option<usize>) -> Self {
+        Self {
+            memory_bytes: (memory_mb * 1e6) as usize,
+            descriptors: descriptors.unwrap_or(usize::MAX),
+            connections,
+        }
+    }
+
     /// Returns what callers may occupy. A third of the sockets remains for targets, other entries,
     /// the store and administration.
     #[must_use]
--- a/crates/fleet/src/callers/mod.rs
+++ b/crates/fleet/src/callers/mod.rs
@@ -259,6 +259,13 @@
         self.shrink(id, head.saturating_sub(READ_BUFFER_BYTES));
     }
 
+    /// Returns what a connection does.
+    #[must_use]
+    pub fn activity(&self, id: Id) -> Option<Activity> {
+        let seat = self.seats.get(id.0)?.as_ref()?;
+        Some(seat.standing.activity)
+    }
+
     /// Records that a target has answered a request on the connection.
     pub fn on_served(&mut self, id: Id) {
         if let Some(Some(seat)) = self.seats.get_mut(id.0)
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -86,13 +86,9 @@
     /// Returns what callers can exhaust.
     #[must_use]
     pub fn machine(&self) -> Machine {
-        let system = || getrlimit(Resource::Nofile).current;
-        let descriptors = self.descriptors.or_else(|| usize::try_from(system()?).ok());
-        Machine {
-            memory_bytes: (self.memory_mb * 1e6) as usize,
-            descriptors: descriptors.unwrap_or(usize::MAX),
-            connections: self.caller_connections,
-        }
+        let system = || usize::try_from(getrlimit(Resource::Nofile).current?).ok();
+        let descriptors = self.descriptors.or_else(system);
+        Machine::new(self.memory_mb, descriptors, self.caller_connections)
     }
 }
 
