--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod backoff;
 pub mod buffers;
 pub mod cache;
+pub mod callers;
 pub mod catalog;
 pub mod cell;
 pub mod cold;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -28,6 +28,7 @@
 use types::{Domain, Model, Service, Store, Target, Time};
 
 use crate::cache::Duty;
+use crate::callers::Callers;
 use crate::clock::now;
 use crate::connection;
 use crate::discovery::Discovery;
@@ -61,6 +62,8 @@
     pub(crate) connections: RefCell<connection::Pool>,
     /// The memory budget of unfinished messages of all requests.
     pub(crate) buffers: Rc<RefCell<Buffers>>,
+    /// The connections of callers and what they hold.
+    pub(crate) callers: Rc<Callers>,
     /// The number of entries that share the quotas, including this one.
     pub(crate) entry_count: Cell<usize>,
     /// Whether the registered entries have been read at least once.
@@ -138,6 +141,7 @@
             extra: bounds.retry_extra,
         };
         let buffers = Buffers::new(settings.limits.buffer_bytes());
+        let callers = Callers::new(settings.limits.machine().callers(), metrics.clone());
         let discovery = Discovery::new(settings.drain_limit());
         let ledger = cold::Ledger::new(&settings.name, now());
         Self {
@@ -159,6 +163,7 @@
             prefill_rate: Cell::default(),
             connections: RefCell::default(),
             buffers: Rc::new(RefCell::new(buffers)),
+            callers: Rc::new(callers),
             entry_count: Cell::new(1),
             is_counted: Cell::new(false),
             registered: RefCell::default(),
