dispatcher: backlog, prefill time and forecast by the rate of each target

Cause: the forecast of a slow target passed while its entries still reported 8,000 to 16,000 unread tokens there; MIN_BACKLOG then made it 10 ms, and the target got another prompt.

Change: the dispatcher feeds its Rates with the load reports of all entries and its own; apply_grants takes the larger of the forecast and the backlog by the reports. A target that restarts under its name starts anew; the state of targets that left the roster is dropped, which nothing did before. New metric boragereel_target_read_tokens_per_ms.

--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -13,7 +13,7 @@
 use crate::cell::Cell;
 use crate::namespace::Scope;
 use crate::placement::{Candidate, Load, best};
-use crate::prefill::Rate;
+use crate::prefill::{Rate, Rates};
 use crate::queue::{Decision, Queues, Ticket};
 
 /// The identifier of a placement request.
@@ -101,7 +101,7 @@
     /// part of the reported loads.
     grants: HashMap<Id, Grant>,
     forecasts: HashMap<Target, Forecast>,
-    prefill_rate: Rate,
+    rates: Rates,
 }
 
 #[derive(Debug)]
@@ -151,8 +151,7 @@
 /// How long before the end of its prefill backlog a target gets its next prompt: the time to report
 /// a first token and to send the next request.
 const MAX_BACKLOG: Duration = Duration::from_millis(25);
-/// The minimum remaining backlog assumed for a target whose reported prompts take longer than
-/// expected.
+/// The minimum remaining backlog assumed for a target with reported prompts.
 const MIN_BACKLOG: Duration = Duration::from_millis(10);
 /// How long a grant is remembered, so that a retransmitted request gets the same target.
 const GRANT_TTL: Duration = Duration::from_millis(1000);
@@ -222,9 +221,27 @@
         Reply::Queued
     }
 
-    /// Sets the prefill rate of the targets.
+    /// Sets the prefill rate of targets of which nothing is known.
     pub fn on_prefill_rate(&mut self, prefill_rate: Rate) {
-        self.prefill_rate = prefill_rate;
+        self.rates.on_prior(prefill_rate);
+    }
+
+    /// Records the reported tokens of all prompts at a target that have no first token yet, and
+    /// whether one had its first token since the last report.
+    pub fn on_load(&mut self, target: &Target, unread: u64, is_first_token: bool, now: Time) {
+        self.rates.on_load(target, unread, is_first_token, now);
+    }
+
+    /// Forgets what was observed of a target that has restarted under its name.
+    pub fn on_restart(&mut self, target: &Target) {
+        self.forecasts.remove(target);
+        self.rates.on_restart(target);
+    }
+
+    /// Returns the prefill rates of the targets.
+    #[must_use]
+    pub fn rates(&self) -> &Rates {
+        &self.rates
     }
 
     /// Drops a request whose caller has disconnected or whose entry has given up.
@@ -355,6 +372,7 @@
         Known: Fn(&Target) -> bool,
     {
         self.forecasts.retain(|target, _| known(target));
+        self.rates.retain(known);
     }
 
     /// Places the first queued request for which a target is free.
@@ -420,13 +438,15 @@
     fn apply_grants(&self, offers: &mut [Offer], now: Time) {
         for offer in offers {
             let candidate = &mut offer.candidate;
+            let reported = candidate.load.prefill_tokens;
             let grants = self.grants.values();
             for grant in grants.filter(|grant| !grant.acknowledged && grant.target == offer.target)
             {
                 candidate.load.add(&grant.load);
             }
-            let load = candidate.load;
-            candidate.backlog = match load.prefill_tokens {
+            let estimate = self.rates.estimate(&offer.target, now);
+            candidate.prefill_time = estimate.duration(candidate.prefill_tokens);
+            candidate.backlog = match candidate.load.prefill_tokens {
                 0 => Duration::ZERO,
                 tokens => {
                     let forecast = self
@@ -434,10 +454,10 @@
                         .get(&offer.target)
                         .copied()
                         .unwrap_or_default();
-                    let remaining = forecast.free_at.since(now);
-                    self.prefill_rate
-                        .duration(tokens)
-                        .min(remaining.max(MIN_BACKLOG))
+                    let forecast = forecast.free_at.since(now).max(MIN_BACKLOG);
+                    let unreported = estimate.duration(tokens.saturating_sub(reported));
+                    let observed = estimate.backlog(reported) + unreported;
+                    estimate.duration(tokens).min(forecast.max(observed))
                 }
             };
         }
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -105,7 +105,13 @@
                 random,
             );
             evaluated.candidate.load = load;
-            evaluated.candidate.backlog = shared.prefill_rate.get().duration(load.prefill_tokens);
+            let estimate = {
+                let dispatcher = shared.dispatch.dispatcher.borrow();
+                dispatcher.rates().estimate(&evaluated.member.id, time)
+            };
+            evaluated.candidate.backlog = estimate.duration(load.prefill_tokens);
+            evaluated.candidate.prefill_time =
+                estimate.duration(evaluated.candidate.prefill_tokens);
             // Requests of a session prefer the same target, which has probably cached their
             // segments.
             if Some(index) == affinity {
--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -4,6 +4,7 @@
 
 use fleet::dispatcher::{Id, Reply, Request};
 use fleet::gossip::Update;
+use fleet::placement::Load;
 use types::{Target, Time};
 
 use super::request_id;
@@ -127,6 +128,24 @@
     }
 }
 
+/// Records the loads of targets for their prefill rates; `heard` lists those that have sent a first
+/// token.
+pub(super) fn observe<Adapter>(
+    shared: &Shared<Adapter>,
+    loads: &[(Target, Load)],
+    heard: &[Target],
+) {
+    let (tracker, peers) = (shared.tracker.borrow(), shared.peers.borrow());
+    let mut dispatcher = shared.dispatch.dispatcher.borrow_mut();
+    let time = now();
+    for (target, _) in loads {
+        let own = tracker.load(target).prefill_tokens;
+        let reported = peers.reported_load(target).prefill_tokens;
+        let unread = own.saturating_add(reported);
+        dispatcher.on_load(target, unread, heard.contains(target), time);
+    }
+}
+
 fn on_update<Adapter>(shared: &Rc<Shared<Adapter>>, update: &Update, time: Time) {
     let dispatch = &shared.dispatch;
     {
@@ -147,9 +166,13 @@
         });
         idle.map(|(target, _)| target.clone()).collect()
     };
+    // Other changes since the last report, such as the end of an entry, are not first tokens.
+    observe(shared, &update.loads, &[]);
     if shared.peers.borrow_mut().on_update(update, time) {
         let mut tracker = shared.tracker.borrow_mut();
         idle.iter().for_each(|target| tracker.on_busy(target, time));
+        drop(tracker);
+        observe(shared, &update.loads, &update.heard);
     }
     let mut tracker = shared.tracker.borrow_mut();
     for target in &update.heard {
--- a/crates/gateway/src/dispatch/report.rs
+++ b/crates/gateway/src/dispatch/report.rs
@@ -5,6 +5,7 @@
 use fleet::gossip::Update;
 use types::Target;
 
+use super::dispatcher::observe;
 use super::{Unreported, send};
 use crate::adapter::Platform;
 use crate::packet::Message;
@@ -66,7 +67,9 @@
         updates.entry(dispatcher).or_default().acknowledged = sequences;
     }
     // The loads of this entry are in its own tracker.
-    updates.remove(&shared.settings.name);
+    if let Some(own) = updates.remove(&shared.settings.name) {
+        observe(shared, &own.loads, &own.heard);
+    }
     for update in updates.values_mut() {
         update.from.clone_from(&shared.settings.name);
         update.incarnation = dispatch.incarnation;
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -3,7 +3,7 @@
 
 use fleet::discovery::Action;
 use fleet::restoration::LIST_SETTLE_TIME;
-use fleet::roster::Member;
+use fleet::roster::{Member, Record};
 use types::{Revision, Target, Time};
 
 use crate::adapter::{Batch, Change, List, Platform};
@@ -443,11 +443,16 @@
 pub(crate) fn upsert<Adapter>(shared: &Shared<Adapter>, member: Member, time: Time) -> bool {
     let mut roster = shared.roster.borrow_mut();
     let known = roster.get(&member.id).map(|record| Rc::new(record.clone()));
-    let changed = known.is_none_or(|known| {
+    let changed = known.as_ref().is_none_or(|known| {
         known.member.draining != member.draining
             || known.member.weights != member.weights
             || known.member.started_ms != member.started_ms
     });
+    let has_restarted = |known: &Record| known.member.started_ms != member.started_ms;
+    if known.as_deref().is_some_and(has_restarted) {
+        let mut dispatcher = shared.dispatch.dispatcher.borrow_mut();
+        dispatcher.on_restart(&member.id);
+    }
     if changed {
         Event::new("target")
             .with("target", &*member.id)
@@ -518,6 +523,14 @@
         shared.connections.borrow_mut().retain(known, time);
         shared.tracker.borrow_mut().retain(known);
         shared.ramp.borrow_mut().retain(known);
+        let mut dispatcher = shared.dispatch.dispatcher.borrow_mut();
+        dispatcher.retain(known);
+        let spread = dispatcher.rates().spread().unwrap_or_default();
+        drop(dispatcher);
+        for (quantile, rate) in ["lowest", "median", "highest"].iter().zip(spread) {
+            let rates = &shared.metrics.target_rates;
+            rates.with_label_values(&[quantile]).set(rate);
+        }
         let age = shared
             .evidence
             .get()
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -45,6 +45,9 @@
     pub(crate) queued: IntGauge,
     /// The observed prefill rate of engines in tokens per millisecond.
     pub(crate) prefill_rate: Gauge,
+    /// The lowest, median and highest prefill rate of the targets of this entry's cells, in tokens
+    /// per millisecond.
+    pub(crate) target_rates: GaugeVec,
     /// The version of the configuration in force.
     pub(crate) config_version: IntGauge,
     /// Age of the freshness evidence for the configuration in milliseconds.
@@ -94,6 +97,14 @@
             "tokens of prompts that engines read in a millisecond",
         )?;
         registry.register(Box::new(prefill_rate.clone()))?;
+        let target_rates = GaugeVec::new(
+            Opts::new(
+                "boragereel_target_read_tokens_per_ms",
+                "tokens that the targets of this entry's cells read in a millisecond",
+            ),
+            &["quantile"],
+        )?;
+        registry.register(Box::new(target_rates.clone()))?;
         let fetch_share = GaugeVec::new(
             Opts::new(
                 "boragereel_fetch_share",
@@ -157,6 +168,7 @@
                 "requests of all entries that wait for a place in the cells of this one",
             )?,
             prefill_rate,
+            target_rates,
             config_version: gauge("boragereel_config_version", "configuration in force")?,
             evidence_age: gauge(
                 "boragereel_proof_age_ms",
