--- a/crates/fleet/src/prefill.rs
+++ b/crates/fleet/src/prefill.rs
@@ -139,6 +139,8 @@
     finished: Option<Time>,
     /// Tokens of short prompts that were finished since.
     short_tokens: u64,
+    /// Since when the tokens of the known prompts exceed the reported ones.
+    exceeded_since: Option<Time>,
     normal: Average,
     recent: Average,
     /// When `recent` was last updated.
@@ -160,6 +162,8 @@
 const SLOW_SHARE: f64 = 0.75;
 /// The lowest recent rate as a share of the normal one. Below, reports are missing.
 const MIN_SHARE: f64 = 0.25;
+/// How late a report may be that a gossip message makes up for.
+const REPORT_DELAY: Duration = Duration::from_millis(700);
 /// The range of plausible rates of one prompt, as multiples of the rate of all targets.
 const PLAUSIBLE_SHARES: (f64, f64) = (0.1, 4.0);
 /// Prompts with at least this many tokens to prefill take long enough to be measured.
@@ -193,6 +197,13 @@
     /// before, `is_first_token` says whether this is due to a first token; otherwise a request has
     /// failed, its entry is gone, or a report was lost.
     pub fn on_load(&mut self, target: &Target, unread: u64, is_first_token: bool, now: Time) {
+        self.record(target, unread, is_first_token, now);
+        if let Some(meter) = self.meters.get_mut(target) {
+            meter.reconcile(now);
+        }
+    }
+
+    fn record(&mut self, target: &Target, unread: u64, is_first_token: bool, now: Time) {
         if !self.meters.contains_key(target) {
             if unread == 0 {
                 return;
@@ -213,7 +224,9 @@
             if is_first_token {
                 meter.finished = None;
             }
-            if unread > before {
+            // A late report of a prompt that has finished adds nothing.
+            let is_known = meter.sum() > before.saturating_add(MEASURED_TOKENS);
+            if unread > before && !is_known {
                 meter.prompts.push_back(Prompt {
                     tokens: unread - before,
                     sent: now,
@@ -225,12 +238,16 @@
         let removed = before - unread;
         let finished = meter.finished;
         let prompt = meter.remove(removed, is_first_token);
+        // A short prompt hardly counts, and an overtaken one has been accounted for.
+        let counts = removed >= MEASURED_TOKENS && prompt.is_none_or(|prompt| !prompt.overtaken);
         let Some(prompt) = prompt.filter(|_| is_first_token) else {
-            meter.finished = None;
+            if counts {
+                meter.finished = None;
+            }
             return;
         };
         if removed < MEASURED_TOKENS {
-            meter.short_tokens += removed;
+            meter.short_tokens = meter.short_tokens.saturating_add(removed);
             return;
         }
         let short_tokens = std::mem::take(&mut meter.short_tokens);
@@ -241,7 +258,10 @@
         let waiting_since = prompt.sent + base;
         let measured = finished.filter(|finished| waiting_since <= *finished);
         let (tokens, ms) = match measured {
-            Some(finished) => ((removed + short_tokens) as f64, millis(now.since(finished))),
+            Some(finished) => (
+                removed.saturating_add(short_tokens) as f64,
+                millis(now.since(finished)),
+            ),
             None => (removed as f64, millis(now.since(waiting_since))),
         };
         let expected = meter.normal.rate(all, NORMAL_PRIOR_MS);
@@ -375,8 +395,31 @@
 }
 
 impl Meter {
-    /// Removes the prompt with this number of tokens. After a report that combines several changes
-    /// there is none; then the oldest prompts are dropped that are not part of the load.
+    /// Returns the tokens of the known prompts. They exceed the reported ones after a report that
+    /// combines several changes, and before a late report of a prompt that has finished.
+    fn sum(&self) -> u64 {
+        let tokens = self.prompts.iter().map(|prompt| prompt.tokens);
+        tokens.fold(0, u64::saturating_add)
+    }
+
+    /// Drops the oldest prompts if those known have exceeded the reported ones for too long.
+    fn reconcile(&mut self, now: Time) {
+        let mut sum = self.sum();
+        if sum <= self.unread {
+            self.exceeded_since = None;
+            return;
+        }
+        if now.since(*self.exceeded_since.get_or_insert(now)) < REPORT_DELAY {
+            return;
+        }
+        while sum > self.unread
+            && let Some(dropped) = self.prompts.pop_front()
+        {
+            sum = sum.saturating_sub(dropped.tokens);
+        }
+    }
+
+    /// Removes the prompt with this number of tokens, if it is known.
     fn remove(&mut self, tokens: u64, is_first_token: bool) -> Option<Prompt> {
         let index = self
             .prompts
@@ -391,12 +434,6 @@
                 prompt.overtaken = true;
             }
         }
-        let mut sum: u64 = self.prompts.iter().map(|prompt| prompt.tokens).sum();
-        while sum > self.unread
-            && let Some(dropped) = self.prompts.pop_front()
-        {
-            sum -= dropped.tokens;
-        }
         removed
     }
 
