gateway: report only real events to the dispatchers

Cause: the end of a request that had no event yet was reported to the dispatchers as an event of its target, also if the target had failed or refused it, or was silent until the caller left. The dispatchers then took the target for alive, and forgot its failures, so that its back-off never grew. Found while looking for requests that wait at silent targets.

The end of a request now only changes the load.

--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -67,6 +67,18 @@
         }
     }
 
+    /// Ends the prefill, also of a request that got no event. Returns whether it was prefilling.
+    fn end_prefill(&mut self) -> bool {
+        let was_prefilling = std::mem::take(&mut self.prefilling);
+        if was_prefilling {
+            let mut tracker = self.shared.tracker.borrow_mut();
+            tracker.on_first_token(&self.target, self.prefill_tokens);
+            drop(tracker);
+            self.finish_fetches();
+        }
+        was_prefilling
+    }
+
     fn finish_fetches(&mut self) {
         let mut index = self.shared.cache_index.borrow_mut();
         for (store, key) in self.fetches.drain(..) {
@@ -76,12 +88,8 @@
 
     /// Records the first event of the response.
     pub(crate) fn on_first_event(&mut self) {
-        if std::mem::take(&mut self.prefilling) {
-            let mut tracker = self.shared.tracker.borrow_mut();
-            tracker.on_first_token(&self.target, self.prefill_tokens);
+        if self.end_prefill() {
             self.shared.dispatch.on_first_event(&self.target);
-            drop(tracker);
-            self.finish_fetches();
         }
     }
 
@@ -92,7 +100,8 @@
 
 impl<Adapter> Drop for InFlight<Adapter> {
     fn drop(&mut self) {
-        self.on_first_event();
+        // It may have ended because the target is silent, so the dispatchers do not hear of an event.
+        self.end_prefill();
         let mut tracker = self.shared.tracker.borrow_mut();
         tracker.on_end(&self.target, self.kv_tokens);
         self.shared.dispatch.on_load(&self.target);
