gateway: limit what entries send without a dispatcher

Cause: until a dispatcher answers, each entry chooses targets itself. A request counted in the load of its target only when its connection was open, so that all requests that arrived in the meantime chose the same target; and no backlog was too long. Ruled out: the dispatchers, which had placed nothing until 35.9 s.

A request now counts from the choice on, and a target is taken only if the request can begin there within the time that it may wait for a dispatcher (`fleet::lateness`); else it waits in the queue of its service or is refused. `requests_that_arrive_together_are_spread` fails without the count, two of three tests of `fleet::lateness` without the limit.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod dispatcher;
 pub mod freshness;
 pub mod gossip;
+pub mod lateness;
 pub mod namespace;
 pub mod placement;
 pub mod prefill;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -22,7 +22,7 @@
 use crate::clock::now;
 use crate::connection::{self, Checkout, Connection, Error};
 use crate::framing::Framing;
-use crate::in_flight::InFlight;
+use crate::in_flight::{Claim, InFlight};
 use crate::logging::describe;
 use crate::reachability;
 use crate::retry::Progress;
@@ -215,6 +215,7 @@
 {
     let at_most_once = !admitted.route.is_retryable();
     loop {
+        let claim = Claim::start(shared, choice);
         let connection = match connect(shared, choice, at_most_once).await {
             Ok(connection) => connection,
             Err(error) => {
@@ -223,6 +224,7 @@
             }
         };
         let reused = connection.reused;
+        drop(claim);
         match exchange(shared, admitted, progress, choice, connection).await {
             // The target closed an idle connection before any byte of the request was sent.
             Outcome::NotRun { sent: false, .. } if reused => {}
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -8,6 +8,7 @@
 use fleet::catalog::Pool;
 use fleet::dispatcher::{Demand, Offer, Request};
 use fleet::gossip::FAN_OUT;
+use fleet::lateness::{self, Limit};
 use fleet::namespace::{Namespace, Scope};
 use fleet::placement::{self, Candidate, Load};
 use fleet::roster::Member;
@@ -72,13 +73,14 @@
     }
 }
 
-/// Chooses a target without a dispatcher.
+/// Chooses a target without a dispatcher, at which the request begins within the limit, if any.
 pub(crate) fn choose<Adapter>(
     shared: &Rc<Shared<Adapter>>,
     admitted: &Admitted,
     service: &Service,
     demand: &Demand,
     last_event: Option<u64>,
+    limit: Option<Limit>,
 ) -> Option<Choice> {
     let time = now();
     let demand = &renewed(shared, admitted, demand);
@@ -105,7 +107,7 @@
                 random,
             );
             evaluated.candidate.load = load;
-            evaluated.candidate.backlog = shared.prefill_rate.get().duration(load.prefill_tokens);
+            evaluated.candidate.backlog = backlog(shared, &evaluated.member.id, load);
             // Requests of a session prefer the same target, which has probably cached their
             // segments.
             if Some(index) == affinity {
@@ -118,7 +120,10 @@
         })
         .collect();
     options.retain(|evaluated| {
-        evaluated.candidate.is_open() && has_connection(shared, &evaluated.member, &pool)
+        let candidate = &evaluated.candidate;
+        candidate.is_open()
+            && limit.is_none_or(|limit| limit.allows(candidate.backlog))
+            && has_connection(shared, &evaluated.member, &pool)
     });
     let candidates: Vec<Candidate> = options
         .iter()
@@ -136,6 +141,14 @@
     ))
 }
 
+/// Returns how long a target is busy with other prefills, as far as this entry knows.
+fn backlog<Adapter>(shared: &Shared<Adapter>, target: &Target, load: Load) -> Duration {
+    let own = shared.tracker.borrow().load(target).prefill_tokens;
+    let entries = shared.entry_count.get();
+    let tokens = lateness::prefill_tokens(own, load.prefill_tokens, entries);
+    shared.prefill_rate.get().duration(tokens)
+}
+
 /// Returns the targets of a cell that are eligible for a request, for its dispatcher.
 pub(crate) fn offers<Adapter>(shared: &Rc<Shared<Adapter>>, request: &Request) -> Vec<Offer> {
     let time = now();
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -108,3 +108,36 @@
         self.shared.capacity_freed.notify_waiters();
     }
 }
+
+/// Counts a request in its target's load while a connection to the target opens, so that requests
+/// that arrive together do not all choose the same target. A grant counts at its dispatcher.
+#[derive(Debug)]
+pub(crate) struct Claim<'choice, Adapter> {
+    shared: &'choice Shared<Adapter>,
+    choice: &'choice Choice,
+}
+
+impl<'choice, Adapter> Claim<'choice, Adapter> {
+    pub(crate) fn start(shared: &'choice Shared<Adapter>, choice: &'choice Choice) -> Option<Self> {
+        if choice.grant.is_some() {
+            return None;
+        }
+        let mut tracker = shared.tracker.borrow_mut();
+        tracker.on_sent(
+            &choice.member.id,
+            choice.prefill_tokens,
+            choice.kv_tokens,
+            now(),
+        );
+        Some(Self { shared, choice })
+    }
+}
+
+impl<Adapter> Drop for Claim<'_, Adapter> {
+    fn drop(&mut self) {
+        let mut tracker = self.shared.tracker.borrow_mut();
+        let target = &self.choice.member.id;
+        tracker.on_first_token(target, self.choice.prefill_tokens);
+        tracker.on_end(target, self.choice.kv_tokens);
+    }
+}
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fleet::catalog::Route;
+use fleet::lateness::Limit;
 use fleet::quarantine::Decision;
 use fleet::queue::{self, Ticket};
 use fleet::shutdown::Stage;
@@ -288,8 +289,14 @@
             return step;
         }
         let demand = choose::demand(shared, admitted, &self.excluded);
-        let Some(choice) = choose::choose(shared, admitted, &self.service, &demand, last_event)
-        else {
+        // One that was sent before is worth sending even if it begins late.
+        let limit = is_first.then(|| Limit {
+            waited: time.since(admitted.arrived),
+            objective: admitted.route.objective,
+        });
+        let service = &self.service;
+        let choice = choose::choose(shared, admitted, service, &demand, last_event, limit);
+        let Some(choice) = choice else {
             if is_first {
                 self.enqueue(shared, admitted);
                 return Step::Wait;
