--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -67,6 +67,18 @@
         }
     }
 
+    /// Ends the prefill, also of a request that got no event. Returns whether it was prefilling.
+    fn end_prefill(&mut self) -> bool {
+        let was_prefilling = std::mem::take(&mut self.prefilling);
+        if was_prefilling {
+            let mut tracker = self.shared.tracker.borrow_mut();
+            tracker.on_first_token(&self.target, self.prefill_tokens);
+            drop(tracker);
+            self.finish_fetches();
+        }
+        was_prefilling
+    }
+
     fn finish_fetches(&mut self) {
         let mut index = self.shared.cache_index.borrow_mut();
         for (store, key) in self.fetches.drain(..) {
@@ -76,12 +88,8 @@
 
     /// Records the first event of the response.
     pub(crate) fn on_first_event(&mut self) {
-        if std::mem::take(&mut self.prefilling) {
-            let mut tracker = self.shared.tracker.borrow_mut();
-            tracker.on_first_token(&self.target, self.prefill_tokens);
+        if self.end_prefill() {
             self.shared.dispatch.on_first_event(&self.target);
-            drop(tracker);
-            self.finish_fetches();
         }
     }
 
@@ -92,10 +100,44 @@
 
 impl<Adapter> Drop for InFlight<Adapter> {
     fn drop(&mut self) {
-        self.on_first_event();
+        // It may have ended because the target is silent, so the dispatchers do not hear of an event.
+        self.end_prefill();
         let mut tracker = self.shared.tracker.borrow_mut();
         tracker.on_end(&self.target, self.kv_tokens);
         self.shared.dispatch.on_load(&self.target);
         self.shared.capacity_freed.notify_waiters();
     }
 }
+
+/// Counts a request in its target's load while a connection to the target opens, so that requests
+/// that arrive together do not all choose the same target. A grant counts at its dispatcher.
+#[derive(Debug)]
+pub(crate) struct Claim<'choice, Adapter> {
+    shared: &'choice Shared<Adapter>,
+    choice: &'choice Choice,
+}
+
+impl<'choice, Adapter> Claim<'choice, Adapter> {
+    pub(crate) fn start(shared: &'choice Shared<Adapter>, choice: &'choice Choice) -> Option<Self> {
+        if choice.grant.is_some() {
+            return None;
+        }
+        let mut tracker = shared.tracker.borrow_mut();
+        tracker.on_sent(
+            &choice.member.id,
+            choice.prefill_tokens,
+            choice.kv_tokens,
+            now(),
+        );
+        Some(Self { shared, choice })
+    }
+}
+
+impl<Adapter> Drop for Claim<'_, Adapter> {
+    fn drop(&mut self) {
+        let mut tracker = self.shared.tracker.borrow_mut();
+        let target = &self.choice.member.id;
+        tracker.on_first_token(target, self.choice.prefill_tokens);
+        tracker.on_end(target, self.choice.kv_tokens);
+    }
+}
