--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -150,7 +150,7 @@
 
 /// How long before the end of its prefill backlog a target gets its next prompt: the time to report
 /// a first token and to send the next request.
-const MAX_BACKLOG: Duration = Duration::from_millis(25);
+const MAX_BACKLOG: Duration = Duration::from_millis(50);
 /// The minimum remaining backlog assumed for a target with reported prompts.
 const MIN_BACKLOG: Duration = Duration::from_millis(10);
 /// How long a grant is remembered, so that a retransmitted request gets the same target.
