relay: bound the bytes that a stream buffers for its caller

Cause: only the number of chunks was bounded, and a chunk is as large as the read buffer of the target's connection, 64 KB. The chunks that wait for a caller now have 16 KB together, and the read buffer, which also limits response heads, has 32 KB.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -8,7 +8,7 @@
 use http::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use http::{HeaderMap, Response, StatusCode};
 use http_body::{Frame, SizeHint};
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, mpsc};
 use tokio::time::Sleep;
 
 use crate::buffer::Reservation;
@@ -55,7 +55,12 @@
 #[derive(Debug)]
 pub(crate) enum Part {
     /// Events.
-    Chunk(Chunk),
+    Chunk {
+        /// The events.
+        chunk: Chunk,
+        /// The room that they take up until hyper takes them.
+        _room: Option<OwnedSemaphorePermit>,
+    },
     /// The stream is complete. A stream whose sender is dropped without this is truncated.
     End,
 }
@@ -193,7 +198,7 @@
         loop {
             match self {
                 Self::Open => match ready!(parts.poll_recv(context)) {
-                    Some(Part::Chunk(chunk)) => {
+                    Some(Part::Chunk { chunk, .. }) => {
                         return Poll::Ready(Some(Ok(Frame::data(chunk.bytes))));
                     }
                     Some(Part::End) => *self = Self::Ended,
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -101,7 +101,7 @@
 /// The interval of the probes on a connection of a caller without data in flight.
 const CALLER_KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(5);
 /// The maximum size of a response head; a larger one ends the connection.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+const MAX_HEAD_BYTES: usize = 32 << 10;
 /// The maximum number of bytes before a response head, in informational responses.
 pub(crate) const MAX_INTERIM_BYTES: u64 = 4 * MAX_HEAD_BYTES as u64;
 /// How long a connection may take to become ready again after a response.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,9 +1,10 @@
 use std::rc::Rc;
+use std::sync::Arc;
 
 use fleet::stream::Resumption;
 use http::Response;
 use http::header::CONTENT_TYPE;
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use types::Target;
 
 use crate::adapter::Platform;
@@ -17,14 +18,32 @@
 use crate::serve;
 use crate::shared::Shared;
 use crate::shutdown;
+use crate::sse::Chunk;
 use crate::wait::await_target;
 
 /// Chunks of events that are buffered for a slow caller; beyond that, reading from the target stops
 /// as well.
 const CHANNEL_CAPACITY: usize = 16;
+/// Bytes of such chunks. A chunk may be as large as the read buffer of the target's connection.
+const CHANNEL_BYTES: u32 = 16 << 10;
 /// The content type of a stream of events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
+/// The way of a stream to its caller, which buffers a limited number of chunks and bytes.
+struct Outlet {
+    parts: mpsc::Sender<Part>,
+    room: Arc<Semaphore>,
+}
+
+impl Outlet {
+    /// Waits until there is room for a chunk; one that is larger than all the room needs all of it.
+    async fn room_for(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
+        let bytes = u32::try_from(bytes).unwrap_or(u32::MAX).min(CHANNEL_BYTES);
+        // The semaphore is never closed.
+        Arc::clone(&self.room).acquire_many_owned(bytes).await.ok()
+    }
+}
+
 /// Relays a stream to the caller, from the first event to the last.
 pub(crate) fn respond<Adapter>(
     shared: Rc<Shared<Adapter>>,
@@ -39,8 +58,12 @@
     let mut response = Response::new(Body::stream(receiver));
     *response.status_mut() = stream.status;
     *response.headers_mut() = stream.headers.clone();
+    let outlet = Outlet {
+        parts: sender,
+        room: Arc::new(Semaphore::new(CHANNEL_BYTES as usize)),
+    };
     tokio::task::spawn_local(async move {
-        let closed = sender.clone();
+        let closed = outlet.parts.clone();
         tokio::select! {
             // The relay fails for want of time at the moment of the limit.
             biased;
@@ -52,7 +75,7 @@
             () = shutdown::until_response_limit(&shared, &admitted.route) => {
                 serve::record_end(&shared, &admitted, "cut", Some("the entry is stopping"));
             }
-            () = relay(&shared, &admitted, progress, stream, sender) => {}
+            () = relay(&shared, &admitted, progress, stream, outlet) => {}
         }
     });
     response
@@ -63,7 +86,7 @@
     admitted: &Rc<Admitted>,
     mut progress: Progress<Adapter>,
     mut stream: Streaming<Adapter>,
-    sender: mpsc::Sender<Part>,
+    outlet: Outlet,
 ) where
     Adapter: Platform,
 {
@@ -74,7 +97,7 @@
             admitted,
             &mut progress,
             &mut stream,
-            &sender,
+            &outlet,
             &mut last_event,
         )
         .await;
@@ -91,7 +114,7 @@
                     connection::release(shared, &target, stream.connection, stream.keep_alive);
                 }
                 // Without this the response would look truncated.
-                let (outcome, why) = match send(shared, admitted, &sender, Part::End).await {
+                let (outcome, why) = match send(shared, admitted, &outlet, None).await {
                     Ok(()) => ("served", None),
                     Err(why) => ("gone", Some(why)),
                 };
@@ -99,7 +122,7 @@
                 return;
             }
         };
-        if sender.is_closed() {
+        if outlet.parts.is_closed() {
             serve::record_end(shared, admitted, "gone", Some("the caller disconnected"));
             return;
         }
@@ -141,7 +164,7 @@
     admitted: &Admitted,
     progress: &mut Progress<Adapter>,
     stream: &mut Streaming<Adapter>,
-    sender: &mpsc::Sender<Part>,
+    outlet: &Outlet,
     last_event: &mut Option<u64>,
 ) -> End
 where
@@ -152,7 +175,7 @@
         let Some(chunk) = next_chunk.take() else {
             return End::Complete;
         };
-        if let Err(why) = send(shared, admitted, sender, Part::Chunk(chunk)).await {
+        if let Err(why) = send(shared, admitted, outlet, Some(chunk)).await {
             return End::CallerGone(why);
         }
         *last_event = stream.events.last_id().or(*last_event);
@@ -166,18 +189,29 @@
     }
 }
 
-/// Passes a part of the stream on to the caller, as soon as it has read enough of what came before.
+/// Passes a chunk of the stream, or its end, on to the caller as soon as it has read enough of what
+/// came before.
 ///
 /// # Errors
 /// Returns for logs why the caller will not read it.
 async fn send<Adapter>(
     shared: &Shared<Adapter>,
     admitted: &Admitted,
-    sender: &mpsc::Sender<Part>,
-    part: Part,
+    outlet: &Outlet,
+    chunk: Option<Chunk>,
 ) -> Result<(), &'static str> {
     let remaining = admitted.remaining(shared, now());
-    match tokio::time::timeout(remaining, sender.send(part)).await {
+    let sending = async {
+        let part = match chunk {
+            Some(chunk) => {
+                let _room = outlet.room_for(chunk.bytes.len()).await;
+                Part::Chunk { chunk, _room }
+            }
+            None => Part::End,
+        };
+        outlet.parts.send(part).await
+    };
+    match tokio::time::timeout(remaining, sending).await {
         Ok(Ok(())) => Ok(()),
         Ok(Err(_)) => Err("the caller disconnected"),
         Err(_) => Err("the caller stopped reading until the deadline"),
