--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -9,6 +9,7 @@
 use fleet::cold;
 use fleet::dispatcher::{Demand, Id, Offer, Request};
 use fleet::gossip::FAN_OUT;
+use fleet::lateness::{self, Limit};
 use fleet::namespace::{Namespace, Scope};
 use fleet::placement::{self, Candidate, Load};
 use fleet::roster::{Member, Record};
@@ -73,13 +74,14 @@
     }
 }
 
-/// Chooses a target without a dispatcher.
+/// Chooses a target without a dispatcher, at which the request begins within the limit, if any.
 pub(crate) fn choose<Adapter>(
     shared: &Rc<Shared<Adapter>>,
     admitted: &Admitted,
     service: &Service,
     demand: &Demand,
     last_event: Option<u64>,
+    limit: Option<Limit>,
 ) -> Option<Choice> {
     let time = now();
     let demand = &renewed(shared, admitted, demand);
@@ -107,11 +109,12 @@
                 random,
             );
             evaluated.candidate.load = load;
+            let target = &evaluated.member.id;
             let estimate = {
                 let dispatcher = shared.dispatch.dispatcher.borrow();
-                dispatcher.rates().estimate(&evaluated.member.id, time)
+                dispatcher.rates().estimate(target, time)
             };
-            evaluated.candidate.backlog = estimate.duration(load.prefill_tokens);
+            evaluated.candidate.backlog = estimate.duration(prefill_tokens(shared, target, load));
             evaluated.candidate.prefill_time =
                 estimate.duration(evaluated.candidate.prefill_tokens);
             // Requests of a session prefer the same target, which has probably cached their
@@ -126,7 +129,10 @@
         })
         .collect();
     options.retain(|evaluated| {
-        evaluated.candidate.is_open() && has_connection(shared, &evaluated.member, &pool)
+        let candidate = &evaluated.candidate;
+        candidate.is_open()
+            && limit.is_none_or(|limit| limit.allows(candidate.backlog))
+            && has_connection(shared, &evaluated.member, &pool)
     });
     let candidates: Vec<Candidate> = options
         .iter()
@@ -144,6 +150,12 @@
     ))
 }
 
+/// Returns how many tokens a target still has to prefill, as far as this entry knows.
+fn prefill_tokens<Adapter>(shared: &Shared<Adapter>, target: &Target, load: Load) -> u64 {
+    let own = shared.tracker.borrow().load(target).prefill_tokens;
+    lateness::prefill_tokens(own, load.prefill_tokens, shared.entry_count.get())
+}
+
 /// Returns the targets of a cell that are eligible for a request, for its dispatcher.
 pub(crate) fn offers<Adapter>(shared: &Rc<Shared<Adapter>>, request: &Request) -> Vec<Offer> {
     let time = now();
