dispatcher, gateway: what the review of the joined parts found

- Rates per target are off unless scheduling.target_rates asks for them.
- A patient request that fits but has to leave memory free no longer blocks larger ones behind it, and no longer takes a target away from those that the memory is kept for.
An idle target takes any request.
- The reserve goes by how long a kind may wait in all, not by what is left: one late request made ordinary ones of its kind count as patient.
- A lack of slots is not a lack of memory; a partition elsewhere does not make a request restricted; `blocked` does not outlive its queue.
- Without a dispatcher, the load of other entries is presumed only while no entry may be a dispatcher; requests that lost time at a target that did not get them, and plain services, have no limit.
- An expired grant is given back and does not exclude its target; the end of a claim is reported.

--- a/crates/fleet/src/backfill.rs
+++ b/crates/fleet/src/backfill.rs
@@ -13,8 +13,10 @@
 pub enum Shortage {
     /// No target is eligible for this request; others may have some.
     Targets,
-    /// All targets are busy with prefills.
+    /// All targets are busy with prefills, or have no slot.
     Prefill,
+    /// The request has to leave the free memory to requests that cannot wait.
+    Reserve,
     /// No target that could begin its prefill has enough memory. The named target has most.
     Memory(Target),
 }
@@ -43,7 +45,7 @@
 
     /// Whether a request with this memory demand is blocked, so that trying it is useless.
     #[must_use]
-    pub fn contains(&self, kv_tokens: u64) -> bool {
+    pub fn blocks(&self, kv_tokens: u64) -> bool {
         self.smallest.is_some_and(|least| kv_tokens >= least)
     }
 
--- a/crates/fleet/src/callers/mod.rs
+++ b/crates/fleet/src/callers/mod.rs
@@ -18,7 +18,8 @@
 /// send or read very slowly, send many requests ahead, or only connect. Each stays within the limits
 /// of the configuration, but together they would exhaust the memory and the descriptors of the
 /// process. Therefore the callers that hold the most for the longest time without progress lose
-/// their connections first, and those that were served before lose theirs last.
+/// their connections first, and idle ones that were served before lose theirs after idle ones that
+/// were not.
 ///
 /// `Handle` identifies a connection to the I/O.
 #[derive(Debug)]
--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -48,10 +48,16 @@
     pub unreachable: Vec<Domain>,
 }
 
-impl Demand {
-    /// Whether the request may not use all targets, so that its shortage is no one else's.
+impl Request {
+    /// Whether the request may not use all targets of its cell, so that its shortage is no one
+    /// else's.
     fn is_restricted(&self) -> bool {
-        !self.excluded.is_empty() || !self.unreachable.is_empty()
+        let is_unreachable = |domain: &Domain| self.demand.unreachable.contains(domain);
+        !self.demand.excluded.is_empty()
+            || match &self.cell.domain {
+                Some(domain) => is_unreachable(domain),
+                None => !self.demand.unreachable.is_empty(),
+            }
     }
 }
 
@@ -66,6 +72,8 @@
     pub rank: u8,
     /// Maximum time in the queue.
     pub max_wait: Duration,
+    /// How long requests of its kind may wait in all; `max_wait` is what is left of it.
+    pub patience: Duration,
     /// Whether to queue the request if no target is free; otherwise the entry tries another cell.
     pub queue: bool,
     /// The properties of the prompt.
@@ -116,6 +124,8 @@
     /// Requests that were placed past others which waited for memory.
     passed: u64,
     rates: Rates,
+    /// Whether each target has a prefill rate of its own.
+    uneven_targets: bool,
 }
 
 #[derive(Debug)]
@@ -166,7 +176,10 @@
 
 /// How long before the end of its prefill backlog a target gets its next prompt: the time to report
 /// a first token and to send the next request.
-const MAX_BACKLOG: Duration = Duration::from_millis(50);
+const MAX_BACKLOG: Duration = Duration::from_millis(25);
+/// The same if the backlog follows the reported loads, which are as old as a first token takes to
+/// be reported.
+const MAX_REPORTED_BACKLOG: Duration = Duration::from_millis(50);
 /// The minimum remaining backlog assumed for a target with reported prompts.
 const MIN_BACKLOG: Duration = Duration::from_millis(10);
 /// How long a grant is remembered, so that a retransmitted request gets the same target.
@@ -203,7 +216,7 @@
             }
             return Reply::Queued;
         }
-        if let Some(reserved) = self.turn(&request)
+        if let Some(reserved) = self.turn(&request, now)
             && let Ok(reply) = self.place(&request, offers(&request), reserved.as_ref(), draw, now)
         {
             return reply;
@@ -218,7 +231,7 @@
         let ticket = self.queues.push(&request.cell, request.rank);
         let decision = self.queues.decide_behind(
             &request.cell,
-            self.ahead(ticket, &request),
+            self.ahead(ticket, &request, now),
             Duration::ZERO,
             request.max_wait,
             unit(draw),
@@ -238,6 +251,18 @@
         Reply::Queued
     }
 
+    /// Sets whether each target has a prefill rate of its own; otherwise all have the same.
+    pub fn set_uneven_targets(&mut self, uneven_targets: bool) {
+        self.uneven_targets = uneven_targets;
+    }
+
+    fn max_backlog(&self) -> Duration {
+        match self.uneven_targets {
+            true => MAX_REPORTED_BACKLOG,
+            false => MAX_BACKLOG,
+        }
+    }
+
     /// Sets the prefill rate of targets of which nothing is known.
     pub fn on_prefill_rate(&mut self, prefill_rate: Rate) {
         self.rates.on_prior(prefill_rate);
@@ -246,7 +271,9 @@
     /// Records the reported tokens of all prompts at a target that have no first token yet, and
     /// whether one had its first token since the last report.
     pub fn on_load(&mut self, target: &Target, unread: u64, is_first_token: bool, now: Time) {
-        self.rates.on_load(target, unread, is_first_token, now);
+        if self.uneven_targets {
+            self.rates.on_load(target, unread, is_first_token, now);
+        }
     }
 
     /// Forgets what was observed of a target that has restarted under its name.
@@ -298,7 +325,7 @@
         for ((cell, ticket), waiting) in &self.waiting {
             let decision = self.queues.decide_behind(
                 cell,
-                self.ahead(*ticket, &waiting.request),
+                self.ahead(*ticket, &waiting.request, now),
                 now.since(waiting.since),
                 waiting.request.max_wait,
                 unit(draw),
@@ -353,7 +380,7 @@
         let full = offers.iter().filter(|offer| !offer.candidate.is_open());
         let free = offers
             .iter()
-            .filter(|offer| offer.candidate.backlog <= MAX_BACKLOG);
+            .filter(|offer| offer.candidate.backlog <= self.max_backlog());
         Stats {
             targets: offers.len(),
             full: full.count(),
@@ -391,7 +418,7 @@
     /// Returns the fraction of a target's memory that a request has to leave free.
     fn reserved_fraction(&self, request: &Request, now: Time) -> f64 {
         self.reserves.get(&request.cell).map_or(0.0, |reserve| {
-            reserve.fraction(request.rank, request.max_wait, now)
+            reserve.fraction(request.rank, request.patience, now)
         })
     }
 
@@ -416,15 +443,14 @@
 
     /// Returns the target that is reserved for a request before this one, if any; `None` if a
     /// queued request has to be placed before it.
-    fn turn(&self, request: &Request) -> Option<Option<Target>> {
-        let mut ahead = self.ahead_of(&request.cell, Ticket::behind(request.rank));
-        if ahead.next().is_none() {
+    fn turn(&self, request: &Request, now: Time) -> Option<Option<Target>> {
+        let ticket = Ticket::behind(request.rank);
+        if self.ahead_of(&request.cell, ticket).next().is_none() {
             return Some(None);
         }
         let blocked = self.blocked.get(&request.cell)?;
-        let mut ahead = self.ahead_of(&request.cell, Ticket::behind(request.rank));
-        let passes = !blocked.contains(request.demand.kv_tokens)
-            && ahead.all(|waiting| blocked.contains(waiting.request.demand.kv_tokens));
+        let passes =
+            !blocked.blocks(request.demand.kv_tokens) && self.ahead(ticket, request, now) == 0;
         passes.then(|| blocked.reserved().cloned())
     }
 
@@ -433,15 +459,18 @@
         self.waiting.range(range).map(|(_, waiting)| waiting)
     }
 
-    /// Returns the number of requests that have to be placed before a queued one.
-    fn ahead(&self, ticket: Ticket, request: &Request) -> usize {
+    /// Returns the number of requests before a position that have to be placed before a request. It
+    /// passes those that wait for more memory, and those that have to leave memory to it.
+    fn ahead(&self, ticket: Ticket, request: &Request, now: Time) -> usize {
+        let blocked = self.blocked.get(&request.cell);
+        let passes = blocked.filter(|blocked| !blocked.blocks(request.demand.kv_tokens));
+        let may_use_reserve = self.reserved_fraction(request, now) <= 0.0;
+        let is_passed = |other: &Request| {
+            passes.is_some_and(|blocked| blocked.blocks(other.demand.kv_tokens))
+                || (may_use_reserve && self.reserved_fraction(other, now) > 0.0)
+        };
         let ahead = self.ahead_of(&request.cell, ticket);
-        match self.blocked.get(&request.cell) {
-            Some(blocked) if !blocked.contains(request.demand.kv_tokens) => ahead
-                .filter(|waiting| !blocked.contains(waiting.request.demand.kv_tokens))
-                .count(),
-            _ => ahead.count(),
-        }
+        ahead.filter(|other| !is_passed(&other.request)).count()
     }
 
     /// Places the queued requests for which a target is free, in order. A request that waits for
@@ -462,7 +491,7 @@
             let Some(waiting) = self.waiting.get(&(cell.clone(), ticket)) else {
                 continue;
             };
-            if blocked.contains(waiting.request.demand.kv_tokens) {
+            if blocked.blocks(waiting.request.demand.kv_tokens) {
                 continue;
             }
             let request = waiting.request.clone();
@@ -472,16 +501,18 @@
                     self.remove(&request.id, true, now);
                     replies.push((request, reply));
                 }
-                Err(Shortage::Targets) => {}
+                Err(Shortage::Targets | Shortage::Reserve) => {}
                 Err(Shortage::Prefill) => break,
                 Err(Shortage::Memory(roomiest)) => {
                     blocked.on_memory_shortage(request.demand.kv_tokens, roomiest);
                     let reserve = self.reserves.entry(cell.clone()).or_default();
-                    reserve.on_shortage(request.rank, request.max_wait, now);
+                    reserve.on_shortage(request.rank, request.patience, now);
                 }
             }
         }
-        self.blocked.insert(cell.clone(), blocked);
+        if !self.queues.is_empty(cell) {
+            self.blocked.insert(cell.clone(), blocked);
+        }
         replies
     }
 
@@ -502,21 +533,31 @@
             return Err(Shortage::Targets);
         }
         self.apply_grants(&mut offers, now);
-        offers.retain(|offer| offer.candidate.backlog <= MAX_BACKLOG);
+        let max_backlog = self.max_backlog();
+        offers.retain(|offer| offer.candidate.backlog <= max_backlog);
         let Some(roomiest) = backfill::roomiest(&offers) else {
-            return Err(match request.demand.is_restricted() {
+            return Err(match request.is_restricted() {
                 true => Shortage::Targets,
                 false => Shortage::Prefill,
             });
         };
+        if offers.iter().all(|offer| !offer.candidate.has_slot()) {
+            return Err(match request.is_restricted() {
+                true => Shortage::Targets,
+                false => Shortage::Prefill,
+            });
+        }
+        offers.retain(|offer| offer.candidate.is_open());
         let reserve = self.reserved_fraction(request, now);
-        offers.retain(|offer| {
-            let candidate = &offer.candidate;
-            candidate.is_open() && candidate.leaves_free(reserve)
-        });
+        if !offers.is_empty() {
+            offers.retain(|offer| offer.candidate.leaves_free(reserve));
+            if offers.is_empty() {
+                return Err(Shortage::Reserve);
+            }
+        }
         let candidates: Vec<Candidate> = offers.iter().map(|offer| offer.candidate).collect();
         let Some(index) = best(&candidates, draw) else {
-            return Err(match request.demand.is_restricted() {
+            return Err(match request.is_restricted() {
                 true => Shortage::Targets,
                 false => Shortage::Memory(roomiest),
             });
@@ -566,8 +607,13 @@
                         .copied()
                         .unwrap_or_default();
                     let forecast = forecast.free_at.since(now).max(MIN_BACKLOG);
-                    let unreported = estimate.duration(tokens.saturating_sub(reported));
-                    let observed = estimate.backlog(reported) + unreported;
+                    let observed = match self.uneven_targets {
+                        true => {
+                            let unreported = tokens.saturating_sub(reported);
+                            estimate.backlog(reported) + estimate.duration(unreported)
+                        }
+                        false => Duration::ZERO,
+                    };
                     estimate.duration(tokens).min(forecast.max(observed))
                 }
             };
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -154,12 +154,20 @@
         self.load.running < self.slots && filled <= self.kv_capacity as f64 * MAX_FILL
     }
 
+    /// Returns whether the target runs fewer requests than it can.
+    #[must_use]
+    pub fn has_slot(&self) -> bool {
+        self.load.running == 0 || self.load.running < self.slots
+    }
+
     /// Returns whether a fraction of the memory that requests may take stays free if the request is
     /// placed.
     #[must_use]
     pub fn leaves_free(&self, fraction: f64) -> bool {
         let filled = self.load.kv_tokens as f64 + self.kv_tokens as f64;
-        fraction <= 0.0 || filled <= self.kv_capacity as f64 * (MAX_FILL - fraction)
+        fraction <= 0.0
+            || self.load.running == 0
+            || filled <= self.kv_capacity as f64 * (MAX_FILL - fraction)
     }
 
     /// Returns the expected time to first token in ms, plus penalties.
--- a/crates/fleet/src/reserve.rs
+++ b/crates/fleet/src/reserve.rs
@@ -22,7 +22,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Holder {
     rank: u8,
-    max_wait: Duration,
+    patience: Duration,
     /// When one of them last found no memory.
     short_at: Time,
 }
@@ -41,10 +41,11 @@
 const PATIENCE: u32 = 2;
 
 impl Reserve {
-    /// Records that no target has memory for a queued request with this rank and maximum wait.
-    pub fn on_shortage(&mut self, rank: u8, max_wait: Duration, now: Time) {
+    /// Records that no target has memory for a queued request with this rank, of a kind that may
+    /// wait for `patience` in all.
+    pub fn on_shortage(&mut self, rank: u8, patience: Duration, now: Time) {
         let takes_over = self.holder.is_none_or(|holder| {
-            now.since(holder.short_at) >= HOLDER_TIMEOUT || holder.max_wait >= max_wait * PATIENCE
+            now.since(holder.short_at) >= HOLDER_TIMEOUT || holder.patience >= patience * PATIENCE
         });
         if takes_over {
             *self = Self {
@@ -52,7 +53,7 @@
                 updated: now,
                 holder: Some(Holder {
                     rank,
-                    max_wait,
+                    patience,
                     short_at: now,
                 }),
             };
@@ -61,10 +62,9 @@
         let Some(holder) = &mut self.holder else {
             return;
         };
-        if max_wait >= holder.max_wait * PATIENCE {
+        if patience >= holder.patience * PATIENCE {
             return;
         }
-        holder.rank = holder.rank.min(rank);
         let elapsed = now.since(self.updated);
         let growth = match now.since(holder.short_at) <= MAX_STEP {
             true => elapsed.min(MAX_STEP).as_secs_f64() * GROWTH_PER_S,
@@ -75,14 +75,14 @@
         self.updated = now;
     }
 
-    /// Returns the fraction of a target's memory that a request with this rank and maximum wait has
-    /// to leave free.
+    /// Returns the fraction of a target's memory that a request with this rank and patience has to
+    /// leave free.
     #[must_use]
-    pub fn fraction(&self, rank: u8, max_wait: Duration, now: Time) -> f64 {
+    pub fn fraction(&self, rank: u8, patience: Duration, now: Time) -> f64 {
         let Some(holder) = self.holder else {
             return 0.0;
         };
-        if rank < holder.rank || max_wait < holder.max_wait * PATIENCE {
+        if rank < holder.rank || patience < holder.patience * PATIENCE {
             return 0.0;
         }
         self.current(now)
--- a/crates/fleet/tests/backfill.rs
+++ b/crates/fleet/tests/backfill.rs
@@ -35,6 +35,7 @@
         cell: cell(),
         rank,
         max_wait: Duration::from_millis(400),
+        patience: Duration::from_millis(400),
         queue: true,
         demand: Demand {
             kv_tokens,
--- a/crates/fleet/tests/dispatcher.rs
+++ b/crates/fleet/tests/dispatcher.rs
@@ -38,6 +38,7 @@
         cell: cell(),
         rank,
         max_wait: Duration::from_millis(200),
+        patience: Duration::from_millis(200),
         queue,
         demand: Demand {
             kv_tokens: 1000,
--- a/crates/fleet/tests/reserve.rs
+++ b/crates/fleet/tests/reserve.rs
@@ -58,6 +58,7 @@
         },
         rank: 1,
         max_wait: kind.max_wait,
+        patience: kind.max_wait,
         queue: true,
         demand: Demand {
             kv_tokens: kind.kv_tokens,
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -131,7 +131,8 @@
     options.retain(|evaluated| {
         let candidate = &evaluated.candidate;
         candidate.is_open()
-            && limit.is_none_or(|limit| limit.allows(candidate.backlog))
+            && (candidate.kv_capacity == 0
+                || limit.is_none_or(|limit| limit.allows(candidate.backlog)))
             && has_connection(shared, &evaluated.member, &pool)
     });
     let candidates: Vec<Candidate> = options
@@ -153,7 +154,12 @@
 /// Returns how many tokens a target still has to prefill, as far as this entry knows.
 fn prefill_tokens<Adapter>(shared: &Shared<Adapter>, target: &Target, load: Load) -> u64 {
     let own = shared.tracker.borrow().load(target).prefill_tokens;
-    lateness::prefill_tokens(own, load.prefill_tokens, shared.entry_count.get())
+    // Once some entry may be a dispatcher, this one alone may have none.
+    let choosers = match shared.peers.borrow().has_warm() {
+        true => 1,
+        false => shared.entry_count.get(),
+    };
+    lateness::prefill_tokens(own, load.prefill_tokens, choosers)
 }
 
 /// Returns the targets of a cell that are eligible for a request, for its dispatcher.
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -105,9 +105,11 @@
 const OVERLOADED_SHARE: f64 = 0.3;
 
 impl Dispatch {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(uneven_targets: bool) -> Self {
+        let mut dispatcher = Dispatcher::default();
+        dispatcher.set_uneven_targets(uneven_targets);
         Self {
-            dispatcher: RefCell::default(),
+            dispatcher: RefCell::new(dispatcher),
             capacity_freed: Notify::new(),
             incarnation: rand::rng().random(),
             started: now(),
--- a/crates/gateway/src/dispatch/request.rs
+++ b/crates/gateway/src/dispatch/request.rs
@@ -68,6 +68,7 @@
             cell: cell.clone(),
             rank,
             max_wait,
+            patience: queue::max_wait(admitted.route.objective),
             queue,
             demand: demand.clone(),
         };
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -139,5 +139,8 @@
         let target = &self.choice.member.id;
         tracker.on_first_token(target, self.choice.prefill_tokens);
         tracker.on_end(target, self.choice.kv_tokens);
+        drop(tracker);
+        self.shared.dispatch.on_load(target);
+        self.shared.capacity_freed.notify_waiters();
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -46,4 +46,4 @@
 pub use clock::now;
 pub use logging::{Event, open as open_log};
 pub use server::{Entry, Error, spawn};
-pub use settings::{Bounds, Limits, Problem, Settings};
+pub use settings::{Bounds, Limits, Problem, Scheduling, Settings};
--- a/crates/gateway/src/packet/layout.rs
+++ b/crates/gateway/src/packet/layout.rs
@@ -122,6 +122,8 @@
     rank: u8,
     /// In milliseconds.
     max_wait: u32,
+    /// In milliseconds.
+    patience: u32,
     queue: bool,
     model: Option<Model>,
     scope: ScopeFields,
@@ -362,6 +364,7 @@
             cell: encode_cell(&request.cell),
             rank: request.rank,
             max_wait: millis(request.max_wait),
+            patience: millis(request.patience),
             queue: request.queue,
             model: demand.model.clone(),
             scope: (&demand.scope).into(),
@@ -384,6 +387,7 @@
             cell: decode_cell(request.cell),
             rank: request.rank,
             max_wait: duration(request.max_wait),
+            patience: duration(request.patience),
             queue: request.queue,
             demand: Demand {
                 model: request.model,
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -289,8 +289,9 @@
             return step;
         }
         let demand = choose::demand(shared, admitted, &self.excluded);
-        // One that was sent before is worth sending even if it begins late.
-        let limit = is_first.then(|| Limit {
+        // One that was sent before, or has lost time at a target that did not get it, is worth
+        // sending even if it begins late.
+        let limit = (is_first && self.excluded.is_empty()).then(|| Limit {
             waited: time.since(admitted.arrived),
             objective: admitted.route.objective,
         });
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -534,7 +534,17 @@
     if let Outcome::Lost { .. } = outcome {
         quarantine::on_lost(shared, admitted, &choice.member, sent_at).await;
     }
-    progress.exclude(target);
+    let is_expired = matches!(
+        outcome,
+        Outcome::NotRun {
+            rejection: Rejection::Expired,
+            ..
+        }
+    );
+    match &choice.grant {
+        Some(grant) if is_expired => shared.dispatch.acknowledge_grant(shared, grant),
+        _ => progress.exclude(target),
+    }
     shared.metrics.attempts.with_label_values(&[label]).inc();
     Event::new("attempt")
         .with("request", &*admitted.head.id)
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -33,10 +33,22 @@
     /// The resource limits of the process.
     #[serde(default)]
     pub limits: Limits,
+    /// Decisions that are off unless the operators ask for them.
+    #[serde(default)]
+    pub scheduling: Scheduling,
     /// The bounds that the operators set.
     pub bounds: Bounds,
 }
 
+/// Decisions that are off unless the operators ask for them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Scheduling {
+    /// Whether a dispatcher learns a prefill rate for each target; see
+    /// `docs/design/target-rates.md`.
+    pub target_rates: bool,
+}
+
 /// Resource limits of the process; missing keys have the values of [`Limits::default`].
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -143,6 +143,7 @@
         let buffers = Buffers::new(settings.limits.buffer_bytes());
         let callers = Callers::new(settings.limits.machine().callers(), metrics.clone());
         let discovery = Discovery::new(settings.drain_limit());
+        let uneven_targets = settings.scheduling.target_rates;
         let ledger = cold::Ledger::new(&settings.name, now());
         Self {
             settings,
@@ -177,7 +178,7 @@
             shutdown_begun: Notify::new(),
             unanswered: Rc::default(),
             queues: RefCell::default(),
-            dispatch: Dispatch::new(),
+            dispatch: Dispatch::new(uneven_targets),
             discovery,
             quarantine: RefCell::default(),
             quarantine_changed: Notify::new(),
--- a/crates/gateway/tests/packet.rs
+++ b/crates/gateway/tests/packet.rs
@@ -121,7 +121,8 @@
         id: id(),
         cell: cell(),
         rank: 1,
-        max_wait: Duration::from_millis(180),
+        max_wait: Duration::from_millis(170),
+        patience: Duration::from_millis(180),
         queue: true,
         demand,
     };
