wire: bound the connections in their handshake

At most 64 connections may be in their handshake; the oldest one makes room for a new one, since a peer with a key needs milliseconds.

--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -1,9 +1,10 @@
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
@@ -39,6 +40,9 @@
 
 /// Streams that may wait to be accepted; further ones are dropped.
 const BACKLOG: usize = 1024;
+/// Connections that may be in their handshake at the same time. Each holds a file descriptor, and
+/// its peer has not shown a key yet.
+const MAX_HANDSHAKES: usize = 64;
 /// Concurrent streams on one connection.
 const MAX_STREAMS: u32 = 10_000;
 
@@ -61,6 +65,7 @@
         );
         let task = tokio::spawn(async move {
             let mut stopped = stop.clone();
+            let mut handshakes = Handshakes::default();
             loop {
                 let accepted = tokio::select! {
                     accepted = listener.accept() => accepted,
@@ -77,7 +82,7 @@
                     stop: stop.clone(),
                     failed_handshakes: Arc::clone(&failed_handshakes),
                 };
-                tokio::spawn(serve(socket, peer, context));
+                tokio::spawn(serve(socket, peer, handshakes.start(), context));
             }
         });
         Ok(Self {
@@ -127,17 +132,46 @@
     }
 }
 
-async fn serve(mut socket: TcpStream, peer: SocketAddr, mut context: Context) {
+/// The connections in their handshake, the oldest first.
+///
+/// A peer with a key completes it within milliseconds, so the connection that has been in it for
+/// longest makes room for a new one.
+#[derive(Debug, Default)]
+struct Handshakes(VecDeque<oneshot::Sender<()>>);
+
+impl Handshakes {
+    /// Starts a handshake; the result completes when it must end. Dropping it ends the handshake.
+    fn start(&mut self) -> oneshot::Receiver<()> {
+        self.0.retain(|handshake| !handshake.is_closed());
+        if self.0.len() >= MAX_HANDSHAKES {
+            self.0.pop_front();
+        }
+        let (sender, receiver) = oneshot::channel();
+        self.0.push_back(sender);
+        receiver
+    }
+}
+
+async fn serve(
+    mut socket: TcpStream,
+    peer: SocketAddr,
+    evicted: oneshot::Receiver<()>,
+    mut context: Context,
+) {
     let _ = socket.set_nodelay(true);
     let reject = |reason: &str| {
         // Logged at debug level, since a port scan would flood the log.
         log::debug!("rejected a connection from {peer}: {reason}");
         context.failed_handshakes.fetch_add(1, Ordering::Relaxed);
     };
-    match timeout(HANDSHAKE_TIMEOUT, context.keys.accept(&mut socket)).await {
-        Ok(Ok(())) => {}
-        Ok(Err(reason)) => return reject(reason),
-        Err(_) => return reject("handshake took longer than 2 s"),
+    tokio::select! {
+        accepted = timeout(HANDSHAKE_TIMEOUT, context.keys.accept(&mut socket)) => match accepted {
+            Ok(Ok(())) => {}
+            Ok(Err(reason)) => return reject(reason),
+            Err(_) => return reject("handshake took longer than 2 s"),
+        },
+        // The sender is dropped to make room.
+        _ = evicted => return reject("too many connections in their handshake"),
     }
     let handshake = h2::server::Builder::new()
         .initial_window_size(STREAM_WINDOW_BYTES)
