dispatcher: only large requests leave memory to others

Cause: since the reserve goes by the patience of a kind, the ratio of exactly two is always reached there (before, what had been waited lay between). Holding small requests back frees little, and large ones took what they left. Only requests that need at least twice the memory leave it now.

--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -418,7 +418,8 @@
     /// Returns the fraction of a target's memory that a request has to leave free.
     fn reserved_fraction(&self, request: &Request, now: Time) -> f64 {
         self.reserves.get(&request.cell).map_or(0.0, |reserve| {
-            reserve.fraction(request.rank, request.patience, now)
+            let kv_tokens = request.demand.kv_tokens;
+            reserve.fraction(request.rank, request.patience, kv_tokens, now)
         })
     }
 
@@ -506,7 +507,8 @@
                 Err(Shortage::Memory(roomiest)) => {
                     blocked.on_memory_shortage(request.demand.kv_tokens, roomiest);
                     let reserve = self.reserves.entry(cell.clone()).or_default();
-                    reserve.on_shortage(request.rank, request.patience, now);
+                    let kv_tokens = request.demand.kv_tokens;
+                    reserve.on_shortage(request.rank, request.patience, kv_tokens, now);
                 }
             }
         }
--- a/crates/fleet/src/reserve.rs
+++ b/crates/fleet/src/reserve.rs
@@ -23,6 +23,8 @@
 struct Holder {
     rank: u8,
     patience: Duration,
+    /// The largest memory demand of one of them, in tokens.
+    kv_tokens: u64,
     /// When one of them last found no memory.
     short_at: Time,
 }
@@ -39,11 +41,13 @@
 const HOLDER_TIMEOUT: Duration = Duration::from_secs(2);
 /// A request that may wait this many times as long as another one is patient compared to it.
 const PATIENCE: u32 = 2;
+/// A request that needs this many times the memory of another one is large compared to it.
+const LARGENESS: u64 = 2;
 
 impl Reserve {
     /// Records that no target has memory for a queued request with this rank, of a kind that may
-    /// wait for `patience` in all.
-    pub fn on_shortage(&mut self, rank: u8, patience: Duration, now: Time) {
+    /// wait for `patience` in all, which needs `kv_tokens`.
+    pub fn on_shortage(&mut self, rank: u8, patience: Duration, kv_tokens: u64, now: Time) {
         let takes_over = self.holder.is_none_or(|holder| {
             now.since(holder.short_at) >= HOLDER_TIMEOUT || holder.patience >= patience * PATIENCE
         });
@@ -54,6 +58,7 @@
                 holder: Some(Holder {
                     rank,
                     patience,
+                    kv_tokens,
                     short_at: now,
                 }),
             };
@@ -65,6 +70,7 @@
         if patience >= holder.patience * PATIENCE {
             return;
         }
+        holder.kv_tokens = holder.kv_tokens.max(kv_tokens);
         let elapsed = now.since(self.updated);
         let growth = match now.since(holder.short_at) <= MAX_STEP {
             true => elapsed.min(MAX_STEP).as_secs_f64() * GROWTH_PER_S,
@@ -75,14 +81,18 @@
         self.updated = now;
     }
 
-    /// Returns the fraction of a target's memory that a request with this rank and patience has to
-    /// leave free.
+    /// Returns the fraction of a target's memory that a request has to leave free; its arguments are
+    /// those of [`Self::on_shortage`].
+    ///
+    /// Only large requests leave memory to others: holding small ones back frees little of it.
     #[must_use]
-    pub fn fraction(&self, rank: u8, patience: Duration, now: Time) -> f64 {
+    pub fn fraction(&self, rank: u8, patience: Duration, kv_tokens: u64, now: Time) -> f64 {
         let Some(holder) = self.holder else {
             return 0.0;
         };
-        if rank < holder.rank || patience < holder.patience * PATIENCE {
+        let is_patient = patience >= holder.patience * PATIENCE;
+        let is_large = kv_tokens >= holder.kv_tokens.saturating_mul(LARGENESS);
+        if rank < holder.rank || !is_patient || !is_large {
             return 0.0;
         }
         self.current(now)
--- a/crates/fleet/tests/reserve.rs
+++ b/crates/fleet/tests/reserve.rs
@@ -145,12 +145,12 @@
     let (impatient, patient) = (Duration::from_millis(180), Duration::from_millis(540));
     let mut reserve = Reserve::default();
     for now in (0..500).step_by(5) {
-        reserve.on_shortage(1, impatient, at(now));
+        reserve.on_shortage(1, impatient, 1000, at(now));
         // Those that may wait do not add to the reserve, and do not take it over.
-        reserve.on_shortage(1, patient, at(now + 1));
+        reserve.on_shortage(1, patient, 7000, at(now + 1));
     }
-    assert!(reserve.fraction(1, patient, at(500)) > 0.25);
-    assert!(reserve.fraction(1, patient, at(4000)) <= 0.0);
+    assert!(reserve.fraction(1, patient, 7000, at(500)) > 0.25);
+    assert!(reserve.fraction(1, patient, 7000, at(4000)) <= 0.0);
 }
 
 /// Guards against a reserve that holds back requests which are more urgent, or which can wait no
@@ -160,9 +160,29 @@
     let impatient = Duration::from_millis(180);
     let mut reserve = Reserve::default();
     for now in (0..500).step_by(5) {
-        reserve.on_shortage(1, impatient, at(now));
+        reserve.on_shortage(1, impatient, 1000, at(now));
     }
-    assert!(reserve.fraction(0, Duration::from_millis(540), at(500)) <= 0.0);
-    assert!(reserve.fraction(1, Duration::from_millis(270), at(500)) <= 0.0);
-    assert!(reserve.fraction(2, Duration::from_millis(540), at(500)) > 0.25);
+    assert!(reserve.fraction(0, Duration::from_millis(540), 7000, at(500)) <= 0.0);
+    assert!(reserve.fraction(1, Duration::from_millis(270), 7000, at(500)) <= 0.0);
+    assert!(reserve.fraction(2, Duration::from_millis(540), 7000, at(500)) > 0.25);
+}
+
+/// Guards against small requests that are refused so that large ones get their memory, because the
+/// large ones have the tighter objective.
+#[test]
+fn small_requests_do_not_leave_memory_to_large_ones() {
+    let (large, small) = (
+        Kind {
+            max_wait: Duration::from_millis(450),
+            rate: 0.08,
+            ..LONG
+        },
+        Kind {
+            max_wait: Duration::from_millis(900),
+            rate: 0.05,
+            ..SHORT
+        },
+    );
+    let [small, _] = replay([small, large]);
+    assert!(small > 0.97, "{small} of the short prompts were placed");
 }
