fleet: names and set-ups that the read-through stumbled over

Cause: `turn` returned an Option of an Option; a drained target and the memory reserve were both called reserved; the same choice of a shortage stood three times; `cold::Exchange` was one of two types of that name; that a grant is remembered for less than the window of cold budgets was stated nowhere; two test files had the same set-up.

Change: an enum `Turn`, `Blocked::drained`, `Request::shortage`, `cold::Timing`, an assertion at compile time, and `tests/support` for the two test files, whose checks are the same.

--- a/crates/fleet/src/backfill.rs
+++ b/crates/fleet/src/backfill.rs
@@ -26,8 +26,8 @@
 pub struct Blocked {
     /// The smallest memory demand for which no target had room, in tokens.
     smallest: Option<u64>,
-    /// The target that is kept for the first of these requests.
-    reserved: Option<Target>,
+    /// The target that is drained for the first of these requests.
+    drained: Option<Target>,
 }
 
 impl Blocked {
@@ -40,7 +40,7 @@
             self.smallest
                 .map_or(kv_tokens, |least| least.min(kv_tokens)),
         );
-        self.reserved.get_or_insert(roomiest);
+        self.drained.get_or_insert(roomiest);
     }
 
     /// Whether a request with this memory demand is blocked, so that trying it is useless.
@@ -51,8 +51,8 @@
 
     /// Returns the target that requests behind the blocked ones must not take.
     #[must_use]
-    pub fn reserved(&self) -> Option<&Target> {
-        self.reserved.as_ref()
+    pub fn drained(&self) -> Option<&Target> {
+        self.drained.as_ref()
     }
 }
 
--- a/crates/fleet/src/cold.rs
+++ b/crates/fleet/src/cold.rs
@@ -312,13 +312,13 @@
 /// know that moment, but that it is later than when it sent the messages which the dispatcher had
 /// already answered without a grant.
 #[derive(Debug)]
-pub struct Exchange {
+pub struct Timing {
     /// When the messages were sent that may have led to a grant, the oldest first.
     sent: VecDeque<Time>,
     is_queued: bool,
 }
 
-impl Exchange {
+impl Timing {
     /// Starts an exchange with a first message.
     #[must_use]
     pub fn new(now: Time) -> Self {
--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -12,6 +12,7 @@
 
 use crate::backfill::{self, Blocked, Shortage};
 use crate::cell::Cell;
+use crate::cold;
 use crate::namespace::Scope;
 use crate::placement::{Candidate, Load, best};
 use crate::prefill::{Rate, Rates};
@@ -49,6 +50,14 @@
 }
 
 impl Request {
+    /// Returns what a shortage that this request has met says about the others.
+    fn shortage(&self, shortage: Shortage) -> Shortage {
+        match self.is_restricted() {
+            true => Shortage::Targets,
+            false => shortage,
+        }
+    }
+
     /// Whether the request may not use all targets of its cell, so that its shortage is no one
     /// else's.
     fn is_restricted(&self) -> bool {
@@ -167,6 +176,26 @@
     pub reserve_percent: u32,
 }
 
+/// Whether a request that arrives may be placed before those that are queued.
+#[derive(Debug)]
+enum Turn {
+    /// No queued request comes before it.
+    First,
+    /// It passes all that come before it, but must not take the target that is drained for them.
+    Passing(Option<Target>),
+    /// A queued request has to be placed before it.
+    Behind,
+}
+
+impl Turn {
+    fn drained(&self) -> Option<&Target> {
+        match self {
+            Self::Passing(drained) => drained.as_ref(),
+            Self::First | Self::Behind => None,
+        }
+    }
+}
+
 /// Expected state of a target.
 #[derive(Debug, Clone, Copy, Default)]
 struct Forecast {
@@ -184,6 +213,8 @@
 const MIN_BACKLOG: Duration = Duration::from_millis(10);
 /// How long a grant is remembered, so that a retransmitted request gets the same target.
 const GRANT_TTL: Duration = Duration::from_millis(1000);
+// A request that is sent again is granted a cold target only while its first grant is known.
+const _: () = assert!(GRANT_TTL.as_millis() < cold::WINDOW.as_millis());
 /// How long a grant counts that its entry has not acknowledged: the round trip plus the delay of a
 /// slow entry.
 const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -216,9 +247,11 @@
             }
             return Reply::Queued;
         }
-        if let Some(reserved) = self.turn(&request, now)
-            && let Ok(reply) = self.place(&request, offers(&request), reserved.as_ref(), draw, now)
+        let turn = self.turn(&request, now);
+        if !matches!(turn, Turn::Behind)
+            && let Ok(reply) = self.place(&request, offers(&request), turn.drained(), draw, now)
         {
+            self.passed += u64::from(matches!(turn, Turn::Passing(_)));
             return reply;
         }
         if !request.queue {
@@ -442,17 +475,21 @@
         self.rates.retain(known);
     }
 
-    /// Returns the target that is reserved for a request before this one, if any; `None` if a
-    /// queued request has to be placed before it.
-    fn turn(&self, request: &Request, now: Time) -> Option<Option<Target>> {
+    /// Returns whether a request that arrives now may be placed before those that are queued.
+    fn turn(&self, request: &Request, now: Time) -> Turn {
         let ticket = Ticket::behind(request.rank);
         if self.ahead_of(&request.cell, ticket).next().is_none() {
-            return Some(None);
+            return Turn::First;
+        }
+        match self.blocked.get(&request.cell) {
+            Some(blocked)
+                if !blocked.blocks(request.demand.kv_tokens)
+                    && self.ahead(ticket, request, now) == 0 =>
+            {
+                Turn::Passing(blocked.drained().cloned())
+            }
+            _ => Turn::Behind,
         }
-        let blocked = self.blocked.get(&request.cell)?;
-        let passes =
-            !blocked.blocks(request.demand.kv_tokens) && self.ahead(ticket, request, now) == 0;
-        passes.then(|| blocked.reserved().cloned())
     }
 
     fn ahead_of(&self, cell: &Cell, ticket: Ticket) -> impl Iterator<Item = &Waiting> {
@@ -475,7 +512,7 @@
     }
 
     /// Places the queued requests for which a target is free, in order. A request that waits for
-    /// memory lets smaller ones pass, except on the target that is reserved for it.
+    /// memory lets smaller ones pass, except on the target that is drained for it.
     fn place_queued<Offers>(
         &mut self,
         cell: &Cell,
@@ -496,9 +533,9 @@
                 continue;
             }
             let request = waiting.request.clone();
-            match self.place(&request, offers(&request), blocked.reserved(), draw, now) {
+            match self.place(&request, offers(&request), blocked.drained(), draw, now) {
                 Ok(reply) => {
-                    self.passed += u64::from(blocked.reserved().is_some());
+                    self.passed += u64::from(blocked.drained().is_some());
                     self.remove(&request.id, true, now);
                     replies.push((request, reply));
                 }
@@ -518,7 +555,8 @@
         replies
     }
 
-    /// Places a request if a target other than the reserved one is free now.
+    /// Places a request if a target other than the one that is drained for another request is free
+    /// now.
     ///
     /// # Errors
     /// Fails with what is short.
@@ -526,11 +564,11 @@
         &mut self,
         request: &Request,
         mut offers: Vec<Offer>,
-        reserved: Option<&Target>,
+        drained: Option<&Target>,
         draw: u32,
         now: Time,
     ) -> Result<Reply, Shortage> {
-        offers.retain(|offer| reserved != Some(&offer.target));
+        offers.retain(|offer| drained != Some(&offer.target));
         if offers.is_empty() {
             return Err(Shortage::Targets);
         }
@@ -538,16 +576,10 @@
         let max_backlog = self.max_backlog();
         offers.retain(|offer| offer.candidate.backlog <= max_backlog);
         let Some(roomiest) = backfill::roomiest(&offers) else {
-            return Err(match request.is_restricted() {
-                true => Shortage::Targets,
-                false => Shortage::Prefill,
-            });
+            return Err(request.shortage(Shortage::Prefill));
         };
         if offers.iter().all(|offer| !offer.candidate.has_slot()) {
-            return Err(match request.is_restricted() {
-                true => Shortage::Targets,
-                false => Shortage::Prefill,
-            });
+            return Err(request.shortage(Shortage::Prefill));
         }
         offers.retain(|offer| offer.candidate.is_open());
         let reserve = self.reserved_fraction(request, now);
@@ -559,10 +591,7 @@
         }
         let candidates: Vec<Candidate> = offers.iter().map(|offer| offer.candidate).collect();
         let Some(index) = best(&candidates, draw) else {
-            return Err(match request.is_restricted() {
-                true => Shortage::Targets,
-                false => Shortage::Memory(roomiest),
-            });
+            return Err(request.shortage(Shortage::Memory(roomiest)));
         };
         let offer = offers.swap_remove(index);
         let uncached = offer.candidate.prefill_tokens;
--- a/crates/fleet/tests/backfill.rs
+++ b/crates/fleet/tests/backfill.rs
@@ -1,78 +1,24 @@
 //! Small requests behind large ones that wait for memory, replayed in virtual time.
 
+mod support;
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use fleet::cell::Cell;
-use fleet::dispatcher::{Demand, Dispatcher, Id, Offer, Reply, Request};
-use fleet::placement::{Candidate, Load};
-use types::{Target, Time};
+use fleet::dispatcher::{Dispatcher, Offer, Reply, Request};
+use support::{at, granted};
+use types::Target;
 
-const KV_CAPACITY: u64 = 47_000;
 const LARGE: u64 = 7000;
 const SMALL: u64 = 800;
 
-fn at(millis: u64) -> Time {
-    Time::from_millis(millis)
-}
-
-fn cell() -> Cell {
-    Cell {
-        service: "engines".into(),
-        domain: Some("pier".into()),
-        shard: 0,
-        shards: 1,
-    }
-}
-
 fn request(number: u64, rank: u8, kv_tokens: u64) -> Request {
-    Request {
-        id: Id {
-            sender: "entry-1".into(),
-            incarnation: 7,
-            sequence: number,
-        },
-        cell: cell(),
-        rank,
-        max_wait: Duration::from_millis(400),
-        patience: Duration::from_millis(400),
-        queue: true,
-        demand: Demand {
-            kv_tokens,
-            ..Demand::default()
-        },
-    }
+    support::request(number, rank, kv_tokens, Duration::from_millis(400))
 }
 
 /// Returns a target whose requests in flight take this much memory.
 fn offer(target: &str, kv_tokens: u64, request: &Request) -> Offer {
-    Offer {
-        target: target.into(),
-        candidate: Candidate {
-            load: Load {
-                running: 1,
-                prefill_tokens: 0,
-                kv_tokens,
-            },
-            backlog: Duration::ZERO,
-            prefill_tokens: 100,
-            prefill_time: Duration::from_millis(2),
-            fetch_time: Duration::ZERO,
-            slots: 64,
-            kv_capacity: KV_CAPACITY,
-            kv_tokens: request.demand.kv_tokens,
-            remote: false,
-            outdated: false,
-        },
-        resident: Vec::new(),
-    }
-}
-
-fn granted(reply: &Reply) -> Option<&str> {
-    match reply {
-        Reply::Granted(target, _) => Some(target),
-        _ => None,
-    }
+    support::offer(target, 1, kv_tokens, request)
 }
 
 /// Returns the requests that were granted a target.
--- a/crates/fleet/tests/cold.rs
+++ b/crates/fleet/tests/cold.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use fleet::cell::{Cell, Node};
-use fleet::cold::{Exchange, GRANT_TTL, LIST_TTL, Ledger, WINDOW};
+use fleet::cold::{GRANT_TTL, LIST_TTL, Ledger, Timing, WINDOW};
 use fleet::dispatcher::Id;
 use fleet::quota::Ramp;
 use proptest::prelude::*;
@@ -373,7 +373,7 @@
         }
         events.sort_unstable();
         let granted_at = Time::from_millis(granted_after_ms);
-        let mut exchange = Exchange::new(Time(0));
+        let mut exchange = Timing::new(Time(0));
         for (at, is_sent) in events {
             match is_sent {
                 true => exchange.on_sent(Time::from_millis(at)),
--- a/crates/fleet/tests/reserve.rs
+++ b/crates/fleet/tests/reserve.rs
@@ -1,16 +1,15 @@
 //! Requests that cannot wait, behind long ones that have taken the memory, replayed in virtual time.
 
+mod support;
+
 use std::time::Duration;
 
-use fleet::cell::Cell;
-use fleet::dispatcher::{Demand, Dispatcher, Id, Offer, Reply, Request};
-use fleet::placement::{Candidate, Load};
+use fleet::dispatcher::{Dispatcher, Offer, Request};
 use fleet::reserve::Reserve;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use types::Time;
+use support::{at, granted, offer};
 
-const KV_CAPACITY: u64 = 47_000;
 const TARGETS: [&str; 9] = ["a", "b", "c", "d", "e", "f", "g", "h", "i"];
 
 /// A kind of requests.
@@ -39,32 +38,8 @@
     rate: 0.02,
 };
 
-fn at(millis: u64) -> Time {
-    Time::from_millis(millis)
-}
-
 fn request(sequence: u64, kind: Kind) -> Request {
-    Request {
-        id: Id {
-            sender: "entry-1".into(),
-            incarnation: 7,
-            sequence,
-        },
-        cell: Cell {
-            service: "engines".into(),
-            domain: Some("pier".into()),
-            shard: 0,
-            shards: 1,
-        },
-        rank: 1,
-        max_wait: kind.max_wait,
-        patience: kind.max_wait,
-        queue: true,
-        demand: Demand {
-            kv_tokens: kind.kv_tokens,
-            ..Demand::default()
-        },
-    }
+    support::request(sequence, 1, kind.kv_tokens, kind.max_wait)
 }
 
 /// Replays a burst. Returns the share of the requests of each kind that was placed.
@@ -81,25 +56,10 @@
         }
         let offers = |running: &[Vec<(u64, u64)>], request: &Request| {
             let targets = TARGETS.iter().zip(running);
-            let offers = targets.map(|(target, requests)| Offer {
-                target: (*target).into(),
-                candidate: Candidate {
-                    load: Load {
-                        running: u32::try_from(requests.len()).expect("few"),
-                        prefill_tokens: 0,
-                        kv_tokens: requests.iter().map(|(_, tokens)| tokens).sum(),
-                    },
-                    backlog: Duration::ZERO,
-                    prefill_tokens: 10,
-                    prefill_time: Duration::from_millis(1),
-                    fetch_time: Duration::ZERO,
-                    slots: 64,
-                    kv_capacity: KV_CAPACITY,
-                    kv_tokens: request.demand.kv_tokens,
-                    remote: false,
-                    outdated: false,
-                },
-                resident: Vec::new(),
+            let offers = targets.map(|(target, requests)| {
+                let count = u32::try_from(requests.len()).expect("few");
+                let kv_tokens = requests.iter().map(|(_, tokens)| tokens).sum();
+                offer(target, count, kv_tokens, request)
             });
             offers.collect::<Vec<Offer>>()
         };
@@ -116,13 +76,13 @@
         }
         replies.extend(dispatcher.poll(|request| offers(&running, request), 0, at(now)));
         for (request, reply) in replies {
-            let Reply::Granted(target, _) = reply else {
+            let Some(target) = granted(&reply) else {
                 continue;
             };
             dispatcher.on_acknowledged(&request.id);
             let index = (request.id.sequence % 2) as usize;
             placed[index] += 1.0;
-            let position = TARGETS.iter().position(|name| *name == &*target);
+            let position = TARGETS.iter().position(|name| *name == target);
             let end = now + kinds[index].run_ms;
             running[position.expect("known")].push((end, request.demand.kv_tokens));
         }
--- a/crates/gateway/src/dispatch/request.rs
+++ b/crates/gateway/src/dispatch/request.rs
@@ -138,7 +138,7 @@
     Adapter: Platform,
 {
     let message = Message::Request(request);
-    let mut timing = cold::Exchange::new(now());
+    let mut timing = cold::Timing::new(now());
     let mut waited = Waited::default();
     let mut wait = RESEND_INTERVAL;
     let mut timeout = REPLY_TIMEOUT;
