--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -6,8 +6,7 @@
 
 use fleet::cache::{self, Action, Residency};
 use fleet::catalog::Pool;
-use fleet::cold;
-use fleet::dispatcher::{Demand, Id, Offer, Request};
+use fleet::dispatcher::{Demand, Offer, Request};
 use fleet::gossip::FAN_OUT;
 use fleet::lateness::{self, Limit};
 use fleet::namespace::{Namespace, Scope};
@@ -18,6 +17,7 @@
 use crate::adapter::{Envelope, Fetch, Prompt};
 use crate::attempt::{self, Admitted, Choice};
 use crate::clock::now;
+use crate::cold;
 use crate::shared::Shared;
 
 /// The share of the fetch time that is assumed for the target with session affinity, which probably
@@ -87,7 +87,7 @@
     let demand = &renewed(shared, admitted, demand);
     let pool = shared.catalog()?.pool(service).cloned()?;
     let avoids = |member: &Member| shared.tracker.borrow().avoids(&member.id, time);
-    let may_send = |record: &Record| may_send_cold(shared, &pool, record, time);
+    let may_send = |record: &Record| cold::may_send(shared, &pool, record, time);
     let mut usable = usable(shared, &pool, demand, time, |_| true, may_send, avoids);
     let pool_size = usable.len();
     let preferred = preferred(shared, demand, &usable);
@@ -185,7 +185,7 @@
             .borrow()
             .avoids_loaded(&member.id, running, time)
     };
-    let may_grant = |record: &Record| may_grant_cold(shared, &pool, request, record, time);
+    let may_grant = |record: &Record| cold::may_grant(shared, &pool, request, record, time);
     let usable = usable(shared, &pool, demand, time, is_eligible, may_grant, avoids);
     let pool_size = usable.len();
     let random = f64::from(shared.random()) / f64::from(u32::MAX);
@@ -230,7 +230,7 @@
     }
     let is_eligible = |member: &Member| member.id == *target;
     let may_send =
-        |record: &Record| send_by.is_some() || may_send_cold(shared, &pool, record, time);
+        |record: &Record| send_by.is_some() || cold::may_send(shared, &pool, record, time);
     let avoids = |_: &Member| false;
     let mut usable = usable(shared, &pool, demand, time, is_eligible, may_send, avoids);
     let member = usable.pop()?;
@@ -255,89 +255,6 @@
     Some(Choice { send_by, ..choice })
 }
 
-/// The number of requests per second that a cold target tolerates from all entries together.
-fn cold_limit<Adapter>(shared: &Shared<Adapter>, pool: &Pool) -> f64 {
-    let bounds = &shared.settings.bounds;
-    pool.cold_rate * bounds.cold_factor + bounds.cold_slack
-}
-
-/// Whether this entry may send a request to a cold target within its fixed share.
-fn may_send_cold<Adapter>(
-    shared: &Shared<Adapter>,
-    pool: &Pool,
-    record: &Record,
-    time: Time,
-) -> bool {
-    let limit = cold_limit(shared, pool);
-    let entries = shared.entry_count.get();
-    shared.may_use_quota(time)
-        && shared.cold.borrow_mut().trusts_count(limit, entries, time)
-        && shared
-            .ramp
-            .borrow_mut()
-            .allows(&record.member.id, limit, entries, time)
-}
-
-/// Whether this entry, as a dispatcher, may grant a request a cold target.
-fn may_grant_cold<Adapter>(
-    shared: &Shared<Adapter>,
-    pool: &Pool,
-    request: &Request,
-    record: &Record,
-    time: Time,
-) -> bool {
-    match cold_share(shared, pool, record, time) {
-        0 => may_send_cold(shared, pool, record, time),
-        share => {
-            let mut ledger = shared.cold.borrow_mut();
-            ledger.offer(&record.member.id, &request.id, share, time)
-        }
-    }
-}
-
-/// Returns how many requests to a cold target this entry may grant in a window.
-fn cold_share<Adapter>(
-    shared: &Shared<Adapter>,
-    pool: &Pool,
-    record: &Record,
-    time: Time,
-) -> usize {
-    let turned_cold = record.turned_cold;
-    if turned_cold.is_some_and(|turned_cold| time.since(turned_cold) < cold::WINDOW) {
-        return 0;
-    }
-    let member = &record.member;
-    shared.cold.borrow_mut().share(
-        &member.service,
-        &member.domain,
-        cold_limit(shared, pool),
-        time,
-    )
-}
-
-/// Records a grant of this entry as a dispatcher.
-pub(crate) fn on_granted<Adapter>(shared: &Shared<Adapter>, id: &Id, target: &Target) {
-    let time = now();
-    let roster = shared.roster.borrow();
-    let catalog = shared.catalog();
-    let within_budget = roster.get(target).is_some_and(|record| {
-        let pool = catalog.as_ref();
-        let pool = pool.and_then(|catalog| catalog.pool(&record.member.service));
-        pool.is_some_and(|pool| {
-            is_cold(pool, record, time) && cold_share(shared, pool, record, time) > 0
-        })
-    });
-    if within_budget {
-        shared.metrics.on_cold_grant("granted");
-    }
-    let mut ledger = shared.cold.borrow_mut();
-    ledger.on_granted(target, id, within_budget, time);
-}
-
-fn is_cold(pool: &Pool, record: &Record, time: Time) -> bool {
-    pool.cold_rate > 0.0 && record.cold_until > time
-}
-
 /// An eligible target, with a plan for the segments of the prompt.
 struct Evaluated {
     member: Arc<Member>,
@@ -371,7 +288,7 @@
         {
             continue;
         }
-        if is_cold(pool, record, time) && !may_use_cold(record) {
+        if cold::is_cold(pool, record, time) && !may_use_cold(record) {
             continue;
         }
         let unreachable = demand.unreachable.contains(&member.domain);
--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -11,6 +11,7 @@
 use crate::adapter::Platform;
 use crate::choose;
 use crate::clock::now;
+use crate::cold;
 use crate::logging::Event;
 use crate::packet::Message;
 use crate::serve::millis;
@@ -50,7 +51,7 @@
                 false => Reply::NotDispatcher,
             };
             if is_placed && let Reply::Granted(target, _) = &reply {
-                choose::on_granted(shared, &id, target);
+                cold::on_granted(shared, &id, target);
             }
             on_reply(shared, &request, &reply);
             send_reply(shared, id, reply, from);
@@ -240,7 +241,7 @@
         };
         for (request, reply) in replies {
             if let Reply::Granted(target, _) = &reply {
-                choose::on_granted(&shared, &request.id, target);
+                cold::on_granted(&shared, &request.id, target);
             }
             on_reply(&shared, &request, &reply);
             send_reply(&shared, request.id, reply, None);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod callers;
 mod choose;
 mod clock;
+mod cold;
 mod connection;
 mod discovery;
 mod dispatch;
