gateway: log the age of the weights of each attempt

An attempt did not say which weights it was sent for, whether a newer version had been released, and how long ago, so a late start on outdated weights could not be traced to a wait at the target, a release learned late, a wrong belief about the target, or a slow connection. The checks of weights move from choose to a module of their own; no decision changes.

--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -147,19 +147,24 @@
 
     /// Restores the release time of a version from a stored record. A process that started later
     /// learns only the newest version, but each earlier one sets the deadline of the targets that
-    /// missed it. Of two release times, the earlier one counts.
-    pub fn restore(&mut self, model: &str, version: u64, since: Time) {
+    /// missed it. Of two release times, the earlier one counts. Returns by how much the record is
+    /// earlier than what was known, if it is; zero for a version that was not known.
+    pub fn restore(&mut self, model: &str, version: u64, since: Time) -> Option<Duration> {
         let found = self.releases.iter_mut().find(|(name, _)| &***name == model);
-        let Some((_, versions)) = found else {
-            return;
-        };
+        let (_, versions) = found?;
         match versions.binary_search_by_key(&version, |release| release.version) {
-            Ok(index) => versions[index].since = versions[index].since.min(since),
+            Ok(index) => {
+                let known = &mut versions[index].since;
+                let earlier = known.since(since);
+                *known = since.min(*known);
+                (!earlier.is_zero()).then_some(earlier)
+            }
             Err(index) if index < versions.len() && versions.len() < MAX_RELEASES => {
                 versions.insert(index, Release { version, since });
+                Some(Duration::ZERO)
             }
             // A version newer than all released ones arrives with the operator's list.
-            Err(_) => {}
+            Err(_) => None,
         }
     }
 
@@ -385,6 +390,17 @@
         first.map(|release| release.since)
     }
 
+    /// Returns when requests must no longer begin on the weights of the target: `limit` after the
+    /// first newer version was released. `None` if they do not expire.
+    #[must_use]
+    pub fn expires_at(&self, member: &Member, model: &Model, limit: Duration) -> Option<Time> {
+        if limit == Duration::MAX {
+            return None;
+        }
+        let since = self.outdated_since(member, model)?;
+        Some(since + limit)
+    }
+
     fn missing_order(&self, record: &Record) -> Option<Order> {
         let member = &record.member;
         if member.draining {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -23,7 +23,7 @@
 use crate::connection::{self, Checkout, Connection, Error};
 use crate::framing::Framing;
 use crate::in_flight::{Claim, InFlight};
-use crate::logging::describe;
+use crate::logging::{Event, describe};
 use crate::reachability;
 use crate::retry::Progress;
 use crate::serve::DEFAULT_TIMEOUT;
@@ -244,6 +244,8 @@
     Adapter: Platform,
 {
     let at_most_once = !admitted.route.is_retryable();
+    let started = now();
+    progress.connect_time = None;
     loop {
         let claim = Claim::start(shared, choice);
         let connection = match connect(shared, choice, at_most_once).await {
@@ -256,6 +258,7 @@
                 };
             }
         };
+        progress.connect_time = Some(now().since(started));
         let reused = connection.reused;
         if let Some(send_by) = choice.send_by {
             if now() >= send_by {
@@ -397,6 +400,16 @@
         };
         return Outcome::NotRun { rejection, cause };
     }
+    if let (Some(served), Some(expected)) = (response.version, choice.envelope.version)
+        && served != expected
+    {
+        Event::new("unexpected_weights")
+            .with("request", &*admitted.head.id)
+            .with("target", &*choice.member.id)
+            .with("expected", expected)
+            .with("served", served)
+            .warn();
+    }
     if !response.authentic {
         let cause = format!(
             "status {} without the target's authentication code",
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -19,6 +19,7 @@
 use crate::clock::now;
 use crate::cold;
 use crate::shared::Shared;
+use crate::weights;
 
 /// The share of the fetch time that is assumed for the target with session affinity, which probably
 /// has the segments in memory.
@@ -32,10 +33,6 @@
 const SAMPLE_PREFERRED: usize = 4;
 /// Assumed length of a completion if the caller gives no estimate.
 const DEFAULT_OUTPUT_TOKENS: u64 = 80;
-/// How long before outdated weights expire new requests are no longer sent: a request may still
-/// wait that long at its target.
-const WEIGHTS_EXPIRY_MARGIN: Duration = Duration::from_millis(1500);
-
 /// Returns the resource demand of a request.
 pub(crate) fn demand<Adapter>(
     shared: &Shared<Adapter>,
@@ -284,7 +281,7 @@
             || member.draining
             || evacuated.contains(&member.domain)
             || demand.excluded.contains(&member.id)
-            || is_expired(shared, demand.model.as_ref(), member, time)
+            || weights::is_expired(shared, demand.model.as_ref(), member, time)
         {
             continue;
         }
@@ -349,7 +346,7 @@
         kv_capacity: pool.engine.as_ref().map_or(0, |engine| engine.kv_capacity),
         kv_tokens: demand.kv_tokens,
         remote: member.domain != shared.settings.domain,
-        outdated: is_outdated(shared, demand.model.as_ref(), &member),
+        outdated: weights::is_outdated(shared, demand.model.as_ref(), &member),
     };
     Evaluated {
         member,
@@ -523,19 +520,6 @@
         .collect()
 }
 
-pub(crate) fn is_outdated<Adapter>(
-    shared: &Shared<Adapter>,
-    model: Option<&Model>,
-    member: &Member,
-) -> bool {
-    let Some(model) = model else {
-        return false;
-    };
-    let released = shared.rollout.borrow().latest(model);
-    let served = member.version(model);
-    matches!((released, served), (Some(released), Some(served)) if served < released.version)
-}
-
 /// Returns the cache namespace of a request at a target with this weight version.
 fn namespace(model: &Model, version: Option<u64>, demand: &Demand) -> Box<str> {
     let namespace = Namespace {
@@ -546,23 +530,6 @@
     namespace.to_string().into()
 }
 
-/// Whether new requests must not start on a target's weights, because a newer version was released
-/// too long ago. The result of such a request could no longer be used.
-fn is_expired<Adapter>(
-    shared: &Shared<Adapter>,
-    model: Option<&Model>,
-    member: &Member,
-    time: Time,
-) -> bool {
-    let limit = shared
-        .settings
-        .weights_limit()
-        .saturating_sub(WEIGHTS_EXPIRY_MARGIN);
-    let rollout = shared.rollout.borrow();
-    let since = model.and_then(|model| rollout.outdated_since(member, model));
-    since.is_some_and(|since| time.since(since) >= limit)
-}
-
 fn target_hash(target: &Target) -> u64 {
     let mut bytes = [0; 8];
     bytes.copy_from_slice(&blake3::hash(target.as_bytes()).as_bytes()[..8]);
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -17,6 +17,7 @@
 use crate::logging::Event;
 use crate::orders::Issuer;
 use crate::restoration;
+use crate::serve::millis;
 use crate::shared::{Peer, Shared};
 
 /// The key of the row that holds the lease on orders, in the first era of the table store.
@@ -308,8 +309,18 @@
                 continue;
             };
             let age = Duration::from_millis(store_time.saturating_sub(released_at));
-            let mut rollout = shared.rollout.borrow_mut();
-            rollout.restore(&model, version, time - age);
+            let earlier = shared
+                .rollout
+                .borrow_mut()
+                .restore(&model, version, time - age);
+            if let Some(earlier) = earlier {
+                Event::new("release_restored")
+                    .with("model", &*model)
+                    .with("version", version)
+                    .with("age_ms", millis(age))
+                    .with("earlier_ms", millis(earlier))
+                    .info();
+            }
         }
         if known {
             return;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod sse;
 mod supervisor;
 mod wait;
+mod weights;
 
 pub use adapter::{
     Batch, Cache, Change, Codec, Envelope, Fetch, Head, List, Orders, Platform, Prompt, Rejection,
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -40,6 +40,8 @@
     pub(crate) trial: Option<Trial<Adapter>>,
     /// Whether a target may be running it.
     pub(crate) in_flight: bool,
+    /// How long the last attempt took to get a connection, if it got one.
+    pub(crate) connect_time: Option<Duration>,
     /// The attempt that takes the request over from a silent target.
     takeover: Option<Box<Choice>>,
     /// Its ticket while it waits in the queue of its service.
@@ -85,6 +87,7 @@
             runs: 0,
             trial: None,
             in_flight: false,
+            connect_time: None,
             takeover: None,
             queued: None,
         }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -20,7 +20,6 @@
 use crate::attempt::{self, Admitted, Buffered, Choice, Grant, Outcome, Rejection, Streaming};
 use crate::buffer::{self, Reservation};
 use crate::caller::{Exchange, Link, MAX_DRAIN_BYTES};
-use crate::choose;
 use crate::clock::now;
 use crate::dispatch::{self, Failure};
 use crate::logging::Event;
@@ -30,6 +29,7 @@
 use crate::retry::{Progress, Step};
 use crate::shared::Shared;
 use crate::shutdown;
+use crate::weights;
 
 /// The timeout of a request without a deadline.
 pub(crate) const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -455,6 +455,7 @@
         | Outcome::Withdrawn => {}
     }
     let time = now();
+    let outdated_for = weights::outdated_for(shared, admitted, choice);
     if !matches!(
         outcome,
         Outcome::NotRun {
@@ -473,16 +474,18 @@
         }
         Outcome::Buffered(response) => {
             quarantine::on_begun(shared, admitted);
+            weights::on_begun(shared, admitted, choice);
             shared.tracker.borrow_mut().on_success(target);
             ("answered", response.status.as_u16().to_string())
         }
         Outcome::Streaming(_) => {
             quarantine::on_begun(shared, admitted);
+            weights::on_begun(shared, admitted, choice);
             ("started", String::new())
         }
         Outcome::NotRun { rejection, cause } => {
             let model = admitted.head.prompt.as_ref().map(|prompt| &prompt.model);
-            let outdated = choose::is_outdated(shared, model, &choice.member);
+            let outdated = weights::is_outdated(shared, model, &choice.member);
             // During a network partition a failure to connect is not attributed to the target:
             // other entries reach it.
             let unreachable = shared
@@ -560,6 +563,9 @@
             choice.grant.as_ref().map(|grant| grant.dispatcher.as_str()),
         )
         .with("running", shared.tracker.borrow().load(target).running)
+        .with("weights", choice.envelope.version)
+        .with("outdated_ms", outdated_for.map(millis))
+        .with("connect_ms", progress.connect_time.map(millis))
         .info();
     outcome
 }
