gateway: withdraw requests that wait at a target until its weights expire

Callers saw a result of weights that had been replaced longer ago than the operators' bound. Cause: the bound was checked once, when the target was chosen, with 1.5 s for the wait at the target.

The decision is now fleet::expiry. As before, nothing is sent in the last 1.5 s. A request that has not begun 0.3 s before the expiry is withdrawn: its connection is closed, and it is sent to another target if its route and the quota allow. The check runs from the choice of the target to the first event, so a slow connection and a release in the meantime are covered as well.

Ruled out by the code: a wrong belief about a target's version, since the request carries the expected version and the target refuses others; a grant used late, since it is checked when it is accepted.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod contact;
 pub mod discovery;
 pub mod dispatcher;
+pub mod expiry;
 pub mod freshness;
 pub mod gossip;
 pub mod lateness;
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -5,6 +5,7 @@
 
 use types::{Domain, Model, Target, Time};
 
+use crate::expiry::Expiry;
 use crate::roster::{Member, Record, Roster};
 
 /// The released weight versions and the orders in progress.
@@ -390,15 +391,11 @@
         first.map(|release| release.since)
     }
 
-    /// Returns when requests must no longer begin on the weights of the target: `limit` after the
-    /// first newer version was released. `None` if they do not expire.
+    /// Returns when the weights of the target expire, `limit` after the first newer version was
+    /// released; `None` if they do not.
     #[must_use]
-    pub fn expires_at(&self, member: &Member, model: &Model, limit: Duration) -> Option<Time> {
-        if limit == Duration::MAX {
-            return None;
-        }
-        let since = self.outdated_since(member, model)?;
-        Some(since + limit)
+    pub fn expiry(&self, member: &Member, model: &Model, limit: Duration) -> Option<Expiry> {
+        Expiry::new(self.outdated_since(member, model)?, limit)
     }
 
     fn missing_order(&self, record: &Record) -> Option<Order> {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -136,8 +136,8 @@
         /// The cause, for logs.
         cause: String,
     },
-    /// The entry withdrew the request before its response began. It may have run.
-    Withdrawn,
+    /// The entry withdrew the request before its response began, for this cause. It may have run.
+    Withdrawn(&'static str),
 }
 
 /// A complete response.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -265,7 +265,7 @@
             Outcome::NotRun { cause, .. } | Outcome::Failed { cause } | Outcome::Lost { cause } => {
                 failure = Some(cause);
             }
-            Outcome::Withdrawn => {}
+            Outcome::Withdrawn(cause) => failure = Some(cause.to_owned()),
         }
     }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -390,7 +390,7 @@
             }
             Outcome::Streaming(stream) => return Answer::Streaming(stream),
             Outcome::NotRun { .. } => {}
-            Outcome::Failed { .. } | Outcome::Lost { .. } | Outcome::Withdrawn => {
+            Outcome::Failed { .. } | Outcome::Lost { .. } | Outcome::Withdrawn(_) => {
                 if !admitted.route.is_retryable() || !progress.may_run_again(admitted) {
                     let timed_out = admitted.remaining(shared, now()).is_zero();
                     let reason = if timed_out {
@@ -440,7 +440,10 @@
     };
     let outcome = tokio::select! {
         outcome = attempt::run(shared, admitted, progress, choice) => outcome,
-        () = withdrawn => Outcome::Withdrawn,
+        () = withdrawn => Outcome::Withdrawn("a segment of its prompt was quarantined"),
+        () = weights::until_expired(shared, admitted, choice) => {
+            Outcome::Withdrawn("the target's weights expire")
+        }
     };
     progress.in_flight = matches!(outcome, Outcome::Streaming(_));
     match outcome {
@@ -452,7 +455,7 @@
         | Outcome::Streaming(_)
         | Outcome::Failed { .. }
         | Outcome::Lost { .. }
-        | Outcome::Withdrawn => {}
+        | Outcome::Withdrawn(_) => {}
     }
     let time = now();
     let outdated_for = weights::outdated_for(shared, admitted, choice);
@@ -463,7 +466,7 @@
             ..
         } | Outcome::Failed { .. }
             | Outcome::Lost { .. }
-            | Outcome::Withdrawn
+            | Outcome::Withdrawn(_)
     ) {
         reachability::on_reached(shared, &choice.member.domain);
     }
@@ -514,7 +517,7 @@
             }
             (rejection.label(), cause.clone())
         }
-        Outcome::Withdrawn => ("withdrawn", String::new()),
+        Outcome::Withdrawn(cause) => ("withdrawn", (*cause).to_owned()),
         Outcome::Failed { cause } | Outcome::Lost { cause } => {
             // A target that was only slow is not recorded as failed: its load would move to the
             // others.
@@ -532,7 +535,7 @@
         Outcome::Buffered(_)
         | Outcome::Failed { .. }
         | Outcome::Lost { .. }
-        | Outcome::Withdrawn => progress.trial = None,
+        | Outcome::Withdrawn(_) => progress.trial = None,
     }
     if let Outcome::Lost { .. } = outcome {
         quarantine::on_lost(shared, admitted, &choice.member, sent_at).await;
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -1,7 +1,9 @@
-//! Keeps requests away from targets whose weights were replaced too long ago.
+//! Keeps requests away from targets whose weights were replaced too long ago, and withdraws those
+//! that wait there.
 
 use std::time::Duration;
 
+use fleet::expiry::Expiry;
 use fleet::roster::Member;
 use types::{Model, Time};
 
@@ -9,9 +11,8 @@
 use crate::clock::now;
 use crate::shared::Shared;
 
-/// How long before outdated weights expire new requests are no longer sent: a request may still
-/// wait that long at its target.
-const EXPIRY_MARGIN: Duration = Duration::from_millis(1500);
+/// How often a request that waits at its target checks for a release.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Whether a target serves older weights than the newest release.
 pub(crate) fn is_outdated<Adapter>(
@@ -27,16 +28,36 @@
     matches!((released, served), (Some(released), Some(served)) if served < released.version)
 }
 
-/// Whether new requests must not start on a target's weights, because a newer version was released
-/// too long ago. The result of such a request could no longer be used.
+/// Whether new requests must not be sent to a target, because its weights expire before they could
+/// begin there. Their results could no longer be used.
 pub(crate) fn is_expired<Adapter>(
     shared: &Shared<Adapter>,
     model: Option<&Model>,
     member: &Member,
     time: Time,
 ) -> bool {
-    let expiry = expires_at(shared, model, member);
-    expiry.is_some_and(|expiry| time + EXPIRY_MARGIN >= expiry)
+    expiry(shared, model, member).is_some_and(|expiry| !expiry.allows_sending(time))
+}
+
+/// Waits until a request that has not begun at its target must be withdrawn from it. The weights may
+/// be replaced after the request was sent.
+pub(crate) async fn until_expired<Adapter>(
+    shared: &Shared<Adapter>,
+    admitted: &Admitted,
+    choice: &Choice,
+) {
+    if admitted.head.prompt.is_none() || shared.settings.bounds.weights_ms.is_none() {
+        return std::future::pending().await;
+    }
+    loop {
+        let expiry = expiry_of(shared, admitted, choice);
+        let wait = expiry.map(|expiry| expiry.remaining_wait(now()));
+        if wait == Some(Duration::ZERO) {
+            return;
+        }
+        let wait = wait.unwrap_or(CHECK_INTERVAL).min(CHECK_INTERVAL);
+        tokio::time::sleep(wait).await;
+    }
 }
 
 /// Returns for how long the weights of a chosen target have been outdated.
@@ -53,19 +74,27 @@
 
 /// Counts a response that began on weights which had expired.
 pub(crate) fn on_begun<Adapter>(shared: &Shared<Adapter>, admitted: &Admitted, choice: &Choice) {
-    let outdated_for = outdated_for(shared, admitted, choice);
-    if outdated_for.is_some_and(|age| age >= shared.settings.weights_limit()) {
+    let expiry = expiry_of(shared, admitted, choice);
+    if expiry.is_some_and(|expiry| expiry.is_past(now())) {
         shared.metrics.expired_starts.inc();
     }
 }
 
-/// Returns when requests must no longer begin on a target's weights.
-fn expires_at<Adapter>(
+fn expiry_of<Adapter>(
+    shared: &Shared<Adapter>,
+    admitted: &Admitted,
+    choice: &Choice,
+) -> Option<Expiry> {
+    let prompt = admitted.head.prompt.as_ref();
+    expiry(shared, prompt.map(|prompt| &prompt.model), &choice.member)
+}
+
+fn expiry<Adapter>(
     shared: &Shared<Adapter>,
     model: Option<&Model>,
     member: &Member,
-) -> Option<Time> {
+) -> Option<Expiry> {
     let limit = shared.settings.weights_limit();
     let rollout = shared.rollout.borrow();
-    rollout.expires_at(member, model?, limit)
+    rollout.expiry(member, model?, limit)
 }
