gateway: log a fingerprint of the requests that targets crash with

target_crashed was logged only for prompts, and no line told that two requests with different ids are repeats of one. A keyed hash of team, method, host, path, prompt and body does. The check whether the target has crashed now runs for requests without a prompt too; no decision uses it yet.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine/mod.rs
@@ -10,6 +10,7 @@
 //! that all of them together lose no more targets than one entry would.
 
 use std::collections::HashMap;
+use std::fmt::{self, Display, Formatter};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,6 +19,16 @@
 /// The identifier of a segment of a prompt.
 pub type Segment = Arc<str>;
 
+/// Identifies a request by its content, whatever id its caller gave it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Fingerprint(pub [u8; 16]);
+
+impl Display for Fingerprint {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:032x}", u128::from_be_bytes(self.0))
+    }
+}
+
 /// The crashes that are evidence against each segment, as one entry knows them.
 #[derive(Debug, Default)]
 pub struct Quarantine {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,4 +1,4 @@
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,6 +21,7 @@
 use crate::buffer::{self, Reservation};
 use crate::clock::now;
 use crate::connection::{self, Checkout, Connection, Error};
+use crate::fingerprint;
 use crate::framing::Framing;
 use crate::in_flight::{Claim, InFlight};
 use crate::logging::{Event, describe};
@@ -42,6 +43,8 @@
     pub(crate) head: Head,
     /// The segments of the prompt that other prompts may share.
     pub(crate) segments: Vec<quarantine::Segment>,
+    /// Identifies the request by its content; set when it is first needed.
+    pub(crate) fingerprint: OnceCell<quarantine::Fingerprint>,
     pub(crate) route: Arc<Route>,
     pub(crate) owner: Option<Arc<fleet::catalog::Owner>>,
     pub(crate) arrived: Time,
@@ -196,6 +199,12 @@
 }
 
 impl Admitted {
+    /// Returns what identifies the request when its caller repeats it.
+    pub(crate) fn fingerprint<Adapter>(&self, shared: &Shared<Adapter>) -> quarantine::Fingerprint {
+        let compute = || fingerprint::of(self, &shared.dispatch.secret());
+        *self.fingerprint.get_or_init(compute)
+    }
+
     /// Returns the time until the deadline, or until a stopping entry must respond if that is
     /// earlier.
     pub(crate) fn remaining<Adapter>(&self, shared: &Shared<Adapter>, now: Time) -> Duration {
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -233,6 +233,14 @@
         now().since(self.started)
     }
 
+    /// Returns the secret that the entries share; zeros before it is loaded.
+    pub(crate) fn secret(&self) -> [u8; 32] {
+        let transport = self.transport.borrow();
+        transport
+            .as_ref()
+            .map_or([0; 32], |transport| transport.secret.get())
+    }
+
     /// Sends a message, or drops it before the shared secret is loaded.
     pub(crate) fn send_to(&self, message: &Message, to: SocketAddr) {
         let transport = self.transport.borrow().clone();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod discovery;
 mod dispatch;
 mod feed;
+mod fingerprint;
 mod framing;
 mod gossip;
 mod in_flight;
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fleet::quarantine::{Crash, Decision, Evidence, Segment};
+use fleet::quarantine::{Crash, Decision, Evidence, Fingerprint, Segment};
 use fleet::roster::Member;
 use tokio::net::TcpStream;
 use types::Time;
@@ -125,7 +125,7 @@
 }
 
 /// Handles the loss of a request whose response had not begun: if the target has crashed, this is
-/// evidence against the segments of the prompt.
+/// evidence against the segments of the prompt, if it has one.
 ///
 /// Connections are also lost one at a time, so a target counts as crashed only if it refuses new
 /// ones.
@@ -137,13 +137,11 @@
 ) where
     Adapter: Platform,
 {
-    if admitted.segments.is_empty() {
-        return;
-    }
     // The check goes on if the caller leaves meanwhile.
     let check = tokio::task::spawn_local(check_crash(
         Rc::clone(shared),
         admitted.head.id.clone(),
+        admitted.fingerprint(shared),
         admitted.segments.clone(),
         Arc::clone(member),
         sent,
@@ -155,6 +153,7 @@
 async fn check_crash<Adapter>(
     shared: Rc<Shared<Adapter>>,
     request: Box<str>,
+    fingerprint: Fingerprint,
     segments: Vec<Segment>,
     member: Arc<Member>,
     sent: Time,
@@ -184,6 +183,7 @@
     Event::new("target_crashed")
         .with("request", &*request)
         .with("target", &*member.id)
+        .with("fingerprint", fingerprint.to_string())
         .with("segments", describe(&evidence))
         .with("in_flight_ms", millis(crash.in_flight))
         .warn();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,4 +1,4 @@
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -236,6 +236,7 @@
         reservation,
         head,
         segments,
+        fingerprint: OnceCell::new(),
         route,
         owner,
         arrived,
