gateway: expect the newest weights of targets that list none

A request began on replaced weights at a target whose row had lost its list of models, as after a write by another program: without a version the target was neither outdated nor expired, and the request expected no version. Now such a target must have the newest released weights to run a request, and refuses it otherwise; cache keys follow the same version.

Without a release nothing changes.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -324,7 +324,7 @@
     residency: Residency<'_>,
     random: f64,
 ) -> Evaluated {
-    let segments = shared_segments(demand, &member);
+    let segments = shared_segments(shared, demand, &member);
     let index = shared.cache_index.borrow();
     let plan = index.plan(
         &segments,
@@ -366,7 +366,8 @@
     last_event: Option<u64>,
 ) -> Choice {
     let prompt = admitted.head.prompt.as_ref();
-    let version = prompt.and_then(|prompt| evaluated.member.version(&prompt.model));
+    let version = prompt
+        .and_then(|prompt| weights::expected_version(shared, &prompt.model, &evaluated.member));
     let index = shared.cache_index.borrow();
     let address = |store: &Store| index.host(store).map(|host| host.address);
     let fetch = evaluated.plan.actions.iter().map(|action| match action {
@@ -447,7 +448,7 @@
 ) -> Option<Domain> {
     let member = usable.first()?;
     let index = shared.cache_index.borrow();
-    let domain = index.holder_domain(shared_segments(demand, member).last()?)?;
+    let domain = index.holder_domain(shared_segments(shared, demand, member).last()?)?;
     let there = usable.iter().filter(|member| member.domain == *domain);
     (there.count() >= SAMPLE_PREFERRED).then(|| domain.clone())
 }
@@ -493,11 +494,16 @@
 }
 
 /// Returns the shared segments of a prompt with the cache keys of a target.
-fn shared_segments(demand: &Demand, member: &Member) -> Vec<cache::Segment> {
+fn shared_segments<Adapter>(
+    shared: &Shared<Adapter>,
+    demand: &Demand,
+    member: &Member,
+) -> Vec<cache::Segment> {
     let Some(model) = &demand.model else {
         return Vec::new();
     };
-    segments_of_version(demand, model, member.version(model))
+    let version = weights::expected_version(shared, model, member);
+    segments_of_version(demand, model, version)
 }
 
 /// Returns the shared segments of a prompt with the cache keys of targets that serve this weight
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -14,6 +14,20 @@
 /// How often a request that waits at its target checks for a release.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Returns the version that a target must have to run a request. If its row does not tell which one
+/// it serves, that is the newest release, since it may serve any older one.
+pub(crate) fn expected_version<Adapter>(
+    shared: &Shared<Adapter>,
+    model: &Model,
+    member: &Member,
+) -> Option<u64> {
+    let newest = || {
+        let rollout = shared.rollout.borrow();
+        rollout.latest(model).map(|release| release.version)
+    };
+    member.version(model).or_else(newest)
+}
+
 /// Whether a target serves older weights than the newest release.
 pub(crate) fn is_outdated<Adapter>(
     shared: &Shared<Adapter>,
