gateway: start the bound of a release when the store may have shown it

An entry that had been cut off from the store, suspended, or slow to read a reply let requests begin on replaced weights for the whole bound from the moment at which it learned of the release, so later than the bound after the acknowledgement. It is in touch again 3 s after the cut, long before that bound ends.

The release now counts from the time at which the store gave the reply, by the store's clock, and if the call had not waited, from the reply before it: the change may be as old. The same time goes into the stored record. A time that is too early only makes the entry stop earlier.

--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -25,6 +25,22 @@
 /// fastest reply.
 const OFFSET_ERROR_US: i64 = 10_000;
 
+/// A long poll that was answered sooner shows changes that may be older than the call.
+const MIN_POLL_WAIT: Duration = Duration::from_millis(100);
+
+/// Returns the earliest time at which the changes in a reply may have been made. The reply was
+/// requested at `sent_at` and given at `given_at`; the one before it was given at `previous`.
+///
+/// A long poll that has waited is answered when a change is made. One that is answered at once
+/// shows what has happened since the previous reply: the entry may have been suspended or cut off.
+#[must_use]
+pub fn changed_since(previous: Option<Time>, sent_at: Time, given_at: Time) -> Time {
+    if given_at.since(sent_at) >= MIN_POLL_WAIT {
+        return given_at;
+    }
+    previous.map_or(given_at, |previous| previous.min(given_at))
+}
+
 impl Evidence {
     /// Records the time of a reply of the table store on its monotonic clock, in milliseconds.
     /// Returns the latest time on this entry's clock at which it may have been given, in µs.
@@ -54,6 +70,20 @@
         self.confirmed = self.confirmed.max(Some(confirmed));
     }
 
+    /// Returns the earliest time on this entry's clock at which a reply may have been given that
+    /// arrived at `received_at` and was given at `store_ms` on the table store's monotonic clock.
+    #[must_use]
+    pub fn given_at(&self, received_at: Time, store_ms: u64) -> Time {
+        let given_us = i64::try_from(store_ms.saturating_mul(1000)).unwrap_or(i64::MAX);
+        let Some(offset) = self.offset else {
+            return received_at;
+        };
+        let given_us = given_us
+            .saturating_add(offset)
+            .saturating_sub(OFFSET_ERROR_US);
+        Time(u64::try_from(given_us).unwrap_or(0)).min(received_at)
+    }
+
     /// Records that the table store was restored from a copy, after which its clock may differ.
     pub fn on_restored(&mut self) {
         self.offset = None;
--- a/crates/fleet/tests/staleness.rs
+++ b/crates/fleet/tests/staleness.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use fleet::freshness::Evidence;
+use fleet::freshness::{Evidence, changed_since};
 use fleet::roster::{Member, OUTAGE_GRACE, Roster};
 use proptest::prelude::*;
 use types::Time;
@@ -229,3 +229,22 @@
         }
     }
 }
+
+/// Guards against changes that seem to be as new as the reply that shows them, although the entry
+/// could not reach the store or was suspended before it.
+#[test]
+fn a_reply_without_a_wait_shows_changes_since_the_previous_one() {
+    assert_eq!(changed_since(Some(at(1000)), at(5000), at(5010)), at(1000));
+    assert_eq!(changed_since(Some(at(1000)), at(1001), at(5010)), at(5010));
+    assert_eq!(changed_since(None, at(5000), at(5010)), at(5010));
+}
+
+/// Guards against changes that seem to be as new as the arrival of a reply that was delayed.
+#[test]
+fn a_delayed_reply_was_given_earlier() {
+    let mut evidence = Evidence::default();
+    assert_eq!(evidence.given_at(at(2000), 700), at(2000));
+    evidence.on_store_clock(at(1000), 700);
+    let given = evidence.given_at(at(3000), 1700);
+    assert!(given <= at(2000) && given >= at(1980), "{given:?}");
+}
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -3,6 +3,7 @@
 
 use fleet::cold::Stats;
 use fleet::discovery::Action;
+use fleet::freshness;
 use fleet::restoration::LIST_SETTLE_TIME;
 use fleet::roster::{Member, Record};
 use types::{Revision, Target, Time};
@@ -92,6 +93,8 @@
     // an older configuration than the one in use.
     let mut reload_at: Option<Time> = None;
     let mut failures: u32 = 0;
+    // When the store gave its last reply.
+    let mut replied_at: Option<Time> = None;
     // The number of successive calls without a wait.
     let mut immediate: u32 = 0;
     loop {
@@ -186,7 +189,10 @@
                 if list == List::Targets {
                     shared.discovery.on_store(batch.cursor, time);
                 }
-                apply(&shared, list, batch, extent, time);
+                let given_at = shared.evidence.get().given_at(time, batch.store_time);
+                let changed_since = freshness::changed_since(replied_at, sent_at, given_at);
+                replied_at = Some(given_at);
+                apply(&shared, list, batch, extent, time, changed_since);
                 let known = shared.config_version();
                 if extent == Extent::Whole
                     && list == List::Operator
@@ -360,6 +366,7 @@
     batch: Batch,
     extent: Extent,
     time: Time,
+    changed_since: Time,
 ) where
     Adapter: Platform,
 {
@@ -383,14 +390,21 @@
             Change::Catalog(catalog) => adopt(shared, *catalog),
             Change::InvalidCatalog => {}
             Change::Weights(model, version) => {
-                if shared.rollout.borrow_mut().release(&model, version, time) {
+                let mut rollout = shared.rollout.borrow_mut();
+                if rollout.release(&model, version, changed_since) {
+                    drop(rollout);
                     Event::new("weights_named")
                         .with("model", &*model)
                         .with("version", version)
+                        .with("age_ms", millis(time.since(changed_since)))
                         .info();
                     let shared = Rc::clone(shared);
                     tokio::task::spawn_local(leader::record_release(
-                        shared, model, version, snapshot, time,
+                        shared,
+                        model,
+                        version,
+                        snapshot,
+                        changed_since,
                     ));
                 }
             }
