gateway: keep a response that arrived before its request is withdrawn

After a suspension the timer of the withdrawal and the response are ready at the same moment, and the connection has not been read yet, so the entry answered 502 although the target had begun in time. The attempt is polled first now, and a request that is to be withdrawn waits 20 ms for bytes that have arrived.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -440,6 +440,8 @@
         }
     };
     let outcome = tokio::select! {
+        // A response that has arrived counts even if the request is to be withdrawn.
+        biased;
         outcome = attempt::run(shared, admitted, progress, choice) => outcome,
         () = withdrawn => Outcome::Withdrawn("it or a segment of its prompt was quarantined"),
         () = weights::until_expired(shared, admitted, choice) => {
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -13,6 +13,9 @@
 
 /// How often a request that waits at its target checks for a release.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// How long a request that is to be withdrawn waits for a response that has arrived already: if the
+/// entry was suspended, it has not been read yet.
+const READ_DELAY: Duration = Duration::from_millis(20);
 
 /// Returns the version that a target must have to run a request. If its row does not tell which one
 /// it serves, that is the newest release, since it may serve any older one.
@@ -67,6 +70,7 @@
         let expiry = expiry_of(shared, admitted, choice);
         let wait = expiry.map(|expiry| expiry.remaining_wait(now()));
         if wait == Some(Duration::ZERO) {
+            tokio::time::sleep(READ_DELAY).await;
             return;
         }
         let wait = wait.unwrap_or(CHECK_INTERVAL).min(CHECK_INTERVAL);
