gateway: notice an earlier release time within the margin of the withdrawal

A stored record may move the time of a release to an earlier one while a request waits at its target. It was noticed up to 500 ms late, with a margin of 300 ms. Found by the review; no test shows it by itself.

--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -11,8 +11,9 @@
 use crate::clock::now;
 use crate::shared::Shared;
 
-/// How often a request that waits at its target checks for a release.
-const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// How often a request that waits at its target checks for a release. An earlier release time that
+/// is learned meanwhile must be noticed within the margin of the withdrawal.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// How long a request that is to be withdrawn waits for a response that has arrived already: if the
 /// entry was suspended, it has not been read yet.
 const READ_DELAY: Duration = Duration::from_millis(20);
