gateway: read the release time again after a write conflict

Callers got results of weights that had been replaced longer ago than the operators' bound. Cause: an entry that lost the race to write the row of a release took the conflict for success and kept the time at which it had learned of the release itself, although the other writer had recorded an earlier one.

A conflict now leads to another read, which applies the recorded time. The number of successive conflicts is limited, because a row that exists but cannot be read would cause one after another.

Evidence: an_earlier_release_time_of_a_competing_writer_applies failed before (status 200: the request began on weights that the recorded time makes older than the bound) and passes now.

--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -27,6 +27,9 @@
 /// The number of entries that record when a version was released; the second one is a fallback in
 /// case the first is down.
 const RECORDERS: usize = 2;
+/// The number of successive write conflicts after which a release time is not written. More than a
+/// few mean that the row exists but cannot be read.
+const MAX_CONFLICTS: usize = 4;
 /// The key prefix of the rows in which entries register.
 const ENTRIES_PREFIX: &str = "entry/";
 /// The duration of the lease; a successor waits this long before it takes over.
@@ -286,6 +289,7 @@
     if !from_snapshot && !recorder {
         return;
     }
+    let mut conflicts = 0;
     loop {
         let rows = match shared.adapter.scan(&prefix).await {
             Ok(rows) => rows,
@@ -332,7 +336,16 @@
             value: Some(serde_json::json!(store_time.saturating_sub(age))),
         };
         match shared.adapter.commit(&[row]).await {
-            Ok(_) => return,
+            Ok(Commit::Applied(_)) => return,
+            // Another entry has written the row, possibly with an earlier time.
+            Ok(Commit::Conflict(_)) if conflicts < MAX_CONFLICTS => {
+                conflicts += 1;
+                tokio::time::sleep(BACK_OFF).await;
+            }
+            Ok(Commit::Conflict(_)) => {
+                log::warn!("the row {key} conflicts, but is not listed");
+                return;
+            }
             Err(error) => {
                 log::warn!("failed to write the row {key}: {error}");
                 tokio::time::sleep(BACK_OFF * 2).await;
