gateway: let other entries record a release that the recorders did not

Callers got results of weights that had been replaced longer ago than the operators' bound. Cause: only the first two entries by rank wrote the row of a release, at the moment at which they learned of it. If both were killed or cut off then, nobody wrote it. An entry that started later found no row and counted the bound from its own start.

Three more entries by rank now check one after another, 1 to 3 s later, whether the row is there, and write the time that they know otherwise. All others wait without a call until they would have noticed that entries are down, and check only if they are then among the first two live ones. So with all entries up, five of them call the store for a release, whatever their number. An entry whose rank is not known yet when it learns of a release also waits, instead of never recording it. The decisions are fleet::recording.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod queue;
 pub mod quota;
 pub mod reachability;
+pub mod recording;
 pub mod reserve;
 pub mod restoration;
 pub mod rollout;
--- /dev/null
+++ b/crates/fleet/src/recording.rs
@@ -0,0 +1,55 @@
+//! Which entries record in the platform's table store when a weight version was released.
+//!
+//! Each call to the store is priced, so of hundreds of entries only a few record a release. Failure
+//! pattern: these are killed or cut off just when they learn of it. Others check later whether the
+//! time was recorded; see `docs/platform.md`.
+
+use std::time::Duration;
+
+use crate::gossip::Peers;
+
+/// The number of entries that record a release as soon as they learn of it; the second one is a
+/// fallback in case the first is down.
+const RECORDERS: usize = 2;
+/// The number of entries that record a release or check whether it was recorded.
+const CHECKERS: usize = 5;
+/// The delay between the checks of successive entries by rank.
+const CHECK_STEP: Duration = Duration::from_millis(1000);
+/// How much longer than entries take to notice that others are down they wait before they take over
+/// from them.
+const SUCCESSION_MARGIN: Duration = Duration::from_millis(1000);
+
+/// When an entry records a release, or checks whether it was recorded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turn {
+    /// After this time, which is zero for the first recorders.
+    After(Duration),
+    /// After this time, if it is then one of the first recorders among the live entries.
+    AsSuccessor(Duration),
+}
+
+impl Turn {
+    /// Returns the turn of the entry with this rank among `entries` for the row; `None` if the rank
+    /// is not known yet.
+    #[must_use]
+    pub fn new(rank: Option<usize>, entries: usize) -> Self {
+        match rank {
+            Some(rank) if rank < CHECKERS => {
+                let steps = rank.saturating_sub(RECORDERS - 1);
+                Self::After(CHECK_STEP * u32::try_from(steps).unwrap_or(u32::MAX))
+            }
+            _ => Self::AsSuccessor(succession_delay(entries)),
+        }
+    }
+}
+
+/// Returns whether the entry with this rank is one of the first recorders.
+#[must_use]
+pub fn is_recorder(rank: Option<usize>) -> bool {
+    rank.is_some_and(|rank| rank < RECORDERS)
+}
+
+/// Returns the time after a release at which the entries have noticed that others were down.
+fn succession_delay(entries: usize) -> Duration {
+    Peers::round(entries) * 2 + Peers::EXPIRY_SLACK + SUCCESSION_MARGIN
+}
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use control::{Grant, Lease, Step, Timing, Written};
+use fleet::recording::{self, Turn};
 use platform::{Commit, Row, Write};
 use types::{Fence, Incarnation, Model, Revision, Time};
 
@@ -24,9 +25,6 @@
 const LEASE_KEY: &str = "lease/orders";
 /// The key prefix of the rows that record when weight versions were released.
 const RELEASES_PREFIX: &str = "named/";
-/// The number of entries that record when a version was released; the second one is a fallback in
-/// case the first is down.
-const RECORDERS: usize = 2;
 /// The number of successive write conflicts after which a release time is not written. More than a
 /// few mean that the row exists but cannot be read.
 const MAX_CONFLICTS: usize = 4;
@@ -283,10 +281,7 @@
 {
     let prefix = format!("{RELEASES_PREFIX}{model}.");
     let key = format!("{prefix}{version}");
-    let recorder = shared
-        .presumed_rank(&key)
-        .is_some_and(|rank| rank < RECORDERS);
-    if !from_snapshot && !recorder {
+    if !from_snapshot && !wait_for_turn(&shared, &key).await {
         return;
     }
     let mut conflicts = 0;
@@ -354,6 +349,22 @@
     }
 }
 
+/// Waits until this entry is to record a release, or to check whether it was recorded; returns
+/// whether it is.
+async fn wait_for_turn<Adapter>(shared: &Shared<Adapter>, key: &str) -> bool {
+    let entries = shared.registered.borrow().len();
+    match Turn::new(shared.presumed_rank(key), entries) {
+        Turn::After(delay) => {
+            tokio::time::sleep(delay).await;
+            true
+        }
+        Turn::AsSuccessor(delay) => {
+            tokio::time::sleep(delay).await;
+            recording::is_recorder(shared.presumed_rank(key))
+        }
+    }
+}
+
 /// Records again when the known weight versions were released, after a restoration of the table
 /// store.
 pub(crate) fn record_releases<Adapter>(shared: &Rc<Shared<Adapter>>)
