gateway: correct a recorded release time that is too late

Callers got results of weights that had been replaced longer ago than the operators' bound. Cause: an entry that starts just after a release may be the first to write its row, with its own start as the time. The entries that run know the true time, but kept any row that existed.

An entry whose turn it is now compares the recorded time with the one that it knows, and writes the row again if the recorded one is more than 100 ms later, which is more than the error of the store's clock. The recorded time therefore only moves earlier. The time that an entry writes is the one in Rollout, which may have been restored to an earlier one than that at which it learned of the release.

--- a/crates/fleet/src/recording.rs
+++ b/crates/fleet/src/recording.rs
@@ -19,6 +19,46 @@
 /// from them.
 const SUCCESSION_MARGIN: Duration = Duration::from_millis(1000);
 
+/// How much later than known a recorded time may be without being corrected: the clock of the store
+/// is known only up to the duration of a call.
+const CLOCK_TOLERANCE_MS: u64 = 100;
+
+/// The row that records when a version was released.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Row {
+    /// The version of the row.
+    pub version: u64,
+    /// When the weights were released, on the store's clock in milliseconds; `None` if the row is
+    /// invalid.
+    pub released_ms: Option<u64>,
+}
+
+/// What an entry does about the row of a release.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing. An invalid row may have been written by a newer release of this program.
+    Keep,
+    /// Writes the time that it knows, if the row still has this version; 0 if there is no row.
+    Write(u64),
+}
+
+impl Step {
+    /// Returns what an entry does that knows of the release since `known_ms`, on the store's clock.
+    /// The recorded time only moves earlier.
+    #[must_use]
+    pub fn new(row: Option<Row>, known_ms: u64) -> Self {
+        let Some(row) = row else {
+            return Self::Write(0);
+        };
+        match row.released_ms {
+            Some(released_ms) if known_ms + CLOCK_TOLERANCE_MS < released_ms => {
+                Self::Write(row.version)
+            }
+            _ => Self::Keep,
+        }
+    }
+}
+
 /// When an entry records a release, or checks whether it was recorded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Turn {
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -176,6 +176,14 @@
         found.and_then(|(_, releases)| releases.last().copied())
     }
 
+    /// Returns when a version was released, as far as this process knows.
+    #[must_use]
+    pub fn released_at(&self, model: &Model, version: u64) -> Option<Time> {
+        let known = self.releases.get(model)?.iter();
+        let mut matching = known.filter(|release| release.version == version);
+        matching.next().map(|release| release.since)
+    }
+
     /// Returns the known releases of all models, the oldest one of each model first.
     pub fn releases(&self) -> impl Iterator<Item = (&Model, &Release)> {
         let models = self.releases.iter();
--- a/crates/fleet/tests/recording.rs
+++ b/crates/fleet/tests/recording.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use fleet::recording::{Turn, is_recorder};
+use fleet::recording::{Row, Step, Turn, is_recorder};
+use proptest::prelude::*;
 
 /// The number of entries in a large deployment.
 const ENTRIES: usize = 300;
@@ -45,3 +46,40 @@
     assert!(called_after(None, Some(0)).is_some());
     assert_eq!(called_after(None, None), None);
 }
+
+/// Guards against a row that one entry writes and the next one corrects by the error of its clock.
+#[test]
+fn a_recorded_time_within_the_error_of_the_clock_is_kept() {
+    let row = |released_ms| {
+        Some(Row {
+            version: 7,
+            released_ms,
+        })
+    };
+    assert_eq!(Step::new(row(Some(10_050)), 10_000), Step::Keep);
+    assert_eq!(Step::new(row(Some(10_500)), 10_000), Step::Write(7));
+    assert_eq!(Step::new(row(None), 10_000), Step::Keep);
+    assert_eq!(Step::new(None, 10_000), Step::Write(0));
+}
+
+proptest! {
+    /// Guards against a recorded time that moves later, and against one that stays later than any
+    /// entry knows, in whatever order the entries check it.
+    #[test]
+    fn the_recorded_time_moves_only_to_the_earliest_known(
+        known in prop::collection::vec(0..20_000u64, 1..8),
+    ) {
+        let mut row: Option<Row> = None;
+        for &known_ms in &known {
+            let before = row.and_then(|row| row.released_ms);
+            if let Step::Write(expected) = Step::new(row, known_ms) {
+                prop_assert_eq!(expected, row.map_or(0, |row| row.version));
+                prop_assert!(before.is_none_or(|before| known_ms < before));
+                row = Some(Row { version: expected + 1, released_ms: Some(known_ms) });
+            }
+        }
+        let recorded = row.and_then(|row| row.released_ms).expect("a recorded time");
+        let earliest = known.iter().min().copied().expect("a known time");
+        prop_assert!((earliest..=earliest + 100).contains(&recorded));
+    }
+}
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -390,7 +390,7 @@
                         .info();
                     let shared = Rc::clone(shared);
                     tokio::task::spawn_local(leader::record_release(
-                        shared, model, version, snapshot, time,
+                        shared, model, version, snapshot,
                     ));
                 }
             }
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -266,7 +266,8 @@
     }
 }
 
-/// Reads when a weight version was released, or records the time if no entry has done so.
+/// Reads when a weight version was released, and records the time if no entry has done so or if the
+/// recorded one is too late.
 ///
 /// The row of the version does not contain the time. Without it, an entry that starts in the middle
 /// of a rollout would let targets serve outdated weights for the full bound again.
@@ -275,7 +276,6 @@
     model: Model,
     version: u64,
     from_snapshot: bool,
-    learned_at: Time,
 ) where
     Adapter: Platform,
 {
@@ -285,7 +285,7 @@
         return;
     }
     let mut conflicts = 0;
-    loop {
+    while conflicts < MAX_CONFLICTS {
         let rows = match shared.adapter.scan(&prefix).await {
             Ok(rows) => rows,
             Err(error) => {
@@ -299,7 +299,15 @@
             tokio::time::sleep(BACK_OFF).await;
             continue;
         };
-        let known = rows.iter().any(|row| row.key == key);
+        let Some(known) = shared.rollout.borrow().released_at(&model, version) else {
+            return;
+        };
+        let known_ms = store_time.saturating_sub(millis(time.since(known)));
+        let row = rows.iter().find(|row| row.key == key);
+        let row = row.map(|row| recording::Row {
+            version: row.version,
+            released_ms: row.value.as_u64(),
+        });
         for row in rows {
             let version = row.key.strip_prefix(&prefix);
             let version = version.and_then(|version| version.parse().ok());
@@ -308,45 +316,52 @@
                 continue;
             };
             let age = Duration::from_millis(store_time.saturating_sub(released_at));
-            let earlier = shared
-                .rollout
-                .borrow_mut()
-                .restore(&model, version, time - age);
-            if let Some(earlier) = earlier {
-                Event::new("release_restored")
-                    .with("model", &*model)
-                    .with("version", version)
-                    .with("age_ms", millis(age))
-                    .with("earlier_ms", millis(earlier))
-                    .info();
-            }
+            restore_release(&shared, &model, version, time, age);
         }
-        if known {
+        let recording::Step::Write(expect) = recording::Step::new(row, known_ms) else {
             return;
-        }
-        let age = u64::try_from(time.since(learned_at).as_millis()).unwrap_or(0);
+        };
         let row = Write {
             key: key.clone(),
-            expect: 0,
-            value: Some(serde_json::json!(store_time.saturating_sub(age))),
+            expect,
+            value: Some(serde_json::json!(known_ms)),
         };
         match shared.adapter.commit(&[row]).await {
             Ok(Commit::Applied(_)) => return,
             // Another entry has written the row, possibly with an earlier time.
-            Ok(Commit::Conflict(_)) if conflicts < MAX_CONFLICTS => {
+            Ok(Commit::Conflict(_)) => {
                 conflicts += 1;
                 tokio::time::sleep(BACK_OFF).await;
             }
-            Ok(Commit::Conflict(_)) => {
-                log::warn!("the row {key} conflicts, but is not listed");
-                return;
-            }
             Err(error) => {
                 log::warn!("failed to write the row {key}: {error}");
                 tokio::time::sleep(BACK_OFF * 2).await;
             }
         }
     }
+    log::warn!("failed to write the row {key}: {conflicts} successive conflicts");
+}
+
+/// Applies the recorded time of a release, which was `age` before `time`.
+fn restore_release<Adapter>(
+    shared: &Shared<Adapter>,
+    model: &Model,
+    version: u64,
+    time: Time,
+    age: Duration,
+) {
+    let earlier = shared
+        .rollout
+        .borrow_mut()
+        .restore(model, version, time - age);
+    if let Some(earlier) = earlier {
+        Event::new("release_restored")
+            .with("model", &**model)
+            .with("version", version)
+            .with("age_ms", millis(age))
+            .with("earlier_ms", millis(earlier))
+            .info();
+    }
 }
 
 /// Waits until this entry is to record a release, or to check whether it was recorded; returns
@@ -372,9 +387,8 @@
     Adapter: Platform,
 {
     for (model, release) in shared.rollout.borrow().releases() {
-        let (version, since) = (release.version, release.since);
         let (shared, model) = (Rc::clone(shared), model.clone());
-        tokio::task::spawn_local(record_release(shared, model, version, false, since));
+        tokio::task::spawn_local(record_release(shared, model, release.version, false));
     }
 }
 
