--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -400,11 +400,7 @@
                         .info();
                     let shared = Rc::clone(shared);
                     tokio::task::spawn_local(leader::record_release(
-                        shared,
-                        model,
-                        version,
-                        snapshot,
-                        changed_since,
+                        shared, model, version, snapshot,
                     ));
                 }
             }
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use control::{Grant, Lease, Step, Timing, Written};
+use fleet::recording::{self, Turn};
 use platform::{Commit, Row, Write};
 use types::{Fence, Incarnation, Model, Revision, Time};
 
@@ -24,9 +25,9 @@
 const LEASE_KEY: &str = "lease/orders";
 /// The key prefix of the rows that record when weight versions were released.
 const RELEASES_PREFIX: &str = "named/";
-/// The number of entries that record when a version was released; the second one is a fallback in
-/// case the first is down.
-const RECORDERS: usize = 2;
+/// The number of successive write conflicts after which a release time is not written. More than a
+/// few mean that the row exists but cannot be read.
+const MAX_CONFLICTS: usize = 4;
 /// The key prefix of the rows in which entries register.
 const ENTRIES_PREFIX: &str = "entry/";
 /// The duration of the lease; a successor waits this long before it takes over.
@@ -265,7 +266,8 @@
     }
 }
 
-/// Reads when a weight version was released, or records the time if no entry has done so.
+/// Reads when a weight version was released, and records the time if no entry has done so or if the
+/// recorded one is too late.
 ///
 /// The row of the version does not contain the time. Without it, an entry that starts in the middle
 /// of a rollout would let targets serve outdated weights for the full bound again.
@@ -274,19 +276,16 @@
     model: Model,
     version: u64,
     from_snapshot: bool,
-    learned_at: Time,
 ) where
     Adapter: Platform,
 {
     let prefix = format!("{RELEASES_PREFIX}{model}.");
     let key = format!("{prefix}{version}");
-    let recorder = shared
-        .presumed_rank(&key)
-        .is_some_and(|rank| rank < RECORDERS);
-    if !from_snapshot && !recorder {
+    if !from_snapshot && !wait_for_turn(&shared, &key).await {
         return;
     }
-    loop {
+    let mut conflicts = 0;
+    while conflicts < MAX_CONFLICTS {
         let rows = match shared.adapter.scan(&prefix).await {
             Ok(rows) => rows,
             Err(error) => {
@@ -300,7 +299,15 @@
             tokio::time::sleep(BACK_OFF).await;
             continue;
         };
-        let known = rows.iter().any(|row| row.key == key);
+        let Some(known) = shared.rollout.borrow().released_at(&model, version) else {
+            return;
+        };
+        let known_ms = store_time.saturating_sub(millis(time.since(known)));
+        let row = rows.iter().find(|row| row.key == key);
+        let row = row.map(|row| recording::Row {
+            version: row.version,
+            released_ms: row.value.as_u64(),
+        });
         for row in rows {
             let version = row.key.strip_prefix(&prefix);
             let version = version.and_then(|version| version.parse().ok());
@@ -309,36 +316,68 @@
                 continue;
             };
             let age = Duration::from_millis(store_time.saturating_sub(released_at));
-            let earlier = shared
-                .rollout
-                .borrow_mut()
-                .restore(&model, version, time - age);
-            if let Some(earlier) = earlier {
-                Event::new("release_restored")
-                    .with("model", &*model)
-                    .with("version", version)
-                    .with("age_ms", millis(age))
-                    .with("earlier_ms", millis(earlier))
-                    .info();
-            }
+            restore_release(&shared, &model, version, time, age);
         }
-        if known {
+        let recording::Step::Write(expect) = recording::Step::new(row, known_ms) else {
             return;
-        }
-        let age = u64::try_from(time.since(learned_at).as_millis()).unwrap_or(0);
+        };
         let row = Write {
             key: key.clone(),
-            expect: 0,
-            value: Some(serde_json::json!(store_time.saturating_sub(age))),
+            expect,
+            value: Some(serde_json::json!(known_ms)),
         };
         match shared.adapter.commit(&[row]).await {
-            Ok(_) => return,
+            Ok(Commit::Applied(_)) => return,
+            // Another entry has written the row, possibly with an earlier time.
+            Ok(Commit::Conflict(_)) => {
+                conflicts += 1;
+                tokio::time::sleep(BACK_OFF).await;
+            }
             Err(error) => {
                 log::warn!("failed to write the row {key}: {error}");
                 tokio::time::sleep(BACK_OFF * 2).await;
             }
         }
     }
+    log::warn!("failed to write the row {key}: {conflicts} successive conflicts");
+}
+
+/// Applies the recorded time of a release, which was `age` before `time`.
+fn restore_release<Adapter>(
+    shared: &Shared<Adapter>,
+    model: &Model,
+    version: u64,
+    time: Time,
+    age: Duration,
+) {
+    let earlier = shared
+        .rollout
+        .borrow_mut()
+        .restore(model, version, time - age);
+    if let Some(earlier) = earlier {
+        Event::new("release_restored")
+            .with("model", &**model)
+            .with("version", version)
+            .with("age_ms", millis(age))
+            .with("earlier_ms", millis(earlier))
+            .info();
+    }
+}
+
+/// Waits until this entry is to record a release, or to check whether it was recorded; returns
+/// whether it is.
+async fn wait_for_turn<Adapter>(shared: &Shared<Adapter>, key: &str) -> bool {
+    let entries = shared.registered.borrow().len();
+    match Turn::new(shared.presumed_rank(key), entries) {
+        Turn::After(delay) => {
+            tokio::time::sleep(delay).await;
+            true
+        }
+        Turn::AsSuccessor(delay) => {
+            tokio::time::sleep(delay).await;
+            recording::is_recorder(shared.presumed_rank(key))
+        }
+    }
 }
 
 /// Records again when the known weight versions were released, after a restoration of the table
@@ -348,9 +387,8 @@
     Adapter: Platform,
 {
     for (model, release) in shared.rollout.borrow().releases() {
-        let (version, since) = (release.version, release.since);
         let (shared, model) = (Rc::clone(shared), model.clone());
-        tokio::task::spawn_local(record_release(shared, model, version, false, since));
+        tokio::task::spawn_local(record_release(shared, model, release.version, false));
     }
 }
 
