gateway: an entry that learns of a release late reads the recorded time

Counting from the previous reply, as since, makes a release as old as the whole time for which an entry did not hear the store. After an outage of the store all entries would take a fresh release for expired, refuse the targets that still have the old weights, and record that time for all others.

The bound counts from the time at which the store gave the reply. If the reply came without a wait and long after the one before it, the entry may have missed the release, and reads the row in which others have recorded its time at once, as after a start.

That a reply is late is tested in fleet/tests/staleness.rs.

--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -25,20 +25,20 @@
 /// fastest reply.
 const OFFSET_ERROR_US: i64 = 10_000;
 
-/// A long poll that was answered sooner shows changes that may be older than the call.
-const MIN_POLL_WAIT: Duration = Duration::from_millis(100);
+/// How much older than the reply that shows it a change may be without being counted as late.
+const MAX_CHANGE_AGE: Duration = Duration::from_millis(100);
 
-/// Returns the earliest time at which the changes in a reply may have been made. The reply was
-/// requested at `sent_at` and given at `given_at`; the one before it was given at `previous`.
+/// Returns whether the changes in a reply may be older than the reply by more than an error of the
+/// clock. The reply was requested at `sent_at` and given at `given_at`; the one before it was given
+/// at `previous`.
 ///
 /// A long poll that has waited is answered when a change is made. One that is answered at once
 /// shows what has happened since the previous reply: the entry may have been suspended or cut off.
 #[must_use]
-pub fn changed_since(previous: Option<Time>, sent_at: Time, given_at: Time) -> Time {
-    if given_at.since(sent_at) >= MIN_POLL_WAIT {
-        return given_at;
-    }
-    previous.map_or(given_at, |previous| previous.min(given_at))
+pub fn shows_late(previous: Option<Time>, sent_at: Time, given_at: Time) -> bool {
+    let has_waited = given_at.since(sent_at) >= MAX_CHANGE_AGE;
+    let is_recent = previous.is_some_and(|previous| given_at.since(previous) < MAX_CHANGE_AGE);
+    !has_waited && !is_recent
 }
 
 impl Evidence {
--- a/crates/fleet/tests/staleness.rs
+++ b/crates/fleet/tests/staleness.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use fleet::freshness::{Evidence, changed_since};
+use fleet::freshness::{Evidence, shows_late};
 use fleet::roster::{Member, OUTAGE_GRACE, Roster};
 use proptest::prelude::*;
 use types::Time;
@@ -230,13 +230,16 @@
     }
 }
 
-/// Guards against changes that seem to be as new as the reply that shows them, although the entry
-/// could not reach the store or was suspended before it.
+/// Guards against changes that are taken to be as new as the reply that shows them, although the
+/// entry could not reach the store or was suspended before it.
 #[test]
-fn a_reply_without_a_wait_shows_changes_since_the_previous_one() {
-    assert_eq!(changed_since(Some(at(1000)), at(5000), at(5010)), at(1000));
-    assert_eq!(changed_since(Some(at(1000)), at(1001), at(5010)), at(5010));
-    assert_eq!(changed_since(None, at(5000), at(5010)), at(5010));
+fn changes_that_an_entry_has_missed_are_recognized_as_late() {
+    // Answered at once, four seconds after the previous reply.
+    assert!(shows_late(Some(at(1000)), at(5000), at(5010)));
+    assert!(shows_late(None, at(5000), at(5010)));
+    // Answered after a wait, or shortly after the previous reply.
+    assert!(!shows_late(Some(at(1000)), at(1001), at(5010)));
+    assert!(!shows_late(Some(at(4950)), at(5000), at(5010)));
 }
 
 /// Guards against changes that seem to be as new as the arrival of a reply that was delayed.
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -72,6 +72,15 @@
     Copy,
 }
 
+/// When a reply of the table store was given and received.
+#[derive(Debug, Clone, Copy)]
+struct Reply {
+    received_at: Time,
+    given_at: Time,
+    /// Whether its changes may be much older than the reply.
+    is_late: bool,
+}
+
 /// Watches a list of the table store for the lifetime of the process.
 pub(crate) async fn watch<Adapter>(shared: Rc<Shared<Adapter>>, list: List)
 where
@@ -190,9 +199,14 @@
                     shared.discovery.on_store(batch.cursor, time);
                 }
                 let given_at = shared.evidence.get().given_at(time, batch.store_time);
-                let changed_since = freshness::changed_since(replied_at, sent_at, given_at);
+                let is_late = freshness::shows_late(replied_at, sent_at, given_at);
                 replied_at = Some(given_at);
-                apply(&shared, list, batch, extent, time, changed_since);
+                let reply = Reply {
+                    received_at: time,
+                    given_at,
+                    is_late,
+                };
+                apply(&shared, list, batch, extent, reply);
                 let known = shared.config_version();
                 if extent == Extent::Whole
                     && list == List::Operator
@@ -365,12 +379,12 @@
     list: List,
     batch: Batch,
     extent: Extent,
-    time: Time,
-    changed_since: Time,
+    reply: Reply,
 ) where
     Adapter: Platform,
 {
     let snapshot = extent != Extent::Changes;
+    let time = reply.received_at;
     let mut members = Vec::new();
     let mut evacuated = Vec::new();
     let (mut updated, mut removed) = (Vec::new(), Vec::new());
@@ -391,16 +405,19 @@
             Change::InvalidCatalog => {}
             Change::Weights(model, version) => {
                 let mut rollout = shared.rollout.borrow_mut();
-                if rollout.release(&model, version, changed_since) {
+                if rollout.release(&model, version, reply.given_at) {
                     drop(rollout);
                     Event::new("weights_named")
                         .with("model", &*model)
                         .with("version", version)
-                        .with("age_ms", millis(time.since(changed_since)))
+                        .with("age_ms", millis(time.since(reply.given_at)))
+                        .with("late", reply.is_late)
                         .info();
                     let shared = Rc::clone(shared);
+                    // The release may be older than what this entry has seen of it.
+                    let reads_now = snapshot || reply.is_late;
                     tokio::task::spawn_local(leader::record_release(
-                        shared, model, version, snapshot,
+                        shared, model, version, reads_now,
                     ));
                 }
             }
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -270,18 +270,19 @@
 /// recorded one is too late.
 ///
 /// The row of the version does not contain the time. Without it, an entry that starts in the middle
-/// of a rollout would let targets serve outdated weights for the full bound again.
+/// of a rollout would let targets serve outdated weights for the full bound again. Such an entry, and
+/// one that learns of a release late, sets `reads_now`; the others wait for their turn.
 pub(crate) async fn record_release<Adapter>(
     shared: Rc<Shared<Adapter>>,
     model: Model,
     version: u64,
-    from_snapshot: bool,
+    reads_now: bool,
 ) where
     Adapter: Platform,
 {
     let prefix = format!("{RELEASES_PREFIX}{model}.");
     let key = format!("{prefix}{version}");
-    if !from_snapshot && !wait_for_turn(&shared, &key).await {
+    if !reads_now && !wait_for_turn(&shared, &key).await {
         return;
     }
     let mut conflicts = 0;
