gateway: read a recent release time again after the others could correct it

Callers got results of weights that had been replaced longer ago than the operators' bound. Cause: an entry that starts just after a release reads the rows once. It finds none, or the one of another entry that has just started, and never learns the true time that the running entries record a moment later.

--- a/crates/fleet/src/recording.rs
+++ b/crates/fleet/src/recording.rs
@@ -19,6 +19,9 @@
 /// from them.
 const SUCCESSION_MARGIN: Duration = Duration::from_millis(1000);
 
+/// How long the other entries may take to learn of a release and to write the row, in addition to
+/// their delays.
+const RECHECK_MARGIN: Duration = Duration::from_millis(1500);
 /// How much later than known a recorded time may be without being corrected: the clock of the store
 /// is known only up to the duration of a call.
 const CLOCK_TOLERANCE_MS: u64 = 100;
@@ -93,3 +96,22 @@
 fn succession_delay(entries: usize) -> Duration {
     Peers::round(entries) * 2 + Peers::EXPIRY_SLACK + SUCCESSION_MARGIN
 }
+
+/// Returns after which time an entry reads the recorded time again that learned of the release from
+/// a snapshot, where the recorded time may be that of another entry which has just started.
+///
+/// The others have corrected it once their turns since the true release are over, which was no later
+/// than the recorded one. `None` if they are.
+#[must_use]
+pub fn recheck_delay(released_ms: u64, store_time_ms: u64, entries: usize) -> Option<Duration> {
+    let released = Duration::from_millis(released_ms);
+    let last_check = CHECK_STEP * u32::try_from(CHECKERS - RECORDERS).unwrap_or(u32::MAX);
+    let mut turns = [last_check, succession_delay(entries)];
+    turns.sort_unstable();
+    let mut ends = turns
+        .map(|turn| released + turn + RECHECK_MARGIN)
+        .into_iter();
+    let store_time = Duration::from_millis(store_time_ms);
+    ends.find(|end| *end > store_time)
+        .map(|end| end - store_time)
+}
--- a/crates/fleet/tests/recording.rs
+++ b/crates/fleet/tests/recording.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use fleet::recording::{Row, Step, Turn, is_recorder};
+use fleet::recording::{Row, Step, Turn, is_recorder, recheck_delay};
 use proptest::prelude::*;
 
 /// The number of entries in a large deployment.
@@ -62,6 +62,26 @@
     assert_eq!(Step::new(None, 10_000), Step::Write(0));
 }
 
+/// Guards against an entry that has just started and reads a recorded time for the last time before
+/// the others had their turns to correct it, and against endless calls.
+#[test]
+fn a_recent_time_is_read_again_after_the_turns_of_the_others() {
+    let released_ms = 50_000;
+    let mut store_time_ms = released_ms;
+    let mut reads = Vec::new();
+    while let Some(delay) = recheck_delay(released_ms, store_time_ms, ENTRIES) {
+        store_time_ms += u64::try_from(delay.as_millis()).expect("a short delay");
+        reads.push(Duration::from_millis(store_time_ms - released_ms));
+        assert!(reads.len() <= 2, "{reads:?}");
+    }
+    for rank in 0..ENTRIES {
+        let (Turn::After(turn) | Turn::AsSuccessor(turn)) = Turn::new(Some(rank), ENTRIES);
+        assert!(reads.iter().any(|read| *read > turn), "{turn:?} {reads:?}");
+    }
+    let checked = called_after(Some(MAX_CALLERS - 1), None).expect("a check");
+    assert!(reads[0] > checked && reads[0] < checked * 2, "{reads:?}");
+}
+
 proptest! {
     /// Guards against a recorded time that moves later, and against one that stays later than any
     /// entry knows, in whatever order the entries check it.
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -279,62 +279,29 @@
 ) where
     Adapter: Platform,
 {
-    let prefix = format!("{RELEASES_PREFIX}{model}.");
-    let key = format!("{prefix}{version}");
+    let key = format!("{RELEASES_PREFIX}{model}.{version}");
     if !from_snapshot && !wait_for_turn(&shared, &key).await {
         return;
     }
+    // No entry was running before the first start of the whole system.
+    let may_be_corrected = from_snapshot && !shared.settings.first_start;
     let mut conflicts = 0;
     while conflicts < MAX_CONFLICTS {
-        let rows = match shared.adapter.scan(&prefix).await {
-            Ok(rows) => rows,
-            Err(error) => {
-                log::warn!("failed to read the rows {prefix}*: {error}");
-                tokio::time::sleep(BACK_OFF * 2).await;
-                continue;
+        match try_record_release(&shared, &model, version).await {
+            Ok(Recorded::Yes { recheck }) => {
+                let Some(delay) = recheck.filter(|_| may_be_corrected) else {
+                    return;
+                };
+                conflicts = 0;
+                tokio::time::sleep(delay).await;
             }
-        };
-        let time = now();
-        let Some(store_time) = shared.evidence.get().store_time(time) else {
-            tokio::time::sleep(BACK_OFF).await;
-            continue;
-        };
-        let Some(known) = shared.rollout.borrow().released_at(&model, version) else {
-            return;
-        };
-        let known_ms = store_time.saturating_sub(millis(time.since(known)));
-        let row = rows.iter().find(|row| row.key == key);
-        let row = row.map(|row| recording::Row {
-            version: row.version,
-            released_ms: row.value.as_u64(),
-        });
-        for row in rows {
-            let version = row.key.strip_prefix(&prefix);
-            let version = version.and_then(|version| version.parse().ok());
-            let (Some(version), Some(released_at)) = (version, row.value.as_u64()) else {
-                log::warn!("invalid release time in row {}", row.key);
-                continue;
-            };
-            let age = Duration::from_millis(store_time.saturating_sub(released_at));
-            restore_release(&shared, &model, version, time, age);
-        }
-        let recording::Step::Write(expect) = recording::Step::new(row, known_ms) else {
-            return;
-        };
-        let row = Write {
-            key: key.clone(),
-            expect,
-            value: Some(serde_json::json!(known_ms)),
-        };
-        match shared.adapter.commit(&[row]).await {
-            Ok(Commit::Applied(_)) => return,
-            // Another entry has written the row, possibly with an earlier time.
-            Ok(Commit::Conflict(_)) => {
+            Ok(Recorded::Conflict) => {
                 conflicts += 1;
                 tokio::time::sleep(BACK_OFF).await;
             }
+            Ok(Recorded::Unready) => tokio::time::sleep(BACK_OFF).await,
             Err(error) => {
-                log::warn!("failed to write the row {key}: {error}");
+                log::warn!("failed to read or write the row {key}: {error}");
                 tokio::time::sleep(BACK_OFF * 2).await;
             }
         }
@@ -342,6 +309,71 @@
     log::warn!("failed to write the row {key}: {conflicts} successive conflicts");
 }
 
+/// Whether the time of a release is recorded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Recorded {
+    /// The row is there. After `recheck`, other entries will have corrected it if it is too late.
+    Yes { recheck: Option<Duration> },
+    /// Another entry has written the row, possibly with an earlier time.
+    Conflict,
+    /// The clock of the table store is not known yet.
+    Unready,
+}
+
+async fn try_record_release<Adapter>(
+    shared: &Rc<Shared<Adapter>>,
+    model: &Model,
+    version: u64,
+) -> Result<Recorded, platform::Error>
+where
+    Adapter: Platform,
+{
+    let prefix = format!("{RELEASES_PREFIX}{model}.");
+    let key = format!("{prefix}{version}");
+    let rows = shared.adapter.scan(&prefix).await?;
+    let time = now();
+    let Some(store_time) = shared.evidence.get().store_time(time) else {
+        return Ok(Recorded::Unready);
+    };
+    let Some(known) = shared.rollout.borrow().released_at(model, version) else {
+        return Ok(Recorded::Yes { recheck: None });
+    };
+    let known_ms = store_time.saturating_sub(millis(time.since(known)));
+    let row = rows.iter().find(|row| row.key == key);
+    let row = row.map(|row| recording::Row {
+        version: row.version,
+        released_ms: row.value.as_u64(),
+    });
+    for row in rows {
+        let version = row.key.strip_prefix(&prefix);
+        let version = version.and_then(|version| version.parse().ok());
+        let (Some(version), Some(released_at)) = (version, row.value.as_u64()) else {
+            log::warn!("invalid release time in row {}", row.key);
+            continue;
+        };
+        let age = Duration::from_millis(store_time.saturating_sub(released_at));
+        restore_release(shared, model, version, time, age);
+    }
+    let recorded_ms = match recording::Step::new(row, known_ms) {
+        recording::Step::Keep => row.and_then(|row| row.released_ms),
+        recording::Step::Write(expect) => {
+            let write = Write {
+                key,
+                expect,
+                value: Some(serde_json::json!(known_ms)),
+            };
+            match shared.adapter.commit(&[write]).await? {
+                Commit::Applied(_) => Some(known_ms),
+                Commit::Conflict(_) => return Ok(Recorded::Conflict),
+            }
+        }
+    };
+    let entries = shared.registered.borrow().len();
+    let recheck = recorded_ms
+        .and_then(|recorded_ms| recording::recheck_delay(recorded_ms, store_time, entries));
+    Ok(Recorded::Yes { recheck })
+}
+
 /// Applies the recorded time of a release, which was `age` before `time`.
 fn restore_release<Adapter>(
     shared: &Shared<Adapter>,
