fleet: keep recorded release times of versions that are not listed yet

A process applied the recorded time of a release only if it knew the version already from the operator's list. One that reads the rows just before it learns of a newer version from the list lost the recorded time, and counted the operators' bound from the moment at which it learned of the release. That is long after it if the list arrives late.

Rollout now keeps the recorded times of versions that are newer than all listed ones, and applies them once the list contains that version or a newer one. As before, a record alone does not release a version.

Evidence: a_recorded_time_applies_once_the_list_contains_the_version failed before (20 s instead of the recorded 8 s) and passes now.

--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -16,6 +16,9 @@
 pub struct Rollout {
     /// The released versions of each model, the newest last.
     releases: HashMap<Model, Vec<Release>>,
+    /// Recorded releases of versions newer than all of `releases`, the newest last. They apply once
+    /// the operator's list contains that version or a newer one.
+    unlisted: HashMap<Model, Vec<Release>>,
     in_progress: HashMap<Target, Progress>,
     /// Targets to which a previous holder of the lease may have sent orders, and until when this
     /// one sends them none.
@@ -143,28 +146,42 @@
             version,
             since: now,
         });
+        let mut recorded = self.unlisted.remove(model).unwrap_or_default();
+        let newer = recorded.partition_point(|release| release.version <= version);
+        let newer = recorded.split_off(newer);
+        if !newer.is_empty() {
+            self.unlisted.insert(model.clone(), newer);
+        }
+        for release in recorded {
+            self.restore(model, release.version, release.since);
+        }
         true
     }
 
     /// Restores the release time of a version from a stored record. A process that started later
     /// learns only the newest version, but each earlier one sets the deadline of the targets that
-    /// missed it. Of two release times, the earlier one counts. Returns by how much the record is
-    /// earlier than what was known, if it is; zero for a version that was not known.
+    /// missed it. Of two release times, the earlier one counts. A version that is newer than all
+    /// released ones is not released by this. Returns by how much the record is earlier than what
+    /// was known, if it is; zero for a version that was not known.
     pub fn restore(&mut self, model: &str, version: u64, since: Time) -> Option<Duration> {
         let found = self.releases.iter_mut().find(|(name, _)| &***name == model);
-        let (_, versions) = found?;
+        let (model, versions) = found?;
+        let newest = versions.last().map(|release| release.version);
+        let (versions, is_listed) = match newest < Some(version) {
+            true => (self.unlisted.entry(model.clone()).or_default(), false),
+            false => (versions, true),
+        };
         match versions.binary_search_by_key(&version, |release| release.version) {
             Ok(index) => {
                 let known = &mut versions[index].since;
                 let earlier = known.since(since);
                 *known = since.min(*known);
-                (!earlier.is_zero()).then_some(earlier)
+                (is_listed && !earlier.is_zero()).then_some(earlier)
             }
-            Err(index) if index < versions.len() && versions.len() < MAX_RELEASES => {
+            Err(index) if versions.len() < MAX_RELEASES => {
                 versions.insert(index, Release { version, since });
-                Some(Duration::ZERO)
+                is_listed.then_some(Duration::ZERO)
             }
-            // A version newer than all released ones arrives with the operator's list.
             Err(_) => None,
         }
     }
--- a/crates/fleet/tests/rollout.rs
+++ b/crates/fleet/tests/rollout.rs
@@ -188,6 +188,27 @@
     assert_eq!(rollout.latest("m").map(|release| release.version), Some(3));
 }
 
+/// Guards against the recorded time of a release that is lost because the operator's list, which
+/// this process follows with a delay, contains the version only later.
+#[test]
+fn a_recorded_time_applies_once_the_list_contains_the_version() {
+    let mut rollout = Rollout::default();
+    let roster = roster_of(1, 1);
+    let member = &roster.iter().next().expect("a target").member;
+    rollout.release(&model(), 1, at(1000));
+    rollout.restore("m", 3, at(9000));
+    rollout.restore("m", 2, at(7000));
+    rollout.restore("m", 3, at(8000));
+    assert_eq!(rollout.latest("m").map(|release| release.version), Some(1));
+    assert_eq!(rollout.outdated_since(member, &model()), None);
+    rollout.release(&model(), 3, at(20_000));
+    assert_eq!(rollout.released_at(&model(), 3), Some(at(8000)));
+    // The version in between may never appear in the list.
+    assert_eq!(rollout.outdated_since(member, &model()), Some(at(7000)));
+    rollout.release(&model(), 4, at(30_000));
+    assert_eq!(rollout.released_at(&model(), 4), Some(at(30_000)));
+}
+
 /// Guards against a rollout that takes out many targets while requests are queued: in
 /// candlewalk-large scale-1, 21 of 51 were out at a time, and 559 callers were refused within two
 /// seconds.
