--- a/crates/fleet/src/recording.rs
+++ b/crates/fleet/src/recording.rs
@@ -18,7 +18,6 @@
 /// How much longer than entries take to notice that others are down they wait before they take over
 /// from them.
 const SUCCESSION_MARGIN: Duration = Duration::from_millis(1000);
-
 /// How long the other entries may take to learn of a release and to write the row, in addition to
 /// their delays.
 const RECHECK_MARGIN: Duration = Duration::from_millis(1500);
@@ -72,8 +71,8 @@
 }
 
 impl Turn {
-    /// Returns the turn of the entry with this rank among `entries` for the row; `None` if the rank
-    /// is not known yet.
+    /// Returns the turn of an entry, given its rank for the row among `entries`; the rank is `None`
+    /// as long as the entry is not registered.
     #[must_use]
     pub fn new(rank: Option<usize>, entries: usize) -> Self {
         match rank {
