--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -39,7 +39,8 @@
     pub(crate) quarantined: IntGauge,
     /// Requests that are kept away from targets because they crash them.
     pub(crate) quarantined_requests: IntGauge,
-    /// Responses that began on weights which had expired.
+    /// First events that came after the weights of their target had expired; the request may have
+    /// begun in time.
     pub(crate) expired_starts: IntCounter,
     /// Calls to the platform's table store by outcome.
     pub(crate) store_calls: IntCounterVec,
@@ -199,7 +200,7 @@
             )?,
             expired_starts: counter(
                 "boragereel_expired_starts_total",
-                "responses that began on weights replaced longer ago than the bound",
+                "first events that came after the weights of their target had expired",
             )?,
             store_calls: counters(
                 "boragereel_store_calls_total",
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -91,7 +91,7 @@
     Some(now().since(since))
 }
 
-/// Counts a response that began on weights which had expired.
+/// Counts a response whose first event came after the weights of its target had expired.
 pub(crate) fn on_begun<Adapter>(shared: &Shared<Adapter>, admitted: &Admitted, choice: &Choice) {
     let expiry = expiry_of(shared, admitted, choice);
     if expiry.is_some_and(|expiry| expiry.is_past(now())) {
