gateway: log when SIGTERM arrived, and the lag of the event loop

Logs did not tell a stop that is noticed late from a rule that accepts too much: all times of a stop counted from the moment at which the event loop handled the signal. A thread of its own now waits for the signal; `stopping` has `late_ms`, and `lagging` and boragereel_loop_lag_ms say how late tasks run. No decision changes: the phases of a stop still begin with the handling.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod framing;
 mod gossip;
 mod in_flight;
+mod lag;
 mod leader;
 mod logging;
 mod metrics;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -75,6 +75,8 @@
     pub(crate) leads: IntGauge,
     /// Dropped log lines.
     pub(crate) log_dropped: IntGauge,
+    /// How late the event loop ran a task at the last measurement, in milliseconds.
+    pub(crate) loop_lag: IntGauge,
 }
 
 /// Upper bounds of the histogram buckets in seconds, around the latency objectives of the routes.
@@ -233,6 +235,10 @@
             )?,
             leads: gauge("boragereel_leads", "1 while the lease on orders is held")?,
             log_dropped: gauge("boragereel_log_dropped", "log lines dropped")?,
+            loop_lag: gauge(
+                "boragereel_loop_lag_ms",
+                "how late the event loop runs its tasks",
+            )?,
             registry,
         })
     }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -30,7 +30,9 @@
 use crate::serve::{self, millis};
 use crate::settings::{Problem, Settings};
 use crate::shared::Shared;
-use crate::{cache, discovery, dispatch, feed, gossip, leader, reachability, shutdown, supervisor};
+use crate::{
+    cache, discovery, dispatch, feed, gossip, lag, leader, reachability, shutdown, supervisor,
+};
 
 /// A running entry.
 #[derive(Debug)]
@@ -104,7 +106,7 @@
     let http_listener = listen(settings.http_address)?;
     let ready = listen(settings.ready_address)?;
     let metrics = listen(SocketAddr::new(settings.ip, settings.metrics_port))?;
-    let sigterm = signal(SignalKind::terminate()).map_err(Error::Signal)?;
+    let sigterm = shutdown::Signal::listen().map_err(Error::Signal)?;
     let sighup = signal(SignalKind::hangup()).map_err(Error::Signal)?;
     let local_address = |listener: &TcpListener, address| {
         listener
@@ -184,6 +186,8 @@
     let handle = Rc::clone(shared);
     supervisor::spawn("beacon", move || discovery::heartbeat(Rc::clone(&handle)));
     let handle = Rc::clone(shared);
+    supervisor::spawn("measure_lag", move || lag::measure(Rc::clone(&handle)));
+    let handle = Rc::clone(shared);
     supervisor::spawn("count", move || leader::count_entries(Rc::clone(&handle)));
 }
 
@@ -512,19 +516,20 @@
 /// Waits for SIGTERM, and ends the process when its requests have been answered.
 async fn shut_down<Adapter>(
     shared: Rc<Shared<Adapter>>,
-    mut sigterm: tokio::signal::unix::Signal,
+    mut sigterm: shutdown::Signal,
     close: watch::Sender<bool>,
     open: Rc<()>,
 ) {
-    if sigterm.recv().await.is_none() {
+    let Some(signalled) = sigterm.wait().await else {
         return;
-    }
+    };
     let started = now();
     let grace = shared.settings.grace();
     shutdown::begin(&shared, started);
     shared.dispatch.capacity_freed.notify_one();
     Event::new("stopping")
         .with("grace_ms", millis(grace))
+        .with("late_ms", millis(started.since(signalled)))
         .info();
     tokio::time::sleep(grace.mul_f64(DRAIN_DELAY_SHARE)).await;
     close.send_replace(true);
