gateway: a stop begins when SIGTERM arrives, not when it is handled

Callers saw: an entry that was short of processor time when it was stopped accepted streams for longer than it could serve them, and was killed at the end of the grace period with requests in progress; streams broke off and refusals were not written. Cause: the phases of a stop counted from the moment at which the event loop handled the signal, which is behind all tasks that are ready. The class: a time limit that starts when its cause is noticed. Why it works: a thread of its own records the arrival, and all decisions read that time at once.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod settings;
 mod shared;
 mod shutdown;
+mod signal;
 pub mod sse;
 mod supervisor;
 mod wait;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -30,6 +30,7 @@
 use crate::serve::{self, millis};
 use crate::settings::{Problem, Settings};
 use crate::shared::Shared;
+use crate::signal::Signal;
 use crate::{
     cache, discovery, dispatch, feed, gossip, lag, leader, reachability, shutdown, supervisor,
 };
@@ -106,7 +107,6 @@
     let http_listener = listen(settings.http_address)?;
     let ready = listen(settings.ready_address)?;
     let metrics = listen(SocketAddr::new(settings.ip, settings.metrics_port))?;
-    let sigterm = shutdown::Signal::listen().map_err(Error::Signal)?;
     let sighup = signal(SignalKind::hangup()).map_err(Error::Signal)?;
     let local_address = |listener: &TcpListener, address| {
         listener
@@ -117,6 +117,7 @@
     let ready_address = local_address(&ready, settings.ready_address)?;
     let name = settings.name.clone();
     let shared = Rc::new(Shared::new(settings, adapter, Metrics::open()?));
+    let sigterm = Signal::listen(&shared.stopping).map_err(Error::Signal)?;
     let socket = SocketAddr::new(shared.settings.ip, shared.settings.peer_port);
     let socket = UdpSocket::bind(socket)
         .await
@@ -516,22 +517,21 @@
 /// Waits for SIGTERM, and ends the process when its requests have been answered.
 async fn shut_down<Adapter>(
     shared: Rc<Shared<Adapter>>,
-    mut sigterm: shutdown::Signal,
+    mut sigterm: Signal,
     close: watch::Sender<bool>,
     open: Rc<()>,
 ) {
-    let Some(signalled) = sigterm.wait().await else {
+    let Some(started) = sigterm.wait().await else {
         return;
     };
-    let started = now();
     let grace = shared.settings.grace();
-    shutdown::begin(&shared, started);
+    shutdown::announce(&shared);
     shared.dispatch.capacity_freed.notify_one();
     Event::new("stopping")
         .with("grace_ms", millis(grace))
-        .with("late_ms", millis(started.since(signalled)))
+        .with("late_ms", millis(now().since(started)))
         .info();
-    tokio::time::sleep(grace.mul_f64(DRAIN_DELAY_SHARE)).await;
+    tokio::time::sleep((started + grace.mul_f64(DRAIN_DELAY_SHARE)).since(now())).await;
     close.send_replace(true);
     // Callers may still connect while their failure domain has no other entry, so the exit waits
     // until there have been no connections for a while.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -36,6 +36,7 @@
 use crate::logging::Event;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
+use crate::signal;
 
 /// The state that all tasks of an entry share.
 ///
@@ -84,7 +85,7 @@
     /// divide the quotas without counting this one.
     pub(crate) quota_from: Cell<Option<Time>>,
     /// When the shutdown of the process began.
-    pub(crate) stopping: Cell<Option<Time>>,
+    pub(crate) stopping: signal::Start,
     /// Notified when the shutdown of the process begins.
     pub(crate) shutdown_begun: Notify,
     /// Counts, by references, the requests whose responses are not complete yet.
@@ -174,7 +175,7 @@
             contacts: RefCell::default(),
             duties: RefCell::default(),
             quota_from: Cell::new(None),
-            stopping: Cell::new(None),
+            stopping: signal::Start::default(),
             shutdown_begun: Notify::new(),
             unanswered: Rc::default(),
             queues: RefCell::default(),
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -1,94 +1,14 @@
 //! Bounds requests by the shutdown of the process.
 
-use std::sync::{Arc, OnceLock};
-use std::thread;
-
 use fleet::catalog::Route;
 use fleet::shutdown::{Shutdown, Stage};
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::oneshot;
 use types::Time;
 
 use crate::clock::now;
 use crate::shared::Shared;
 
-/// The signal to shut down.
-///
-/// A thread of its own waits for it: the event loop of a busy process handles a signal only after
-/// the tasks that are ready, while the grace period has begun.
-#[derive(Debug)]
-pub(crate) struct Signal {
-    arrived: Arc<OnceLock<Time>>,
-    received: oneshot::Receiver<()>,
-}
-
-impl Signal {
-    /// Starts to wait for SIGTERM, until this is dropped.
-    ///
-    /// # Errors
-    /// Fails if the thread cannot be spawned or the signal cannot be received.
-    pub(crate) fn listen() -> std::io::Result<Self> {
-        let arrived = Arc::new(OnceLock::new());
-        let (sender, received) = oneshot::channel();
-        let (started, is_started) = std::sync::mpsc::channel();
-        let recorded = Arc::clone(&arrived);
-        thread::Builder::new()
-            .name("signals".to_owned())
-            .spawn(move || wait_for_signal(&started, &recorded, sender))?;
-        let ended = |_| std::io::Error::other("the thread for signals ended");
-        is_started.recv().map_err(ended)??;
-        Ok(Self { arrived, received })
-    }
-
-    /// Waits for the signal and returns when it arrived; `None` if no signal can arrive any more.
-    pub(crate) async fn wait(&mut self) -> Option<Time> {
-        let received = (&mut self.received).await;
-        received.ok().and_then(|()| self.arrived.get().copied())
-    }
-}
-
-/// Records when the signal arrives, after reporting to `started` whether it can be received.
-fn wait_for_signal(
-    started: &std::sync::mpsc::Sender<std::io::Result<()>>,
-    arrived: &OnceLock<Time>,
-    mut sender: oneshot::Sender<()>,
-) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_io()
-        .build();
-    let listening = runtime.and_then(|runtime| {
-        let terminated = {
-            let _context = runtime.enter();
-            signal(SignalKind::terminate())?
-        };
-        Ok((runtime, terminated))
-    });
-    let (runtime, mut terminated) = match listening {
-        Ok(listening) => listening,
-        Err(error) => {
-            // The receiver waits for this report.
-            let _ = started.send(Err(error));
-            return;
-        }
-    };
-    let _ = started.send(Ok(()));
-    runtime.block_on(async {
-        tokio::select! {
-            received = terminated.recv() => {
-                if received.is_some() {
-                    arrived.get_or_init(now);
-                    // Without a receiver the entry has ended.
-                    let _ = sender.send(());
-                }
-            }
-            () = sender.closed() => {}
-        }
-    });
-}
-
-/// Begins the shutdown.
-pub(crate) fn begin<Adapter>(shared: &Shared<Adapter>, time: Time) {
-    shared.stopping.set(Some(time));
+/// Wakes the tasks that wait for the shutdown, once it has begun.
+pub(crate) fn announce<Adapter>(shared: &Shared<Adapter>) {
     shared.shutdown_begun.notify_waiters();
 }
 
