gateway: log the software build of targets

The software version of a target was not decoded, so logs did not tell at which build a stream began and where it went on. It is decoded now, told to neighbours with the rows of the list (format 16 of the datagrams), and logged with each attempt, with the request whose stream a caller takes up. No decision uses it yet.

--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use types::{Domain, Model, Revision, Service, Target, Time};
+use types::{Build, Domain, Model, Revision, Service, Target, Time};
 
 use crate::restoration::LIST_SETTLE_TIME;
 
@@ -29,6 +29,8 @@
     pub cold_remaining: Duration,
     /// When it started, in Unix milliseconds; a restart may keep the name.
     pub started_ms: Option<u64>,
+    /// The version of its software; empty if its row has none.
+    pub build: Build,
     /// The weight versions of its models.
     pub weights: Vec<(Model, u64)>,
     /// The [`types::Revision`] of its row in the platform's table store; of two reports, the one
@@ -99,6 +101,7 @@
         add(&self.slots.to_le_bytes());
         add(&[u8::from(self.draining)]);
         add(&self.started_ms.unwrap_or(0).to_le_bytes());
+        add(self.build.as_bytes());
         for (model, version) in &self.weights {
             add(model.as_bytes());
             add(&version.to_le_bytes());
--- a/crates/fleet/tests/dispatcher.rs
+++ b/crates/fleet/tests/dispatcher.rs
@@ -190,6 +190,7 @@
         draining: false,
         cold_remaining: Duration::ZERO,
         started_ms: None,
+        build: "1".into(),
         weights: vec![("m".into(), 3)],
         revision: 1,
     }
--- a/crates/fleet/tests/listing.rs
+++ b/crates/fleet/tests/listing.rs
@@ -27,6 +27,7 @@
         draining,
         cold_remaining: Duration::ZERO,
         started_ms: None,
+        build: "1".into(),
         weights: Vec::new(),
         revision,
     }
--- a/crates/fleet/tests/restored_list.rs
+++ b/crates/fleet/tests/restored_list.rs
@@ -26,6 +26,7 @@
         draining,
         cold_remaining: Duration::ZERO,
         started_ms: Some(started_ms),
+        build: "1".into(),
         weights: Vec::new(),
         revision: revision(era, version),
     }
--- a/crates/fleet/tests/rollout.rs
+++ b/crates/fleet/tests/rollout.rs
@@ -24,6 +24,7 @@
         draining: false,
         cold_remaining: Duration::ZERO,
         started_ms: Some(1),
+        build: "1".into(),
         weights: vec![("m".into(), version)],
         revision: 1,
     };
--- a/crates/fleet/tests/staleness.rs
+++ b/crates/fleet/tests/staleness.rs
@@ -19,6 +19,7 @@
         draining: false,
         cold_remaining: Duration::ZERO,
         started_ms: Some(started_ms),
+        build: "1".into(),
         weights: vec![("m".into(), version)],
         revision: 1,
     }
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -62,6 +62,8 @@
     pub key: Option<Box<str>>,
     /// The id of the last event that the caller has received, when it resumes a stream.
     pub last_event: Option<u64>,
+    /// The id of the request that brought the first event of that stream.
+    pub resumes: Option<Box<str>>,
     /// The prompt; `None` for requests to plain services.
     pub prompt: Option<Prompt>,
 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -491,6 +491,7 @@
             .with("domain", &*member.domain)
             .with("draining", member.draining)
             .with("cold_ms", millis(member.cold_remaining))
+            .with("build", &*member.build)
             .with(
                 "weights",
                 member.weights.first().map(|(_, version)| *version),
--- a/crates/gateway/src/packet/layout.rs
+++ b/crates/gateway/src/packet/layout.rs
@@ -10,7 +10,7 @@
 use fleet::roster::Member;
 use fleet::{cell, discovery, dispatcher, gossip, placement};
 use serde::{Deserialize, Serialize};
-use types::{Domain, Model, Service, Store, Target, Team};
+use types::{Build, Domain, Model, Service, Store, Target, Team};
 
 use super::Message;
 
@@ -66,6 +66,7 @@
     /// In milliseconds.
     cold_remaining: u32,
     started_ms: Option<u64>,
+    build: Build,
     weights: Vec<(Model, u64)>,
     revision: u64,
 }
@@ -534,6 +535,7 @@
             draining: member.draining,
             cold_remaining: millis(member.cold_remaining),
             started_ms: member.started_ms,
+            build: member.build.clone(),
             weights: member.weights.clone(),
             revision: member.revision,
         }
@@ -551,6 +553,7 @@
             draining: row.draining,
             cold_remaining: duration(row.cold_remaining),
             started_ms: row.started_ms,
+            build: row.build,
             weights: row.weights,
             revision: row.revision,
         }
--- a/crates/gateway/src/packet/mod.rs
+++ b/crates/gateway/src/packet/mod.rs
@@ -17,7 +17,7 @@
 const MAC_BYTES: usize = 32;
 /// Version of the layout of [`Packet`]. Entries of two versions communicate during an upgrade, and
 /// bytes of another layout may decode to anything.
-pub const FORMAT: u8 = 15;
+pub const FORMAT: u8 = 16;
 
 /// A message from one entry to another.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -570,6 +570,8 @@
         )
         .with("running", shared.tracker.borrow().load(target).running)
         .with("weights", choice.envelope.version)
+        .with("build", &*choice.member.build)
+        .with("resumes", admitted.head.resumes.as_deref())
         .with("outdated_ms", outdated_for.map(millis))
         .with("connect_ms", progress.connect_time.map(millis))
         .info();
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -9,7 +9,9 @@
 mod verdict;
 
 pub use id::{Attempt, Boot, Fence, Incarnation, Request, Version};
-pub use name::{Call, Domain, Host, Model, Name, Region, Service, Store, Target, Team, Weights};
+pub use name::{
+    Build, Call, Domain, Host, Model, Name, Region, Service, Store, Target, Team, Weights,
+};
 pub use revision::Revision;
 pub use time::Time;
 pub use verdict::Verdict;
--- a/crates/types/src/name.rs
+++ b/crates/types/src/name.rs
@@ -56,6 +56,10 @@
     /// A customer, whose prompts, cached context and responses are isolated from other teams.
     Team
 }
+name! {
+    /// A software version of the targets of a service, which is not that of their weights.
+    Build
+}
 name! {
     /// A machine.
     Host
