fleet, gateway: a stream goes on only at the software build that began it

Callers saw: the text of a stream joined from two software versions of its service, the first part from one and the rest from the other, in one 200 that ran to its end. Cause: targets were chosen without regard to their build, by the entry that resumes a stream and by any entry at which a caller takes it up; after a loss of all entries nothing was known of builds that had just left the list. The class: state of a stream that nobody keeps. Change: entries follow the builds of each service, record them in the row builds/services, keep the build of each stream (three others as well while several builds serve), send a stream that goes on to its build only, and refuse it at once if that is not known. Ruled out: that only one of the ways acts. Why it works: with one build within the window its streams can have begun nowhere else; with several, only an entry that knows the build goes on.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -283,6 +283,15 @@
         self.services.get(service)
     }
 
+    /// Returns the longest timeout of a route whose streams may be resumed.
+    #[must_use]
+    pub fn longest_resumable(&self) -> Duration {
+        let routes = self.routes.values().flatten();
+        let resumable = routes.filter(|route| route.resumable);
+        let timeouts = resumable.map(|route| route.timeout);
+        timeouts.max().unwrap_or_default()
+    }
+
     /// Returns all pools.
     pub fn pools(&self) -> impl Iterator<Item = &Arc<Pool>> {
         self.services.values()
--- a/crates/fleet/src/dispatcher/message.rs
+++ b/crates/fleet/src/dispatcher/message.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use types::{Domain, Model, Target};
+use types::{Build, Domain, Model, Target};
 
 use crate::backfill::Shortage;
 use crate::cell::Cell;
@@ -38,6 +38,8 @@
     pub excluded: Vec<Target>,
     /// Failure domains that the entry cannot reach.
     pub unreachable: Vec<Domain>,
+    /// The only build whose targets may be chosen, since it began the stream.
+    pub build: Option<Build>,
 }
 
 impl Request {
@@ -53,7 +55,8 @@
     /// else's.
     fn is_restricted(&self) -> bool {
         let is_unreachable = |domain: &Domain| self.demand.unreachable.contains(domain);
-        !self.demand.excluded.is_empty()
+        self.demand.build.is_some()
+            || !self.demand.excluded.is_empty()
             || match &self.cell.domain {
                 Some(domain) => is_unreachable(domain),
                 None => !self.demand.unreachable.is_empty(),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod backfill;
 pub mod backoff;
 pub mod buffers;
+pub mod builds;
 pub mod cache;
 pub mod callers;
 pub mod catalog;
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -175,6 +175,7 @@
             known.member.service == member.service
                 && known.member.domain == member.domain
                 && known.member.weights == member.weights
+                && known.member.build == member.build
         });
         self.generation += u64::from(!same);
         let record = Record {
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -96,6 +96,10 @@
     Busy,
     /// all targets refused the request
     Refused,
+    /// no target has the software version that began the stream
+    NoBuild,
+    /// it is not known which software version began the stream
+    UnknownBuild,
     /// the request or a segment of its prompt crashes targets
     Quarantined,
     /// the entry is stopping
@@ -237,6 +241,8 @@
             | Self::NoTarget
             | Self::Busy
             | Self::Refused
+            | Self::NoBuild
+            | Self::UnknownBuild
             | Self::Quarantined
             | Self::Stopping
             | Self::TimedOutUnsent => StatusCode::SERVICE_UNAVAILABLE,
@@ -261,6 +267,8 @@
             Self::NoTarget => "no_target",
             Self::Busy => "busy",
             Self::Refused => "refused",
+            Self::NoBuild => "no_build",
+            Self::UnknownBuild => "unknown_build",
             Self::Quarantined => "quarantined",
             Self::Stopping => "stopping",
             Self::Failed => "failed",
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -12,7 +12,7 @@
 use fleet::namespace::{Namespace, Scope};
 use fleet::placement::{self, Candidate, Load};
 use fleet::roster::{Member, Record};
-use types::{Domain, Model, Service, Store, Target, Time};
+use types::{Build, Domain, Model, Service, Store, Target, Time};
 
 use crate::adapter::{Envelope, Fetch, Prompt};
 use crate::attempt::{self, Admitted, Choice};
@@ -38,6 +38,7 @@
     shared: &Shared<Adapter>,
     admitted: &Admitted,
     excluded: &[Target],
+    build: Option<&Build>,
 ) -> Demand {
     let prompt = admitted.head.prompt.as_ref();
     let segments = prompt.map_or(&[][..], |prompt| &prompt.segments);
@@ -53,6 +54,7 @@
         kv_tokens: prompt.map_or(0, kv_tokens),
         excluded: excluded.to_vec(),
         unreachable: shared.reachability.borrow().unreachable(),
+        build: build.cloned(),
     }
 }
 
@@ -281,6 +283,10 @@
             || member.draining
             || evacuated.contains(&member.domain)
             || demand.excluded.contains(&member.id)
+            || demand
+                .build
+                .as_ref()
+                .is_some_and(|build| *build != member.build)
             || weights::is_expired(shared, demand.model.as_ref(), member, time)
         {
             continue;
--- a/crates/gateway/src/dispatch/acquire.rs
+++ b/crates/gateway/src/dispatch/acquire.rs
@@ -8,6 +8,7 @@
 use super::request::{Outcome, request_from_cell};
 use crate::adapter::Platform;
 use crate::attempt::{Admitted, Choice, Grant};
+use crate::builds;
 use crate::choose;
 use crate::clock::now;
 use crate::retry::{Progress, Step};
@@ -56,6 +57,10 @@
         if pool.is_none_or(|pool| pool.engine.is_none()) {
             break Acquired::NoDispatcher;
         }
+        // Few cells may have targets of the build.
+        if progress.build.is_some() && builds::is_mixed(shared, progress.service()) {
+            break Acquired::NoDispatcher;
+        }
         if let Some(step) = progress.exhausted(shared, admitted) {
             return step;
         }
@@ -108,7 +113,12 @@
 where
     Adapter: Platform,
 {
-    let mut demand = choose::demand(shared, admitted, progress.excluded());
+    let mut demand = choose::demand(
+        shared,
+        admitted,
+        progress.excluded(),
+        progress.build.as_ref(),
+    );
     let Some(home) = home_cell(shared, progress.service(), &demand) else {
         return Acquired::NoDispatcher;
     };
--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -67,7 +67,10 @@
         }
         Message::Cancel(id) => dispatch.dispatcher.borrow_mut().on_cancel(&id, time),
         Message::Update(update) => on_update(shared, &update, time),
-        Message::State(_)
+        Message::Began(_)
+        | Message::AskOrigin(..)
+        | Message::Origin(..)
+        | Message::State(_)
         | Message::Notice(_)
         | Message::Fetch(..)
         | Message::Page(_)
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -18,7 +18,7 @@
 use rand::Rng;
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, mpsc};
-use types::{Target, Time};
+use types::{Build, Target, Time};
 
 pub(crate) use acquire::next;
 pub(crate) use dispatcher::{on_message, poll};
@@ -47,6 +47,8 @@
     transport: RefCell<Option<Rc<Transport>>>,
     /// The channels for replies to pending placement requests, by sequence number.
     pending: RefCell<HashMap<u64, mpsc::UnboundedSender<Answer>>>,
+    /// The channels for replies to questions for the builds of streams, by number.
+    pub(crate) origins: RefCell<HashMap<u64, mpsc::UnboundedSender<Build>>>,
     /// The map of cells, with the generation of the roster that it was built from.
     map: RefCell<(u64, Rc<Map>)>,
     /// The entries in the order in which they become the dispatcher of a cell.
@@ -116,6 +118,7 @@
             last_sequence: Value::new(0),
             transport: RefCell::default(),
             pending: RefCell::default(),
+            origins: RefCell::default(),
             map: RefCell::default(),
             rankings: RefCell::default(),
             backoffs: RefCell::default(),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -12,6 +12,7 @@
 use types::Revision;
 
 use crate::adapter::Platform;
+use crate::builds;
 use crate::cache;
 use crate::clock::now;
 use crate::discovery;
@@ -186,6 +187,11 @@
             Ok(Message::CrashingRequest(evidence)) => {
                 quarantine::on_evidence(shared, &[], &[evidence]);
             }
+            Ok(Message::Began(streams)) => builds::on_told(shared, streams),
+            Ok(Message::AskOrigin(number, stream)) => {
+                builds::on_question(shared, number, stream, sender);
+            }
+            Ok(Message::Origin(number, build)) => builds::on_answer(shared, number, build),
             Ok(message) => dispatch::on_message(shared, message, Some(sender)),
             Err(problem) => log::warn!("discarded a datagram from {sender}: {problem}"),
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod answer;
 mod attempt;
 pub mod buffer;
+mod builds;
 mod cache;
 mod caller;
 mod callers;
--- a/crates/gateway/src/packet/layout.rs
+++ b/crates/gateway/src/packet/layout.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use fleet::builds::Stream;
 use fleet::cache::{Key, Lateness, Report};
 use fleet::dispatcher::Demand;
 use fleet::namespace::Scope;
@@ -31,6 +32,9 @@
     Page(Page),
     Crashes(Vec<CrashFields>),
     CrashingRequest(RequestFields),
+    Began(Vec<([u8; 16], Build)>),
+    AskOrigin(u64, [u8; 16]),
+    Origin(u64, Build),
 }
 
 #[derive(Serialize, Deserialize)]
@@ -135,6 +139,7 @@
     kv_tokens: u64,
     excluded: Vec<Target>,
     unreachable: Vec<Domain>,
+    build: Option<Build>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -199,6 +204,12 @@
             Message::CrashingRequest(evidence) => {
                 Self::CrashingRequest(encode_request_evidence(evidence))
             }
+            Message::Began(streams) => {
+                let streams = streams.iter();
+                Self::Began(streams.map(|(id, build)| (id.0, build.clone())).collect())
+            }
+            Message::AskOrigin(number, stream) => Self::AskOrigin(*number, stream.0),
+            Message::Origin(number, build) => Self::Origin(*number, build.clone()),
         }
     }
 }
@@ -220,6 +231,12 @@
             Packet::CrashingRequest(evidence) => {
                 Self::CrashingRequest(decode_request_evidence(evidence))
             }
+            Packet::Began(streams) => {
+                let streams = streams.into_iter();
+                Self::Began(streams.map(|(id, build)| (Stream(id), build)).collect())
+            }
+            Packet::AskOrigin(number, stream) => Self::AskOrigin(number, Stream(stream)),
+            Packet::Origin(number, build) => Self::Origin(number, build),
         }
     }
 }
@@ -397,6 +414,7 @@
             kv_tokens: demand.kv_tokens,
             excluded: demand.excluded.clone(),
             unreachable: demand.unreachable.clone(),
+            build: demand.build.clone(),
         }
     }
 }
@@ -421,6 +439,7 @@
                 kv_tokens: request.kv_tokens.min(MAX_TOKENS),
                 excluded: request.excluded,
                 unreachable: request.unreachable,
+                build: request.build,
             },
         }
     }
--- a/crates/gateway/src/packet/mod.rs
+++ b/crates/gateway/src/packet/mod.rs
@@ -3,11 +3,12 @@
 mod layout;
 
 use displaydoc::Display;
+use fleet::builds::Stream;
 use fleet::discovery::{Notice, Page};
 use fleet::dispatcher::{Id, Reply, Request};
 use fleet::gossip::{State, Update};
 use fleet::quarantine::{Evidence, requests};
-use types::Target;
+use types::{Build, Target};
 
 use layout::Packet;
 
@@ -43,6 +44,12 @@
     Crashes(Vec<Evidence>),
     /// New evidence about a request that crashes targets, sent to all other entries at once.
     CrashingRequest(requests::Evidence),
+    /// The builds that began streams, for the entries that keep them.
+    Began(Vec<(Stream, Build)>),
+    /// A question for the build that began a stream; the number identifies the question.
+    AskOrigin(u64, Stream),
+    /// The reply to [`Message::AskOrigin`] of an entry that knows the build.
+    Origin(u64, Build),
 }
 
 /// Why a datagram cannot be encoded or is discarded.
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -8,7 +8,7 @@
 use fleet::lateness::Limit;
 use fleet::queue::{self, Ticket};
 use fleet::shutdown::Stage;
-use types::{Service, Target, Time, Version};
+use types::{Build, Service, Target, Time, Version};
 
 use crate::adapter::Platform;
 use crate::answer::Reason;
@@ -39,6 +39,8 @@
     pub(crate) trial: Option<Trial<Adapter>>,
     /// Whether a target may be running it.
     pub(crate) in_flight: bool,
+    /// The build that began the stream, once it is known; no other may go on with it.
+    pub(crate) build: Option<Build>,
     /// How long the last attempt took to get a connection, if it got one.
     pub(crate) connect_time: Option<Duration>,
     /// The attempt that takes the request over from a silent target.
@@ -86,6 +88,7 @@
             runs: 0,
             trial: None,
             in_flight: false,
+            build: None,
             connect_time: None,
             takeover: None,
             queued: None,
@@ -183,11 +186,25 @@
             (true, _, true) => Reason::TimedOut,
             (true, true, false) => Reason::Failed,
             (true, false, false) if !self.may_run_again(admitted) => Reason::Failed,
+            (true, false, false) if !self.has_build(shared) => Reason::Failed,
+            (false, false, false) if !self.has_build(shared) => Reason::NoBuild,
             (_, false, false) => return None,
         };
         Some(Step::Fail(reason, DEFAULT_RETRY_AFTER))
     }
 
+    /// Whether any target may go on with the stream, if it has begun.
+    fn has_build(&self, shared: &Shared<Adapter>) -> bool {
+        let Some(build) = &self.build else {
+            return true;
+        };
+        let roster = shared.roster.borrow();
+        let mut members = roster.iter().map(|record| &record.member);
+        members.any(|member| {
+            member.service == self.service && member.build == *build && !member.draining
+        })
+    }
+
     /// Returns the reason of the failure of a request that has no response when a stopping entry
     /// must respond.
     pub(crate) fn cut_off(&self) -> Reason {
@@ -290,7 +307,7 @@
         if is_first && let Some(step) = self.check_queue(shared, admitted, time) {
             return step;
         }
-        let demand = choose::demand(shared, admitted, &self.excluded);
+        let demand = choose::demand(shared, admitted, &self.excluded, self.build.as_ref());
         // One that was sent before, or has lost time at a target that did not get it, is worth
         // sending even if it begins late.
         let limit = (is_first && self.excluded.is_empty()).then(|| Limit {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -19,6 +19,7 @@
 use crate::answer::{Body, Reason, close};
 use crate::attempt::{self, Admitted, Buffered, Choice, Grant, Outcome, Rejection, Streaming};
 use crate::buffer::{self, Reservation};
+use crate::builds;
 use crate::caller::{Exchange, Link, MAX_DRAIN_BYTES};
 use crate::clock::now;
 use crate::dispatch::{self, Failure};
@@ -317,6 +318,12 @@
         .borrow_mut()
         .on_request(&service, admitted.arrived);
     let mut progress = Progress::new(service, admitted.config);
+    if admitted.head.last_event.is_some() && admitted.route.resumable {
+        progress.build = builds::origin(shared, &admitted, progress.service()).await;
+        if progress.build.is_none() {
+            return fail(shared, &admitted, Reason::UnknownBuild, DEFAULT_RETRY_AFTER);
+        }
+    }
     let mut fallback: Option<Box<Buffered>> = None;
     let answer = tokio::select! {
         biased;
@@ -485,6 +492,7 @@
             ("answered", response.status.as_u16().to_string())
         }
         Outcome::Streaming(_) => {
+            builds::on_begun(shared, admitted, progress, choice);
             quarantine::on_begun(shared, admitted);
             weights::on_begun(shared, admitted, choice);
             ("started", String::new())
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -21,6 +21,7 @@
 
 use crate::adapter::{List, Platform};
 use crate::answer::Body;
+use crate::builds;
 use crate::caller::{Exchange, Io, Link, Phase};
 use crate::callers::{Callers, Seat};
 use crate::clock::now;
@@ -187,6 +188,8 @@
     let handle = Rc::clone(shared);
     supervisor::spawn("beacon", move || discovery::heartbeat(Rc::clone(&handle)));
     let handle = Rc::clone(shared);
+    supervisor::spawn("follow_builds", move || builds::watch(Rc::clone(&handle)));
+    let handle = Rc::clone(shared);
     supervisor::spawn("measure_lag", move || lag::measure(Rc::clone(&handle)));
     let handle = Rc::clone(shared);
     supervisor::spawn("count", move || leader::count_entries(Rc::clone(&handle)));
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fleet::buffers::Buffers;
+use fleet::builds;
 use fleet::cache::{Index, Status};
 use fleet::catalog::Catalog;
 use fleet::cell::Node;
@@ -97,6 +98,8 @@
     pub(crate) quarantine: RefCell<quarantine::Register>,
     /// Notified when further requests or segments may be quarantined.
     pub(crate) quarantine_changed: Notify,
+    /// The software builds of targets, and of recent streams.
+    pub(crate) builds: RefCell<builds::Register>,
     /// Which failure domains are reachable from this entry.
     pub(crate) reachability: RefCell<Reachability>,
     /// Notified when a target may have free capacity.
@@ -183,6 +186,7 @@
             discovery,
             quarantine: RefCell::default(),
             quarantine_changed: Notify::new(),
+            builds: RefCell::default(),
             reachability: RefCell::default(),
             capacity_freed: Notify::new(),
             operator_progress: Cell::default(),
--- a/crates/gateway/tests/packet.rs
+++ b/crates/gateway/tests/packet.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use fleet::builds::Stream;
 use fleet::cache::{Key, Lateness, Report};
 use fleet::cell::Cell;
 use fleet::dispatcher::{Demand, Id, Reply, Request};
@@ -125,6 +126,7 @@
         kv_tokens: 1100,
         excluded: vec!["t".into()],
         unreachable: vec!["pier".into()],
+        build: Some("1.1".into()),
     };
     let request = Request {
         id: id(),
@@ -161,6 +163,9 @@
         Message::Cancel(id()),
         Message::Crashes(vec![evidence()]),
         Message::CrashingRequest(request_evidence()),
+        Message::Began(vec![(Stream([3; 16]), "1.1".into())]),
+        Message::AskOrigin(7, Stream([4; 16])),
+        Message::Origin(7, "1.1".into()),
     ];
     others.into_iter().chain(replies).collect()
 }
