gateway: follow builds without work in the usual state

The list was compared with the recorded builds ten times a second, with a ranking of all entries and a walk over all routes each time: on a large deployment some 30 us and one for each route, by estimate. Now once a second unless a build is new, and the longest timeout is found when a configuration is adopted.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -16,6 +16,8 @@
     pub version: Version,
     /// Limits on what callers may send.
     pub limits: Limits,
+    /// The longest timeout of a route whose streams may be resumed.
+    pub longest_resumable: Duration,
     routes: HashMap<Box<str>, Vec<Arc<Route>>>,
     services: HashMap<Service, Arc<Pool>>,
     stores: Vec<StoreHost>,
@@ -179,6 +181,8 @@
     /// Indexes a configuration.
     #[must_use]
     pub fn new(spec: Spec) -> Self {
+        let resumable = spec.routes.iter().filter(|route| route.resumable);
+        let longest_resumable = resumable.map(|route| route.timeout).max();
         let mut routes: HashMap<Box<str>, Vec<Arc<Route>>> = HashMap::new();
         for route in spec.routes {
             let host = route.host.to_ascii_lowercase().into_boxed_str();
@@ -202,6 +206,7 @@
         Self {
             version: spec.version,
             limits: spec.limits,
+            longest_resumable: longest_resumable.unwrap_or_default(),
             routes,
             services: pools
                 .map(|pool| (pool.name.clone(), Arc::new(pool)))
@@ -283,15 +288,6 @@
         self.services.get(service)
     }
 
-    /// Returns the longest timeout of a route whose streams may be resumed.
-    #[must_use]
-    pub fn longest_resumable(&self) -> Duration {
-        let routes = self.routes.values().flatten();
-        let resumable = routes.filter(|route| route.resumable);
-        let timeouts = resumable.map(|route| route.timeout);
-        timeouts.max().unwrap_or_default()
-    }
-
     /// Returns all pools.
     pub fn pools(&self) -> impl Iterator<Item = &Arc<Pool>> {
         self.services.values()
--- a/crates/gateway/src/builds.rs
+++ b/crates/gateway/src/builds.rs
@@ -28,6 +28,8 @@
 const RECORD_STEP: Duration = Duration::from_secs(1);
 /// How often the list of targets is compared with the known builds.
 const INTERVAL: Duration = Duration::from_millis(100);
+/// How often the known builds are compared with the recorded ones if none is new.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Back-off after a failed call to the table store.
 const BACK_OFF: Duration = Duration::from_millis(300);
 /// The number of other entries that keep the build of a stream. Datagrams may be lost, and hosts
@@ -56,11 +58,17 @@
     let mut recorded = load(&shared).await;
     let mut era = shared.era();
     let mut differs_since: Option<Time> = None;
+    let mut next_check = now();
     loop {
         tokio::time::sleep(INTERVAL).await;
-        observe(&shared);
-        if std::mem::replace(&mut era, shared.era()) != shared.era() {
+        let has_new_build = observe(&shared);
+        if !has_new_build && now() < next_check {
+            continue;
+        }
+        next_check = now() + CHECK_INTERVAL;
+        if era != shared.era() {
             // The table store was restored, perhaps from a copy with another row.
+            era = shared.era();
             recorded = None;
         }
         if shared.roster.borrow().iter().next().is_none() {
@@ -167,15 +175,16 @@
 /// left the list.
 fn window<Adapter>(shared: &Shared<Adapter>) -> Duration {
     let catalog = shared.catalog();
-    let timeout = catalog.map(|catalog| catalog.longest_resumable());
+    let timeout = catalog.map(|catalog| catalog.longest_resumable);
     timeout.map_or(DEFAULT_WINDOW, |timeout| {
         timeout * TIMEOUTS + shared.settings.drain_limit()
     })
 }
 
 /// Compares the list of targets with the known builds. When a service gets a second build, the
-/// builds of its recent streams are told to other entries, which nothing needed before.
-fn observe<Adapter>(shared: &Shared<Adapter>) {
+/// builds of its recent streams are told to other entries, which nothing needed before. Returns
+/// whether a service has a new build.
+fn observe<Adapter>(shared: &Shared<Adapter>) -> bool {
     let time = now();
     let window = window(shared);
     let has_new_build = {
@@ -202,6 +211,7 @@
         drop(register);
         tell(shared, &streams);
     }
+    has_new_build
 }
 
 /// Records that a target has begun a stream, or goes on with one that its caller takes up.
