gateway: tell others of a stream when it begins

Half of the entries were suspended from 3.5 to 7.5 s and a second build was listed at 4 s; the two that ran refused 17 take-ups with unknown_build. By the logs all of these streams had begun at suspended entries, before the second build.

Cause: the build of a stream was told to other entries only while several builds served, or by its entry when a second one appeared, which an entry that is suspended, killed or cut off at that moment cannot do. The state was kept by one host in the usual case.

Ruled out: lost datagrams and holders that are gone; nothing had been sent.

An entry that gets a new build into its list tells only its own streams again.

--- a/crates/fleet/src/builds.rs
+++ b/crates/fleet/src/builds.rs
@@ -45,11 +45,20 @@
 /// The builds that began recent streams.
 #[derive(Debug, Default)]
 pub struct Log {
-    builds: HashMap<Stream, (Build, Time)>,
+    builds: HashMap<Stream, Began>,
     /// The streams in the order in which they were added.
     order: VecDeque<Stream>,
 }
 
+/// How a stream began.
+#[derive(Debug)]
+struct Began {
+    build: Build,
+    at: Time,
+    /// Whether it began at this entry.
+    is_own: bool,
+}
+
 /// What an entry knows of builds.
 #[derive(Debug, Default)]
 pub struct Register {
@@ -182,30 +191,43 @@
 }
 
 impl Log {
-    /// Records the build that began a stream; the first record counts.
+    /// Records the build of a stream that began at another entry; the first record counts.
     pub fn add(&mut self, stream: Stream, build: &Build, now: Time) {
+        self.insert(stream, build, now, false);
+    }
+
+    /// Records the build of a stream that began at this entry; the first record counts. Returns
+    /// whether others are to be told.
+    pub fn add_own(&mut self, stream: Stream, build: &Build, now: Time) -> bool {
+        self.insert(stream, build, now, true)
+    }
+
+    /// Returns whether the stream was not recorded before.
+    fn insert(&mut self, stream: Stream, build: &Build, at: Time, is_own: bool) -> bool {
         if self.builds.contains_key(&stream) {
-            return;
+            return false;
         }
         while self.order.len() >= MAX_STREAMS {
             if let Some(oldest) = self.order.pop_front() {
                 self.builds.remove(&oldest);
             }
         }
-        self.builds.insert(stream, (build.clone(), now));
+        let build = build.clone();
+        self.builds.insert(stream, Began { build, at, is_own });
         self.order.push_back(stream);
+        true
     }
 
     /// Returns the build that began a stream.
     #[must_use]
     pub fn get(&self, stream: &Stream) -> Option<&Build> {
-        self.builds.get(stream).map(|(build, _)| build)
+        self.builds.get(stream).map(|began| &began.build)
     }
 
     /// Forgets streams that began before the window.
     pub fn expire(&mut self, window: Duration, now: Time) {
         while let Some(oldest) = self.order.front() {
-            let is_recent = |(_, at): &(Build, Time)| now.since(*at) < window;
+            let is_recent = |began: &Began| now.since(began.at) < window;
             if self.builds.get(oldest).is_some_and(is_recent) {
                 return;
             }
@@ -214,9 +236,12 @@
         }
     }
 
-    /// Returns all streams with their builds, the oldest first.
-    pub fn iter(&self) -> impl Iterator<Item = (Stream, &Build)> {
+    /// Returns all streams of this entry with their builds, the oldest first.
+    pub fn own(&self) -> impl Iterator<Item = (Stream, &Build)> {
         let streams = self.order.iter();
-        streams.filter_map(|stream| Some((*stream, self.get(stream)?)))
+        streams.filter_map(|stream| {
+            let began = self.builds.get(stream)?;
+            began.is_own.then_some((*stream, &began.build))
+        })
     }
 }
--- a/crates/fleet/tests/builds.rs
+++ b/crates/fleet/tests/builds.rs
@@ -117,12 +117,12 @@
     log.add(stream(0), &"2".into(), at(1));
     assert_eq!(log.get(&stream(0)), Some(&"1".into()));
     for number in 1..=MAX_STREAMS {
-        log.add(stream(number), &"2".into(), at(2));
+        log.add_own(stream(number), &"2".into(), at(2));
     }
     assert_eq!(log.get(&stream(0)), None);
-    assert_eq!(log.iter().count(), MAX_STREAMS);
+    assert_eq!(log.own().count(), MAX_STREAMS);
     log.expire(WINDOW, at(12_002));
-    assert_eq!(log.iter().count(), 0);
+    assert_eq!(log.own().count(), 0);
 }
 
 proptest! {
@@ -163,3 +163,17 @@
         }
     }
 }
+
+/// Guards against a stream that is told to other entries again and again, or by entries that have
+/// only been told of it.
+#[test]
+fn a_stream_is_told_once_by_the_entry_at_which_it_began() {
+    let stream = |number: u8| Stream([number; 16]);
+    let mut log = Log::default();
+    log.add(stream(1), &"1".into(), at(0));
+    assert!(!log.add_own(stream(1), &"1".into(), at(1)));
+    assert!(log.add_own(stream(2), &"2".into(), at(2)));
+    assert!(!log.add_own(stream(2), &"1".into(), at(3)));
+    let own: Vec<_> = log.own().collect();
+    assert_eq!(own, [(stream(2), &"2".into())]);
+}
--- a/crates/gateway/src/builds.rs
+++ b/crates/gateway/src/builds.rs
@@ -181,9 +181,9 @@
     })
 }
 
-/// Compares the list of targets with the known builds. When a service gets a second build, the
-/// builds of its recent streams are told to other entries, which nothing needed before. Returns
-/// whether a service has a new build.
+/// Compares the list of targets with the known builds. When a service gets another build, the
+/// recent streams are told to other entries again: some that were told before may have restarted.
+/// Returns whether a service has a new build.
 fn observe<Adapter>(shared: &Shared<Adapter>) -> bool {
     let time = now();
     let window = window(shared);
@@ -202,19 +202,19 @@
         has_new_build
     };
     if has_new_build {
-        let register = shared.builds.borrow();
-        let streams: Vec<(Stream, Build)> = register
-            .log
-            .iter()
-            .map(|(stream, build)| (stream, build.clone()))
-            .collect();
-        drop(register);
+        let streams: Vec<(Stream, Build)> = {
+            let register = shared.builds.borrow();
+            let own = register.log.own();
+            own.map(|(stream, build)| (stream, build.clone())).collect()
+        };
         tell(shared, &streams);
     }
     has_new_build
 }
 
-/// Records that a target has begun a stream, or goes on with one that its caller takes up.
+/// Records that a target has begun a stream, or goes on with one that its caller takes up. Others
+/// are told at once, also while all targets have one build: when another build appears, this entry
+/// may be suspended or gone.
 pub(crate) fn on_begun<Adapter>(
     shared: &Shared<Adapter>,
     admitted: &Admitted,
@@ -227,15 +227,13 @@
     let build = &choice.member.build;
     progress.build.get_or_insert_with(|| build.clone());
     let stream = stream(admitted);
-    let is_mixed = {
+    let is_new = {
         let mut register = shared.builds.borrow_mut();
-        register
-            .history
-            .on_begun(&choice.member.service, build, now());
-        register.log.add(stream, build, now());
-        register.history.is_mixed(&choice.member.service, now())
+        let service = &choice.member.service;
+        register.history.on_begun(service, build, now());
+        register.log.add_own(stream, build, now())
     };
-    if is_mixed {
+    if is_new {
         tell(shared, &[(stream, build.clone())]);
     }
 }
