gateway: let streams that are taken up wait for a target before others

By the log the take-ups at the two entries that ran were refused as busy after 226 to 250 ms, 45% of the objective of 500 ms.

Cause: a request with which a caller takes up a stream was placed and refused like a new one, although its objective, the first event, is met and its caller waits until the stream counts as stalled. A stream that breaks off within a response has always waited so long, at the highest rank.

Ruled out: unknown builds (none refused), targets of the build missing (none refused with no_build).

A take-up now waits like a stream that breaks off within a response, if an entry remembers the stream: a caller that only sends Last-Event-Id passes nobody.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -177,6 +177,9 @@
 const GAP_INTERVALS: u32 = 8;
 /// See [`GAP_OBJECTIVES`].
 const MIN_GAP: Duration = Duration::from_secs(2);
+/// The share of the stall timeout for which a request that was sent before, or whose stream has
+/// begun, may wait for a target.
+const RETRY_WAIT_SHARE: f64 = 0.4;
 /// The share of a target's connection limit that all entries together may use; health checks and
 /// closing connections use the rest.
 const CONNECTION_SHARE: f64 = 0.8;
@@ -228,6 +231,13 @@
         team.unwrap_or(self.route.rank)
     }
 
+    /// Returns how long a request may wait for a target whose caller has had a part of its response,
+    /// or has waited for another target before.
+    pub(crate) fn retry_wait<Adapter>(&self, shared: &Shared<Adapter>, now: Time) -> Duration {
+        let patience = self.stall_timeout().min(self.remaining(shared, now));
+        patience.mul_f64(RETRY_WAIT_SHARE)
+    }
+
     /// Returns how long the target may send nothing before the caller gives up.
     pub(crate) fn stall_timeout(&self) -> Duration {
         if self.route.delivery != Delivery::Stream {
--- a/crates/gateway/src/builds.rs
+++ b/crates/gateway/src/builds.rs
@@ -243,21 +243,35 @@
     shared.builds.borrow().history.is_mixed(service, now())
 }
 
+/// The build that began a stream which a caller takes up.
+#[derive(Debug)]
+pub(crate) struct Known {
+    pub(crate) build: Build,
+    /// Whether an entry remembers the stream. Otherwise its service has had no other build lately.
+    pub(crate) is_recorded: bool,
+}
+
 /// Returns the build that began the stream which a caller takes up; `None` if that is not known.
 pub(crate) async fn origin<Adapter>(
     shared: &Shared<Adapter>,
     admitted: &Admitted,
     service: &Service,
-) -> Option<Build> {
+) -> Option<Known> {
     observe(shared);
     let stream = stream(admitted);
     {
         let register = shared.builds.borrow();
         if let Some(build) = register.log.get(&stream) {
-            return Some(build.clone());
+            return Some(Known {
+                build: build.clone(),
+                is_recorded: true,
+            });
         }
         if let Origin::Known(build) = register.history.origin(service, now()) {
-            return Some(build);
+            return Some(Known {
+                build,
+                is_recorded: false,
+            });
         }
     }
     admitted.head.resumes.as_ref()?;
@@ -270,7 +284,10 @@
         .with("resumes", admitted.head.resumes.as_deref())
         .with("build", build.as_deref())
         .info();
-    build
+    build.map(|build| Known {
+        build,
+        is_recorded: true,
+    })
 }
 
 /// Asks other entries for the build of a stream.
--- a/crates/gateway/src/dispatch/request.rs
+++ b/crates/gateway/src/dispatch/request.rs
@@ -33,8 +33,6 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(40);
 /// How often a queued request is renewed.
 const RENEW_INTERVAL: Duration = Duration::from_millis(200);
-/// The share of the stall timeout for which a request that was sent before may wait.
-const RETRY_WAIT_SHARE: f64 = 0.4;
 
 /// Asks the dispatcher of a cell, or its second dispatcher if the first one does not reply.
 pub(super) async fn request_from_cell<Adapter>(
@@ -90,10 +88,10 @@
     Outcome::NoDispatcher
 }
 
-/// Returns the rank of a request and how long it may wait. A request that was sent before gets the
-/// highest rank, because its caller has waited longest; it may wait until its stream counts as
-/// stalled. A request that lost time at an unreachable target gets the highest rank as well, for as
-/// long as it can meet the latency objective.
+/// Returns the rank of a request and how long it may wait. A request that was sent before, or whose
+/// stream is taken up, gets the highest rank, because its caller has waited longest; it may wait
+/// until its stream counts as stalled. A request that lost time at an unreachable target gets the
+/// highest rank as well, for as long as it can meet the latency objective.
 fn rank_and_max_wait<Adapter>(
     shared: &Shared<Adapter>,
     admitted: &Admitted,
@@ -102,15 +100,13 @@
     let time = now();
     let remaining = admitted.remaining(shared, time);
     if progress.deliveries > 0 {
-        return (
-            0,
-            admitted
-                .stall_timeout()
-                .min(remaining)
-                .mul_f64(RETRY_WAIT_SHARE),
-        );
+        return (0, admitted.retry_wait(shared, time));
     }
     let waited = time.since(admitted.arrived);
+    if progress.is_taken_up() {
+        let max_wait = admitted.retry_wait(shared, time);
+        return (0, max_wait.saturating_sub(waited));
+    }
     if !progress.excluded().is_empty() {
         return (
             0,
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -13,6 +13,7 @@
 use crate::adapter::Platform;
 use crate::answer::Reason;
 use crate::attempt::{Admitted, Choice};
+use crate::builds;
 use crate::choose;
 use crate::clock::now;
 use crate::dispatch;
@@ -41,6 +42,8 @@
     pub(crate) in_flight: bool,
     /// The build that began the stream, once it is known; no other may go on with it.
     pub(crate) build: Option<Build>,
+    /// Whether its caller takes up a stream that an entry remembers.
+    has_begun: bool,
     /// How long the last attempt took to get a connection, if it got one.
     pub(crate) connect_time: Option<Duration>,
     /// The attempt that takes the request over from a silent target.
@@ -89,6 +92,7 @@
             trial: None,
             in_flight: false,
             build: None,
+            has_begun: false,
             connect_time: None,
             takeover: None,
             queued: None,
@@ -106,6 +110,18 @@
         &self.service
     }
 
+    /// Records that the caller takes up a stream of this build.
+    pub(crate) fn take_up(&mut self, origin: builds::Known) {
+        self.build = Some(origin.build);
+        self.has_begun = origin.is_recorded;
+    }
+
+    /// Whether the caller has waited longer than others that have been sent as often: it takes up a
+    /// stream that has begun. A caller that only says so does not pass others.
+    pub(crate) fn is_taken_up(&self) -> bool {
+        self.deliveries == 0 && self.has_begun
+    }
+
     /// Returns the targets that are excluded from further attempts.
     pub(crate) fn excluded(&self) -> &[Target] {
         &self.excluded
@@ -308,9 +324,10 @@
             return step;
         }
         let demand = choose::demand(shared, admitted, &self.excluded, self.build.as_ref());
-        // One that was sent before, or has lost time at a target that did not get it, is worth
-        // sending even if it begins late.
-        let limit = (is_first && self.excluded.is_empty()).then(|| Limit {
+        // One that was sent before, has begun, or has lost time at a target that did not get it, is
+        // worth sending even if it begins late.
+        let is_new = is_first && !self.is_taken_up() && self.excluded.is_empty();
+        let limit = is_new.then(|| Limit {
             waited: time.since(admitted.arrived),
             objective: admitted.route.objective,
         });
@@ -335,11 +352,12 @@
 
     /// Adds the request to the queue of its service, unless it is queued already.
     fn enqueue(&mut self, shared: &Rc<Shared<Adapter>>, admitted: &Admitted) -> Ticket {
+        let rank = match self.is_taken_up() {
+            true => 0,
+            false => admitted.rank(),
+        };
         let queued = self.queued.get_or_insert_with(|| {
-            let ticket = shared
-                .queues
-                .borrow_mut()
-                .push(&self.service, admitted.rank());
+            let ticket = shared.queues.borrow_mut().push(&self.service, rank);
             Queued {
                 shared: Rc::clone(shared),
                 service: self.service.clone(),
@@ -366,14 +384,12 @@
         let service = &self.service;
         let random = f64::from(shared.random()) / f64::from(u32::MAX);
         let waited = time.since(admitted.arrived);
+        let max_wait = match self.is_taken_up() {
+            true => admitted.retry_wait(shared, time),
+            false => queue::max_wait(admitted.route.objective),
+        };
         let queues = shared.queues.borrow();
-        match queues.decide(
-            service,
-            ticket,
-            waited,
-            queue::max_wait(admitted.route.objective),
-            random,
-        ) {
+        match queues.decide(service, ticket, waited, max_wait, random) {
             queue::Decision::Try => None,
             queue::Decision::Wait => Some(Step::Wait),
             queue::Decision::Refuse(retry_after) => {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -319,10 +319,11 @@
         .on_request(&service, admitted.arrived);
     let mut progress = Progress::new(service, admitted.config);
     if admitted.head.last_event.is_some() && admitted.route.resumable {
-        progress.build = builds::origin(shared, &admitted, progress.service()).await;
-        if progress.build.is_none() {
+        let origin = builds::origin(shared, &admitted, progress.service()).await;
+        let Some(origin) = origin else {
             return fail(shared, &admitted, Reason::UnknownBuild, DEFAULT_RETRY_AFTER);
-        }
+        };
+        progress.take_up(origin);
     }
     let mut fallback: Option<Box<Buffered>> = None;
     let answer = tokio::select! {
