fleet, gateway: leave time in a stop for a late event loop

A request that was accepted in the grace period of its entry could end without a response. At the end of the time for responses (95% of the period) the entry responds to what is at work, waits for the writes, writes its last log lines and exits. The class of fault is a time limit that leaves no time for its own handling.

All phases but the first count in a usable part of the grace period now: it is shorter by four times the greatest lag of the last five seconds, at most by 13%, since requests that were accepted in time may need most of the period.

--- a/crates/fleet/src/shutdown.rs
+++ b/crates/fleet/src/shutdown.rs
@@ -1,7 +1,10 @@
 //! Graceful shutdown: which requests a stopping process may still send to a target.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
+use types::Time;
+
 use crate::catalog::{Delivery, Route};
 
 /// The phases of a graceful shutdown, by the time since it began.
@@ -9,6 +12,14 @@
 pub struct Shutdown {
     /// The time between the request to shut down and the forced exit.
     pub grace: Duration,
+    /// How late the event loop may run its tasks; see [`Lag`].
+    pub lag: Duration,
+}
+
+/// How late the event loop has lately run its tasks, because the host is short of processor time.
+#[derive(Debug, Clone, Default)]
+pub struct Lag {
+    samples: VecDeque<(Time, Duration)>,
 }
 
 /// How far a request has come when it would be sent to a target.
@@ -28,6 +39,14 @@
 /// The fraction of the grace period in which streams may go on. Nothing has to be written after
 /// their end.
 const STREAM_FRACTION: f64 = 0.965;
+/// Turns of the event loop between the end of the time for responses and the exit: the responses
+/// are made, written, and awaited, and the last log lines are written.
+const LAST_TURNS: u32 = 4;
+/// The maximum fraction of the grace period that is kept for a late event loop. Requests that were
+/// accepted in time may need most of the period.
+const MAX_LAG_FRACTION: f64 = 0.13;
+/// How long a lag counts.
+const LAG_WINDOW: Duration = Duration::from_secs(5);
 /// The time in which the balancer notices the shutdown: two health checks one second apart have to
 /// fail. Until then it sends new connections.
 const NOTICE_TIME: Duration = Duration::from_millis(2400);
@@ -40,12 +59,48 @@
 /// slow target.
 const OBJECTIVES: u32 = 4;
 
+impl Lag {
+    /// Records how late a task has run.
+    pub fn on_sample(&mut self, lag: Duration, now: Time) {
+        self.samples.push_back((now, lag));
+        let is_old = |(at, _): &(Time, Duration)| now.since(*at) >= LAG_WINDOW;
+        while self.samples.front().is_some_and(is_old) {
+            self.samples.pop_front();
+        }
+    }
+
+    /// Returns the greatest recent lag.
+    #[must_use]
+    pub fn greatest(&self) -> Duration {
+        let lags = self.samples.iter().map(|(_, lag)| *lag);
+        lags.max().unwrap_or_default()
+    }
+}
+
 impl Shutdown {
+    /// Returns the part of the grace period in which the shutdown has to be complete.
+    ///
+    /// Load pattern: callers of entries that have stopped come to small hosts, which stop next.
+    /// Each step there waits for the tasks before it, and a process that takes its steps as late
+    /// as an idle one is killed before it has responded.
+    #[must_use]
+    pub fn usable(&self) -> Duration {
+        let reserve = self.lag.saturating_mul(LAST_TURNS);
+        self.grace - reserve.min(self.grace.mul_f64(MAX_LAG_FRACTION))
+    }
+
+    /// Returns the earliest time at which a request must have a response, whatever the lag.
+    #[must_use]
+    pub fn earliest_response_limit(&self, delivery: Delivery) -> Duration {
+        let lag = Duration::MAX;
+        Self { lag, ..*self }.response_limit(delivery)
+    }
+
     /// Returns the time since the shutdown began at which a request must have a response, or the
     /// end of its stream.
     #[must_use]
     pub fn response_limit(&self, delivery: Delivery) -> Duration {
-        self.grace.mul_f64(match delivery {
+        self.usable().mul_f64(match delivery {
             Delivery::Idempotent | Delivery::AtMostOnce => RESPONSE_FRACTION,
             Delivery::Stream => STREAM_FRACTION,
         })
@@ -66,7 +121,7 @@
             return deadline;
         }
         let plain = route.objective.saturating_mul(OBJECTIVES);
-        let longest = self.grace.mul_f64(match stage {
+        let longest = self.usable().mul_f64(match stage {
             Stage::Arriving => ARRIVING_FRACTION,
             Stage::Waiting | Stage::Repeating => WAITING_FRACTION,
         });
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -155,6 +155,7 @@
     };
     let shutdown = Shutdown {
         grace: Duration::from_secs(8),
+        lag: Duration::ZERO,
     };
     let accepts = |route: &Route, since_ms| {
         let since = Duration::from_millis(since_ms);
--- a/crates/fleet/tests/shutdown.rs
+++ b/crates/fleet/tests/shutdown.rs
@@ -3,11 +3,15 @@
 use std::time::Duration;
 
 use fleet::catalog::{Delivery, Route};
-use fleet::shutdown::{Shutdown, Stage};
+use fleet::shutdown::{Lag, Shutdown, Stage};
 use proptest::prelude::*;
+use types::Time;
 
 const GRACE: Duration = Duration::from_secs(8);
-const SHUTDOWN: Shutdown = Shutdown { grace: GRACE };
+const SHUTDOWN: Shutdown = Shutdown {
+    grace: GRACE,
+    lag: Duration::ZERO,
+};
 const STAGES: [Stage; 3] = [Stage::Arriving, Stage::Waiting, Stage::Repeating];
 const DELIVERIES: [Delivery; 3] = [Delivery::Idempotent, Delivery::AtMostOnce, Delivery::Stream];
 
@@ -86,6 +90,7 @@
 fn a_long_grace_period_accepts_no_later_streams() {
     let shutdown = Shutdown {
         grace: Duration::from_secs(20),
+        ..SHUTDOWN
     };
     let route = route(Delivery::Stream, Duration::from_millis(800));
     let late = Duration::from_secs(3);
@@ -94,20 +99,60 @@
     assert!(accepts(Duration::from_secs(18)));
 }
 
+/// Guards against a busy entry that takes its last steps too late to end before it is killed, and
+/// against one that cuts requests off which it accepted in time.
+#[test]
+fn a_late_event_loop_has_time_for_its_last_steps() {
+    for lag in [50, 100, 250].map(Duration::from_millis) {
+        let shutdown = Shutdown { lag, ..SHUTDOWN };
+        for delivery in DELIVERIES {
+            let limit = shutdown.response_limit(delivery);
+            assert!(limit + 4 * lag <= GRACE, "{lag:?} {delivery:?} {limit:?}");
+        }
+    }
+    let suspended = Shutdown {
+        lag: Duration::from_secs(4),
+        ..SHUTDOWN
+    };
+    for delivery in DELIVERIES {
+        let limit = suspended.response_limit(delivery);
+        assert!(limit > GRACE.mul_f64(0.8), "{delivery:?} {limit:?}");
+    }
+}
+
+/// Guards against a lag that counts long after the host has recovered, or not at all while others
+/// follow it.
+#[test]
+fn the_greatest_lag_of_the_last_seconds_counts() {
+    let at = |millis: u64| Time::from_millis(1_000_000 + millis);
+    let mut lag = Lag::default();
+    assert_eq!(lag.greatest(), Duration::ZERO);
+    lag.on_sample(Duration::from_millis(300), at(0));
+    lag.on_sample(Duration::from_millis(10), at(4000));
+    assert_eq!(lag.greatest(), Duration::from_millis(300));
+    lag.on_sample(Duration::from_millis(20), at(5000));
+    assert_eq!(lag.greatest(), Duration::from_millis(20));
+}
+
 proptest! {
     /// Guards against requests that are sent when their responses have no time left, and against
     /// stages that refuse what they have accepted.
     #[test]
     fn no_request_is_sent_after_the_response_limit(
         grace in 1000_u64..60_000, objective in 1_u64..30_000, deadline in 0_u64..90_000,
-        delivery in 0_usize..3,
+        delivery in 0_usize..3, lag in 0_u64..3_000,
     ) {
-        let shutdown = Shutdown { grace: Duration::from_millis(grace) };
+        let shutdown = Shutdown {
+            grace: Duration::from_millis(grace),
+            lag: Duration::from_millis(lag),
+        };
         let route = route(DELIVERIES[delivery], Duration::from_millis(objective));
         let deadline = Duration::from_millis(deadline);
         let last = STAGES.map(|stage| shutdown.last_start(&route, stage, deadline));
         prop_assert!(last.iter().all(|last| *last <= shutdown.response_limit(route.delivery)));
         prop_assert!(last[0] <= last[1] && last[1] <= last[2]);
-        prop_assert!(shutdown.response_limit(route.delivery) < shutdown.grace);
+        prop_assert!(shutdown.response_limit(route.delivery) < shutdown.usable());
+        let earliest = shutdown.earliest_response_limit(route.delivery);
+        prop_assert!(earliest <= shutdown.response_limit(route.delivery));
     }
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -61,13 +61,14 @@
 /// idle. The load balancer has noticed the shutdown by then: it probes every second and removes a
 /// process after two failed probes.
 const DRAIN_DELAY_SHARE: f64 = 0.35;
-/// The share of the grace period in which open connections may finish; the rest is for the end of
-/// the process.
+/// The share of the usable grace period in which open connections may finish; the rest is for the
+/// end of the process.
 const REQUEST_DEADLINE_SHARE: f64 = 0.93;
-/// The share of the grace period after which the last log lines are written even if requests are in
-/// progress.
+/// The share of the usable grace period after which the last log lines are written even if requests
+/// are in progress.
 const FLUSH_DEADLINE_SHARE: f64 = 0.975;
-/// The share of the grace period after which the process exits even if requests are in progress.
+/// The share of the usable grace period after which the process exits even if requests are in
+/// progress.
 const EXIT_DEADLINE_SHARE: f64 = 0.985;
 /// Poll interval before exit, while waiting for a moment without a request in progress.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(2);
@@ -118,7 +119,7 @@
     let ready_address = local_address(&ready, settings.ready_address)?;
     let name = settings.name.clone();
     let shared = Rc::new(Shared::new(settings, adapter, Metrics::open()?));
-    let sigterm = Signal::listen(&shared.stopping).map_err(Error::Signal)?;
+    let sigterm = Signal::listen(&shared.stopping.start).map_err(Error::Signal)?;
     let socket = SocketAddr::new(shared.settings.ip, shared.settings.peer_port);
     let socket = UdpSocket::bind(socket)
         .await
@@ -540,7 +541,8 @@
     // until there have been no connections for a while.
     let mut idle_polls = 0;
     let open_connections = || Rc::strong_count(&open).saturating_sub(BASE_REFERENCES);
-    while idle_polls < IDLE_POLLS && now().since(started) < grace.mul_f64(REQUEST_DEADLINE_SHARE) {
+    let deadline = |share| started + shutdown::usable(&shared).mul_f64(share);
+    while idle_polls < IDLE_POLLS && now() < deadline(REQUEST_DEADLINE_SHARE) {
         tokio::time::sleep(POLL_INTERVAL).await;
         idle_polls = if open_connections() == 0 {
             idle_polls + 1
@@ -551,7 +553,7 @@
     // New requests are refused immediately by now, so there are moments without a request in
     // progress.
     let unanswered = || Rc::strong_count(&shared.unanswered) - 1;
-    wait_until_answered(unanswered, started + grace.mul_f64(FLUSH_DEADLINE_SHARE)).await;
+    wait_until_answered(unanswered, deadline(FLUSH_DEADLINE_SHARE)).await;
     gossip::send_leaving(&shared);
     Event::new("stop")
         .with("open", open_connections())
@@ -560,7 +562,7 @@
         .info();
     // Callers are served while the lines are written, so the exit needs another such moment.
     logging::flush().await;
-    wait_until_answered(unanswered, started + grace.mul_f64(EXIT_DEADLINE_SHARE)).await;
+    wait_until_answered(unanswered, deadline(EXIT_DEADLINE_SHARE)).await;
 }
 
 /// Waits for a moment without a request in progress, or for the deadline.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -86,7 +86,7 @@
     /// divide the quotas without counting this one.
     pub(crate) quota_from: Cell<Option<Time>>,
     /// When the shutdown of the process began.
-    pub(crate) stopping: signal::Start,
+    pub(crate) stopping: signal::State,
     /// Notified when the shutdown of the process begins.
     pub(crate) shutdown_begun: Notify,
     /// Counts, by references, the requests whose responses are not complete yet.
@@ -178,7 +178,7 @@
             contacts: RefCell::default(),
             duties: RefCell::default(),
             quota_from: Cell::new(None),
-            stopping: signal::Start::default(),
+            stopping: signal::State::default(),
             shutdown_begun: Notify::new(),
             unanswered: Rc::default(),
             queues: RefCell::default(),
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -1,5 +1,7 @@
 //! Bounds requests by the shutdown of the process.
 
+use std::time::Duration;
+
 use fleet::catalog::Route;
 use fleet::shutdown::{Shutdown, Stage};
 use types::Time;
@@ -7,6 +9,9 @@
 use crate::clock::now;
 use crate::shared::Shared;
 
+/// How often a request that waits for its limit looks whether the event loop has become later.
+const LAG_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Wakes the tasks that wait for the shutdown, once it has begun.
 pub(crate) fn announce<Adapter>(shared: &Shared<Adapter>) {
     shared.shutdown_begun.notify_waiters();
@@ -48,8 +53,21 @@
 /// Waits until the entry is stopping and a request must have a response.
 pub(crate) async fn until_response_limit<Adapter>(shared: &Shared<Adapter>, route: &Route) {
     let began = until_begun(shared).await;
-    let limit = began + shutdown(shared).response_limit(route.delivery);
-    tokio::time::sleep(limit.since(now())).await;
+    let earliest = shutdown(shared).earliest_response_limit(route.delivery);
+    tokio::time::sleep((began + earliest).since(now())).await;
+    loop {
+        let limit = began + shutdown(shared).response_limit(route.delivery);
+        let remaining = limit.since(now());
+        if remaining.is_zero() {
+            return;
+        }
+        tokio::time::sleep(remaining.min(LAG_INTERVAL)).await;
+    }
+}
+
+/// Returns the part of the grace period in which the shutdown has to be complete.
+pub(crate) fn usable<Adapter>(shared: &Shared<Adapter>) -> Duration {
+    shutdown(shared).usable()
 }
 
 async fn until_begun<Adapter>(shared: &Shared<Adapter>) -> Time {
@@ -66,5 +84,6 @@
 fn shutdown<Adapter>(shared: &Shared<Adapter>) -> Shutdown {
     Shutdown {
         grace: shared.settings.grace(),
+        lag: shared.stopping.lag(),
     }
 }
--- a/crates/gateway/src/signal.rs
+++ b/crates/gateway/src/signal.rs
@@ -1,7 +1,11 @@
 //! Receives the signal to shut down.
 
+use std::cell::RefCell;
 use std::sync::{Arc, OnceLock};
 use std::thread;
+use std::time::Duration;
+
+use fleet::shutdown::Lag;
 
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::oneshot;
@@ -20,6 +24,30 @@
     }
 }
 
+/// What bounds requests by the shutdown.
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    pub(crate) start: Start,
+    lag: RefCell<Lag>,
+}
+
+impl State {
+    /// Returns when the shutdown began, or `None` if the entry is not stopping.
+    pub(crate) fn get(&self) -> Option<Time> {
+        self.start.get()
+    }
+
+    /// Records how late the event loop has run a task.
+    pub(crate) fn on_lag(&self, lag: Duration, now: Time) {
+        self.lag.borrow_mut().on_sample(lag, now);
+    }
+
+    /// Returns the greatest recent lag of the event loop.
+    pub(crate) fn lag(&self) -> Duration {
+        self.lag.borrow().greatest()
+    }
+}
+
 /// The signal to shut down.
 ///
 /// A thread of its own waits for it: the event loop of a busy process handles a signal only after
