fleet, gateway: an outage that neighbours tell each other ends

Cause: after a failed call to the table store a target that vanishes from the list is used for 2.2 s more if there is no other, since it may still be live. Neighbours tell each other of such an outage, and each took the other's notice for a new one and told it on. So it never ended: the last failed call of the two entries of that domain was 6.3 s before target_gone. The take-up could go only to targets of its build, and all others of them were draining. The class of fault is hearsay that is passed on as an observation.

Ruled out: an outdated list (target_gone is logged), a new row of the target (none is logged).

Neighbours are told only of failed calls of the entry itself, for 1.2 s after the last one.

--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -63,6 +63,8 @@
     tombstones: HashMap<Target, (u64, Time)>,
     /// When the table store was last unavailable.
     store_outage: Option<Time>,
+    /// When a call of this entry last failed, as opposed to that of a neighbour.
+    own_outage: Option<Time>,
     /// The era of the newest report.
     era: u64,
     /// When the first report of that era arrived, unless there was none of an earlier era.
@@ -74,6 +76,8 @@
 /// How long a target that vanished around an outage of the table store is still used. Live targets
 /// are listed again within about two seconds of its return.
 pub const OUTAGE_GRACE: Duration = Duration::from_millis(2200);
+/// How long neighbours are told of an outage after the last failed call; two notices may be lost.
+const OUTAGE_NOTICE_TIME: Duration = Duration::from_millis(1200);
 /// How long the tombstone of a removed target is kept. Reports arrive by several paths, and none of
 /// them is delayed for longer.
 const TOMBSTONE_TTL: Duration = Duration::from_secs(30);
@@ -127,6 +131,20 @@
     /// Records an outage of the table store; targets that vanish soon after may still be live.
     pub fn on_store_outage(&mut self, now: Time) {
         self.store_outage = Some(now);
+        self.own_outage = Some(now);
+    }
+
+    /// Records that a neighbour has noticed an outage.
+    pub fn on_neighbour_outage(&mut self, now: Time) {
+        self.store_outage = Some(now);
+    }
+
+    /// Returns whether neighbours are to be told of an outage. What a neighbour has told is not
+    /// told on: two neighbours would take each other's notices for a new outage.
+    #[must_use]
+    pub fn tells_outage(&self, now: Time) -> bool {
+        let is_recent = |at| now.since(at) < OUTAGE_NOTICE_TIME;
+        self.own_outage.is_some_and(is_recent)
     }
 
     /// Returns whether the table store had an outage `within` this time.
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -143,10 +143,7 @@
         cursor,
         staleness: time.since(replied_at),
         digest: shared.roster.borrow().digest(),
-        store_outage: shared
-            .roster
-            .borrow()
-            .had_store_outage(time, fleet::roster::OUTAGE_GRACE),
+        store_outage: shared.roster.borrow().tells_outage(time),
         updated: Vec::new(),
         removed: Vec::new(),
     };
@@ -191,7 +188,7 @@
 {
     let time = now();
     if notice.store_outage {
-        shared.roster.borrow_mut().on_store_outage(time);
+        shared.roster.borrow_mut().on_neighbour_outage(time);
     }
     for member in &notice.updated {
         feed::upsert(shared, member.clone(), time);
