--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -231,8 +231,8 @@
         team.unwrap_or(self.route.rank)
     }
 
-    /// Returns how long a request may wait for a target whose caller has had a part of its response,
-    /// or has waited for another target before.
+    /// Returns how long a request may wait for a target if it was sent before, or if its caller has
+    /// received a part of the stream.
     pub(crate) fn retry_wait<Adapter>(&self, shared: &Shared<Adapter>, now: Time) -> Duration {
         let patience = self.stall_timeout().min(self.remaining(shared, now));
         patience.mul_f64(RETRY_WAIT_SHARE)
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -116,8 +116,9 @@
         self.has_begun = origin.is_recorded;
     }
 
-    /// Whether the caller has waited longer than others that have been sent as often: it takes up a
-    /// stream that has begun. A caller that only says so does not pass others.
+    /// Whether the caller takes up a stream that has begun, and no target has received the request
+    /// yet. Its caller has waited since the stream broke off. One that only claims to take up a
+    /// stream does not pass others.
     pub(crate) fn is_taken_up(&self) -> bool {
         self.deliveries == 0 && self.has_begun
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -85,7 +85,7 @@
     /// The time from which this entry uses shared quotas. Before it, the other entries may still
     /// divide the quotas without counting this one.
     pub(crate) quota_from: Cell<Option<Time>>,
-    /// When the shutdown of the process began.
+    /// When the shutdown of the process began, and the lag that it reckons with.
     pub(crate) stopping: signal::State,
     /// Notified when the shutdown of the process begins.
     pub(crate) shutdown_begun: Notify,
--- a/crates/gateway/src/signal.rs
+++ b/crates/gateway/src/signal.rs
@@ -24,7 +24,7 @@
     }
 }
 
-/// What bounds requests by the shutdown.
+/// When the shutdown began, and how late the event loop runs; both bound the requests in progress.
 #[derive(Debug, Default)]
 pub(crate) struct State {
     pub(crate) start: Start,
