fleet: accept late in a stop only streams that no lag cuts

What callers may see: a stream that a stopping entry accepted more than 3 s after SIGTERM, because its deadline was before the exit, is cut up to a second before that deadline.

Cause: the time for responses follows the lag of the event loop since, so it may become shorter after the stream was accepted.

Ruled out: a later exit for such streams, which gives up the reserve of the last steps when it is needed.

A stream that arrives is accepted for its deadline only if that is before the earliest limit, whatever the lag.

--- a/crates/fleet/src/shutdown.rs
+++ b/crates/fleet/src/shutdown.rs
@@ -89,7 +89,8 @@
         self.grace - reserve.min(self.grace.mul_f64(MAX_LAG_FRACTION))
     }
 
-    /// Returns the earliest time at which a request must have a response, whatever the lag.
+    /// Returns the earliest time at which a request must have a response, however late the event
+    /// loop becomes.
     #[must_use]
     pub fn earliest_response_limit(&self, delivery: Delivery) -> Duration {
         let lag = Duration::MAX;
@@ -113,11 +114,16 @@
     /// sends callers to them until they are gone. A request that is sent too late to be served
     /// before the exit ends without a result, and one that may run only once cannot be repeated.
     /// Refused in time, it is served by another entry. One that ends before the exit in any case is
-    /// accepted.
+    /// accepted; a stream counts as such only if it does so however late the event loop becomes,
+    /// because once it has begun it can only be cut.
     #[must_use]
     pub fn last_start(&self, route: &Route, stage: Stage, deadline: Duration) -> Duration {
         let limit = self.response_limit(route.delivery);
-        if deadline <= limit {
+        let certain = match (route.delivery, stage) {
+            (Delivery::Stream, Stage::Arriving) => self.earliest_response_limit(route.delivery),
+            _ => limit,
+        };
+        if deadline <= certain {
             return deadline;
         }
         let plain = route.objective.saturating_mul(OBJECTIVES);
--- a/crates/fleet/tests/shutdown.rs
+++ b/crates/fleet/tests/shutdown.rs
@@ -96,7 +96,8 @@
     let late = Duration::from_secs(3);
     let accepts = |deadline| shutdown.accepts(&route, Stage::Arriving, deadline, late);
     assert!(!accepts(Duration::from_secs(25)));
-    assert!(accepts(Duration::from_secs(18)));
+    assert!(!accepts(Duration::from_secs(17)));
+    assert!(accepts(Duration::from_secs(16)));
 }
 
 /// Guards against a busy entry that takes its last steps too late to end before it is killed, and
@@ -155,4 +156,24 @@
         let earliest = shutdown.earliest_response_limit(route.delivery);
         prop_assert!(earliest <= shutdown.response_limit(route.delivery));
     }
+
+    /// Guards against streams that are cut before their deadline because the event loop has become
+    /// later since they were accepted: the balancer had noticed the shutdown, so their callers
+    /// would have been served elsewhere.
+    #[test]
+    fn a_stream_accepted_late_is_not_cut_by_a_later_event_loop(
+        grace in 4000_u64..60_000, deadline_percent in 80_u64..100, since in 2400_u64..30_000,
+        lag in 0_u64..200, later_lag in 0_u64..3_000,
+    ) {
+        let shutdown = |lag| Shutdown {
+            grace: Duration::from_millis(grace),
+            lag: Duration::from_millis(lag),
+        };
+        let route = route(Delivery::Stream, Duration::from_millis(500));
+        let deadline = Duration::from_millis(grace * deadline_percent / 100);
+        let since = Duration::from_millis(since.min(grace / 2));
+        if shutdown(lag).accepts(&route, Stage::Arriving, deadline, since) {
+            prop_assert!(deadline <= shutdown(later_lag).response_limit(Delivery::Stream));
+        }
+    }
 }
