gateway: admit requests in a stop by the deadline of their callers

What callers see: a stream that a stopping entry accepted after the balancer had noticed the stop, since the timeout of its route was before the exit, goes on beyond that timeout and is cut at the exit.

Cause: a request that waits for a target follows a newer configuration, which may extend its deadline up to that of its caller. Whether a stopping entry accepts it was decided by the deadline of the configuration in force.

Ruled out: no extension in a stop, which ends the stream at a timeout that no configuration has any more.

Now the caller's own deadline decides, which nothing extends. A request that is refused for it has not been sent.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -216,9 +216,11 @@
         Caller::Authenticated(_) if !is_fresh => return Err(Reason::Stale),
         Caller::Authenticated(owner) => Some(owner),
     };
-    let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
+    let patience = head.timeout.unwrap_or(DEFAULT_TIMEOUT);
+    let timeout = patience.min(route.timeout);
     let deadline = arrived + timeout;
-    if !shutdown::accepts(shared, route, Stage::Arriving, deadline) {
+    // A newer configuration may extend the deadline to that of the caller.
+    if !shutdown::accepts(shared, route, Stage::Arriving, arrived + patience) {
         return Err(Reason::Stopping);
     }
     let mut reservation = Reservation::of(&shared.buffers, link.seat());
