gateway: ask others for the build of a stream also while one build is known

What callers see: a stream joined from two software builds. An entry that the table store turned away, or that was suspended, when a second build appeared takes up streams of that build at the first one.

Cause: an entry asked others only if it knew several builds itself. Its list of targets may be outdated, and only three others are told of a stream.

Evidence: a_stream_is_taken_up_at_its_build_at_an_entry_with_an_outdated_list (eight entries, one of them without the store) got 200 and the second event from the other build for the first stream taken up. With the change all 12 are refused, since this entry knows no target of their build.

Ruled out: telling all entries of each stream, see design/builds.md.

Others are asked whenever the entry does not remember the stream, which costs a round trip between entries, or 45 ms if nobody answers. A stream that is remembered elsewhere waits for a target as one remembered here does.

--- a/crates/gateway/src/builds.rs
+++ b/crates/gateway/src/builds.rs
@@ -257,37 +257,48 @@
     admitted: &Admitted,
     service: &Service,
 ) -> Option<Known> {
-    observe(shared);
     let stream = stream(admitted);
-    {
-        let register = shared.builds.borrow();
-        if let Some(build) = register.log.get(&stream) {
-            return Some(Known {
-                build: build.clone(),
-                is_recorded: true,
-            });
-        }
-        if let Origin::Known(build) = register.history.origin(service, now()) {
-            return Some(Known {
+    if let Some(build) = shared.builds.borrow().log.get(&stream) {
+        return Some(Known {
+            build: build.clone(),
+            is_recorded: true,
+        });
+    }
+    // Also if all known targets have one build: another one may have appeared while this entry was
+    // suspended or cut off from the table store.
+    let told = match &admitted.head.resumes {
+        Some(_) => ask(shared, stream).await,
+        None => None,
+    };
+    let known = match told {
+        Some(build) => {
+            shared.builds.borrow_mut().log.add(stream, &build, now());
+            Some(Known {
                 build,
-                is_recorded: false,
-            });
+                is_recorded: true,
+            })
         }
-    }
-    admitted.head.resumes.as_ref()?;
-    let build = ask(shared, stream).await;
-    if let Some(build) = &build {
-        shared.builds.borrow_mut().log.add(stream, build, now());
-    }
+        None => presume(shared, service),
+    };
     Event::new("stream_origin")
         .with("request", &*admitted.head.id)
         .with("resumes", admitted.head.resumes.as_deref())
-        .with("build", build.as_deref())
+        .with("build", known.as_ref().map(|known| &*known.build))
+        .with("recorded", known.as_ref().map(|known| known.is_recorded))
         .info();
-    build.map(|build| Known {
-        build,
-        is_recorded: true,
-    })
+    known
+}
+
+/// Returns the build of a stream that no entry remembers, if its service has had no other.
+fn presume<Adapter>(shared: &Shared<Adapter>, service: &Service) -> Option<Known> {
+    observe(shared);
+    match shared.builds.borrow().history.origin(service, now()) {
+        Origin::Known(build) => Some(Known {
+            build,
+            is_recorded: false,
+        }),
+        Origin::Unknown => None,
+    }
 }
 
 /// Asks other entries for the build of a stream.
@@ -298,7 +309,11 @@
     questions.borrow_mut().insert(number, sender);
     let answer = async {
         for _ in 0..MAX_QUESTIONS {
-            for to in holders(shared, stream, ASKED) {
+            let asked = holders(shared, stream, ASKED);
+            if asked.is_empty() {
+                return None;
+            }
+            for to in asked {
                 let message = Message::AskOrigin(number, stream);
                 shared.dispatch.send_to(&message, to);
             }
