fleet, gateway: presume the only build of a service only from a current list

What callers see: a stream joined from two software builds, at an entry that is cut off from the table store and all other entries, for any time if the request needs no key.

Cause: the build of a stream that nobody remembers was presumed from the list of targets whatever its age.

Ruled out: refusing whenever no entry remembers the stream. After a loss of all entries in the usual state of one build, all broken streams would be lost.

Nothing is presumed from 2.5 s after the store has last confirmed the list, to this entry or to a neighbour of its failure domain.

--- a/crates/fleet/src/builds.rs
+++ b/crates/fleet/src/builds.rs
@@ -70,6 +70,9 @@
     pub generation: Option<u64>,
 }
 
+/// How long after the table store last confirmed the list no other build is presumed. A call for
+/// changes is held for two seconds if there are none.
+const MAX_LIST_AGE: Duration = Duration::from_millis(2500);
 /// The maximum number of streams in a log. The oldest one is dropped for a new one.
 pub const MAX_STREAMS: usize = 20_000;
 /// The maximum number of recorded builds of a service.
@@ -154,10 +157,12 @@
         builds > 1 || !is_complete
     }
 
-    /// Returns the build of a stream of which nothing is remembered.
+    /// Returns the build of a stream of which nothing is remembered. `confirmed_at` is when the
+    /// table store last confirmed the list; another build may have appeared since.
     #[must_use]
-    pub fn origin(&self, service: &Service, now: Time) -> Origin {
-        if self.is_mixed(service, now) {
+    pub fn origin(&self, service: &Service, confirmed_at: Option<Time>, now: Time) -> Origin {
+        let is_current = confirmed_at.is_some_and(|at| now.since(at) < MAX_LIST_AGE);
+        if !is_current || self.is_mixed(service, now) {
             return Origin::Unknown;
         }
         let builds = self.services.get(service);
--- a/crates/fleet/src/discovery.rs
+++ b/crates/fleet/src/discovery.rs
@@ -218,6 +218,13 @@
         }
     }
 
+    /// Returns when the table store last replied to an up-to-date neighbour.
+    #[must_use]
+    pub fn confirmed_at(&self, now: Time) -> Option<Time> {
+        let replies = self.up_to_date(now).map(|(_, last)| last.store_replied_at);
+        replies.max()
+    }
+
     fn up_to_date(&self, now: Time) -> impl Iterator<Item = (&str, &LastNotice)> {
         let up_to_date = self.last_notices.iter().filter(move |(_, last)| {
             now.since(last.received_at) < NEIGHBOUR_TIMEOUT
--- a/crates/fleet/tests/builds.rs
+++ b/crates/fleet/tests/builds.rs
@@ -27,7 +27,7 @@
 }
 
 fn origin(history: &History, now: Time) -> Origin {
-    history.origin(&"e".into(), now)
+    history.origin(&"e".into(), Some(now), now)
 }
 
 fn known(build: &str) -> Origin {
@@ -60,6 +60,20 @@
     assert_eq!(origin(&history, at(12_005)), known("2"));
 }
 
+/// Guards against an entry that is cut off from the table store and presumes for any time that no
+/// other build has appeared.
+#[test]
+fn no_build_is_presumed_from_an_outdated_list() {
+    let mut history = History::default();
+    history.on_recorded(Some(&recorded(&["1"])), false, WINDOW, at(0));
+    list(&mut history, &["1"], at(0));
+    let origin = |confirmed_at, now| history.origin(&"e".into(), confirmed_at, now);
+    assert_eq!(origin(None, at(0)), Origin::Unknown);
+    assert_eq!(origin(Some(at(0)), at(2100)), known("1"));
+    assert_eq!(origin(Some(at(0)), at(3000)), Origin::Unknown);
+    assert_eq!(origin(Some(at(2900)), at(3000)), known("1"));
+}
+
 /// Guards against refusing all streams at the first start of a deployment.
 #[test]
 fn at_the_first_start_no_build_can_have_left() {
--- a/crates/gateway/src/builds.rs
+++ b/crates/gateway/src/builds.rs
@@ -292,7 +292,12 @@
 /// Returns the build of a stream that no entry remembers, if its service has had no other.
 fn presume<Adapter>(shared: &Shared<Adapter>, service: &Service) -> Option<Known> {
     observe(shared);
-    match shared.builds.borrow().history.origin(service, now()) {
+    let time = now();
+    // The list was read after the start, perhaps from a neighbour of which no notice has come yet.
+    let started_at = time - shared.dispatch.uptime();
+    let confirmed_at = shared.discovery.confirmed_at(time).max(Some(started_at));
+    let register = shared.builds.borrow();
+    match register.history.origin(service, confirmed_at, time) {
         Origin::Known(build) => Some(Known {
             build,
             is_recorded: false,
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -96,6 +96,12 @@
             .next_action(is_leader, is_starting, cursor, now())
     }
 
+    /// Returns when the table store last confirmed the list, to this entry or a neighbour.
+    pub(crate) fn confirmed_at(&self, now: Time) -> Option<Time> {
+        let neighbours = self.neighbours.borrow();
+        self.replied_at.get().max(neighbours.confirmed_at(now))
+    }
+
     /// Records a reply of the table store.
     pub(crate) fn on_store(&self, cursor: u64, time: Time) {
         self.replied_at.set(Some(time));
