--- a/crates/fleet/src/shutdown.rs
+++ b/crates/fleet/src/shutdown.rs
@@ -114,16 +114,16 @@
     /// sends callers to them until they are gone. A request that is sent too late to be served
     /// before the exit ends without a result, and one that may run only once cannot be repeated.
     /// Refused in time, it is served by another entry. One that ends before the exit in any case is
-    /// accepted; a stream counts as such only if it does so however late the event loop becomes,
-    /// because once it has begun it can only be cut.
+    /// accepted. A stream is accepted so only if it ends before the earliest limit, because once it
+    /// has begun it can only be cut.
     #[must_use]
     pub fn last_start(&self, route: &Route, stage: Stage, deadline: Duration) -> Duration {
         let limit = self.response_limit(route.delivery);
-        let certain = match (route.delivery, stage) {
+        let safe_limit = match (route.delivery, stage) {
             (Delivery::Stream, Stage::Arriving) => self.earliest_response_limit(route.delivery),
             _ => limit,
         };
-        if deadline <= certain {
+        if deadline <= safe_limit {
             return deadline;
         }
         let plain = route.objective.saturating_mul(OBJECTIVES);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -216,11 +216,11 @@
         Caller::Authenticated(_) if !is_fresh => return Err(Reason::Stale),
         Caller::Authenticated(owner) => Some(owner),
     };
-    let patience = head.timeout.unwrap_or(DEFAULT_TIMEOUT);
-    let timeout = patience.min(route.timeout);
+    let caller_timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT);
+    let timeout = caller_timeout.min(route.timeout);
     let deadline = arrived + timeout;
     // A newer configuration may extend the deadline to that of the caller.
-    if !shutdown::accepts(shared, route, Stage::Arriving, arrived + patience) {
+    if !shutdown::accepts(shared, route, Stage::Arriving, arrived + caller_timeout) {
         return Err(Reason::Stopping);
     }
     let mut reservation = Reservation::of(&shared.buffers, link.seat());
