Review, case 6: a machine with the name of a lost one gives orders at once

A machine that holds the lease on orders is removed for good; another one comes a second later at another address, with the same name.

--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -7,6 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::engine::Engine;
 use crate::http::{Connection, Failure};
 use crate::platform::Store;
 use crate::process::{Entry, Settings, temporary_folder};
@@ -26,6 +27,7 @@
     match case {
         "grace" => grace(trouble, record),
         "head" => head(trouble, record),
+        "replaced" => replaced(trouble, record),
         _ => Err(format!("no case {case}")),
     }
 }
@@ -296,3 +298,98 @@
 
 /// Connections that clients keep.
 const KEPT: usize = 24;
+
+/// The machine that orders new weights is removed for good, and another one comes at a new address
+/// with the same roles and the same name.
+fn replaced(trouble: bool, record: &Record) -> Outcome {
+    let text = |error: std::io::Error| error.to_string();
+    let store = Store::start("127.0.0.1").map_err(text)?;
+    let mut engines = Vec::new();
+    for number in 0..3 {
+        let engine =
+            Engine::start("127.0.0.1", &format!("i-{number}"), &store, record).map_err(text)?;
+        engine.register();
+        engines.push(engine);
+    }
+    store.put("op", "config", &engine_config());
+    store.put("op", "version/daka", "{\"model\":\"daka\",\"version\":1}");
+    let folder = temporary_folder("replaced").map_err(text)?;
+    let name = "front-harbour-1";
+    let settings = Settings::new(name, "127.0.0.2", store.address).map_err(text)?;
+    let mut entry = Entry::start(&settings, &folder).map_err(text)?;
+    if !entry.wait_ready(Duration::from_secs(10)) {
+        return Err("the program is not ready".to_owned());
+    }
+    // Longer than the time after which the registration counts.
+    thread::sleep(Duration::from_secs(3));
+    let orders = || -> usize { engines.iter().map(|engine| engine.orders().len()).sum() };
+    store.put("op", "version/daka", "{\"model\":\"daka\",\"version\":2}");
+    record.line("version 2 is named");
+    let deadline = Instant::now() + Duration::from_secs(10);
+    while orders() == 0 {
+        if Instant::now() > deadline {
+            return Err("no order was given".to_owned());
+        }
+        thread::sleep(Duration::from_millis(1));
+    }
+    let first_machine = orders();
+    let mut replacement = None;
+    if trouble {
+        entry.signal("-KILL");
+        let _ = entry.child.wait();
+        record.line("SIGKILL: the machine is gone for good");
+        thread::sleep(REPLACEMENT_DELAY);
+        // With NAME=front-harbour-9, say, the second machine has a name of its own.
+        let name = std::env::var("NAME").unwrap_or_else(|_| name.to_owned());
+        let mut settings = Settings::new(&name, "127.0.0.3", store.address).map_err(text)?;
+        settings.first_start = false;
+        settings.peers = entry.settings.peers;
+        record.line(&format!(
+            "another machine comes at 127.0.0.3, with the name {name}"
+        ));
+        replacement = Some(Entry::start(&settings, &folder).map_err(text)?);
+    }
+    thread::sleep(Duration::from_millis(700));
+    store.put("op", "version/daka", "{\"model\":\"daka\",\"version\":3}");
+    record.line("version 3 is named");
+    thread::sleep(Duration::from_secs(8));
+    drop(replacement);
+    drop(entry);
+    let _ = std::fs::remove_dir_all(&folder);
+    let mut broken = false;
+    let mut by_second = 0;
+    for engine in &engines {
+        let orders = engine.orders();
+        for pair in orders.windows(2) {
+            let gap = pair[1].at - pair[0].at;
+            let is_other = pair[0].fence != pair[1].fence;
+            if trouble && is_other {
+                by_second += 1;
+                record.line(&format!(
+                    "{}: order of {} with fence {} by the first machine, {gap:.3} s later one of {} with fence {} by the second",
+                    engine.id, pair[0].holder, pair[0].fence, pair[1].holder, pair[1].fence
+                ));
+                broken |= gap < LEASE_S;
+            }
+        }
+    }
+    record.line(&format!(
+        "{first_machine} orders before the kill, {} in all, {by_second} turns",
+        orders()
+    ));
+    Ok(broken)
+}
+
+/// How long after the loss of a machine another one comes: the default of `replace_core`.
+const REPLACEMENT_DELAY: Duration = Duration::from_secs(1);
+
+/// `leaseMs` of the sheets, in seconds.
+const LEASE_S: f64 = 3.0;
+
+fn engine_config() -> String {
+    "{\"version\":1,\"routes\":[{\"name\":\"check\",\"host\":\"a.example\",\"prefix\":\"/check/\",\
+     \"kind\":\"stream\",\"sloMs\":500,\"timeoutMs\":5000,\"service\":\"wick\",\"attempts\":2,\"priority\":1,\
+     \"canResume\":true,\"gapAimMs\":250,\"sticky\":true}],\
+     \"services\":[{\"name\":\"wick\",\"maxConns\":620,\"engine\":{\"kvCapacity\":64644,\"kvTokenBytes\":35136}}]}"
+        .to_owned()
+}
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -6,6 +6,7 @@
 //! out.
 
 mod cases;
+mod engine;
 mod http;
 mod json;
 mod platform;
