--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -9,6 +9,7 @@
 
 use crate::engine::Engine;
 use crate::http::{Connection, Failure};
+use crate::kv::{KvServers, KvStore, LINK_MBPS, TOKEN_BYTES};
 use crate::platform::Store;
 use crate::process::{Entry, Settings, temporary_folder};
 use crate::record::Record;
@@ -28,6 +29,7 @@
         "grace" => grace(trouble, record),
         "head" => head(trouble, record),
         "replaced" => replaced(trouble, record),
+        "late-fetch" => late_fetch(trouble, record),
         _ => Err(format!("no case {case}")),
     }
 }
@@ -393,3 +395,104 @@
      \"services\":[{\"name\":\"wick\",\"maxConns\":620,\"engine\":{\"kvCapacity\":64644,\"kvTokenBytes\":35136}}]}"
         .to_owned()
 }
+
+/// A request waits in the queue of its server while the store that it is to fetch from restarts.
+fn late_fetch(trouble: bool, record: &Record) -> Outcome {
+    let text = |error: std::io::Error| error.to_string();
+    let store = Store::start("127.0.0.1").map_err(text)?;
+    let kept = KvStore::start("127.0.0.1", record).map_err(text)?;
+    let servers = KvServers::start(2, &kept, record).map_err(text)?;
+    for (id, row) in &servers.rows {
+        store.put("servers", id, row);
+    }
+    let config = format!(
+        "{{\"version\":1,\"routes\":[{{\"name\":\"notes\",\"host\":\"a.example\",\"prefix\":\"/notes/\",\
+         \"kind\":\"stream\",\"sloMs\":1200,\"timeoutMs\":5000,\"service\":\"wick\",\"attempts\":2,\"priority\":2,\
+         \"canResume\":true,\"gapAimMs\":500,\"sticky\":true}}],\"services\":[{{\"name\":\"wick\",\"maxConns\":490,\
+         \"engine\":{{\"kvCapacity\":64644,\"kvTokenBytes\":{TOKEN_BYTES}}}}},{{\"name\":\"keep\",\
+         \"kvStoreAddr\":\"{}\",\"zone\":\"harbour\",\"kvCapacity\":1260807,\"linkMbps\":{LINK_MBPS},\
+         \"first_ms\":6,\"maxInflight\":12,\"managed\":true}}],\
+         \"tenants\":[{{\"name\":\"parks\",\"apiKeys\":[\"key-1\"]}}]}}",
+        kept.address
+    );
+    store.put("op", "config", &config);
+    store.put("op", "version/daka", "{\"model\":\"daka\",\"version\":1}");
+    let folder = temporary_folder("late-fetch").map_err(text)?;
+    let settings = Settings::new("front-harbour-1", "127.0.0.1", store.address).map_err(text)?;
+    let entry = Entry::start(&settings, &folder).map_err(text)?;
+    if !entry.wait_ready(Duration::from_secs(10)) {
+        return Err("the program is not ready".to_owned());
+    }
+    // The shared part is that of the sheet's prompts; the last part is the request's own.
+    let ask = |id: &str| {
+        let fields = format!(
+            "Boragereel-Model: daka\r\nBoragereel-Token-Count: 9190,9\r\n\
+             Boragereel-Prompt-Prefix: 5c1e07a2:7520,{id}:1670\r\nContent-Length: 0\r\n"
+        );
+        let message =
+            request("POST", "/notes/1", id, &fields).replace("Deadline: 1000", "Deadline: 5000");
+        let mut connection = Connection::open(settings.front).ok()?;
+        // Clients abandon a stream after four times its objective.
+        let _ = connection
+            .socket
+            .set_read_timeout(Some(Duration::from_millis(4800)));
+        connection.send(message.as_bytes()).ok()?;
+        let answer = connection.message().map(|answer| answer.status());
+        record.line(&format!("client sent {id}: {answer:?}"));
+        answer.ok()
+    };
+    // Nothing is saved to a store that has just been seen for the first time.
+    thread::sleep(Duration::from_secs(5));
+    ask(&new_id());
+    thread::sleep(Duration::from_secs(4));
+    let waiting = new_id();
+    servers.hold(
+        &waiting,
+        if trouble {
+            Duration::from_millis(4700)
+        } else {
+            Duration::from_millis(4300)
+        },
+    );
+    thread::scope(|scope| {
+        let client = scope.spawn(|| ask(&waiting));
+        let deadline = Instant::now() + Duration::from_secs(2);
+        while !servers.has_arrived(&waiting) && Instant::now() < deadline {
+            thread::sleep(Duration::from_millis(1));
+        }
+        if trouble {
+            kept.restart(STORE_DOWN);
+        } else {
+            thread::sleep(STORE_DOWN);
+        }
+        // Other clients ask with the same shared part.
+        thread::sleep(Duration::from_millis(3200));
+        for _ in 0..60 {
+            if client.is_finished() {
+                break;
+            }
+            scope.spawn(|| ask(&new_id()));
+            thread::sleep(Duration::from_millis(30));
+        }
+        let _ = client.join();
+    });
+    drop(entry);
+    let _ = std::fs::remove_dir_all(&folder);
+    let fetches = servers.fetches();
+    let own = fetches.iter().filter(|fetch| fetch.request == waiting);
+    if own.count() == 0 {
+        return Err("the request that waited was not told to fetch".to_owned());
+    }
+    let mut broken = false;
+    for fetch in fetches.iter().filter(|fetch| fetch.found && !fetch.whole) {
+        broken = true;
+        record.line(&format!(
+            "{} took part {} while it was being written",
+            fetch.request, fetch.part
+        ));
+    }
+    Ok(broken)
+}
+
+/// How long the store is down when it restarts.
+const STORE_DOWN: Duration = Duration::from_millis(100);
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -9,6 +9,7 @@
 mod engine;
 mod http;
 mod json;
+mod kv;
 mod platform;
 mod process;
 mod record;
