--- a/review/standins-2/process.rs
+++ b/review/standins-2/process.rs
@@ -151,9 +151,10 @@
         settings.write(&self.folder).map(|_| ())
     }
 
+    /// Sends a signal, such as `-TERM`, by the shell's own `kill`.
     pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill")
-            .arg(name)
+        let _ = Command::new("sh")
+            .args(["-c", "kill \"$0\" \"$1\"", name])
             .arg(self.child.id().to_string())
             .status();
     }
